--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Starts both users' deployments on one machine and drives load."""
--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,260 @@
+"""Starts and stops the processes of one deployment."""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from demo import deployments
+
+_HOST = "127.0.0.1"
+
+
+class Place(msgspec.Struct):
+    """One VM: a target and the daemon beside it.
+
+    Attributes:
+        name: Name of the daemon and the target.
+        service: Their service.
+        data_centre: Where the VM stands.
+        http: The daemon's `ip:port` for callers.
+        peer: The daemon's `ip:port` for other daemons.
+        target: The target's `ip:port`.
+        checks_grants: Whether the target checks grants.
+        daemon_process: The daemon.
+        target_process: The target.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    http: str
+    peer: str
+    target: str
+    checks_grants: bool
+    daemon_process: subprocess.Popen | None = None
+    target_process: subprocess.Popen | None = None
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    timeout: float = 2.0,
+) -> tuple[int, bytes]:
+    """Returns status and body of one HTTP request to a process here.
+
+    Raises:
+        OSError: If there is no whole answer.
+    """
+    host, _, port = address.rpartition(":")
+    link = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        data = json.dumps(body).encode() if body is not None else b""
+        link.request(method, path, data)
+        answer = link.getresponse()
+        return answer.status, answer.read()
+    except http.client.HTTPException as error:
+        raise OSError(repr(error)) from error
+    finally:
+        link.close()
+
+
+class Cluster:
+    """All processes of one deployment, on loopback."""
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        folder: pathlib.Path,
+        base_port: int,
+        work_ms: float = 3.0,
+        overrides: dict[str, dict[str, object]] | None = None,
+    ) -> None:
+        """Plans the processes; nothing is started yet.
+
+        Args:
+            deployment: What to start.
+            folder: For settings, logs and the targets' runs.
+            base_port: First of the ports; three for each VM and one more.
+            work_ms: Mean time of an operation at a target.
+            overrides: Settings by section, for every daemon.
+        """
+        self.deployment = deployment
+        self.folder = folder
+        self.work_ms = work_ms
+        self._overrides = overrides or {}
+        self.table = f"{_HOST}:{base_port}"
+        self.platform: subprocess.Popen | None = None
+        self.places: list[Place] = []
+        port = base_port + 1
+        for service in deployment.services:
+            for index in range(service.servers):
+                centres = deployment.data_centres
+                self.places.append(
+                    Place(
+                        name=f"{service.name}-{index}",
+                        service=service.name,
+                        data_centre=centres[index % len(centres)],
+                        http=f"{_HOST}:{port}",
+                        peer=f"{_HOST}:{port + 1}",
+                        target=f"{_HOST}:{port + 2}",
+                        checks_grants=service.checks_grants,
+                    )
+                )
+                port += 3
+
+    def place(self, name: str) -> Place:
+        """Returns the VM with a name."""
+        return next(place for place in self.places if place.name == name)
+
+    def start(self) -> None:
+        """Starts everything."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.start_platform()
+        for place in self.places:
+            self.start_target(place)
+            self.start_daemon(place)
+
+    def start_platform(self) -> None:
+        """Starts the platform's stand-in."""
+        self.platform = self._run(
+            "platform", "standins.platform", "--listen", self.table
+        )
+
+    def start_target(self, place: Place) -> None:
+        """Starts a VM's target."""
+        flag = (
+            "--checks-grants" if place.checks_grants else "--no-checks-grants"
+        )
+        place.target_process = self._run(
+            f"target-{place.name}",
+            "standins.target",
+            "--name",
+            place.name,
+            "--service",
+            place.service,
+            "--listen",
+            place.target,
+            "--daemon",
+            place.http,
+            "--slots",
+            str(self.deployment.slots),
+            "--connections",
+            str(self.deployment.connections),
+            "--work-ms",
+            str(self.work_ms),
+            "--log",
+            str(self.folder / f"{place.name}.runs"),
+            flag,
+        )
+
+    def settings(self, place: Place) -> pathlib.Path:
+        """Writes a daemon's settings file and returns its path."""
+        sections: dict[str, dict[str, object]] = {
+            "daemon": {
+                "deployment": self.deployment.name,
+                "name": place.name,
+                "service": place.service,
+                "data_centre": place.data_centre,
+                "http_address": place.http,
+                "peer_address": place.peer,
+                "log": self.folder / f"{place.name}.log",
+            },
+            "table": {"address": self.table},
+        }
+        for section, values in self._overrides.items():
+            sections.setdefault(section, {}).update(values)
+        lines = []
+        for section, values in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{name} = {value}" for name, value in values.items()]
+        path = self.folder / f"{place.name}.ini"
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        return path
+
+    def start_daemon(self, place: Place) -> None:
+        """Starts a VM's daemon."""
+        place.daemon_process = self._run(
+            f"daemon-{place.name}",
+            "tamarackgap",
+            "daemon",
+            "--config",
+            str(self.settings(place)),
+        )
+
+    def ready(self, seconds: float) -> float | None:
+        """Waits until all slots are owned and spread; returns the time."""
+        begun = time.monotonic()
+        while time.monotonic() - begun < seconds:
+            if self._is_ready():
+                return time.monotonic() - begun
+            time.sleep(0.1)
+        return None
+
+    def _is_ready(self) -> bool:
+        for service in self.deployment.services:
+            counts = self.owned(service.name)
+            if len(counts) < service.servers or None in counts:
+                return False
+            if not all(counts) or max(counts) > 1.1 * min(counts) + 2:
+                return False
+        return True
+
+    def owned(self, service: str) -> list[int | None]:
+        """Returns the number of slots of each daemon of a service."""
+        return [
+            self._owned(place)
+            for place in self.places
+            if place.service == service
+        ]
+
+    def _owned(self, place: Place) -> int | None:
+        with contextlib.suppress(OSError, ValueError):
+            status = json.loads(call(place.http, "GET", "/status")[1])
+            if status["lease_left_ms"] > 0:
+                return status["owned"]
+        return None
+
+    def faults(self, **values: object) -> None:
+        """Switches faults of the platform."""
+        call(self.table, "POST", "/faults", values)
+
+    def runs(self) -> list[dict]:
+        """Returns everything that the targets say they ran."""
+        found = []
+        for place in self.places:
+            path = self.folder / f"{place.name}.runs"
+            if path.exists():
+                text = path.read_text(encoding="utf-8")
+                found += [json.loads(line) for line in text.splitlines()]
+        return found
+
+    def stop(self) -> None:
+        """Ends all processes that were started here."""
+        processes = [self.platform]
+        for place in self.places:
+            processes += [place.daemon_process, place.target_process]
+        for process in filter(None, processes):
+            if process.poll() is None:
+                # A stopped process takes no other signal.
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in filter(None, processes):
+            process.wait()
+
+    def _run(self, name: str, module: str, *words: str) -> subprocess.Popen:
+        with (self.folder / f"{name}.out").open("ab") as out:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *words],
+                stdout=out,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,133 @@
+"""The platform's table service and object store, with faults to switch."""
+
+import random
+import threading
+import time
+import urllib.parse
+
+import click
+import msgspec
+
+from standins import httpd
+from standins import table as table_lib
+from tamarackgap import records
+
+
+class Faults(msgspec.Struct):
+    """What goes wrong at present.
+
+    Attributes:
+        down: Whether every request fails.
+        delay: Seconds before each answer.
+        lose_answers: Share of transactions whose answer is lost after they
+            took effect.
+        reads: Most reads a second.
+        writes: Most transactions a second.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: float = 0.0
+    reads: int = 2000
+    writes: int = 400
+
+
+class Rate:
+    """Counts requests in each second, against a ceiling."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._count = 0
+        self._lock = threading.Lock()
+
+    def admit(self, ceiling: int) -> bool:
+        """Counts a request; returns whether it is within the ceiling."""
+        with self._lock:
+            second = int(time.monotonic())
+            if second != self._second:
+                self._second = second
+                self._count = 0
+            self._count += 1
+            return self._count <= ceiling
+
+
+class Platform:
+    """Table, objects and faults."""
+
+    def __init__(self, seed: int = 1) -> None:
+        """Creates an empty platform whose losses follow `seed`."""
+        self.table = table_lib.Table()
+        self.faults = Faults()
+        self._objects: dict[str, bytes] = {}
+        self._rng = random.Random(seed)
+        self._reads = Rate()
+        self._writes = Rate()
+
+    def answer(self, query: httpd.Query) -> httpd.Reply:
+        """Answers one request."""
+        parts = urllib.parse.urlsplit(query.path)
+        if parts.path == "/faults":
+            return self._switch(query)
+        if parts.path == "/counts":
+            counts = {"reads": self.table.reads, "writes": self.table.writes}
+            return httpd.as_json(counts)
+        if self.faults.delay:
+            time.sleep(self.faults.delay)
+        if self.faults.down:
+            return httpd.Reply(None)
+        if parts.path == "/rows":
+            return self._read(parts.query)
+        if parts.path == "/transactions":
+            return self._commit(query.body)
+        if parts.path.startswith("/objects"):
+            return self._object(query, parts)
+        return httpd.Reply(404)
+
+    def _switch(self, query: httpd.Query) -> httpd.Reply:
+        known = msgspec.to_builtins(self.faults)
+        self.faults = msgspec.convert({**known, **query.json()}, Faults)
+        return httpd.as_json(self.faults)
+
+    def _read(self, query: str) -> httpd.Reply:
+        if not self._reads.admit(self.faults.reads):
+            return httpd.Reply(429)
+        since = int(urllib.parse.parse_qs(query).get("since", ["0"])[0])
+        revision, rows = self.table.since(since)
+        return httpd.as_json({"revision": revision, "rows": rows})
+
+    def _commit(self, body: bytes) -> httpd.Reply:
+        if not self._writes.admit(self.faults.writes):
+            return httpd.Reply(429)
+        transaction = msgspec.json.decode(body, type=records.Transaction)
+        committed, rows = self.table.commit(transaction)
+        if self._rng.random() < self.faults.lose_answers:
+            return httpd.Reply(None)
+        status = 200 if committed else 409
+        return httpd.as_json({"committed": committed, "rows": rows}, status)
+
+    def _object(
+        self, query: httpd.Query, parts: urllib.parse.SplitResult
+    ) -> httpd.Reply:
+        name = parts.path.removeprefix("/objects").lstrip("/")
+        if query.method == "PUT":
+            self._objects[name] = query.body
+            return httpd.Reply(200)
+        if not name:
+            prefix = urllib.parse.parse_qs(parts.query).get("prefix", [""])[0]
+            names = sorted(n for n in self._objects if n.startswith(prefix))
+            return httpd.as_json(names)
+        if name in self._objects:
+            return httpd.Reply(200, self._objects[name])
+        return httpd.Reply(404)
+
+
+@click.command()
+@click.option("--listen", required=True, help="ip:port to bind to.")
+@click.option("--seed", default=1, help="Seed of the lost answers.")
+def main(listen: str, seed: int) -> None:
+    """Runs the platform's stand-in until it is stopped."""
+    httpd.serve(listen, Platform(seed).answer).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tamarackgap/__init__.py
@@ -0,0 +1,3 @@
+"""A router for servers that own keys exclusively."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/tamarackgap/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as `python -m tamarackgap`."""
+
+from tamarackgap import cmdline
+
+cmdline.main()
--- /dev/null
+++ b/tamarackgap/changes.py
@@ -0,0 +1,193 @@
+"""Pure functions that build the transactions of the ownership protocol."""
+
+import enum
+from collections.abc import Iterable
+
+import msgspec
+
+from tamarackgap import placement, records, slots, types
+
+
+class Kind(enum.Enum):
+    """What a transaction is for."""
+
+    JOIN = "join"
+    FLAG = "flag"
+    VOUCH = "vouch"
+    FOUND = "found"
+    CLAIM = "claim"
+    RECONFIGURE = "reconfigure"
+    LEAVE = "leave"
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A transaction and what it is for.
+
+    Attributes:
+        kind: Its purpose.
+        transaction: Checks and writes.
+        reason: The cause, for the log.
+    """
+
+    kind: Kind
+    transaction: records.Transaction
+    reason: str
+
+
+class Gain(msgspec.Struct, frozen=True):
+    """Slots to take from another incarnation's record.
+
+    Attributes:
+        record: That record.
+        fences: Each slot's new fence.
+    """
+
+    record: records.LeaseRecord
+    fences: dict[int, int]
+
+
+class Builder:
+    """Collects the checks and writes of one transaction."""
+
+    def __init__(self, view: records.View, change: str) -> None:
+        """Creates an empty transaction on the rows of `view`."""
+        self._view = view
+        self._change = change
+        self._checks: dict[str, records.Check] = {}
+        self._writes: dict[str, records.Write] = {}
+
+    def check(self, key: str) -> None:
+        """Adds the condition that a row has not changed."""
+        self._checks[key] = self._view.check(key)
+
+    def put(self, record: records.LeaseRecord) -> None:
+        """Writes a lease record, if it has not changed meanwhile."""
+        self.check(record.key)
+        marked = msgspec.structs.replace(record, change=self._change)
+        self._writes[record.key] = records.Write(
+            record.key, records.encode(marked)
+        )
+
+    def close(
+        self,
+        record: records.LeaseRecord,
+        left: dict[types.Slot, slots.Holding],
+    ) -> None:
+        """Closes a record; one that holds no slots any more is deleted."""
+        if left:
+            closed = msgspec.structs.replace(
+                record,
+                state=types.RecordState.CLOSED,
+                runs=slots.compress(left),
+            )
+            self.put(closed)
+            return
+        self.check(record.key)
+        self._writes[record.key] = records.Write(record.key, None)
+
+    def put_founded(self, service: str, slot_count: int) -> None:
+        """Writes a service's founding row, if there is none yet."""
+        key = records.founded_key(service)
+        self.check(key)
+        row = records.Founded(slot_count, self._change)
+        self._writes[key] = records.Write(key, records.encode(row))
+
+    def build(self, kind: Kind, reason: str) -> Change:
+        """Returns the finished change."""
+        transaction = records.Transaction(
+            self._change,
+            tuple(self._checks.values()),
+            tuple(self._writes.values()),
+        )
+        return Change(kind, transaction, reason)
+
+
+def own_record(
+    record: records.LeaseRecord,
+    holdings: dict[types.Slot, slots.Holding],
+    members: Iterable[records.LeaseRecord],
+) -> records.LeaseRecord:
+    """Returns a record with these holdings, each with a successor."""
+    placed = placement.choose_successors(record, holdings, members)
+    return msgspec.structs.replace(record, runs=slots.compress(placed))
+
+
+def found(
+    view: records.View,
+    mine: records.LeaseRecord,
+    slot_count: int,
+    change: str,
+) -> Change:
+    """Gives all slots of a new service to one daemon, which spreads them."""
+    builder = Builder(view, change)
+    builder.put_founded(mine.service, slot_count)
+    holdings = {
+        types.Slot(slot): slots.Holding(1) for slot in range(slot_count)
+    }
+    members = view.members(mine.service)
+    builder.put(own_record(mine, holdings, members))
+    return builder.build(Kind.FOUND, "no-slots-given-out-yet")
+
+
+def claim(
+    view: records.View,
+    mine: records.LeaseRecord,
+    gains: Iterable[Gain],
+    change: str,
+) -> Change:
+    """Takes slots from records whose epochs are over, and closes those."""
+    builder = Builder(view, change)
+    holdings = slots.expand(mine.runs)
+    sources = []
+    for gain in gains:
+        left = slots.expand(gain.record.runs)
+        for slot, fence in gain.fences.items():
+            left.pop(types.Slot(slot), None)
+            holdings[types.Slot(slot)] = slots.Holding(fence)
+        builder.close(gain.record, left)
+        sources.append(gain.record.incarnation)
+    kept = slots.expand(mine.runs)
+    placed = placement.choose_successors(
+        mine,
+        {slot: held for slot, held in holdings.items() if slot not in kept},
+        view.members(mine.service),
+    )
+    # Successors of slots held before must not change within an epoch.
+    runs = slots.compress({**kept, **placed})
+    builder.put(msgspec.structs.replace(mine, runs=runs))
+    return builder.build(Kind.CLAIM, "lease-over:" + ",".join(sources))
+
+
+def reconfigure(
+    view: records.View,
+    target: records.LeaseRecord,
+    moves: Iterable[placement.Move],
+    change: str,
+    reason: str,
+) -> Change:
+    """Begins a new epoch, and hands slots over in the same transaction.
+
+    Args:
+        view: The rows known here.
+        target: The owner's own record with its new epoch and witnesses.
+        moves: Slots to hand over.
+        change: The write's id.
+        reason: The cause, for the log.
+    """
+    builder = Builder(view, change)
+    holdings = slots.expand(target.runs)
+    gained: dict[str, dict[types.Slot, slots.Holding]] = {}
+    for move in moves:
+        held = holdings.pop(types.Slot(move.slot))
+        taken = gained.setdefault(move.destination, {})
+        taken[types.Slot(move.slot)] = slots.Holding(held.fence + 1)
+    members = view.members(target.service)
+    builder.put(own_record(target, holdings, members))
+    for destination, taken in gained.items():
+        record = view.lease(destination)
+        if record is None:
+            continue
+        placed = placement.choose_successors(record, taken, members)
+        runs = slots.compress({**slots.expand(record.runs), **placed})
+        builder.put(msgspec.structs.replace(record, runs=runs))
+    return builder.build(Kind.RECONFIGURE, reason)
--- /dev/null
+++ b/tamarackgap/cmdline.py
@@ -0,0 +1,371 @@
+"""The command line."""
+
+import getpass
+import pathlib
+import urllib.parse
+
+import click
+import msgspec
+from returns import result
+
+import tamarackgap
+from tamarackgap import (
+    config,
+    control,
+    daemon,
+    env,
+    exceptions,
+    pages,
+    policy,
+    records,
+)
+
+_EXIT_FAILED = 1
+_EXIT_USAGE = 2
+_EXIT_CONFLICT = 3
+_EXIT_UNREACHABLE = 4
+_EXIT_NOT_EVERYWHERE = 5
+_IN_FORCE_S = 13.0
+_EXIT_CODES = """
+\b
+Exit codes:
+  0  done
+  1  failed
+  2  wrong usage, or settings that cannot be used
+  3  somebody else edited the row; nothing was changed
+  4  the table or the daemon does not answer
+  5  accepted, but not yet in force everywhere
+"""
+
+
+def _fail(text: str, code: int) -> None:
+    click.echo(f"tamarackgap: {text}", err=True)
+    raise SystemExit(code)
+
+
+def _settings(path: pathlib.Path) -> config.Config:
+    match config.load(path):
+        case result.Success(config.Config() as settings):
+            return settings
+        case result.Failure(problem):
+            _fail(problem, _EXIT_USAGE)
+    raise AssertionError(path)
+
+
+def _show(value: object, as_json: bool, text: str) -> None:
+    if as_json:
+        click.echo(msgspec.json.encode(value).decode())
+    else:
+        click.echo(text)
+
+
+_config_option = click.option(
+    "--config",
+    "path",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help="Settings file (INI).",
+)
+_json_option = click.option(
+    "--json", "as_json", is_flag=True, help="Print JSON, for programs."
+)
+_table_option = click.option(
+    "--table", "address", required=True, help="ip:port of the table service."
+)
+_daemon_option = click.option(
+    "--daemon", "address", required=True, help="ip:port of any daemon's HTTP."
+)
+
+
+@click.group(epilog=_EXIT_CODES)
+@click.version_option(tamarackgap.__version__)
+def cli() -> None:
+    """Routes requests to servers that own their keys exclusively."""
+
+
+@cli.command("daemon", epilog=_EXIT_CODES)
+@_config_option
+def daemon_command(path: pathlib.Path) -> None:
+    """Run the process beside a target, until SIGTERM has drained it."""
+    settings = _settings(path)
+    try:
+        daemon.run(settings)
+    except OSError as error:
+        _fail(f"{path}: cannot start: {error}", _EXIT_FAILED)
+
+
+@cli.command("check-config", epilog=_EXIT_CODES)
+@_config_option
+@_json_option
+def check_config(path: pathlib.Path, as_json: bool) -> None:
+    """Check a settings file, and print all settings in force."""
+    settings = _settings(path)
+    values = msgspec.to_builtins(settings)
+    lines = [f"{name} = {value}" for name, value in values.items()]
+    _show(settings, as_json, "\n".join(lines))
+
+
+@cli.command("debug", epilog=_EXIT_CODES)
+@click.option(
+    "--config", "path", type=click.Path(path_type=pathlib.Path), default=None
+)
+@_json_option
+def debug(path: pathlib.Path | None, as_json: bool) -> None:
+    """Print what the program knows of its surroundings."""
+    settings = _settings(path) if path is not None else None
+    known = env.surroundings(settings)
+    lines = [
+        f"{name}: {value}"
+        for name, value in msgspec.structs.asdict(known).items()
+        if not isinstance(value, dict)
+    ]
+    for name in ("libraries", "settings"):
+        pairs = getattr(known, name).items()
+        lines += [f"{name}.{key}: {value}" for key, value in pairs]
+    _show(known, as_json, "\n".join(lines))
+
+
+def _page(address: str, path: str) -> bytes:
+    try:
+        status, body = control.ask(address, "GET", path)
+    except OSError as error:
+        _fail(f"daemon {address}: {error}", _EXIT_UNREACHABLE)
+    if status != 200:
+        _fail(f"daemon {address}: {body.decode()}", _EXIT_FAILED)
+    return body
+
+
+@cli.command("status", epilog=_EXIT_CODES)
+@_daemon_option
+@_json_option
+def status_command(address: str, as_json: bool) -> None:
+    """Print what a daemon says of itself."""
+    body = _page(address, "/status")
+    found = msgspec.json.decode(body, type=pages.Status)
+    pairs = msgspec.structs.asdict(found).items()
+    _show(found, as_json, "\n".join(f"{k}: {v}" for k, v in pairs))
+
+
+@cli.command("owners", epilog=_EXIT_CODES)
+@_daemon_option
+@click.option("--service", default=None, help="Only this service.")
+@_json_option
+def owners(address: str, service: str | None, as_json: bool) -> None:
+    """Print how many slots each daemon owns."""
+    query = f"?service={urllib.parse.quote(service)}" if service else ""
+    body = _page(address, "/owners" + query)
+    rows = msgspec.json.decode(body, type=list[pages.OwnerRow])
+    lines = [
+        f"{'SERVICE':16} {'DAEMON':20} {'DATA CENTRE':14} {'SLOTS':>6}"
+        f" {'WEIGHT':>6} {'EPOCH':>5} STATE"
+    ]
+    lines += [
+        f"{row.service:16} {row.daemon:20} {row.data_centre:14}"
+        f" {row.slots:6} {row.weight:6} {row.epoch:5} {row.state}"
+        for row in rows
+    ]
+    _show(rows, as_json, "\n".join(lines))
+
+
+@cli.command("explain", epilog=_EXIT_CODES)
+@click.argument("key")
+@_daemon_option
+@click.option("--service", required=True, help="The key's service.")
+@_json_option
+def explain(key: str, address: str, service: str, as_json: bool) -> None:
+    """Print who owns KEY, since which epoch, by which decision."""
+    query = urllib.parse.urlencode({"service": service, "key": key})
+    body = _page(address, "/explain?" + query)
+    found = msgspec.json.decode(body, type=pages.Explanation)
+    owner = found.daemon or "nobody that is known"
+    text = (
+        f"key {found.key} of {found.service} is in slot {found.slot},"
+        f" owned by {owner} ({found.owner})\n"
+        f"since fence {found.fence}, in its epoch {found.epoch}"
+        f" ({found.state}), by write {found.change}\n"
+        f"successor: {found.successor or 'none'}"
+    )
+    _show(found, as_json, text)
+
+
+@cli.command("lost", epilog=_EXIT_CODES)
+@click.argument("name")
+@_table_option
+@click.option(
+    "--yes",
+    is_flag=True,
+    prompt="Is this daemon's VM gone for certain, and never to come back?",
+    help="Do not ask.",
+)
+def lost(name: str, address: str, yes: bool) -> None:
+    """Close the lease of daemon NAME, whose VM is gone for certain.
+
+    Needed only where most witnesses of its lease are gone with it. If it
+    still runs, two servers may own a key.
+    """
+    if not yes:
+        _fail("nothing was done", _EXIT_FAILED)
+    try:
+        closed = control.close_lost(address, name)
+    except exceptions.ConflictError as error:
+        _fail(str(error), _EXIT_CONFLICT)
+    except exceptions.TableError as error:
+        _fail(str(error), _EXIT_UNREACHABLE)
+    if not closed:
+        _fail(f"{name}: no open lease", _EXIT_FAILED)
+    click.echo(f"{name}: {closed} lease(s) closed")
+
+
+@cli.group("table", epilog=_EXIT_CODES)
+def table() -> None:
+    """Show and edit the operators' table of weights and limits."""
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One row of the operators' table, with its version."""
+
+    service: str
+    data_centre: str
+    version: int
+    weight: int
+    in_progress: int
+    queue: int
+
+
+def _read(address: str) -> list[records.Row]:
+    try:
+        return control.read_rows(address).rows
+    except exceptions.TableError as error:
+        _fail(str(error), _EXIT_UNREACHABLE)
+    raise AssertionError(address)
+
+
+@table.command("show", epilog=_EXIT_CODES)
+@_table_option
+@_json_option
+def table_show(address: str, as_json: bool) -> None:
+    """Print all rows with their versions."""
+    lines = []
+    for row in _read(address):
+        if not row.key.startswith(records.POLICY_PREFIX) or not row.value:
+            continue
+        service, _, place = row.key.removeprefix(
+            records.POLICY_PREFIX
+        ).partition("/")
+        found = msgspec.json.decode(row.value, type=records.Policy)
+        lines.append(
+            Line(
+                service,
+                place,
+                row.revision,
+                found.weight,
+                found.in_progress,
+                found.queue,
+            )
+        )
+    lines.sort(key=lambda line: (line.service, line.data_centre))
+    texts = [
+        f"{'SERVICE':16} {'DATA CENTRE':14} {'VERSION':>7} {'WEIGHT':>6}"
+        f" {'IN_PROGRESS':>11} {'QUEUE':>6}"
+    ]
+    texts += [
+        f"{line.service:16} {line.data_centre:14} {line.version:7}"
+        f" {line.weight:6} {line.in_progress:11} {line.queue:6}"
+        for line in lines
+    ]
+    _show(lines, as_json, "\n".join(texts))
+
+
+@table.command("history", epilog=_EXIT_CODES)
+@_table_option
+@_json_option
+def table_history(address: str, as_json: bool) -> None:
+    """Print all accepted edits, oldest first."""
+    entries = [
+        msgspec.json.decode(row.value, type=records.HistoryEntry)
+        for row in sorted(_read(address), key=lambda row: row.key)
+        if row.key.startswith(records.HISTORY_PREFIX) and row.value
+    ]
+    texts = [
+        f"{entry.when_ms} {entry.who} {entry.row}:"
+        f" {_columns(entry.before)} -> {_columns(entry.after)}"
+        for entry in entries
+    ]
+    _show(entries, as_json, "\n".join(texts) or "no edits")
+
+
+def _columns(row: records.Policy | None) -> str:
+    if row is None:
+        return "(no row)"
+    return " ".join(f"{name}={getattr(row, name)}" for name in policy.COLUMNS)
+
+
+@table.command("set", epilog=_EXIT_CODES)
+@click.argument("service")
+@click.argument("data_centre")
+@click.argument("columns", nargs=-1, metavar="COLUMN=NUMBER...")
+@_table_option
+@click.option(
+    "--version",
+    "version",
+    type=int,
+    default=None,
+    help="Version that you saw in 'table show'; 0 for a new row.",
+)
+@click.option("--who", default=getpass.getuser, help="For the history.")
+@click.option(
+    "--wait",
+    default=_IN_FORCE_S,
+    help="Seconds to wait until it is in force everywhere.",
+)
+@_json_option
+def table_set(
+    service: str,
+    data_centre: str,
+    columns: tuple[str, ...],
+    address: str,
+    version: int | None,
+    who: str,
+    wait: float,
+    as_json: bool,
+) -> None:
+    """Edit the row of SERVICE in DATA_CENTRE ('*' for any)."""
+    match policy.parse(list(columns)):
+        case result.Failure(problem):
+            _fail(str(problem), _EXIT_USAGE)
+        case result.Success(values):
+            pass
+    rows = _read(address)
+    if control.find(rows, records.founded_key(service)) is None:
+        _fail(f"{service}: no such service", _EXIT_USAGE)
+    key = records.policy_key(service, data_centre)
+    try:
+        revision = control.set_policy(address, key, values, who, version)
+        state = control.wait_in_force(address, revision, wait, _progress)
+    except exceptions.ConflictError as error:
+        _fail(str(error), _EXIT_CONFLICT)
+    except exceptions.TableError as error:
+        _fail(str(error), _EXIT_UNREACHABLE)
+    _show(
+        state,
+        as_json,
+        f"accepted as version {state.revision}; in force at"
+        f" {state.applied} of {state.daemons} daemons",
+    )
+    if not state.everywhere:
+        raise SystemExit(_EXIT_NOT_EVERYWHERE)
+
+
+def _progress(state: control.InForce) -> None:
+    click.echo(
+        f"in force at {state.applied} of {state.daemons} daemons", err=True
+    )
+
+
+def main() -> None:
+    """Runs the command line."""
+    cli()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tamarackgap/config.py
@@ -0,0 +1,142 @@
+"""Reads and checks a settings file."""
+
+import configparser
+import ipaddress
+import pathlib
+import re
+
+import msgspec
+from returns import result
+
+from tamarackgap import options
+
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+
+class Config(msgspec.Struct, frozen=True):
+    """All settings; `options.OPTIONS` says what each means and its unit."""
+
+    daemon_deployment: str
+    daemon_name: str
+    daemon_service: str
+    daemon_data_centre: str
+    daemon_http_address: str
+    daemon_peer_address: str
+    daemon_log: str
+    table_address: str
+    table_poll: int
+    table_timeout: int
+    ownership_slots: int
+    ownership_lease: int
+    ownership_linger: int
+    ownership_drift: int
+    ownership_witnesses: int
+    ownership_settle: int
+    ownership_batch: int
+    target_silence: int
+    requests_deadline: int
+    requests_body: int
+    requests_answer: int
+    requests_key: int
+    requests_window: int
+    requests_remembered: int
+    requests_skew: int
+    requests_retries: int
+
+
+def load(path: pathlib.Path) -> result.Result[Config, str]:
+    """Reads a settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or one line that names file, section, setting, value
+        and what was expected.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(path.read_text("utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Failure(f"{path}: cannot be read: {error}")
+    except configparser.Error as error:
+        text = " ".join(str(error).split())
+        return result.Failure(f"{path}: is no INI file: {text}")
+    return _build(parser, str(path))
+
+
+def _build(
+    parser: configparser.ConfigParser, path: str
+) -> result.Result[Config, str]:
+    known = {(option.section, option.name) for option in options.OPTIONS}
+    for section in parser.sections():
+        for name, value in parser.items(section):
+            if (section, name) not in known:
+                return result.Failure(
+                    f"{path}: [{section}] {name} = {value}: no such setting"
+                )
+    values: dict[str, str | int] = {}
+    for option in options.OPTIONS:
+        text = parser.get(option.section, option.name, fallback=None)
+        if text is None and option.default is None:
+            return result.Failure(
+                f"{path}: [{option.section}] {option.name} is missing:"
+                f" expected {option.expected}"
+            )
+        value = option.default if text is None else _parse(option, text)
+        if value is None:
+            return result.Failure(
+                f"{path}: [{option.section}] {option.name} = {text}:"
+                f" expected {option.expected}"
+            )
+        values[option.field] = value
+    return _check_whole(Config(**values), path)
+
+
+def _parse(option: options.Option, text: str) -> str | int | None:
+    match option.kind:
+        case options.Kind.INTEGER:
+            return _parse_integer(option, text)
+        case options.Kind.NAME:
+            return text if _NAME.fullmatch(text) else None
+        case options.Kind.ADDRESS:
+            return text if is_address(text) else None
+        case options.Kind.PATH:
+            return text or None
+
+
+def _parse_integer(option: options.Option, text: str) -> int | None:
+    try:
+        number = int(text)
+    except ValueError:
+        return None
+    return number if option.low <= number <= option.high else None
+
+
+def is_address(text: str) -> bool:
+    """Returns whether `text` is an IP number and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < 65536
+
+
+def _check_whole(config: Config, path: str) -> result.Result[Config, str]:
+    slots = config.ownership_slots
+    if slots & (slots - 1):
+        return result.Failure(
+            f"{path}: [ownership] slots = {slots}: expected a power of two"
+        )
+    if config.ownership_witnesses % 2 == 0:
+        return result.Failure(
+            f"{path}: [ownership] witnesses = {config.ownership_witnesses}:"
+            " expected an odd number"
+        )
+    if config.daemon_http_address == config.daemon_peer_address:
+        return result.Failure(
+            f"{path}: [daemon] peer_address = {config.daemon_peer_address}:"
+            " expected another address than http_address"
+        )
+    return result.Success(config)
--- /dev/null
+++ b/tamarackgap/daemon.py
@@ -0,0 +1,395 @@
+"""One daemon: the parts, put together on one loop and one thread."""
+
+import functools
+import random
+import signal
+import time
+
+import circuits
+import msgspec
+from circuits.core import pollers
+from circuits.web import servers
+from returns import result
+
+from tamarackgap import (
+    config,
+    entry,
+    httpclient,
+    logs,
+    memory,
+    messages,
+    metrics,
+    ownership,
+    pages,
+    peers,
+    retries,
+    scheduler,
+    slots,
+    tableclient,
+    target,
+    web,
+)
+from tamarackgap import owner as owner_lib
+
+_TICK_S = 0.02
+_GAUGES_S = 0.5
+_ENVELOPE_BYTES = 65_536
+_RETRY_BURST = 100.0
+_FIRST_ANNOUNCEMENT_S = 1.0
+_LEAVE_LIMIT_S = 10.0
+# With the table silent for this long, slots are given up without it.
+_TABLE_SILENCE_S = 1.0
+_REFRESH_MIN_S = 0.05
+# A grant is renewed when the lease has grown by this share.
+_GRANT_SHARE = 0.2
+_MILLIONTHS = 1_000_000
+
+
+def ownership_settings(settings: config.Config) -> ownership.Settings:
+    """Returns what the ownership protocol needs of the settings."""
+    return ownership.Settings(
+        service=settings.daemon_service,
+        daemon=settings.daemon_name,
+        data_centre=settings.daemon_data_centre,
+        peer_address=settings.daemon_peer_address,
+        http_address=settings.daemon_http_address,
+        slot_count=settings.ownership_slots,
+        lease=settings.ownership_lease / 1000,
+        linger=settings.ownership_linger / 1000,
+        drift=settings.ownership_drift / _MILLIONTHS,
+        witnesses=settings.ownership_witnesses,
+        settle=settings.ownership_settle / 1000,
+        batch=settings.ownership_batch,
+    )
+
+
+class Daemon(circuits.Component):
+    """A process of the system, beside one target."""
+
+    channel = "daemon"
+
+    def __init__(self, settings: config.Config) -> None:
+        """Binds all addresses.
+
+        Raises:
+            OSError: If an address can't be bound.
+        """
+        super().__init__()
+        self._settings = settings
+        self._rng = random.Random()
+        self._poller = pollers.EPoll().register(self)
+        self._timers = scheduler.Scheduler().register(self)
+        clock = time.monotonic
+        self._http = httpclient.HttpClient(self._poller, self._timers)
+        self._http.register(self)
+        self._metrics = metrics.Metrics(
+            settings.daemon_name, settings.daemon_service
+        )
+        self._target = target.Target(
+            self._http,
+            clock,
+            settings.target_silence / 1000,
+            settings.requests_answer,
+        )
+        self._core = ownership.Ownership(
+            ownership_settings(settings), self._rng, self._busy, clock()
+        )
+        self._peers = peers.Peers(
+            self._poller,
+            self._timers,
+            settings.daemon_deployment,
+            settings.daemon_peer_address,
+            settings.requests_body + settings.requests_answer + _ENVELOPE_BYTES,
+            self._receive,
+        ).register(self)
+        self._table = tableclient.TableClient(
+            self._http, settings.table_address, settings.table_timeout / 1000
+        )
+        self._owner = owner_lib.Owner(
+            self._core,
+            self._target,
+            memory.Memory(
+                settings.requests_window,
+                settings.requests_remembered,
+                settings.requests_skew,
+            ),
+            clock,
+            _wall_ms,
+            self._metrics,
+        )
+        self._entry = entry.Entry(
+            self._core,
+            self._owner,
+            self._peers,
+            self._timers,
+            retries.RetryBudget(settings.requests_retries / 100, _RETRY_BURST),
+            self._rng,
+            self._metrics,
+        )
+        self._server = servers.BaseServer(
+            settings.daemon_http_address, display_banner=False
+        ).register(self)
+        self._web = web.Web(
+            settings,
+            self._entry,
+            self._announced,
+            pages.build(
+                self._core, self._target, self._owner, self._entry, clock
+            ),
+            self._metrics.render,
+        ).register(self)
+        self._started = clock()
+        self._reading = False
+        self._read_again = False
+        self._read_at = 0.0
+        self._table_heard = clock()
+        self._leave_by: float | None = None
+        self._last_turn = clock()
+        self._longest_turn = 0.0
+        self._granted_until = 0.0
+        self._granted_slots: dict[int, ownership.Owned] = {}
+        self._grant_step = settings.ownership_lease / 1000 * _GRANT_SHARE
+        self._begin()
+
+    def _busy(self, slot: int) -> bool:
+        return self._owner.busy(slot)
+
+    def _begin(self) -> None:
+        settings = self._settings
+        logs.event(
+            "started",
+            incarnation=self._core.incarnation,
+            service=settings.daemon_service,
+            data_centre=settings.daemon_data_centre,
+            http=settings.daemon_http_address,
+            peers=settings.daemon_peer_address,
+        )
+        self._timers.each_turn(self._measure_turn)
+        self._timers.every(_TICK_S, self._tick)
+        self._timers.every(_GAUGES_S, self._set_gauges)
+        self._timers.every(settings.table_poll / 1000, self._read)
+        self._read()
+
+    # The loop's turns.
+
+    def _measure_turn(self) -> None:
+        now = time.monotonic()
+        self._longest_turn = max(self._longest_turn, now - self._last_turn)
+        self._last_turn = now
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        leaving = self._leave_by is not None
+        if (
+            self._target.announcement is not None
+            or now - self._started > _FIRST_ANNOUNCEMENT_S
+        ):
+            self._core.accept(
+                self._target.takes_work and not leaving,
+                self._target.checks_grants,
+            )
+            self._core.tick(now)
+        policy = self._core.view.policy(
+            self._settings.daemon_service, self._settings.daemon_data_centre
+        )
+        self._owner.resize(policy)
+        self._carry_out()
+        self._release_if_useless(now)
+        if leaving:
+            self._leave(now)
+
+    def _carry_out(self) -> None:
+        for effect in self._core.take_effects():
+            match effect:
+                case ownership.Send(
+                    sender=sender, address=address, message=message
+                ):
+                    self._peers.send(sender, address, message)
+                case ownership.Commit(change=change):
+                    self._table.commit(
+                        change.transaction,
+                        functools.partial(
+                            self._committed, self._core.incarnation
+                        ),
+                    )
+                case ownership.Decision(event=event, fields=fields):
+                    self._log_decision(event, fields)
+                case ownership.Refresh():
+                    self._read()
+        self._grant()
+
+    def _log_decision(self, event: str, fields: dict[str, object]) -> None:
+        logs.event(event, incarnation=self._core.incarnation, **fields)
+        if event == "routes_claimed":
+            self._entry.lost(str(fields["owner"]))
+
+    def _receive(self, envelope: messages.Envelope) -> None:
+        match envelope.message:
+            case messages.Forward() as forward:
+                self._owner.take(
+                    forward, functools.partial(self._reply, envelope.address)
+                )
+            case messages.Outcome() as outcome:
+                self._entry.answered(outcome)
+            case messages.Cancel(leg=leg):
+                self._owner.cancel(leg)
+            case _:
+                self._core.receive(envelope, time.monotonic())
+                self._carry_out()
+
+    def _reply(self, address: str, outcome: messages.Outcome) -> None:
+        self._peers.send(self._core.incarnation, address, outcome)
+
+    # The table.
+
+    def _read(self) -> None:
+        now = time.monotonic()
+        if self._reading or now - self._read_at < _REFRESH_MIN_S:
+            return
+        self._reading = True
+        self._read_at = now
+        self._table.read(self._core.view.cursor, self._was_read)
+
+    def _was_read(
+        self, outcome: result.Result[tableclient.Changes, str]
+    ) -> None:
+        self._reading = False
+        now = time.monotonic()
+        match outcome:
+            case result.Success(tableclient.Changes() as found):
+                self._table_heard = now
+                self._core.read(found.rows, found.revision, now)
+                self._peers.keep(
+                    {record.peer_address for record in self._core.view.leases()}
+                )
+                self._carry_out()
+            case result.Failure(problem):
+                self._core.table_failed()
+                logs.event("table_read_failed", problem=problem)
+
+    def _committed(
+        self,
+        incarnation: str,
+        state: ownership.CommitState,
+        rows: list,
+    ) -> None:
+        if incarnation != self._core.incarnation:
+            return
+        now = time.monotonic()
+        if state is not ownership.CommitState.UNKNOWN:
+            self._table_heard = now
+        self._core.committed(state, rows, now)
+        self._carry_out()
+
+    # The target.
+
+    def _announced(self, announcement: target.Announcement) -> str | None:
+        wrong = target.problem(announcement, self._settings.daemon_service)
+        if wrong is None:
+            self._target.announced(announcement)
+        return wrong
+
+    def _grant(self) -> None:
+        """Renews the target's grant when lease or slots have changed."""
+        if not self._target.checks_grants:
+            return
+        until = self._core.lease_until()
+        if until <= time.monotonic():
+            return
+        owned = self._core.owned
+        advanced = until - self._granted_until >= self._grant_step
+        if not advanced and owned == self._granted_slots:
+            return
+        holdings = {
+            slot: slots.Holding(held.fence) for slot, held in owned.items()
+        }
+        sent = self._target.grant(
+            target.Grant(
+                self._core.incarnation, until, slots.compress(holdings)
+            )
+        )
+        if sent:
+            self._granted_until = until
+            self._granted_slots = owned
+
+    # Leaving.
+
+    def _table_silent(self, now: float) -> bool:
+        return now - self._table_heard > _TABLE_SILENCE_S
+
+    def _release_if_useless(self, now: float) -> None:
+        """Lets successors serve at once, where this daemon can't.
+
+        While the table answers, slots are handed over through it instead.
+        """
+        if (
+            self._core.accepting
+            or not self._core.owned
+            or not self._table_silent(now)
+            or self._owner.in_progress
+        ):
+            return
+        self._core.release(now)
+        self._carry_out()
+
+    @circuits.handler("signal", channel="*")
+    def _on_signal(
+        self, event: circuits.Event, number: int, stack: object
+    ) -> None:
+        del stack
+        if number in (signal.SIGTERM, signal.SIGINT):
+            event.stop()
+            if self._leave_by is None:
+                logs.event("draining", signal=number)
+                self._leave_by = time.monotonic() + _LEAVE_LIMIT_S
+                self._web.draining = True
+                self._core.drain()
+
+    def _leave(self, now: float) -> None:
+        """Ends the process, once nothing depends on it any more."""
+        gone = self._core.view.lease(self._core.incarnation) is None
+        idle = not self._entry.in_flight and not self._owner.in_progress
+        if (gone and idle and not self._core.owned) or now > self._leave_by:
+            if self._core.owned:
+                self._core.release(now)
+                self._carry_out()
+            logs.event("stopped", in_progress=self._owner.in_progress)
+            self._timers.after(_TICK_S, self.stop)
+            self._leave_by = float("inf")
+
+    def _set_gauges(self) -> None:
+        now = time.monotonic()
+        left = self._core.lease_until() - now
+        values = {
+            "owned_slots": len(self._core.owned),
+            "lease_left_seconds": max(0.0, left),
+            "epoch": self._core.epoch,
+            "in_progress": self._owner.in_progress,
+            "queued": self._owner.waiting,
+            "table_revision": self._core.view.cursor,
+            "table_reads": self._table.reads,
+            "table_writes": self._table.writes,
+            "peer_messages_sent": self._peers.sent_messages,
+            "peer_bytes_sent": self._peers.sent_bytes,
+            "peer_messages_dropped": self._peers.dropped,
+            "peer_frames_malformed": self._peers.malformed,
+            "renewal_lateness_seconds": self._core.renewal_lateness,
+            "loop_pause_seconds": self._longest_turn,
+        }
+        for name, value in values.items():
+            self._metrics.set(name, value)
+
+
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def run(settings: config.Config) -> None:
+    """Runs a daemon until it has drained after SIGTERM.
+
+    Raises:
+        OSError: If an address can't be bound.
+    """
+    msgspec.json.encode(settings)
+    logs.start(settings.daemon_log, settings.daemon_name)
+    Daemon(settings).run()
--- /dev/null
+++ b/tamarackgap/env.py
@@ -0,0 +1,66 @@
+"""What the program knows of its surroundings, for `tamarackgap debug`."""
+
+import importlib.metadata
+import os
+import platform
+import resource
+import sys
+
+import msgspec
+
+import tamarackgap
+from tamarackgap import config
+
+_LIBRARIES = (
+    "aioprometheus",
+    "circuits",
+    "click",
+    "eliot",
+    "msgspec",
+    "pyzmq",
+    "returns",
+    "xxhash",
+)
+
+
+class Surroundings(msgspec.Struct, frozen=True):
+    """Facts about program, machine and settings.
+
+    Attributes:
+        version: Version of this package.
+        python: Version of Python.
+        system: Operating system.
+        cores: Cores that this process may use.
+        open_files: Most files that it may have open.
+        libraries: Version of each library, "missing" where it is not there.
+        settings: Each setting and its value, where a file was given.
+    """
+
+    version: str
+    python: str
+    system: str
+    cores: int
+    open_files: int
+    libraries: dict[str, str]
+    settings: dict[str, str]
+
+
+def _version(library: str) -> str:
+    try:
+        return importlib.metadata.version(library)
+    except importlib.metadata.PackageNotFoundError:
+        return "missing"
+
+
+def surroundings(settings: config.Config | None) -> Surroundings:
+    """Returns what is known here."""
+    values = msgspec.to_builtins(settings) if settings is not None else {}
+    return Surroundings(
+        version=tamarackgap.__version__,
+        python=sys.version.split()[0],
+        system=f"{platform.system()} {platform.release()}",
+        cores=len(os.sched_getaffinity(0)),
+        open_files=resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+        libraries={name: _version(name) for name in _LIBRARIES},
+        settings={name: str(value) for name, value in values.items()},
+    )
--- /dev/null
+++ b/tamarackgap/httpclient.py
@@ -0,0 +1,320 @@
+"""HTTP requests to targets and to the platform, on the circuits loop.
+
+Each connection carries one request at a time, so an answer can only belong
+to the request that was written last.
+"""
+
+import collections
+import contextlib
+import enum
+import errno
+import socket
+from collections.abc import Callable
+
+import circuits
+import msgspec
+from circuits.core import pollers
+from circuits.web import parsers
+from returns import result
+
+from tamarackgap import scheduler
+
+_READ_BYTES = 65_536
+_CONNECTING = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
+_PARSE_RESPONSE = 1
+
+
+class Cause(enum.Enum):
+    """Why a request has no answer."""
+
+    UNREACHABLE = "unreachable"
+    CLOSED = "closed"
+    TIMEOUT = "timeout"
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    CANCELLED = "cancelled"
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """A request without an answer.
+
+    Attributes:
+        cause: Why.
+        sent: Whether any byte of the request had been handed to the network.
+    """
+
+    cause: Cause
+    sent: bool
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A request to send.
+
+    Attributes:
+        address: `ip:port`.
+        method: HTTP method.
+        path: Path and query.
+        headers: Headers besides those about connection and length.
+        body: The body.
+        timeout: Longest wait for the whole answer, seconds.
+        limit: Largest answer body, bytes.
+    """
+
+    address: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    timeout: float
+    limit: int
+
+
+Done = Callable[[result.Result[Answer, Failure]], None]
+
+
+class Exchange:
+    """A request on its way."""
+
+    def __init__(self, request: Request, done: Done) -> None:
+        """Creates an exchange that calls `done` once."""
+        self.request = request
+        self.connection: _Connection | None = None
+        self.timer: scheduler.Timer | None = None
+        self._done: Done | None = done
+
+    @property
+    def finished(self) -> bool:
+        """Whether `done` has been called."""
+        return self._done is None
+
+    def finish(self, outcome: result.Result[Answer, Failure]) -> None:
+        """Hands the outcome over, the first time."""
+        done = self._done
+        self._done = None
+        if self.timer is not None:
+            self.timer.cancel()
+        if done is not None:
+            done(outcome)
+
+
+class _Connection:
+    """One connection, with at most one exchange."""
+
+    def __init__(self, address: str, sock: socket.socket) -> None:
+        self.address = address
+        self.sock = sock
+        self.exchange: Exchange | None = None
+        self.connected = False
+        self.unsent = b""
+        self.sent = False
+        self.received = 0
+        self.parser = parsers.HttpParser(_PARSE_RESPONSE)
+
+    def load(self, exchange: Exchange) -> None:
+        """Gets the exchange's bytes ready to be written."""
+        self.exchange = exchange
+        exchange.connection = self
+        self.unsent = _encode(exchange.request)
+        self.sent = False
+        self.received = 0
+        self.parser = parsers.HttpParser(_PARSE_RESPONSE)
+
+
+def _encode(request: Request) -> bytes:
+    lines = [f"{request.method} {request.path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in request.headers.items()]
+    lines.append(f"Host: {request.address}")
+    lines.append(f"Content-Length: {len(request.body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + request.body
+
+
+class HttpClient(circuits.Component):
+    """Pools of connections, one for each address."""
+
+    channel = "http-client"
+
+    def __init__(
+        self, poller: pollers.BasePoller, timers: scheduler.Scheduler
+    ) -> None:
+        """Creates a client without connections."""
+        super().__init__()
+        self._poller = poller
+        self._timers = timers
+        self._connections: dict[socket.socket, _Connection] = {}
+        self._idle: dict[str, collections.deque[_Connection]] = (
+            collections.defaultdict(collections.deque)
+        )
+
+    def send(self, request: Request, done: Done) -> Exchange:
+        """Sends a request.
+
+        Args:
+            request: The request.
+            done: Called once with the answer or the failure; perhaps before
+                this returns.
+
+        Returns:
+            The exchange, for `cancel`.
+        """
+        exchange = Exchange(request, done)
+        exchange.timer = self._timers.after(
+            request.timeout, lambda: self._fail(exchange, Cause.TIMEOUT)
+        )
+        connection = self._take(request.address)
+        if connection is None:
+            exchange.finish(result.Failure(Failure(Cause.UNREACHABLE, False)))
+            return exchange
+        connection.load(exchange)
+        if connection.connected:
+            self._write(connection)
+        return exchange
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Gives an exchange up; its answer, if it comes, is dropped."""
+        self._fail(exchange, Cause.CANCELLED)
+
+    def _take(self, address: str) -> _Connection | None:
+        idle = self._idle[address]
+        if idle:
+            return idle.pop()
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((host, int(port)))
+        if code and code not in _CONNECTING:
+            sock.close()
+            return None
+        connection = _Connection(address, sock)
+        self._connections[sock] = connection
+        self._poller.addReader(self, sock)
+        self._poller.addWriter(self, sock)
+        return connection
+
+    def _fail(self, exchange: Exchange, cause: Cause) -> None:
+        if exchange.finished:
+            return
+        connection = exchange.connection
+        sent = connection is not None and connection.sent
+        if connection is not None:
+            self._close(connection)
+        exchange.finish(result.Failure(Failure(cause, sent)))
+
+    def _close(self, connection: _Connection) -> None:
+        if self._connections.pop(connection.sock, None) is None:
+            return
+        with contextlib.suppress(ValueError):
+            self._idle[connection.address].remove(connection)
+        self._poller.discard(connection.sock)
+        connection.sock.close()
+
+    def _lose(self, connection: _Connection, cause: Cause) -> None:
+        exchange = connection.exchange
+        self._close(connection)
+        if exchange is not None and not exchange.finished:
+            failure = Failure(cause, connection.sent)
+            exchange.finish(result.Failure(failure))
+
+    def _write(self, connection: _Connection) -> None:
+        try:
+            while connection.unsent:
+                count = connection.sock.send(connection.unsent)
+                connection.sent = True
+                connection.unsent = connection.unsent[count:]
+        except BlockingIOError:
+            if not self._poller.isWriting(connection.sock):
+                self._poller.addWriter(self, connection.sock)
+            return
+        except OSError:
+            self._lose(connection, Cause.CLOSED)
+            return
+        if self._poller.isWriting(connection.sock):
+            self._poller.removeWriter(connection.sock)
+
+    @circuits.handler("_write")
+    def _on_write(self, sock: socket.socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        if not connection.connected:
+            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self._lose(connection, Cause.UNREACHABLE)
+                return
+            connection.connected = True
+        self._write(connection)
+
+    @circuits.handler("_disconnect")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        cause = Cause.CLOSED if connection.connected else Cause.UNREACHABLE
+        self._lose(connection, cause)
+
+    @circuits.handler("_read")
+    def _on_read(self, sock: socket.socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        try:
+            data = sock.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if connection.exchange is None:
+            # Nothing was asked: the other side closed, or talks out of turn.
+            self._close(connection)
+        elif data:
+            self._feed(connection, data)
+        else:
+            self._ended(connection)
+
+    def _ended(self, connection: _Connection) -> None:
+        if not connection.connected:
+            cause = Cause.UNREACHABLE
+        elif connection.received:
+            cause = Cause.TRUNCATED
+        else:
+            cause = Cause.CLOSED
+        self._lose(connection, cause)
+
+    def _feed(self, connection: _Connection, data: bytes) -> None:
+        parser = connection.parser
+        connection.received += len(data)
+        if connection.received > connection.exchange.request.limit:
+            self._lose(connection, Cause.TOO_LARGE)
+            return
+        try:
+            parser.execute(data, len(data))
+        except (ValueError, TypeError, IndexError):
+            self._lose(connection, Cause.MALFORMED)
+            return
+        if parser.errno is not None:
+            self._lose(connection, Cause.MALFORMED)
+        elif parser.is_message_complete():
+            self._complete(connection)
+
+    def _complete(self, connection: _Connection) -> None:
+        parser = connection.parser
+        exchange = connection.exchange
+        headers = {
+            name.lower(): value for name, value in parser.get_headers().items()
+        }
+        answer = Answer(parser.get_status_code(), headers, parser.recv_body())
+        connection.exchange = None
+        if connection.unsent or headers.get("connection") == "close":
+            self._close(connection)
+        else:
+            self._idle[connection.address].append(connection)
+        exchange.finish(result.Success(answer))
--- /dev/null
+++ b/tamarackgap/messages.py
@@ -0,0 +1,224 @@
+"""Messages between daemons, and their wire form.
+
+Each message travels one way, in an envelope that names the sender. Nothing
+is matched by order: an answer carries the ids of what it answers.
+"""
+
+import msgspec
+
+from tamarackgap import records, slots, types
+
+
+class Renew(msgspec.Struct, tag="renew", frozen=True):
+    """An owner asks a witness to renew its grant.
+
+    Attributes:
+        witness: The incarnation that is asked.
+        epoch: The owner's epoch.
+        sent: Time of sending on the owner's clock, seconds.
+        revision: Newest revision of the table that the owner knows of.
+    """
+
+    witness: str
+    epoch: int
+    sent: float
+    revision: int
+
+
+class Granted(msgspec.Struct, tag="granted", frozen=True):
+    """A witness's answer to `Renew`; it is a grant only where `granted`."""
+
+    epoch: int
+    sent: float
+    granted: bool
+    state: types.WitnessState
+    revision: int
+
+
+class Suspect(msgspec.Struct, tag="suspect", frozen=True):
+    """A witness tells a successor that an owner no longer renews."""
+
+    owner: str
+    epoch: int
+
+
+class Seal(msgspec.Struct, tag="seal", frozen=True):
+    """A successor asks a witness never to renew an epoch again."""
+
+    witness: str
+    owner: str
+    epoch: int
+
+
+class Sealed(msgspec.Struct, tag="sealed", frozen=True):
+    """A witness's answer to `Seal`.
+
+    Attributes:
+        owner: The epoch's owner.
+        epoch: The epoch.
+        state: The witness's state; OPEN and RETIRED are refusals.
+        age: Seconds since its last grant; negative where it never granted.
+    """
+
+    owner: str
+    epoch: int
+    state: types.WitnessState
+    age: float
+
+
+class Retire(msgspec.Struct, tag="retire", frozen=True):
+    """An owner asks that its epoch end only by a write to the table."""
+
+    witness: str
+    epoch: int
+
+
+class Retired(msgspec.Struct, tag="retired", frozen=True):
+    """A witness's answer to `Retire`."""
+
+    epoch: int
+    state: types.WitnessState
+
+
+class Release(msgspec.Struct, tag="release", frozen=True):
+    """An owner gives up its epoch: it serves nothing under it any more."""
+
+    witness: str
+    epoch: int
+
+
+class Rows(msgspec.Struct, tag="rows", frozen=True):
+    """Rows that were just written to the table."""
+
+    rows: tuple[records.Row, ...]
+
+
+class Claim(msgspec.Struct, tag="claim", frozen=True):
+    """A successor serves slots that the table does not yet show as its own.
+
+    Attributes:
+        service: The service.
+        owner: The incarnation whose lease is over.
+        runs: The slots, with their new fences.
+    """
+
+    service: str
+    owner: str
+    runs: tuple[slots.Run, ...]
+
+
+class Forward(msgspec.Struct, tag="forward", frozen=True):
+    """A request on its way to the key's owner.
+
+    Attributes:
+        owner: The incarnation that is asked.
+        leg: Fresh id of this leg; the answer carries it.
+        request: The caller's request id.
+        service: The service.
+        key: The key.
+        slot: The key's slot.
+        method: HTTP method.
+        path: Path below the service, as the caller gave it.
+        body: The request's body.
+        remaining: Seconds until the caller's deadline.
+        idempotent: Whether running it twice does no harm.
+        attempt: 1 where the caller never sent this id before.
+        first_sent_ms: Wall-clock time of the first sending, milliseconds.
+        urgent: False where the request can wait, as reports can.
+    """
+
+    owner: str
+    leg: str
+    request: str
+    service: str
+    key: str
+    slot: int
+    method: str
+    path: str
+    body: bytes
+    remaining: float
+    idempotent: bool
+    attempt: int
+    first_sent_ms: int
+    urgent: bool
+
+
+class Outcome(msgspec.Struct, tag="outcome", frozen=True):
+    """The owner's answer to `Forward`.
+
+    Attributes:
+        leg: The leg's id.
+        verdict: Whether the operation ran.
+        reason: Why it was refused; None where it was answered.
+        status: The target's HTTP status, where it was answered.
+        content_type: The answer's media type.
+        body: The target's whole answer.
+        owner: A newer owner of the slot, where the asked one knows it.
+        fence: The fence of that newer owner.
+    """
+
+    leg: str
+    verdict: types.Verdict
+    reason: types.Reason | None = None
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    owner: str = types.NOBODY
+    fence: int = 0
+
+
+class Cancel(msgspec.Struct, tag="cancel", frozen=True):
+    """The caller went away; the leg's answer is no longer wanted."""
+
+    leg: str
+
+
+Message = (
+    Renew
+    | Granted
+    | Suspect
+    | Seal
+    | Sealed
+    | Retire
+    | Retired
+    | Release
+    | Rows
+    | Claim
+    | Forward
+    | Outcome
+    | Cancel
+)
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A message with its sender.
+
+    Attributes:
+        deployment: Name of the deployment; others' messages are dropped.
+        sender: The sending incarnation.
+        address: The sender's `ip:port`, to answer to.
+        message: The message.
+    """
+
+    deployment: str
+    sender: str
+    address: str
+    message: Message
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Returns an envelope's wire form."""
+    return _ENCODER.encode(envelope)
+
+
+def decode(frame: bytes) -> Envelope:
+    """Returns the envelope in a frame.
+
+    Raises:
+        msgspec.MsgspecError: If the frame is malformed.
+    """
+    return _DECODER.decode(frame)
--- /dev/null
+++ b/tamarackgap/metrics.py
@@ -0,0 +1,101 @@
+"""Counters and gauges, in the text form that collectors read."""
+
+import aioprometheus
+from aioprometheus import renderer
+
+
+class Metrics:
+    """All metrics of one daemon."""
+
+    def __init__(self, daemon: str, service: str) -> None:
+        """Creates metrics that carry the daemon's name and service."""
+        labels = {"daemon": daemon, "service": service}
+        self._registry = aioprometheus.Registry()
+        self._requests = self._counter(
+            "tamarackgap_requests_total",
+            "Requests of callers, by verdict and reason.",
+            labels,
+        )
+        self._legs = self._counter(
+            "tamarackgap_legs_total",
+            "Requests handed to the target, by verdict.",
+            labels,
+        )
+        self._gauges = {
+            name: self._gauge(f"tamarackgap_{name}", text, labels)
+            for name, text in _GAUGES.items()
+        }
+        self._latency = aioprometheus.Histogram(
+            "tamarackgap_request_seconds",
+            "Time from a caller's request to its answer.",
+            const_labels=labels,
+            registry=self._registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+
+    def request(self, verdict: str, reason: str, seconds: float) -> None:
+        """Counts a finished request of a caller."""
+        self._requests.inc({"verdict": verdict, "reason": reason})
+        self._latency.observe({"verdict": verdict}, seconds)
+
+    def leg(self, verdict: str) -> None:
+        """Counts a request that was handed to the target."""
+        self._legs.inc({"verdict": verdict})
+
+    def set(self, name: str, value: float) -> None:
+        """Sets a gauge.
+
+        Raises:
+            KeyError: If there is no such gauge.
+        """
+        self._gauges[name].set({}, value)
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Returns all metrics as text, with the HTTP headers for it."""
+        return renderer.render(self._registry, [accept])
+
+    def _counter(
+        self, name: str, text: str, labels: dict[str, str]
+    ) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            name, text, const_labels=labels, registry=self._registry
+        )
+
+    def _gauge(
+        self, name: str, text: str, labels: dict[str, str]
+    ) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(
+            name, text, const_labels=labels, registry=self._registry
+        )
+
+
+_LATENCY_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.018,
+    0.03,
+    0.05,
+    0.1,
+    0.3,
+    1.0,
+    3.0,
+)
+
+_GAUGES = {
+    "owned_slots": "Slots owned.",
+    "lease_left_seconds": "Time until the lease ends.",
+    "epoch": "The lease's epoch.",
+    "in_progress": "Requests in progress at the target.",
+    "queued": "Requests that wait for the target.",
+    "table_revision": "Revision up to which the table was read.",
+    "table_reads": "Reads of the table.",
+    "table_writes": "Transactions put to the table.",
+    "peer_messages_sent": "Messages sent to other daemons.",
+    "peer_bytes_sent": "Bytes sent to other daemons.",
+    "peer_messages_dropped": "Messages that had no connection.",
+    "peer_frames_malformed": "Frames that were no message of ours.",
+    "renewal_lateness_seconds": "Largest delay of a renewal so far.",
+    "loop_pause_seconds": "Longest turn of the loop so far.",
+}
--- /dev/null
+++ b/tamarackgap/options.py
@@ -0,0 +1,210 @@
+"""All settings, in one table."""
+
+import enum
+
+import msgspec
+
+
+class Kind(enum.Enum):
+    """How a setting's text is read."""
+
+    NAME = "name of letters, digits, '.', '_' and '-'"
+    ADDRESS = "ip:port"
+    INTEGER = "whole number"
+    PATH = "file path"
+
+
+class Option(msgspec.Struct, frozen=True):
+    """One setting.
+
+    Attributes:
+        section: Its section in the file.
+        name: Its name there.
+        kind: How its text is read.
+        help: What it does, for the documentation.
+        default: Its value where the file has none; None must be given.
+        low: Least value of a number.
+        high: Greatest value of a number.
+        unit: Unit of a number.
+    """
+
+    section: str
+    name: str
+    kind: Kind
+    help: str
+    default: str | int | None = None
+    low: int = 0
+    high: int = 0
+    unit: str = ""
+
+    @property
+    def field(self) -> str:
+        """Name of the field of `config.Config` that holds the value."""
+        return f"{self.section}_{self.name}"
+
+    @property
+    def expected(self) -> str:
+        """What a valid value is, in words."""
+        if self.kind is not Kind.INTEGER:
+            return self.kind.value
+        return f"{self.kind.value} of {self.low} to {self.high} {self.unit}"
+
+
+def _number(
+    section: str,
+    name: str,
+    default: int,
+    low: int,
+    high: int,
+    unit: str,
+    text: str,
+) -> Option:
+    return Option(
+        section, name, Kind.INTEGER, text, default, low, high, unit.strip()
+    )
+
+
+OPTIONS: tuple[Option, ...] = (
+    Option(
+        "daemon",
+        "deployment",
+        Kind.NAME,
+        "daemons of other deployments are not listened to",
+    ),
+    Option("daemon", "name", Kind.NAME, "kept over restarts"),
+    Option("daemon", "service", Kind.NAME, "service of the target beside it"),
+    Option("daemon", "data_centre", Kind.NAME, "where the VM stands"),
+    Option("daemon", "http_address", Kind.ADDRESS, "for callers and operators"),
+    Option("daemon", "peer_address", Kind.ADDRESS, "for other daemons"),
+    Option(
+        "daemon",
+        "log",
+        Kind.PATH,
+        "where log lines go; '-' is standard error",
+        "-",
+    ),
+    Option("table", "address", Kind.ADDRESS, "the platform's table service"),
+    _number("table", "poll", 500, 50, 60_000, "ms", "time between two reads"),
+    _number("table", "timeout", 2000, 50, 60_000, "ms", "longest wait for it"),
+    _number(
+        "ownership",
+        "slots",
+        256,
+        1,
+        65_536,
+        "slots",
+        "a power of two; counts only when the service is founded",
+    ),
+    _number("ownership", "lease", 700, 100, 60_000, "ms", "length of a grant"),
+    _number(
+        "ownership",
+        "linger",
+        250,
+        0,
+        60_000,
+        "ms",
+        "longest run past the lease's end at a target that does not check"
+        " grants",
+    ),
+    _number(
+        "ownership",
+        "drift",
+        10_000,
+        0,
+        200_000,
+        "millionths",
+        "largest relative error between two VMs' clocks",
+    ),
+    _number("ownership", "witnesses", 3, 1, 9, "daemons", "an odd number"),
+    _number(
+        "ownership",
+        "settle",
+        1500,
+        0,
+        60_000,
+        "ms",
+        "time before a new service's slots are given out",
+    ),
+    _number(
+        "ownership",
+        "batch",
+        64,
+        1,
+        4096,
+        "slots",
+        "most slots handed over in one transaction",
+    ),
+    _number(
+        "target",
+        "silence",
+        2000,
+        100,
+        60_000,
+        "ms",
+        "age of the last announcement at which a target counts as absent",
+    ),
+    _number(
+        "requests",
+        "deadline",
+        5000,
+        1,
+        600_000,
+        "ms",
+        "for callers that give none",
+    ),
+    _number(
+        "requests",
+        "body",
+        1_048_576,
+        0,
+        67_108_864,
+        "bytes",
+        "largest request body",
+    ),
+    _number(
+        "requests",
+        "answer",
+        4_194_304,
+        1024,
+        67_108_864,
+        "bytes",
+        "largest answer of a target",
+    ),
+    _number("requests", "key", 512, 1, 8192, "bytes", "longest key"),
+    _number(
+        "requests",
+        "window",
+        120_000,
+        1000,
+        3_600_000,
+        "ms",
+        "how long ids of non-idempotent requests are remembered",
+    ),
+    _number(
+        "requests",
+        "remembered",
+        100_000,
+        100,
+        10_000_000,
+        "ids",
+        "most ids remembered; older ones count as unknown",
+    ),
+    _number(
+        "requests",
+        "skew",
+        500,
+        0,
+        60_000,
+        "ms",
+        "largest difference between callers' and daemons' wall clocks",
+    ),
+    _number(
+        "requests",
+        "retries",
+        20,
+        0,
+        1000,
+        "percent",
+        "legs sent again, as a share of requests",
+    ),
+)
--- /dev/null
+++ b/tamarackgap/owner.py
@@ -0,0 +1,252 @@
+"""The owner's side of a request: check, admit, hand over, remember."""
+
+import functools
+from collections.abc import Callable
+
+import msgspec
+from returns import result
+
+from tamarackgap import (
+    limiter,
+    logs,
+    memory,
+    messages,
+    metrics,
+    ownership,
+    records,
+    scheduler,
+    slots,
+    target,
+    types,
+    verdicts,
+)
+
+# A grant must have ended at the target before a successor begins.
+_LEASE_MARGIN_S = 0.02
+
+Reply = Callable[[messages.Outcome], None]
+
+
+class Leg(msgspec.Struct):
+    """A request that this owner deals with.
+
+    Attributes:
+        forward: The request.
+        deadline: The caller's deadline on this clock, seconds.
+        reply: Takes the outcome, once.
+        cancel: Cancels it at the target, once it was handed over.
+    """
+
+    forward: messages.Forward
+    deadline: float
+    reply: Reply
+    cancel: Callable[[], None] | None = None
+
+
+class Owner:
+    """All requests for keys that this daemon owns."""
+
+    def __init__(
+        self,
+        core: ownership.Ownership,
+        beside: target.Target,
+        remembered: memory.Memory,
+        clock: scheduler.Clock,
+        wall_ms: Callable[[], int],
+        counters: metrics.Metrics,
+    ) -> None:
+        """Creates an owner without requests.
+
+        Args:
+            core: Says which slots are owned.
+            beside: The target.
+            remembered: Ids of non-idempotent requests.
+            clock: The VM's monotonic clock, seconds.
+            wall_ms: Wall clock, milliseconds since 1970.
+            counters: Metrics.
+        """
+        self._core = core
+        self._target = beside
+        self._memory = remembered
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._metrics = counters
+        self._limiter = limiter.Limiter()
+        self._legs: dict[str, Leg] = {}
+        self._busy: dict[int, int] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests at the target."""
+        return self._limiter.in_progress
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for the target."""
+        return self._limiter.waiting
+
+    def busy(self, slot: int) -> bool:
+        """Returns whether requests of a slot are at the target."""
+        return slot in self._busy
+
+    def resize(self, policy: records.Policy) -> None:
+        """Follows the target's announcement and the operators' limits."""
+        limit = self._target.concurrency
+        if policy.in_progress:
+            limit = min(limit, policy.in_progress)
+        self._limiter.resize(limit, policy.queue)
+        if not limit:
+            self._limiter.flush()
+        else:
+            self._limiter.pump(self._clock())
+
+    def take(self, forward: messages.Forward, reply: Reply) -> None:
+        """Deals with a request; `reply` is called once, perhaps at once."""
+        leg = Leg(forward, self._clock() + forward.remaining, reply)
+        refusal = self._refusal(forward)
+        if refusal is not None:
+            self._answer(leg, verdicts.not_run(refusal))
+            return
+        if not forward.idempotent:
+            outcome = self._repeat(forward)
+            if outcome is not None:
+                self._answer(leg, outcome)
+                return
+        self._legs[forward.leg] = leg
+        waiting = limiter.Waiting(
+            leg.deadline,
+            functools.partial(self._start, leg),
+            functools.partial(self._shed, leg),
+        )
+        if not self._limiter.admit(waiting, forward.urgent, self._clock()):
+            self._answer(leg, verdicts.not_run(types.Reason.QUEUE_FULL))
+
+    def cancel(self, leg_id: str) -> None:
+        """Gives a request up: its caller went away."""
+        leg = self._legs.get(leg_id)
+        if leg is not None and leg.cancel is not None:
+            leg.cancel()
+
+    def _refusal(self, forward: messages.Forward) -> types.Reason | None:
+        if forward.owner != self._core.incarnation:
+            return types.Reason.WRONG_OWNER
+        service = self._core.settings.service
+        founded = self._core.view.founded(service)
+        if forward.service != service or founded is None:
+            return types.Reason.WRONG_OWNER
+        if slots.slot_of(forward.key, founded.slots) != forward.slot:
+            return types.Reason.BAD_REQUEST
+        refusal = self._core.refusal(forward.slot, self._clock())
+        if refusal is None and self._target.announcement is None:
+            return types.Reason.TARGET_ABSENT
+        return refusal
+
+    def _repeat(self, forward: messages.Forward) -> verdicts.Result | None:
+        """Returns the result of a request that must not run (again)."""
+        held = self._core.find(forward.slot)
+        wall_ms = self._wall_ms()
+        held_ms = int((self._clock() - held.since) * 1000)
+        known = self._memory.look(
+            forward.request,
+            forward.attempt,
+            forward.first_sent_ms,
+            wall_ms - held_ms,
+            wall_ms,
+        )
+        match known:
+            case memory.Known.FRESH:
+                return None
+            case memory.Known.FINISHED:
+                return self._memory.outcome(forward.request)
+            case memory.Known.IN_PROGRESS:
+                return verdicts.may_have_run(types.Reason.IN_PROGRESS)
+            case memory.Known.UNKNOWN:
+                return verdicts.may_have_run(types.Reason.REPEAT_UNKNOWN)
+
+    def _start(self, leg: Leg) -> None:
+        """Hands a request over, if it still may be: time has gone by."""
+        forward = leg.forward
+        now = self._clock()
+        refusal = self._refusal(forward)
+        if refusal is None and now >= leg.deadline:
+            refusal = types.Reason.DEADLINE_PASSED
+        if refusal is not None:
+            self._finish(leg, verdicts.not_run(refusal))
+            return
+        held = self._core.find(forward.slot)
+        if not forward.idempotent:
+            repeat = self._repeat(forward)
+            if repeat is not None:
+                self._finish(leg, repeat)
+                return
+            self._memory.begin(forward.request, self._wall_ms())
+        self._busy[forward.slot] = self._busy.get(forward.slot, 0) + 1
+        order = target.Order(forward, held.fence, self._run_until(leg))
+        logs.event(
+            "handed_over",
+            request=forward.request,
+            key=forward.key,
+            slot=forward.slot,
+            owner=forward.owner,
+            epoch=self._core.epoch,
+            fence=held.fence,
+            lease_left=round(self._core.lease_until() - now, 4),
+            in_progress=self.in_progress,
+        )
+        leg.cancel = self._target.run(order, functools.partial(self._ran, leg))
+
+    def _run_until(self, leg: Leg) -> float:
+        """Returns the time by which the request must have taken effect.
+
+        A target that checks grants stops by itself when the lease ends. For
+        any other the successor waits for the linger, and not longer.
+        """
+        if self._target.checks_grants:
+            return leg.deadline
+        lease_end = self._core.lease_until() - _LEASE_MARGIN_S
+        return min(leg.deadline, lease_end + self._core.linger)
+
+    def _ran(self, leg: Leg, outcome: verdicts.Result) -> None:
+        slot = leg.forward.slot
+        left = self._busy.pop(slot) - 1
+        if left:
+            self._busy[slot] = left
+        if not leg.forward.idempotent:
+            self._memory.finish(leg.forward.request, outcome)
+        self._finish(leg, outcome)
+
+    def _finish(self, leg: Leg, outcome: verdicts.Result) -> None:
+        self._answer(leg, outcome)
+        self._limiter.release(self._clock())
+
+    def _shed(self, leg: Leg) -> None:
+        self._answer(leg, verdicts.not_run(types.Reason.QUEUE_FULL))
+
+    def _answer(self, leg: Leg, outcome: verdicts.Result) -> None:
+        self._legs.pop(leg.forward.leg, None)
+        message = self._message(leg.forward, outcome)
+        self._metrics.leg(message.verdict.value)
+        leg.reply(message)
+
+    def _message(
+        self, forward: messages.Forward, outcome: verdicts.Result
+    ) -> messages.Outcome:
+        match outcome:
+            case result.Success(verdicts.Answer() as answer):
+                return messages.Outcome(
+                    forward.leg,
+                    types.Verdict.ANSWERED,
+                    status=answer.status,
+                    content_type=answer.content_type,
+                    body=answer.body,
+                )
+            case result.Failure(verdicts.Refusal() as refusal):
+                route = self._core.routes.find(forward.service, forward.slot)
+                return messages.Outcome(
+                    forward.leg,
+                    refusal.verdict,
+                    refusal.reason,
+                    owner=route.owner if route else types.NOBODY,
+                    fence=route.fence if route else 0,
+                )
+        raise AssertionError(outcome)
--- /dev/null
+++ b/tamarackgap/peers.py
@@ -0,0 +1,157 @@
+"""Messages between daemons, over pyzmq on the circuits loop.
+
+Every daemon pulls on one socket and pushes on one socket for each peer. A
+push to a peer that is not connected fails at once, so nothing waits in a
+queue to be delivered to a later process at the same address.
+"""
+
+from collections.abc import Callable
+
+import circuits
+import msgspec
+import zmq
+from circuits.core import pollers
+
+from tamarackgap import logs, messages, scheduler
+
+_HIGH_WATER_MESSAGES = 1000
+_RECONNECT_MS = 50
+_RECONNECT_MAX_MS = 500
+# A turn of the loop must stay short even if peers send without pause.
+_DRAIN_MESSAGES = 200
+
+Receive = Callable[[messages.Envelope], None]
+
+
+class Peers(circuits.Component):
+    """All links to other daemons."""
+
+    channel = "peers"
+
+    def __init__(
+        self,
+        poller: pollers.BasePoller,
+        timers: scheduler.Scheduler,
+        deployment: str,
+        address: str,
+        largest: int,
+        receive: Receive,
+    ) -> None:
+        """Binds to `address`.
+
+        Args:
+            poller: The loop's poller.
+            timers: The loop's scheduler.
+            deployment: Messages of other deployments are dropped.
+            address: This daemon's `ip:port`.
+            largest: Largest message, bytes.
+            receive: Called with each message.
+
+        Raises:
+            zmq.ZMQError: If another process is bound to the address.
+        """
+        super().__init__()
+        self._deployment = deployment
+        self._address = address
+        self._receive = receive
+        self._context = zmq.Context()
+        self._context.setsockopt(zmq.MAX_SOCKETS, 8192)
+        self._inbox = self._context.socket(zmq.PULL)
+        self._inbox.setsockopt(zmq.LINGER, 0)
+        self._inbox.setsockopt(zmq.RCVHWM, _HIGH_WATER_MESSAGES)
+        self._inbox.setsockopt(zmq.MAXMSGSIZE, largest)
+        self._inbox.bind(f"tcp://{address}")
+        self._outboxes: dict[str, zmq.Socket] = {}
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.dropped = 0
+        self.malformed = 0
+        poller.addReader(self, self._inbox.getsockopt(zmq.FD))
+        # The descriptor is edge-triggered: a missed edge is made up here.
+        timers.each_turn(self._drain)
+
+    def keep(self, addresses: set[str]) -> None:
+        """Connects to these peers ahead, and closes links to all others."""
+        for address in addresses - {self._address}:
+            self._outbox(address)
+        for address in self._outboxes.keys() - addresses:
+            self._outboxes.pop(address).close()
+
+    def send(
+        self, sender: str, address: str, message: messages.Message
+    ) -> bool:
+        """Sends a message, without waiting.
+
+        Args:
+            sender: The incarnation that sends.
+            address: The receiver's `ip:port`.
+            message: The message.
+
+        Returns:
+            Whether it was handed to a connection; it may be lost all the
+            same. If not, it will never arrive.
+        """
+        envelope = messages.Envelope(
+            self._deployment, sender, self._address, message
+        )
+        frame = messages.encode(envelope)
+        try:
+            self._outbox(address).send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            self.dropped += 1
+            return False
+        self.sent_messages += 1
+        self.sent_bytes += len(frame)
+        return True
+
+    def close(self) -> None:
+        """Closes all links."""
+        for outbox in self._outboxes.values():
+            outbox.close()
+        self._inbox.close()
+        self._context.term()
+
+    def _outbox(self, address: str) -> zmq.Socket:
+        outbox = self._outboxes.get(address)
+        if outbox is None:
+            outbox = self._context.socket(zmq.PUSH)
+            outbox.setsockopt(zmq.LINGER, 0)
+            outbox.setsockopt(zmq.IMMEDIATE, 1)
+            outbox.setsockopt(zmq.SNDHWM, _HIGH_WATER_MESSAGES)
+            outbox.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+            outbox.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+            outbox.connect(f"tcp://{address}")
+            self._outboxes[address] = outbox
+        return outbox
+
+    @circuits.handler("_read")
+    def _on_read(self, descriptor: int) -> None:
+        del descriptor
+        self._drain()
+
+    def _drain(self) -> None:
+        for _ in range(_DRAIN_MESSAGES):
+            try:
+                frame = self._inbox.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._take(frame)
+
+    def _take(self, frame: bytes) -> None:
+        try:
+            envelope = messages.decode(frame)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self.malformed += 1
+            logs.event(
+                "peer_frame_malformed", bytes=len(frame), error=str(error)
+            )
+            return
+        if envelope.deployment != self._deployment:
+            self.malformed += 1
+            logs.event(
+                "peer_of_other_deployment",
+                deployment=envelope.deployment,
+                address=envelope.address,
+            )
+            return
+        self._receive(envelope)
--- /dev/null
+++ b/tamarackgap/placement.py
@@ -0,0 +1,216 @@
+"""Pure decisions: quotas, moves, witnesses and successors.
+
+Each owner computes the same plan from the same view and carries out only
+its own part; the compare-and-set on both records is the agreement.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import msgspec
+import xxhash
+
+from tamarackgap import records, slots, types
+
+# A difference of this share of the quota is left alone: to even it out
+# would cost moves and gain nothing that a caller notices.
+TOLERANCE = 0.02
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A daemon that may own slots of a service.
+
+    Attributes:
+        incarnation: Its id.
+        name: Its daemon's name, the same over restarts.
+        data_centre: Where it stands.
+        weight: Its share against other members; 0 takes nothing.
+        owned: The slots it owns now.
+    """
+
+    incarnation: str
+    name: str
+    data_centre: str
+    weight: int
+    owned: tuple[int, ...]
+
+
+class Move(msgspec.Struct, frozen=True):
+    """A slot that should change its owner.
+
+    Attributes:
+        slot: The slot.
+        source: Its owner now.
+        destination: Its owner afterwards.
+        reason: Why, for the log.
+    """
+
+    slot: int
+    source: str
+    destination: str
+    reason: str
+
+
+def score(item: object, candidate: str) -> int:
+    """Returns a candidate's rendezvous hash for an item; highest wins."""
+    return xxhash.xxh3_64_intdigest(f"{item}/{candidate}".encode())
+
+
+def quotas(slot_count: int, members: Sequence[Member]) -> dict[str, int]:
+    """Returns each member's number of slots, by largest remainder."""
+    total = sum(member.weight for member in members)
+    if not total:
+        return {member.incarnation: 0 for member in members}
+    shares = {
+        member: divmod(slot_count * member.weight, total) for member in members
+    }
+    left = slot_count - sum(whole for whole, _ in shares.values())
+    ranked = sorted(
+        members, key=lambda member: (-shares[member][1], member.name)
+    )
+    extra = {member.incarnation for member in ranked[:left]}
+    return {
+        member.incarnation: shares[member][0] + (member.incarnation in extra)
+        for member in members
+    }
+
+
+def _tolerated(quota: int) -> int:
+    return max(1, int(quota * TOLERANCE))
+
+
+def plan(slot_count: int, members: Sequence[Member]) -> list[Move]:
+    """Returns the moves that bring every member to its quota.
+
+    Only surplus slots move, each once, so the churn is the least possible.
+
+    Args:
+        slot_count: Number of slots of the service.
+        members: All members that own slots or may.
+    """
+    wanted = quotas(slot_count, members)
+    if not any(wanted.values()):
+        return []
+    room = {
+        member.incarnation: wanted[member.incarnation] - len(member.owned)
+        for member in members
+    }
+    if not _worth_it(members, wanted, room):
+        return []
+    moves: list[Move] = []
+    takers = sorted(
+        (member for member in members if room[member.incarnation] > 0),
+        key=lambda member: (-room[member.incarnation], member.name),
+    )
+    for giver in sorted(members, key=lambda member: member.name):
+        surplus = -room[giver.incarnation]
+        reason = "weight-zero" if not giver.weight else "above-quota"
+        for slot in giver.owned[: max(0, surplus)]:
+            taker = next(
+                (taker for taker in takers if room[taker.incarnation] > 0), None
+            )
+            if taker is None:
+                return moves
+            room[taker.incarnation] -= 1
+            moves.append(
+                Move(slot, giver.incarnation, taker.incarnation, reason)
+            )
+    return moves
+
+
+def _worth_it(
+    members: Sequence[Member], wanted: dict[str, int], room: dict[str, int]
+) -> bool:
+    return any(
+        (not member.weight and member.owned)
+        or abs(room[member.incarnation])
+        > _tolerated(wanted[member.incarnation])
+        for member in members
+    )
+
+
+def choose_witnesses(
+    owner: records.LeaseRecord,
+    candidates: Iterable[records.LeaseRecord],
+    count: int,
+    avoid: Callable[[str], bool],
+) -> tuple[str, ...]:
+    """Returns witnesses in as many data centres as there are.
+
+    Present witnesses are kept where they can be.
+
+    Args:
+        owner: The record to be witnessed.
+        candidates: Open records, of any service.
+        count: How many are wanted; odd.
+        avoid: Tells whether an incarnation does not answer.
+    """
+    usable = [
+        record
+        for record in candidates
+        if record.incarnation != owner.incarnation
+        and not record.leaving
+        and not avoid(record.incarnation)
+    ]
+    # A member without witnesses may never have come up whole.
+    settled = [record for record in usable if record.witnesses]
+    if len(settled) >= count:
+        usable = settled
+    count = min(count, len(usable))
+    count -= 1 - count % 2 if count else 0
+    chosen: list[records.LeaseRecord] = []
+    kept = set(owner.witnesses)
+    while len(chosen) < count:
+        places = [record.data_centre for record in chosen]
+        best = min(
+            (record for record in usable if record not in chosen),
+            key=lambda record: (
+                places.count(record.data_centre),
+                record.incarnation not in kept,
+                -score(owner.incarnation, record.incarnation),
+            ),
+        )
+        chosen.append(best)
+    return tuple(sorted(record.incarnation for record in chosen))
+
+
+def choose_successors(
+    owner: records.LeaseRecord,
+    holdings: dict[types.Slot, slots.Holding],
+    members: Iterable[records.LeaseRecord],
+) -> dict[types.Slot, slots.Holding]:
+    """Returns the holdings with a live successor for each slot.
+
+    Slots spread over all other members, outside the owner's data centre
+    where possible, so that neither a server's nor a data centre's loss
+    takes owner and successor together. A present successor is kept.
+    """
+    others = [
+        record
+        for record in members
+        if record.can_own
+        and record.service == owner.service
+        and record.incarnation != owner.incarnation
+    ]
+    outside = [
+        record for record in others if record.data_centre != owner.data_centre
+    ]
+    names = [record.incarnation for record in outside or others]
+    eligible = set(names)
+    return {
+        slot: slots.Holding(
+            held.fence,
+            held.successor
+            if held.successor in eligible
+            else rendezvous(slot, names),
+        )
+        for slot, held in holdings.items()
+    }
+
+
+def rendezvous(item: object, candidates: Iterable[str]) -> str:
+    """Returns the candidate with the highest score, or nobody."""
+    return max(
+        candidates,
+        key=lambda name: score(item, name),
+        default=types.NOBODY,
+    )
--- /dev/null
+++ b/tamarackgap/planner.py
@@ -0,0 +1,382 @@
+"""Decides which change of the table a daemon makes next, if any."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from tamarackgap import (
+    changes,
+    lease,
+    placement,
+    records,
+    slots,
+    takeover,
+    types,
+)
+
+if TYPE_CHECKING:
+    from tamarackgap import ownership
+
+PLAN_EVERY_S = 0.1
+_SILENT_LEASES = 2.0
+
+
+class Situation(msgspec.Struct, frozen=True):
+    """All that a decision rests on.
+
+    Attributes:
+        view: Rows of the table known here.
+        settings: What the daemon is told about itself.
+        incarnation: This process start's id.
+        accepting: Whether the daemon takes more slots.
+        checks_grants: Whether the target stops by itself at a lease's end.
+        draining: Whether it gives its slots away to leave.
+        table_ok: Whether the table answered lately.
+        lease_valid: Whether the lease holds now.
+        grants: Grants of the current epoch.
+        takeovers: Attempts to end other daemons' epochs.
+        unrecorded: Fences of the slots that the table does not show yet.
+        busy: Tells whether requests of a slot are in progress.
+        age: Seconds since the incarnation began.
+        now: Monotonic time, seconds.
+    """
+
+    view: records.View
+    settings: ownership.Settings
+    incarnation: str
+    accepting: bool
+    checks_grants: bool
+    draining: bool
+    table_ok: bool
+    lease_valid: bool
+    grants: lease.EpochGrants
+    takeovers: list[takeover.Takeover]
+    unrecorded: dict[int, int]
+    busy: Callable[[int], bool]
+    age: float
+    now: float
+
+    @property
+    def mine(self) -> records.LeaseRecord | None:
+        """This incarnation's record."""
+        return self.view.lease(self.incarnation)
+
+
+class Intent(msgspec.Struct, frozen=True):
+    """A new epoch that is wanted.
+
+    Attributes:
+        witnesses: The new epoch's witnesses.
+        reason: The cause, for the log.
+    """
+
+    witnesses: tuple[str, ...]
+    reason: str
+
+
+class Reconfiguration(msgspec.Struct, frozen=True):
+    """A new epoch that is ready to be written, and the moves in it."""
+
+    change: changes.Change
+    moves: tuple[placement.Move, ...]
+
+
+def decide(situation: Situation, change: str) -> changes.Change | Intent | None:
+    """Returns the change that is due, an intent, or None.
+
+    Args:
+        situation: What is known.
+        change: A fresh id for the write.
+    """
+    if not situation.view.is_read:
+        return None
+    for step in (_join, _flag, _claim, _vouch, _found, _leave, _intent):
+        decided = step(situation, change)
+        if decided is not None:
+            return decided
+    return None
+
+
+def _join(situation: Situation, change: str) -> changes.Change | None:
+    if situation.mine is not None or situation.draining:
+        return None
+    settings = situation.settings
+    linger = 0.0 if situation.checks_grants else settings.linger
+    record = records.LeaseRecord(
+        service=settings.service,
+        daemon=settings.daemon,
+        incarnation=situation.incarnation,
+        data_centre=settings.data_centre,
+        peer_address=settings.peer_address,
+        http_address=settings.http_address,
+        lease_ms=round(settings.lease * 1000),
+        linger_ms=round(linger * 1000),
+        accepting=situation.accepting,
+    )
+    builder = changes.Builder(situation.view, change)
+    builder.put(record)
+    return builder.build(changes.Kind.JOIN, "started")
+
+
+def _flag(situation: Situation, change: str) -> changes.Change | None:
+    mine = situation.mine
+    if mine is None:
+        return None
+    flagged = msgspec.structs.replace(
+        mine, accepting=situation.accepting, leaving=situation.draining
+    )
+    if flagged == mine:
+        return None
+    builder = changes.Builder(situation.view, change)
+    builder.put(flagged)
+    reason = "accepting" if situation.accepting else "not-accepting"
+    return builder.build(changes.Kind.FLAG, reason)
+
+
+def _claim(situation: Situation, change: str) -> changes.Change | None:
+    mine = situation.mine
+    if mine is None or not situation.lease_valid:
+        return None
+    gains = [
+        changes.Gain(record, fences)
+        for record in situation.view.leases()
+        if (fences := _claimable(situation, record)) is not None
+    ]
+    if not gains:
+        return None
+    return changes.claim(situation.view, mine, gains, change)
+
+
+def _claimable(
+    situation: Situation, record: records.LeaseRecord
+) -> dict[int, int] | None:
+    """Returns new fences of what may be taken; None leaves it alone."""
+    over = any(
+        attempt.done
+        and attempt.record.incarnation == record.incarnation
+        and attempt.record.epoch == record.epoch
+        for attempt in situation.takeovers
+    )
+    if record.is_open and not over:
+        return None
+    holdings = slots.expand(record.runs)
+    fences = {
+        slot: held.fence + 1
+        for slot, held in holdings.items()
+        if held.successor == situation.incarnation
+    }
+    if not record.is_open:
+        if record.service == situation.settings.service:
+            fences.update(_stranded(situation, record, holdings))
+        return fences or None
+    return fences
+
+
+def _stranded(
+    situation: Situation,
+    record: records.LeaseRecord,
+    holdings: dict[types.Slot, slots.Holding],
+) -> dict[int, int]:
+    """Returns slots of a closed record whose successor is over as well.
+
+    The successor may have served under the next fence, unseen by the table,
+    so one fence is left out.
+    """
+    view = situation.view
+    if view.cursor < view.revision(record.key):
+        # The successor's record may not have been read yet.
+        return {}
+    heirs = [
+        member.incarnation
+        for member in view.members(record.service)
+        if member.can_own
+    ]
+    fences = {}
+    for slot, held in holdings.items():
+        successor = view.lease(held.successor)
+        if successor is not None and successor.is_open:
+            continue
+        if placement.rendezvous(slot, heirs) == situation.incarnation:
+            fences[slot] = held.fence + 2
+    return fences
+
+
+def _vouch(situation: Situation, change: str) -> changes.Change | None:
+    """Closes records of earlier incarnations at this daemon's own address.
+
+    Only one process can be bound to an address, so the earlier one is gone;
+    what it handed over last is over after a lease and its linger.
+    """
+    settings = situation.settings
+    wait = settings.lease * (1 + settings.drift) + settings.linger
+    if situation.age < wait:
+        return None
+    earlier = [
+        record
+        for record in situation.view.leases()
+        if record.is_open
+        and record.peer_address == settings.peer_address
+        and record.incarnation != situation.incarnation
+    ]
+    if not earlier:
+        return None
+    builder = changes.Builder(situation.view, change)
+    for record in earlier:
+        builder.close(record, slots.expand(record.runs))
+    return builder.build(changes.Kind.VOUCH, "earlier-incarnation-gone")
+
+
+def _found(situation: Situation, change: str) -> changes.Change | None:
+    mine = situation.mine
+    settings = situation.settings
+    if (
+        mine is None
+        or situation.age < settings.settle
+        or not situation.lease_valid
+        or not situation.accepting
+        or situation.view.founded(settings.service) is not None
+    ):
+        return None
+    return changes.found(situation.view, mine, settings.slot_count, change)
+
+
+def _leave(situation: Situation, change: str) -> changes.Change | None:
+    mine = situation.mine
+    if (
+        mine is None
+        or not situation.draining
+        or mine.runs
+        or situation.unrecorded
+        or _is_witness(situation)
+    ):
+        return None
+    builder = changes.Builder(situation.view, change)
+    builder.close(mine, {})
+    return builder.build(changes.Kind.LEAVE, "drained")
+
+
+def _is_witness(situation: Situation) -> bool:
+    return any(
+        situation.incarnation in record.witnesses
+        for record in situation.view.members()
+    )
+
+
+def _intent(situation: Situation, change: str) -> Intent | None:
+    del change
+    mine = situation.mine
+    if mine is None or not situation.table_ok:
+        return None
+    witnesses = _witnesses(situation, mine)
+    reason = None
+    if witnesses != mine.witnesses:
+        reason = "witnesses"
+    elif _successors_stale(situation, mine):
+        reason = "successors"
+    elif _moves(situation):
+        reason = "moves"
+    return Intent(witnesses, reason) if reason else None
+
+
+def _witnesses(
+    situation: Situation, mine: records.LeaseRecord
+) -> tuple[str, ...]:
+    grants = situation.grants
+    unresponsive = grants.refusing() | grants.silent(
+        types.Seconds(situation.now),
+        types.Seconds(situation.settings.lease * _SILENT_LEASES),
+    )
+    chosen = placement.choose_witnesses(
+        mine,
+        situation.view.members(),
+        situation.settings.witnesses,
+        lambda name: name in unresponsive,
+    )
+    # A lease with a majority of what is left is better than none.
+    return chosen or mine.witnesses
+
+
+def _successors_stale(situation: Situation, mine: records.LeaseRecord) -> bool:
+    holdings = slots.expand(mine.runs)
+    members = situation.view.members(mine.service)
+    wanted = placement.choose_successors(mine, holdings, members)
+    return any(
+        held.successor != holdings[slot].successor and held.successor
+        for slot, held in wanted.items()
+    )
+
+
+def members(view: records.View, service: str) -> list[placement.Member]:
+    """Returns a service's daemons with their weights and slots."""
+    return [
+        placement.Member(
+            incarnation=record.incarnation,
+            name=record.daemon,
+            data_centre=record.data_centre,
+            weight=(
+                view.policy(service, record.data_centre).weight
+                if record.can_own
+                else 0
+            ),
+            owned=tuple(sorted(slots.expand(record.runs))),
+        )
+        for record in view.members(service)
+    ]
+
+
+def _moves(situation: Situation) -> tuple[placement.Move, ...]:
+    """Returns the moves that this daemon should make now."""
+    view = situation.view
+    service = situation.settings.service
+    founded = view.founded(service)
+    if founded is None or situation.unrecorded:
+        return ()
+    unclaimed = any(
+        record.runs and not record.is_open and record.service == service
+        for record in view.leases()
+    )
+    if unclaimed:
+        # Claims come first: they may bring the quotas about by themselves.
+        return ()
+    planned = placement.plan(founded.slots, members(view, service))
+    mine = [
+        move
+        for move in planned
+        if move.source == situation.incarnation
+        and not situation.busy(move.slot)
+    ]
+    return tuple(mine[: situation.settings.batch])
+
+
+def reconfiguration(
+    intent: Intent, situation: Situation, change: str
+) -> Reconfiguration | None:
+    """Returns the write that begins the next epoch, or None.
+
+    The moves are chosen now rather than with the intent, so that none of
+    their slots has a request in progress.
+
+    Args:
+        intent: The epoch wanted.
+        situation: What is known.
+        change: A fresh id for the write.
+    """
+    mine = situation.mine
+    if mine is None:
+        return None
+    moves = _moves(situation)
+    if intent.reason == "moves" and not moves:
+        return None
+    target = msgspec.structs.replace(
+        mine, epoch=mine.epoch + 1, witnesses=intent.witnesses
+    )
+    reason = intent.reason
+    if moves and reason != "moves":
+        reason += "+moves"
+    return Reconfiguration(
+        changes.reconfigure(situation.view, target, moves, change, reason),
+        moves,
+    )
--- /dev/null
+++ b/tamarackgap/web.py
@@ -0,0 +1,365 @@
+"""HTTP towards callers, operators and the target, by circuits.web."""
+
+import time
+import urllib.parse
+from collections.abc import Callable
+
+import circuits
+import msgspec
+from circuits.net import events as net_events
+from circuits.web import events as web_events
+from circuits.web import wrappers
+from returns import result
+
+from tamarackgap import config, entry, logs, target, types, verdicts
+
+_CALLER_PREFIX = "/v1/"
+_HEAD_BYTES = 65_536
+_STATUS = {
+    types.Reason.BAD_REQUEST: 400,
+    types.Reason.UNKNOWN_SERVICE: 404,
+    types.Reason.BODY_TOO_LARGE: 413,
+    types.Reason.DEADLINE_PASSED: 408,
+    types.Reason.REPEAT_UNKNOWN: 409,
+    types.Reason.IN_PROGRESS: 409,
+}
+_UNAVAILABLE = 503
+_NO_ANSWER = 504
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """What a refused caller is told.
+
+    Attributes:
+        verdict: Whether the operation may have run.
+        reason: Why it was refused.
+        request: The request's id.
+        detail: What was wrong with it, for a person.
+    """
+
+    verdict: str
+    reason: str
+    request: str
+    detail: str = ""
+
+
+# Returns a page's JSON text for a query; raises KeyError for a bad query.
+Page = Callable[[dict[str, str]], bytes]
+
+
+def parse(
+    request: wrappers.Request, body: bytes, settings: config.Config
+) -> result.Result[entry.Request, Problem]:
+    """Returns the caller's request, or what is wrong with it."""
+    now_ms = int(time.time() * 1000)
+    headers = request.headers
+    request_id = headers.get("X-Request-Id") or entry.new_request_id(now_ms)
+
+    def bad(
+        detail: str, reason: types.Reason = types.Reason.BAD_REQUEST
+    ) -> result.Result[entry.Request, Problem]:
+        verdict = types.Verdict.NOT_RUN.value
+        return result.Failure(
+            Problem(verdict, reason.value, request_id, detail)
+        )
+
+    if len(request_id) > 128 or not request_id.isprintable():
+        request_id = "?"
+        return bad("X-Request-Id: expected at most 128 printable characters")
+    service, _, rest = request.path[len(_CALLER_PREFIX) :].partition("/")
+    query = _query(request.qs or "")
+    if query is None:
+        return bad("key: expected UTF-8")
+    key = query.pop("key", "")
+    size = len(key.encode("utf-8"))
+    if not 0 < size <= settings.requests_key:
+        return bad(f"key: expected 1 to {settings.requests_key} bytes")
+    timeout_ms = _integer(
+        headers.get("X-Deadline-Ms"), settings.requests_deadline
+    )
+    if timeout_ms is None or timeout_ms > 600_000:
+        return bad("X-Deadline-Ms: expected a whole number up to 600000")
+    if timeout_ms <= 0:
+        return bad("X-Deadline-Ms: passed", types.Reason.DEADLINE_PASSED)
+    # An id that a caller chose may have been sent before.
+    attempt = _integer(
+        headers.get("X-Attempt"), 2 if headers.get("X-Request-Id") else 1
+    )
+    first_sent_ms = _integer(
+        headers.get("X-First-Sent-Ms"), _sent_ms(request_id, now_ms, attempt)
+    )
+    if attempt is None or attempt < 1 or first_sent_ms is None:
+        return bad("X-Attempt, X-First-Sent-Ms: expected whole numbers")
+    safe = "true" if request.method in ("GET", "HEAD") else "false"
+    idempotent = headers.get("X-Idempotent", safe).lower()
+    if idempotent not in ("true", "false"):
+        return bad("X-Idempotent: expected true or false")
+    left = urllib.parse.urlencode(query)
+    return result.Success(
+        entry.Request(
+            request=request_id,
+            service=service,
+            key=key,
+            method=request.method,
+            path="/" + rest + ("?" + left if left else ""),
+            body=body,
+            timeout=timeout_ms / 1000,
+            idempotent=idempotent == "true",
+            attempt=attempt,
+            first_sent_ms=first_sent_ms,
+            urgent=headers.get("X-Urgency", "").lower() != "report",
+        )
+    )
+
+
+def _query(text: str) -> dict[str, str] | None:
+    try:
+        pairs = urllib.parse.parse_qsl(
+            text, keep_blank_values=True, errors="strict"
+        )
+    except ValueError:
+        return None
+    return dict(pairs)
+
+
+def _integer(text: str | None, default: int | None) -> int | None:
+    if text is None:
+        return default
+    try:
+        return int(text)
+    except ValueError:
+        return None
+
+
+def _sent_ms(request_id: str, now_ms: int, attempt: int | None) -> int:
+    """Returns the time that an id carries; unknown counts as long ago."""
+    head = request_id.partition("-")[0]
+    if head.isdecimal() and len(head) < 16:
+        return int(head)
+    return now_ms if attempt == 1 else 0
+
+
+class Web(circuits.Component):
+    """Answers HTTP requests on the channel of a circuits.web server."""
+
+    channel = "web"
+
+    def __init__(
+        self,
+        settings: config.Config,
+        front: entry.Entry,
+        announced: Callable[[target.Announcement], str | None],
+        pages: dict[str, Page],
+        metrics_page: Callable[[str], tuple[bytes, dict[str, str]]],
+    ) -> None:
+        """Creates the handlers.
+
+        Args:
+            settings: Limits of requests.
+            front: Serves callers' requests.
+            announced: Takes an announcement; returns what is wrong with it.
+            pages: Operators' pages by path.
+            metrics_page: Renders metrics for an Accept header.
+        """
+        super().__init__()
+        self._settings = settings
+        self._entry = front
+        self._announced = announced
+        self._pages = pages
+        self._metrics_page = metrics_page
+        self._flights: dict[object, tuple[entry.Flight, ...]] = {}
+        self._received: dict[object, int] = {}
+        self.draining = False
+
+    @circuits.handler("read", priority=10)
+    def _on_read(
+        self, event: circuits.Event, sock: object, data: bytes
+    ) -> None:
+        """Stops a request that grows over the limit while it is read."""
+        received = self._received.get(sock, 0) + len(data)
+        self._received[sock] = received
+        if received <= self._settings.requests_body + _HEAD_BYTES:
+            return
+        event.stop()
+        logs.event("request_too_large", bytes=received)
+        self.fire(net_events.write(sock, _TOO_LARGE))
+        self.fire(net_events.close(sock))
+
+    @circuits.handler("disconnect")
+    def _on_disconnect(self, sock: object) -> None:
+        self._received.pop(sock, None)
+        for flight in self._flights.pop(sock, ()):
+            self._entry.cancel(flight)
+
+    @circuits.handler("request", priority=10)
+    def _on_request(
+        self,
+        event: circuits.Event,
+        request: wrappers.Request,
+        response: wrappers.Response,
+        *peer_certificate: object,
+    ) -> bool:
+        """Routes a request; True means that the response is fired later."""
+        del peer_certificate
+        event.stop()
+        self._received.pop(request.sock, None)
+        body = request.body.read()
+        path = request.path
+        if path.startswith(_CALLER_PREFIX):
+            self._serve(request, response, body)
+        elif path == "/announce" and request.method == "POST":
+            self._announce(response, body)
+        elif path == "/metrics":
+            text, headers = self._metrics_page(
+                request.headers.get("Accept", "")
+            )
+            kind = headers.get("Content-Type", "text/plain")
+            self._respond(response, 200, kind, text)
+        elif path in self._pages:
+            self._page(request, response)
+        else:
+            self._refuse(
+                response, 404, Problem("not-run", "unknown-path", "", path)
+            )
+        return True
+
+    def _page(
+        self, request: wrappers.Request, response: wrappers.Response
+    ) -> None:
+        query = _query(request.qs or "") or {}
+        try:
+            text = self._pages[request.path](query)
+        except (KeyError, ValueError) as error:
+            detail = f"query: {error}"
+            self._refuse(
+                response, 400, Problem("not-run", "bad-request", "", detail)
+            )
+            return
+        self._respond(response, 200, "application/json", text)
+
+    def _announce(self, response: wrappers.Response, body: bytes) -> None:
+        try:
+            announcement = msgspec.json.decode(body, type=target.Announcement)
+        except msgspec.MsgspecError as error:
+            wrong = str(error)
+        else:
+            wrong = self._announced(announcement)
+        if wrong is not None:
+            logs.event("announcement_refused", problem=wrong)
+            self._refuse(
+                response, 400, Problem("not-run", "bad-request", "", wrong)
+            )
+            return
+        self._respond(response, 200, "application/json", b"{}")
+
+    def _serve(
+        self,
+        request: wrappers.Request,
+        response: wrappers.Response,
+        body: bytes,
+    ) -> None:
+        if len(body) > self._settings.requests_body:
+            self._refuse_reason(response, types.Reason.BODY_TOO_LARGE)
+            return
+        if self.draining:
+            self._refuse_reason(response, types.Reason.DRAINING)
+            return
+        match parse(request, body, self._settings):
+            case result.Failure(Problem() as problem):
+                reason = types.Reason(problem.reason)
+                logs.event(
+                    "request_refused",
+                    reason=problem.reason,
+                    request=problem.request,
+                    detail=problem.detail,
+                )
+                self._refuse(response, _STATUS[reason], problem)
+            case result.Success(entry.Request() as parsed):
+                if not self._entry.knows(parsed.service):
+                    self._refuse_reason(
+                        response,
+                        types.Reason.UNKNOWN_SERVICE,
+                        parsed.request,
+                    )
+                    return
+                self._begin(request.sock, response, parsed)
+
+    def _begin(
+        self,
+        sock: object,
+        response: wrappers.Response,
+        parsed: entry.Request,
+    ) -> None:
+        def done(outcome: verdicts.Result) -> None:
+            self._flights.pop(sock, None)
+            self._finish(response, parsed, outcome)
+
+        flight = self._entry.begin(parsed, done)
+        if flight.done is not None:
+            self._flights[sock] = (*self._flights.get(sock, ()), flight)
+
+    def _finish(
+        self,
+        response: wrappers.Response,
+        parsed: entry.Request,
+        outcome: verdicts.Result,
+    ) -> None:
+        response.headers["X-Request-Id"] = parsed.request
+        match outcome:
+            case result.Success(verdicts.Answer() as answer):
+                response.headers["X-Verdict"] = types.Verdict.ANSWERED.value
+                self._respond(
+                    response, answer.status, answer.content_type, answer.body
+                )
+            case result.Failure(verdicts.Refusal() as refusal):
+                status = _NO_ANSWER if refusal.may_have_run else _UNAVAILABLE
+                status = _STATUS.get(refusal.reason, status)
+                problem = Problem(
+                    refusal.verdict.value,
+                    refusal.reason.value,
+                    parsed.request,
+                )
+                self._refuse(response, status, problem)
+
+    def _refuse_reason(
+        self,
+        response: wrappers.Response,
+        reason: types.Reason,
+        request: str = "",
+    ) -> None:
+        problem = Problem(types.Verdict.NOT_RUN.value, reason.value, request)
+        logs.event("request_refused", reason=reason.value, request=request)
+        self._refuse(response, _STATUS.get(reason, _UNAVAILABLE), problem)
+
+    def _refuse(
+        self, response: wrappers.Response, status: int, problem: Problem
+    ) -> None:
+        response.headers["X-Verdict"] = problem.verdict
+        self._respond(
+            response, status, "application/json", msgspec.json.encode(problem)
+        )
+
+    def _respond(
+        self,
+        response: wrappers.Response,
+        status: int,
+        content_type: str,
+        body: bytes,
+    ) -> None:
+        response.status = status
+        response.headers["Content-Type"] = (
+            content_type or "application/octet-stream"
+        )
+        response.body = body
+        self.fire(web_events.response(response))
+
+
+_TOO_LARGE_BODY = msgspec.json.encode(
+    Problem(types.Verdict.NOT_RUN.value, types.Reason.BODY_TOO_LARGE.value, "")
+)
+_TOO_LARGE = (
+    b"HTTP/1.1 413 Request Entity Too Large\r\n"
+    b"Content-Type: application/json\r\n"
+    b"X-Verdict: not-run\r\nConnection: close\r\n"
+    b"Content-Length: %d\r\n\r\n%s" % (len(_TOO_LARGE_BODY), _TOO_LARGE_BODY)
+)
