--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -182,8 +182,14 @@
 
     def start_daemon(self, place: Place) -> None:
         """Starts a VM's daemon."""
-        place.daemon_process = self._run(
-            f"daemon-{place.name}",
+        place.daemon_process = self.run_again(place, "daemon")
+
+    def run_again(
+        self, place: Place, prefix: str = "again"
+    ) -> subprocess.Popen:
+        """Starts a daemon with a VM's settings, and returns the process."""
+        return self._run(
+            f"{prefix}-{place.name}",
             "tamarackgap",
             "daemon",
             "--config",
--- /dev/null
+++ b/examples/embedded.py
@@ -0,0 +1,75 @@
+"""Embeds the ownership protocol in a program of one's own.
+
+Three members and their table live in one process here; a real program would
+carry the messages over its own transport. Run it: it prints who owns what.
+"""
+
+import random
+
+from standins import table as table_lib
+from tamarackgap import messages, ownership, records
+
+STEP_S = 0.02
+
+
+def make(number: int, now: float) -> ownership.Ownership:
+    """Returns a member of the service `tickets`."""
+    settings = ownership.Settings(
+        service="tickets",
+        daemon=f"member-{number}",
+        data_centre=f"place-{number}",
+        peer_address=f"127.0.0.1:{7000 + number}",
+        http_address=f"127.0.0.1:{8000 + number}",
+        slot_count=16,
+    )
+    rng = random.Random(number)
+    member = ownership.Ownership(settings, rng, lambda slot: False, now)
+    member.accept(True)
+    return member
+
+
+def carry_out(
+    member: ownership.Ownership,
+    members: dict[str, ownership.Ownership],
+    table: table_lib.Table,
+    now: float,
+) -> None:
+    """Does what a member asks for: messages, writes, log lines."""
+    own_address = member.settings.peer_address
+    for effect in member.take_effects():
+        match effect:
+            case ownership.Send(sender=sender, address=to, message=message):
+                envelope = messages.Envelope(
+                    "demo", sender, own_address, message
+                )
+                members[to].receive(envelope, now)
+            case ownership.Commit(change=change):
+                committed, rows = table.commit(change.transaction)
+                state = ownership.CommitState.CONFLICT
+                if committed:
+                    state = ownership.CommitState.COMMITTED
+                member.committed(state, rows, now)
+            case ownership.Decision(event=event, fields=fields):
+                print(f"{now:5.2f} {member.settings.daemon} {event} {fields}")
+
+
+def main() -> None:
+    """Runs three members for three seconds of a made-up clock."""
+    table = table_lib.Table()
+    members = {
+        member.settings.peer_address: member
+        for member in (make(number, 0.0) for number in range(4))
+    }
+    for step in range(int(3 / STEP_S)):
+        now = step * STEP_S
+        for member in members.values():
+            revision, rows = table.since(member.view.cursor)
+            member.read(list[records.Row](rows), revision, now)
+            member.tick(now)
+            carry_out(member, members, table, now)
+    for member in members.values():
+        print(member.settings.daemon, "owns", sorted(member.owned))
+
+
+if __name__ == "__main__":
+    main()
--- a/tamarackgap/config.py
+++ b/tamarackgap/config.py
@@ -37,6 +37,7 @@
     requests_deadline: int
     requests_body: int
     requests_answer: int
+    requests_patience: int
     requests_key: int
     requests_window: int
     requests_remembered: int
--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -130,6 +130,7 @@
         ).register(self)
         self._web = web.Web(
             settings,
+            self._timers,
             self._entry,
             self._announced,
             pages.build(
--- a/tamarackgap/options.py
+++ b/tamarackgap/options.py
@@ -170,6 +170,15 @@
         "bytes",
         "largest answer of a target",
     ),
+    _number(
+        "requests",
+        "patience",
+        10_000,
+        100,
+        600_000,
+        "ms",
+        "longest time for a whole request to come in",
+    ),
     _number("requests", "key", 512, 1, 8192, "bytes", "longest key"),
     _number(
         "requests",
--- a/tamarackgap/web.py
+++ b/tamarackgap/web.py
@@ -11,10 +11,20 @@
 from circuits.web import wrappers
 from returns import result
 
-from tamarackgap import config, entry, logs, target, types, verdicts
+from tamarackgap import (
+    config,
+    entry,
+    logs,
+    scheduler,
+    target,
+    types,
+    verdicts,
+)
 
 _CALLER_PREFIX = "/v1/"
 _HEAD_BYTES = 65_536
+_TLS_HANDSHAKE = b"\x16\x03"
+_TRACE_CHARACTERS = 2000
 _STATUS = {
     types.Reason.BAD_REQUEST: 400,
     types.Reason.UNKNOWN_SERVICE: 404,
@@ -139,6 +149,13 @@
     return now_ms if attempt == 1 else 0
 
 
+class _Part(msgspec.Struct):
+    """A request of which not all has come in."""
+
+    timer: scheduler.Timer
+    size: int = 0
+
+
 class Web(circuits.Component):
     """Answers HTTP requests on the channel of a circuits.web server."""
 
@@ -147,6 +164,7 @@
     def __init__(
         self,
         settings: config.Config,
+        timers: scheduler.Scheduler,
         front: entry.Entry,
         announced: Callable[[target.Announcement], str | None],
         pages: dict[str, Page],
@@ -156,6 +174,7 @@
 
         Args:
             settings: Limits of requests.
+            timers: The loop's scheduler.
             front: Serves callers' requests.
             announced: Takes an announcement; returns what is wrong with it.
             pages: Operators' pages by path.
@@ -163,12 +182,13 @@
         """
         super().__init__()
         self._settings = settings
+        self._timers = timers
         self._entry = front
         self._announced = announced
         self._pages = pages
         self._metrics_page = metrics_page
         self._flights: dict[object, tuple[entry.Flight, ...]] = {}
-        self._received: dict[object, int] = {}
+        self._parts: dict[object, _Part] = {}
         self.draining = False
 
     @circuits.handler("read", priority=10)
@@ -176,18 +196,59 @@
         self, event: circuits.Event, sock: object, data: bytes
     ) -> None:
         """Stops a request that grows over the limit while it is read."""
-        received = self._received.get(sock, 0) + len(data)
-        self._received[sock] = received
-        if received <= self._settings.requests_body + _HEAD_BYTES:
-            return
-        event.stop()
-        logs.event("request_too_large", bytes=received)
-        self.fire(net_events.write(sock, _TOO_LARGE))
+        part = self._parts.get(sock)
+        if part is None:
+            part = _Part(self._await_rest(sock))
+            self._parts[sock] = part
+        part.size += len(data)
+        if data.startswith(_TLS_HANDSHAKE):
+            event.stop()
+            self._drop(sock, _MALFORMED, "tls-handshake")
+        elif part.size > self._settings.requests_body + _HEAD_BYTES:
+            event.stop()
+            self._drop(sock, _TOO_LARGE, "body-too-large")
+
+    def _await_rest(self, sock: object) -> scheduler.Timer:
+        patience = self._settings.requests_patience / 1000
+        return self._timers.after(
+            patience, lambda: self._drop(sock, _MALFORMED, "incomplete")
+        )
+
+    def _drop(self, sock: object, answer: bytes, why: str) -> None:
+        """Refuses what can't become a request, and closes."""
+        self._forget_part(sock)
+        logs.event("connection_dropped", why=why)
+        self.fire(net_events.write(sock, answer))
         self.fire(net_events.close(sock))
 
+    def _forget_part(self, sock: object) -> None:
+        part = self._parts.pop(sock, None)
+        if part is not None:
+            part.timer.cancel()
+
+    @circuits.handler("exception", channel="*")
+    def _on_exception(
+        self,
+        kind: type,
+        error: BaseException,
+        trace: list[str],
+        handler: object = None,
+        fevent: circuits.Event | None = None,
+    ) -> None:
+        """Logs what went wrong in any handler; the daemon goes on."""
+        del handler
+        logs.event(
+            "internal_error",
+            during=fevent.name if fevent is not None else "",
+            error=f"{kind.__name__}: {error}",
+            trace="".join(trace)[-_TRACE_CHARACTERS:],
+        )
+        if fevent is not None and fevent.name == "read":
+            self._drop(fevent.args[0], _MALFORMED, "malformed")
+
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock: object) -> None:
-        self._received.pop(sock, None)
+        self._forget_part(sock)
         for flight in self._flights.pop(sock, ()):
             self._entry.cancel(flight)
 
@@ -202,7 +263,7 @@
         """Routes a request; True means that the response is fired later."""
         del peer_certificate
         event.stop()
-        self._received.pop(request.sock, None)
+        self._forget_part(request.sock)
         body = request.body.read()
         path = request.path
         if path.startswith(_CALLER_PREFIX):
@@ -354,12 +415,17 @@
         self.fire(web_events.response(response))
 
 
-_TOO_LARGE_BODY = msgspec.json.encode(
-    Problem(types.Verdict.NOT_RUN.value, types.Reason.BODY_TOO_LARGE.value, "")
-)
-_TOO_LARGE = (
-    b"HTTP/1.1 413 Request Entity Too Large\r\n"
-    b"Content-Type: application/json\r\n"
-    b"X-Verdict: not-run\r\nConnection: close\r\n"
-    b"Content-Length: %d\r\n\r\n%s" % (len(_TOO_LARGE_BODY), _TOO_LARGE_BODY)
-)
+def _closing(status: str, reason: types.Reason) -> bytes:
+    """Returns a whole answer that ends its connection."""
+    problem = Problem(types.Verdict.NOT_RUN.value, reason.value, "")
+    body = msgspec.json.encode(problem)
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        f"X-Verdict: not-run\r\nConnection: close\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode("ascii") + body
+
+
+_TOO_LARGE = _closing("413 Content Too Large", types.Reason.BODY_TOO_LARGE)
+_MALFORMED = _closing("400 Bad Request", types.Reason.BAD_REQUEST)
