--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""A small specification of the ownership protocol, for model checking."""
