--- a/model/check.py
+++ b/model/check.py
@@ -42,7 +42,7 @@
         here = spec_lib.State(*state)
         if len(spec_lib.serving(here, spec)) > 1 or len(here.served) > 1:
             # The shortest way here is recorded: there is no more to learn.
-            raise minicheck.StateSpaceExceeded("violated")
+            raise minicheck.IntBoundExceeded("violated")
         return list(spec.steps(here))
 
     return minicheck.Protocol(
