--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -11,7 +12,7 @@
 
 import click
 
-from demo import cluster, deployments, load, report
+from demo import cluster, deployments, judge, load, report
 
 _BASE_PORTS = {"association": 21000, "rentals": 22000}
 _READY_S = 30.0
@@ -28,7 +29,7 @@
         first = running.deployment.services[0].name
         self.killed = running.place(f"{last}-0")
         self.leaving = running.place(f"{first}-1")
-        self.notes: list[str] = []
+        self.left: dict[str, float] = {}
 
     def run(self) -> None:
         """Carries the plan out, from its own thread."""
@@ -38,6 +39,7 @@
         self._note(f"killed daemon {self.killed.name} (-9)")
         self._wait_until(begun + self.seconds * 0.55)
         cluster.call(self.leaving.target, "POST", "/leave")
+        self.left[self.leaving.name] = time.monotonic()
         self.leaving.daemon_process.send_signal(signal.SIGTERM)
         self._note(f"target {self.leaving.name} leaves, its daemon drains")
         self._wait_until(begun + self.seconds * 0.7)
@@ -49,13 +51,11 @@
         """Returns the exit code of the daemon that drained, or None."""
         try:
             return self.leaving.daemon_process.wait(timeout=12)
-        except Exception:
+        except subprocess.TimeoutExpired:
             return None
 
     def _note(self, text: str) -> None:
-        line = f"  {self.cluster.deployment.name}: {text}"
-        self.notes.append(line)
-        click.echo(line)
+        click.echo(f"  {self.cluster.deployment.name}: {text}")
 
     def _wait_until(self, moment: float) -> None:
         time.sleep(max(0.0, moment - time.monotonic()))
@@ -101,11 +101,18 @@
         done = sum(len(part.results) for part in loads)
         click.echo(f"  {time.monotonic() - begun:4.0f} s: {done} requests")
     return [
-        report.summarise(running, part, story.drained())
+        report.summarise(running, _evidence(running, part, story))
         for running, part, story in zip(clusters, loads, stories, strict=True)
     ]
 
 
+def _evidence(
+    running: cluster.Cluster, part: load.Load, story: Story
+) -> judge.Evidence:
+    drained = {story.leaving.name: story.drained()}
+    return judge.Evidence(part.results, running.runs(), story.left, drained)
+
+
 @click.command()
 @click.option("--seconds", default=20.0, help="Length of the load.")
 @click.option("--rate", default=120.0, help="Requests a second and user.")
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from demo import deployments
+from standins import target as target_lib
 
 _HOST = "127.0.0.1"
 
@@ -196,21 +197,27 @@
             str(self.settings(place)),
         )
 
-    def ready(self, seconds: float) -> float | None:
-        """Waits until all slots are owned and spread; returns the time."""
+    def ready(self, seconds: float, even: bool = True) -> float | None:
+        """Waits until all slots are owned; returns the time, or None.
+
+        Args:
+            seconds: Longest wait.
+            even: Whether to wait for an even spread as well.
+        """
         begun = time.monotonic()
         while time.monotonic() - begun < seconds:
-            if self._is_ready():
+            if self._is_ready(even):
                 return time.monotonic() - begun
             time.sleep(0.1)
         return None
 
-    def _is_ready(self) -> bool:
+    def _is_ready(self, even: bool) -> bool:
+        slots = self._overrides.get("ownership", {}).get("slots", 256)
         for service in self.deployment.services:
             counts = self.owned(service.name)
-            if len(counts) < service.servers or None in counts:
+            if None in counts or sum(counts) != slots:
                 return False
-            if not all(counts) or max(counts) > 1.1 * min(counts) + 2:
+            if even and max(counts) > 1.1 * min(counts) + 2:
                 return False
         return True
 
@@ -233,16 +240,29 @@
         """Switches faults of the platform."""
         call(self.table, "POST", "/faults", values)
 
-    def runs(self) -> list[dict]:
-        """Returns everything that the targets say they ran."""
+    def runs(self) -> list[target_lib.Run]:
+        """Returns everything that the targets say took effect."""
+        decoder = msgspec.json.Decoder(target_lib.Run)
         found = []
         for place in self.places:
             path = self.folder / f"{place.name}.runs"
             if path.exists():
-                text = path.read_text(encoding="utf-8")
-                found += [json.loads(line) for line in text.splitlines()]
+                found += decoder.decode_lines(path.read_bytes())
         return found
 
+    def log_lines(self, event: str) -> list[str]:
+        """Returns all daemons' log lines of one event."""
+        return [
+            line
+            for place in self.places
+            for line in self._log_of(place).splitlines()
+            if f" event={event} " in line
+        ]
+
+    def _log_of(self, place: Place) -> str:
+        path = self.folder / f"{place.name}.log"
+        return path.read_text(encoding="utf-8") if path.exists() else ""
+
     def stop(self) -> None:
         """Ends all processes that were started here."""
         processes = [self.platform]
--- a/tamarackgap/cmdline.py
+++ b/tamarackgap/cmdline.py
@@ -154,7 +154,7 @@
     """Print how many slots each daemon owns."""
     query = f"?service={urllib.parse.quote(service)}" if service else ""
     body = _page(address, "/owners" + query)
-    rows = msgspec.json.decode(body, type=list[pages.OwnerRow])
+    rows = pages.decode_owners(body)
     lines = [
         f"{'SERVICE':16} {'DAEMON':20} {'DATA CENTRE':14} {'SLOTS':>6}"
         f" {'WEIGHT':>6} {'EPOCH':>5} STATE"
--- a/tamarackgap/pages.py
+++ b/tamarackgap/pages.py
@@ -104,6 +104,11 @@
     refusal: str
 
 
+def decode_owners(text: bytes) -> list[OwnerRow]:
+    """Returns the rows of an `/owners` page."""
+    return msgspec.json.decode(text, type=list[OwnerRow])
+
+
 def build(
     core: ownership.Ownership,
     beside: target.Target,
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,68 @@
+"""The judge finds each kind of violation: it can fail."""
+
+import pytest
+
+from demo import judge, load
+from standins import target as target_lib
+
+
+def result(request="r1", verdict="answered", **changed):
+    values = {
+        "key": "k",
+        "operation": "POST pay",
+        "safe": False,
+        "reason": "",
+        "wrong": "",
+        "sends": 1,
+        "begun": 0.0,
+        "seconds": 0.1,
+        "verdicts": (verdict,),
+        **changed,
+    }
+    return load.Result(request, verdict=verdict, **values)
+
+
+def run(request="r1", target="pay-0", begun=1.0, at=1.1, fence=1, **changed):
+    values = {
+        "run": "x",
+        "key": "k",
+        "slot": 3,
+        "owner": "o",
+        "operation": "POST /pay",
+        **changed,
+    }
+    return target_lib.Run(
+        request, fence=fence, begun=begun, at=at, target=target, **values
+    )
+
+
+GOOD = judge.Evidence([result()], [run()])
+
+
+def test_a_good_history_has_no_violations():
+    assert not any(judge.judge(GOOD).values())
+
+
+CASES = [
+    ("two_owners", [run(), run("r2", "pay-1", 1.05, 1.2, 2)], {}),
+    ("fences_fall", [run(fence=2), run("r2", at=2.0, begun=1.9)], {}),
+    ("fences_fall", [run(), run("r2", "pay-1", 1.9, 2.0)], {}),
+    ("doubled", [run(), run(begun=2.0, at=2.1)], {}),
+    ("wrong_answers", [run()], {"results": [result(wrong="not whole")]}),
+    ("ran_though_not", [run()], {"results": [result(verdict="not-run")]}),
+    ("answered_unrun", [], {}),
+    ("work_after_leaving", [run(begun=9.0, at=9.1)], {"left": {"pay-0": 5.0}}),
+    ("cut_by_shutdown", [run()], {"drained": {"pay-0": None}}),
+    (
+        "reverted_edits",
+        [run()],
+        {"edits": {"a": 5}, "in_force": {"pay-0": {"a": 4}}},
+    ),
+]
+
+
+@pytest.mark.parametrize(("check", "runs", "changed"), CASES)
+def test_a_violation_is_found_by_its_check(check, runs, changed):
+    values = {"results": [result()], "runs": runs, **changed}
+    found = judge.judge(judge.Evidence(**values))
+    assert [name for name, what in found.items() if what] == [check]
