Poison requests, targets that fail, one truthful verdict over all legs

Cause: nothing bounded how many targets one request can crash, and a target that hung kept its slots. A refusal after an earlier leg that may have run said 'not run': a broken promise, found in reading; such a flight now keeps 'may have run' whatever comes later. Now: what was at a target when it crashed runs again only on its own, and is refused everywhere if it crashes that one too: at most two targets for one content, whatever its id. A target is judged by what it answers, not by its health page; its limit falls when it refuses and rises slowly.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, as ratios within one run; raw figures go to CSV."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,23 @@
+"""`make bench`: all measurements, or some of them."""
+
+import click
+
+from bench import recovery, slopes
+
+_PARTS = {
+    "recovery": recovery.run,
+    "slopes": slopes.run,
+}
+
+
+@click.command()
+@click.argument("parts", nargs=-1, type=click.Choice(sorted(_PARTS)))
+@click.option("--quick", is_flag=True, help="Fewer repetitions: a trial.")
+def main(parts: tuple[str, ...], quick: bool) -> None:
+    """Measures PARTS, or everything."""
+    for name in parts or _PARTS:
+        _PARTS[name](quick)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/target.py
+++ b/standins/target.py
@@ -26,6 +26,7 @@
         silent: Whether it stops announcing itself.
         truncate: Whether its answers break off half-way.
         oversize: Bytes added to each answer.
+        extra_s: Seconds added to each operation.
     """
 
     health: str = "ok"
@@ -34,6 +35,7 @@
     silent: bool = False
     truncate: bool = False
     oversize: int = 0
+    extra_s: float = 0.0
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -173,7 +175,7 @@
             mean_s *= 10
         if time.monotonic() < self._warm_at:
             mean_s *= 10
-        return self._rng.uniform(0.5, 1.5) * mean_s
+        return self._rng.uniform(0.5, 1.5) * mean_s + self.faults.extra_s
 
     def _wrong(self, slot: int, fence: int, owner: str) -> str:
         """Returns why an order must not take effect, or an empty text."""
--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -24,6 +24,7 @@
     retries,
     scheduler,
     slots,
+    suspects,
     tableclient,
     target,
     web,
@@ -41,6 +42,8 @@
 _REFRESH_MIN_S = 0.05
 # A grant is renewed when the lease has grown by this share.
 _GRANT_SHARE = 0.2
+_SUSPECTS_KEPT_S = 600.0
+_SUSPECTS_LIMIT = 10_000
 _MILLIONTHS = 1_000_000
 
 
@@ -104,6 +107,7 @@
         self._table = tableclient.TableClient(
             self._http, settings.table_address, settings.table_timeout / 1000
         )
+        self._suspects = suspects.Suspects(_SUSPECTS_KEPT_S, _SUSPECTS_LIMIT)
         self._owner = owner_lib.Owner(
             self._core,
             self._target,
@@ -112,6 +116,8 @@
                 settings.requests_remembered,
                 settings.requests_skew,
             ),
+            self._suspects,
+            self._tell_crashed,
             clock,
             _wall_ms,
             self._metrics,
@@ -186,7 +192,9 @@
             or now - self._started > _FIRST_ANNOUNCEMENT_S
         ):
             self._core.accept(
-                self._target.takes_work and not leaving,
+                self._target.takes_work
+                and self._owner.is_fit()
+                and not leaving,
                 self._target.checks_grants,
             )
             self._core.tick(now)
@@ -234,10 +242,26 @@
                 self._entry.answered(outcome)
             case messages.Cancel(leg=leg):
                 self._owner.cancel(leg)
+            case messages.Crashed() as crashed:
+                self._learn_crashed(crashed)
             case _:
                 self._core.receive(envelope, time.monotonic())
                 self._carry_out()
 
+    def _tell_crashed(self, crashed: messages.Crashed) -> None:
+        for record in self._core.view.members(self._settings.daemon_service):
+            if record.incarnation != self._core.incarnation:
+                self._peers.send(
+                    self._core.incarnation, record.peer_address, crashed
+                )
+
+    def _learn_crashed(self, crashed: messages.Crashed) -> None:
+        standing = suspects.Standing.SUSPECTED
+        if crashed.alone:
+            standing = suspects.Standing.CONVICTED
+        for content in crashed.contents:
+            self._suspects.note(content, standing, time.monotonic())
+
     def _reply(self, address: str, outcome: messages.Outcome) -> None:
         self._peers.send(self._core.incarnation, address, outcome)
 
--- a/tamarackgap/entry.py
+++ b/tamarackgap/entry.py
@@ -96,6 +96,8 @@
         self.attempts = 0
         self.backoff = _BACKOFF_S
         self.timer: scheduler.Timer | None = None
+        # Once a leg may have run, no later refusal may say "not run".
+        self.may_have_run = False
         self.last = verdicts.Refusal(
             types.Verdict.NOT_RUN, types.Reason.NO_OWNER
         )
@@ -254,13 +256,15 @@
         self._refused(flight, verdicts.Refusal(types.Verdict.NOT_RUN, reason))
 
     def _refused(self, flight: Flight, refusal: verdicts.Refusal) -> None:
+        flight.may_have_run = flight.may_have_run or refusal.may_have_run
+        if flight.may_have_run:
+            refusal = verdicts.Refusal(
+                types.Verdict.MAY_HAVE_RUN, refusal.reason
+            )
         flight.last = refusal
-        now = self._timers.now
-        if not self._may_retry(flight, refusal):
-            self._finish(flight, result.Failure(refusal))
-            return
         wait = flight.backoff * (0.5 + self._rng.random())
-        if now + wait >= flight.deadline:
+        late = self._timers.now + wait >= flight.deadline
+        if late or not self._may_retry(flight, refusal):
             self._finish(flight, result.Failure(refusal))
             return
         flight.backoff = min(flight.backoff * 2, _BACKOFF_MAX_S)
--- a/tamarackgap/limiter.py
+++ b/tamarackgap/limiter.py
@@ -5,6 +5,12 @@
 
 import msgspec
 
+# A target refuses or slows down: less at once. It copes: slowly more.
+_DECREASE = 0.7
+_LEAST_SHARE = 0.1
+_RAMP_S = 5.0
+_RAMP_START = 0.25
+
 
 class Waiting(msgspec.Struct, frozen=True):
     """A request that waits for one of the target's slots.
@@ -13,23 +19,32 @@
         deadline: When it is of no more use, seconds.
         start: Called when its turn comes.
         shed: Called if its turn can't come in time.
+        urgent: Whether it goes before others.
+        alone: Whether nothing else may run beside it.
     """
 
     deadline: float
     start: Callable[[], None]
     shed: Callable[[], None]
+    urgent: bool = True
+    alone: bool = False
 
 
 class Limiter:
     """Requests in progress at one target, and those that wait.
 
-    Urgent requests go first, and take the place of others that wait.
+    Urgent requests go first, and take the place of others that wait. The
+    limit is the target's own, less while it is cold or refuses work.
     """
 
     def __init__(self) -> None:
         self._in_progress = 0
-        self._limit = 0
+        self._most = 0
         self._queue_limit = 0
+        self._share = 1.0
+        self._warm_at = 0.0
+        self._is_alone = False
+        self._alone: collections.deque[Waiting] = collections.deque()
         self._urgent: collections.deque[Waiting] = collections.deque()
         self._patient: collections.deque[Waiting] = collections.deque()
 
@@ -41,58 +56,99 @@
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
-        return len(self._urgent) + len(self._patient)
+        return sum(len(queue) for queue in self._queues)
 
     @property
-    def limit(self) -> int:
-        """Most requests in progress."""
-        return self._limit
-
-    def resize(self, limit: int, queue_limit: int) -> None:
-        """Sets the most requests in progress, and the most that wait."""
-        self._limit = limit
+    def _queues(self) -> tuple[collections.deque[Waiting], ...]:
+        return (self._alone, self._urgent, self._patient)
+
+    def limit(self, now: float) -> int:
+        """Returns the most requests in progress."""
+        if not self._most:
+            return 0
+        share = self._share
+        if now < self._warm_at:
+            cold = (self._warm_at - now) / _RAMP_S
+            share = min(share, 1 - (1 - _RAMP_START) * cold)
+        return max(1, int(self._most * share))
+
+    def resize(self, most: int, queue_limit: int, now: float) -> None:
+        """Sets the target's own limit, and the most requests that wait.
+
+        A target that was not there before starts cold.
+        """
+        if most and not self._most:
+            self._warm_at = now + _RAMP_S
+            self._share = 1.0
+        self._most = most
         self._queue_limit = queue_limit
 
-    def admit(self, waiting: Waiting, urgent: bool, now: float) -> bool:
+    def refused(self) -> None:
+        """Notes that the target had too much to do."""
+        self._share = max(_LEAST_SHARE, self._share * _DECREASE)
+
+    def served(self) -> None:
+        """Notes that the target coped."""
+        if self._most:
+            self._share = min(1.0, self._share + 1 / (self._most * 10))
+
+    def admit(self, waiting: Waiting, now: float) -> bool:
         """Starts a request, queues it, or returns False for a full queue."""
-        if self._in_progress < self._limit and not self.waiting:
-            self._in_progress += 1
-            waiting.start()
-            return True
         self._shed_late(now)
-        if self.waiting >= self._queue_limit and not self._make_room(urgent):
+        full = self.waiting >= self._queue_limit
+        must_wait = self.waiting or not self._may_start(waiting, now)
+        if must_wait and full and not self._make_room(waiting):
             return False
-        (self._urgent if urgent else self._patient).append(waiting)
+        self._queue_of(waiting).append(waiting)
+        self._pump(now)
         return True
 
     def release(self, now: float) -> None:
         """Ends one request, and starts those that wait."""
         self._in_progress -= 1
-        self.pump(now)
+        self._is_alone = False
+        self._shed_late(now)
+        self._pump(now)
 
     def pump(self, now: float) -> None:
         """Starts waiting requests while slots are free."""
         self._shed_late(now)
-        while self._in_progress < self._limit and self.waiting:
-            queue = self._urgent or self._patient
-            waiting = queue.popleft()
-            self._in_progress += 1
-            waiting.start()
+        self._pump(now)
 
     def flush(self) -> None:
         """Sheds all that wait."""
-        for queue in (self._urgent, self._patient):
+        for queue in self._queues:
             while queue:
                 queue.popleft().shed()
 
-    def _make_room(self, urgent: bool) -> bool:
-        if not urgent or not self._patient:
+    def _queue_of(self, waiting: Waiting) -> collections.deque[Waiting]:
+        if waiting.alone:
+            return self._alone
+        return self._urgent if waiting.urgent else self._patient
+
+    def _may_start(self, waiting: Waiting, now: float) -> bool:
+        if self._is_alone or self._in_progress >= self.limit(now):
+            return False
+        return not waiting.alone or not self._in_progress
+
+    def _pump(self, now: float) -> None:
+        while queue := next((q for q in self._queues if q), None):
+            # One that must run alone holds up the rest until it can.
+            if not self._may_start(queue[0], now):
+                return
+            waiting = queue.popleft()
+            self._in_progress += 1
+            self._is_alone = waiting.alone
+            waiting.start()
+
+    def _make_room(self, waiting: Waiting) -> bool:
+        if not (waiting.urgent or waiting.alone) or not self._patient:
             return False
         self._patient.pop().shed()
         return True
 
     def _shed_late(self, now: float) -> None:
-        for queue in (self._urgent, self._patient):
+        for queue in self._queues:
             late = [waiting for waiting in queue if waiting.deadline <= now]
             for waiting in late:
                 queue.remove(waiting)
--- a/tamarackgap/messages.py
+++ b/tamarackgap/messages.py
@@ -185,6 +185,18 @@
     leg: str
 
 
+class Crashed(msgspec.Struct, tag="crashed", frozen=True):
+    """A target crashed while it ran these contents.
+
+    Attributes:
+        contents: Fingerprints of the requests that it ran.
+        alone: Whether it ran only the one: then that one is the cause.
+    """
+
+    contents: tuple[str, ...]
+    alone: bool
+
+
 Message = (
     Renew
     | Granted
@@ -199,6 +211,7 @@
     | Forward
     | Outcome
     | Cancel
+    | Crashed
 )
 
 
--- a/tamarackgap/owner.py
+++ b/tamarackgap/owner.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from tamarackgap import (
+    fitness,
     limiter,
     logs,
     memory,
@@ -16,6 +17,7 @@
     records,
     scheduler,
     slots,
+    suspects,
     target,
     types,
     verdicts,
@@ -34,12 +36,18 @@
         forward: The request.
         deadline: The caller's deadline on this clock, seconds.
         reply: Takes the outcome, once.
+        content: Fingerprint of what it asks for.
+        alone: Whether nothing else may run beside it.
+        begun: When it was handed over, seconds.
         cancel: Cancels it at the target, once it was handed over.
     """
 
     forward: messages.Forward
     deadline: float
     reply: Reply
+    content: str = ""
+    alone: bool = False
+    begun: float = 0.0
     cancel: Callable[[], None] | None = None
 
 
@@ -51,6 +59,8 @@
         core: ownership.Ownership,
         beside: target.Target,
         remembered: memory.Memory,
+        suspected: suspects.Suspects,
+        crashed: Callable[[messages.Crashed], None],
         clock: scheduler.Clock,
         wall_ms: Callable[[], int],
         counters: metrics.Metrics,
@@ -61,6 +71,8 @@
             core: Says which slots are owned.
             beside: The target.
             remembered: Ids of non-idempotent requests.
+            suspected: Contents that were there when a target crashed.
+            crashed: Tells other daemons of such contents.
             clock: The VM's monotonic clock, seconds.
             wall_ms: Wall clock, milliseconds since 1970.
             counters: Metrics.
@@ -68,6 +80,9 @@
         self._core = core
         self._target = beside
         self._memory = remembered
+        self._suspects = suspected
+        self._crashed = crashed
+        self._fitness = fitness.Fitness()
         self._clock = clock
         self._wall_ms = wall_ms
         self._metrics = counters
@@ -89,20 +104,26 @@
         """Returns whether requests of a slot are at the target."""
         return slot in self._busy
 
+    def is_fit(self) -> bool:
+        """Returns whether the target answers what it is given."""
+        return self._fitness.is_fit(self._clock())
+
     def resize(self, policy: records.Policy) -> None:
         """Follows the target's announcement and the operators' limits."""
         limit = self._target.concurrency
         if policy.in_progress:
             limit = min(limit, policy.in_progress)
-        self._limiter.resize(limit, policy.queue)
+        now = self._clock()
+        self._limiter.resize(limit, policy.queue, now)
         if not limit:
             self._limiter.flush()
         else:
-            self._limiter.pump(self._clock())
+            self._limiter.pump(now)
 
     def take(self, forward: messages.Forward, reply: Reply) -> None:
         """Deals with a request; `reply` is called once, perhaps at once."""
-        leg = Leg(forward, self._clock() + forward.remaining, reply)
+        now = self._clock()
+        leg = Leg(forward, now + forward.remaining, reply)
         refusal = self._refusal(forward)
         if refusal is not None:
             self._answer(leg, verdicts.not_run(refusal))
@@ -112,13 +133,22 @@
             if outcome is not None:
                 self._answer(leg, outcome)
                 return
+        leg.content = suspects.fingerprint(forward)
+        standing = self._suspects.standing(leg.content, now)
+        if standing is suspects.Standing.CONVICTED:
+            reason = types.Reason.CRASHES_TARGETS
+            self._answer(leg, verdicts.not_run(reason))
+            return
+        leg.alone = standing is suspects.Standing.SUSPECTED
         self._legs[forward.leg] = leg
         waiting = limiter.Waiting(
             leg.deadline,
             functools.partial(self._start, leg),
             functools.partial(self._shed, leg),
+            forward.urgent,
+            leg.alone,
         )
-        if not self._limiter.admit(waiting, forward.urgent, self._clock()):
+        if not self._limiter.admit(waiting, now):
             self._answer(leg, verdicts.not_run(types.Reason.QUEUE_FULL))
 
     def cancel(self, leg_id: str) -> None:
@@ -170,10 +200,14 @@
         refusal = self._refusal(forward)
         if refusal is None and now >= leg.deadline:
             refusal = types.Reason.DEADLINE_PASSED
+        if refusal is None and self._became_suspect(leg, now):
+            # It waited while another one like it crashed the target.
+            refusal = types.Reason.TARGET_ABSENT
         if refusal is not None:
             self._finish(leg, verdicts.not_run(refusal))
             return
         held = self._core.find(forward.slot)
+        leg.begun = now
         if not forward.idempotent:
             repeat = self._repeat(forward)
             if repeat is not None:
@@ -192,6 +226,7 @@
             fence=held.fence,
             lease_left=round(self._core.lease_until() - now, 4),
             in_progress=self.in_progress,
+            alone=leg.alone,
         )
         leg.cancel = self._target.run(order, functools.partial(self._ran, leg))
 
@@ -213,8 +248,48 @@
             self._busy[slot] = left
         if not leg.forward.idempotent:
             self._memory.finish(leg.forward.request, outcome)
+        self._judge_target(leg, outcome)
         self._finish(leg, outcome)
 
+    def _became_suspect(self, leg: Leg, now: float) -> bool:
+        standing = self._suspects.standing(leg.content, now)
+        return not leg.alone and standing is not suspects.Standing.CLEAR
+
+    def _judge_target(self, leg: Leg, outcome: verdicts.Result) -> None:
+        """Learns from a run what it says of the target and the request."""
+        now = self._clock()
+        refusal = outcome.swap().value_or(None)
+        if refusal is None:
+            self._fitness.served()
+            self._limiter.served()
+            self._target.served()
+            if leg.alone:
+                self._suspects.clear(leg.content)
+            return
+        if refusal.reason is types.Reason.TARGET_REFUSED:
+            self._limiter.refused()
+        if not refusal.may_have_run:
+            return
+        if self._fitness.failed(now - leg.begun, now):
+            logs.event("target_unfit", request=leg.forward.request)
+        if refusal.reason is types.Reason.TARGET_FAILED:
+            self._suspect(leg, now)
+
+    def _suspect(self, leg: Leg, now: float) -> None:
+        """Tells everybody of a request that was there at a crash."""
+        standing = suspects.Standing.SUSPECTED
+        if leg.alone:
+            standing = suspects.Standing.CONVICTED
+        self._suspects.note(leg.content, standing, now)
+        logs.event(
+            "request_suspected",
+            request=leg.forward.request,
+            key=leg.forward.key,
+            content=leg.content,
+            standing=standing.value,
+        )
+        self._crashed(messages.Crashed((leg.content,), leg.alone))
+
     def _finish(self, leg: Leg, outcome: verdicts.Result) -> None:
         self._answer(leg, outcome)
         self._limiter.release(self._clock())
--- a/tamarackgap/target.py
+++ b/tamarackgap/target.py
@@ -159,6 +159,11 @@
         self._announcement = announcement
         self._heard = self._clock()
 
+    def served(self) -> None:
+        """Notes an answer: a target that serves is there, if it is silent."""
+        if self._announcement is not None:
+            self._heard = self._clock()
+
     def lost(self) -> None:
         """Notes that the target can't be reached."""
         if self._heard != float("-inf"):
--- a/tamarackgap/types.py
+++ b/tamarackgap/types.py
@@ -52,6 +52,7 @@
     IN_PROGRESS = "in-progress"
     RETRY_BUDGET = "retry-budget"
     DRAINING = "draining"
+    CRASHES_TARGETS = "crashes-targets"
 
 
 class RecordState(enum.Enum):
--- a/tamarackgap/web.py
+++ b/tamarackgap/web.py
@@ -32,6 +32,7 @@
     types.Reason.DEADLINE_PASSED: 408,
     types.Reason.REPEAT_UNKNOWN: 409,
     types.Reason.IN_PROGRESS: 409,
+    types.Reason.CRASHES_TARGETS: 422,
 }
 _UNAVAILABLE = 503
 _NO_ANSWER = 504
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,6 +1,5 @@
 """Real processes: the whole path, bad input, and clean ends."""
 
-import http.client
 import json
 import signal
 import socket
@@ -11,9 +10,8 @@
 
 from demo import cluster
 from tamarackgap import messages
-from tests.support import processes
+from tests.support import callers, processes
 
-WAIT_S = 30.0
 BODY_LIMIT = 20_000
 
 
@@ -29,43 +27,21 @@
     found.stop()
 
 
-def ask(place, method, path, body=b"", **headers):
-    host, _, port = place.http.rpartition(":")
-    link = http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
-    named = {name.replace("_", "-"): text for name, text in headers.items()}
-    link.request(method, path, body, named)
-    answer = link.getresponse()
-    data = answer.read()
-    link.close()
-    return answer.status, answer.headers["X-Verdict"], data
-
-
-def eventually(check):
-    give_up = time.monotonic() + WAIT_S
-    while not check():
-        assert time.monotonic() < give_up, "it did not come about"
-        time.sleep(0.05)
-
-
 def works(running):
-    status, verdict, data = ask(
+    status, verdict, data = callers.ask(
         running.places[0], "GET", "/v1/seats/browse?key=still-works"
     )
     return status == 200 and json.loads(data)["key"] == "still-works"
 
 
-def owner_of(running, service, key):
-    path = f"/explain?service={service}&key={key}"
-    found = json.loads(ask(running.places[0], "GET", path)[2])
-    return running.place(found["daemon"])
-
-
 def test_any_daemon_answers_for_any_key(running):
     for index, place in enumerate(running.places):
         for service in ("seats", "payments"):
             key = f"hall {index} ghế"
             path = f"/v1/{service}/x?key=" + "hall%20{}%20gh%E1%BA%BF"
-            status, verdict, data = ask(place, "GET", path.format(index))
+            status, verdict, data = callers.ask(
+                place, "GET", path.format(index)
+            )
             assert (status, verdict) == (200, "answered")
             answer = json.loads(data)
             assert answer["key"] == key
@@ -74,7 +50,9 @@
 
 def test_all_daemons_send_a_key_to_the_same_target(running):
     targets = {
-        json.loads(ask(place, "GET", "/v1/seats/x?key=one")[2])["target"]
+        json.loads(callers.ask(place, "GET", "/v1/seats/x?key=one")[2])[
+            "target"
+        ]
         for place in running.places
     }
     assert len(targets) == 1
@@ -84,7 +62,7 @@
     request = f"{int(time.time() * 1000)}-fee"
     path = "/v1/payments/pay?key=family-1"
     first, second = (
-        ask(
+        callers.ask(
             running.places[entry],
             "POST",
             path,
@@ -96,7 +74,7 @@
     )
     assert first[:2] == (200, "answered")
     assert second == first
-    ran = [run for run in running.runs() if run["request"] == request]
+    ran = [run for run in running.runs() if run.request == request]
     assert len(ran) == 1
 
 
@@ -118,7 +96,7 @@
 def test_bad_input_gets_one_clear_refusal(
     running, path, headers, status, reason
 ):
-    found = ask(running.places[1], "GET", path, **headers)
+    found = callers.ask(running.places[1], "GET", path, **headers)
     assert found[:2] == (status, "not-run")
     assert json.loads(found[2])["reason"] == reason
     assert works(running)
@@ -126,7 +104,9 @@
 
 @pytest.mark.parametrize("size", [BODY_LIMIT + 1, 10 * BODY_LIMIT])
 def test_a_body_over_the_limit_is_refused(running, size):
-    found = ask(running.places[1], "POST", "/v1/seats/x?key=a", b"x" * size)
+    found = callers.ask(
+        running.places[1], "POST", "/v1/seats/x?key=a", b"x" * size
+    )
     assert found[:2] == (413, "not-run")
     assert works(running)
 
@@ -143,7 +123,9 @@
 @pytest.mark.parametrize("text", RAW)
 def test_what_is_no_http_request_harms_nobody(running, text):
     host, _, port = running.places[1].http.rpartition(":")
-    with socket.create_connection((host, int(port)), timeout=WAIT_S) as sock:
+    with socket.create_connection(
+        (host, int(port)), timeout=callers.WAIT_S
+    ) as sock:
         sock.sendall(text)
         answer = sock.recv(200)
     assert answer == b"" or answer.split()[1].startswith(b"4")
@@ -159,7 +141,7 @@
         push.linger = 2000
         push.connect(f"tcp://{place.peer}")
         push.send(frame)
-        eventually(
+        callers.eventually(
             lambda: log.read_text().count("event=peer_frame_malformed") > before
         )
     assert works(running)
@@ -176,7 +158,7 @@
     with zmq.Context() as context, context.socket(zmq.PUSH) as push:
         push.connect(f"tcp://{place.peer}")
         push.send(frame)
-        eventually(
+        callers.eventually(
             lambda: (
                 "event=peer_of_other_deployment deployment=elsewhere"
                 in log.read_text()
@@ -193,16 +175,20 @@
     ],
 )
 def test_an_answer_that_is_not_whole_may_have_run(running, fault, reason):
-    place = owner_of(running, "payments", "k1")
+    place = callers.owner_of(running, "payments", "k1")
     cluster.call(place.target, "POST", "/faults", fault)
     try:
-        found = ask(running.places[0], "POST", "/v1/payments/pay?key=k1")
+        found = callers.ask(
+            running.places[0], "POST", "/v1/payments/pay?key=k1"
+        )
     finally:
         good = {"truncate": False, "oversize": 0}
         cluster.call(place.target, "POST", "/faults", good)
     assert found[:2] == (504, "may-have-run")
     assert json.loads(found[2])["reason"] == reason
-    assert ask(running.places[0], "GET", "/v1/payments/x?key=k1")[0] == 200
+    assert (
+        callers.ask(running.places[0], "GET", "/v1/payments/x?key=k1")[0] == 200
+    )
 
 
 def test_a_wrong_announcement_is_refused(running):
@@ -215,19 +201,19 @@
             "connections": 1,
         }
     )
-    found = ask(running.places[0], "POST", "/announce", body.encode())
+    found = callers.ask(running.places[0], "POST", "/announce", body.encode())
     assert found[0] == 400
     assert b"service other: expected seats" in found[2]
 
 
 def test_metrics_are_served(running):
-    status, _, text = ask(running.places[0], "GET", "/metrics")
+    status, _, text = callers.ask(running.places[0], "GET", "/metrics")
     assert status == 200
     assert b"tamarackgap_owned_slots" in text
 
 
 def test_a_decision_line_has_its_inputs(running):
-    ask(running.places[0], "GET", "/v1/seats/x?key=logged-key")
+    callers.ask(running.places[0], "GET", "/v1/seats/x?key=logged-key")
     log = running.folder / f"{running.places[0].name}.log"
     lines = log.read_text().splitlines()
     line = next(
@@ -240,24 +226,26 @@
 
 
 def test_a_killed_daemons_keys_are_served_and_it_comes_back(running):
-    place = owner_of(running, "seats", "k2")
+    place = callers.owner_of(running, "seats", "k2")
     place.daemon_process.send_signal(signal.SIGKILL)
     place.daemon_process.wait()
     others = [other for other in running.places if other is not place]
-    found = ask(others[0], "GET", "/v1/seats/x?key=k2", X_Deadline_Ms="20000")
+    found = callers.ask(
+        others[0], "GET", "/v1/seats/x?key=k2", X_Deadline_Ms="20000"
+    )
     assert found[0] == 200
     running.start_daemon(place)
     assert running.ready(processes.READY_S) is not None
 
 
 def test_a_draining_daemon_cuts_nothing_and_exits_with_0(running):
-    place = owner_of(running, "payments", "k3")
+    place = callers.owner_of(running, "payments", "k3")
     others = [other for other in running.places if other is not place]
     place.daemon_process.send_signal(signal.SIGTERM)
     for number in range(20):
         path = f"/v1/payments/pay?key=k{number}"
-        assert ask(others[number % 5], "POST", path)[0] == 200
-    assert place.daemon_process.wait(timeout=WAIT_S) == 0
+        assert callers.ask(others[number % 5], "POST", path)[0] == 200
+    assert place.daemon_process.wait(timeout=callers.WAIT_S) == 0
     running.start_daemon(place)
     assert running.ready(processes.READY_S) is not None
 
@@ -265,7 +253,7 @@
 def test_an_address_in_use_is_said_in_one_line(running):
     place = running.places[0]
     process = running.run_again(place)
-    assert process.wait(timeout=WAIT_S) == 1
+    assert process.wait(timeout=callers.WAIT_S) == 1
     out = (running.folder / f"again-{place.name}.out").read_text()
     assert "cannot start" in out
     assert "Traceback" not in out
--- /dev/null
+++ b/tests/test_fitness.py
@@ -0,0 +1,33 @@
+from tamarackgap import fitness
+
+
+def fail(subject, times, given=1.0, now=0.0):
+    return [subject.failed(given, now) for _ in range(times)]
+
+
+def test_a_target_that_answers_nothing_rests():
+    subject = fitness.Fitness()
+    assert fail(subject, 5) == [False] * 4 + [True]
+    assert not subject.is_fit(1.0)
+    assert subject.is_fit(3.0)
+
+
+def test_one_answer_makes_up_for_failures():
+    subject = fitness.Fitness()
+    fail(subject, 4)
+    subject.served()
+    assert not any(fail(subject, 4))
+    assert subject.is_fit(0.0)
+
+
+def test_runs_with_hardly_any_time_do_not_count():
+    subject = fitness.Fitness()
+    assert not any(fail(subject, 50, given=0.01))
+
+
+def test_rests_grow_longer_until_it_answers():
+    subject = fitness.Fitness()
+    fail(subject, 5)
+    fail(subject, 5, now=10.0)
+    assert not subject.is_fit(13.0)
+    assert subject.is_fit(14.1)
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -4,17 +4,19 @@
 class Bench:
     def __init__(self, limit=2, queue=2):
         self.subject = limiter.Limiter()
-        self.subject.resize(limit, queue)
+        self.subject.resize(limit, queue, -100.0)
         self.started = []
         self.shed = []
 
-    def admit(self, name, urgent=True, deadline=100.0, now=0.0):
+    def admit(self, name, urgent=True, deadline=100.0, now=0.0, alone=False):
         waiting = limiter.Waiting(
             deadline,
             lambda: self.started.append(name),
             lambda: self.shed.append(name),
+            urgent,
+            alone,
         )
-        return self.subject.admit(waiting, urgent, now)
+        return self.subject.admit(waiting, now)
 
 
 def test_no_more_than_the_limit_run():
@@ -59,7 +61,7 @@
     bench = Bench(limit=1)
     for name in "abc":
         bench.admit(name)
-    bench.subject.resize(3, 2)
+    bench.subject.resize(3, 2, 0.0)
     bench.subject.pump(0.0)
     assert bench.started == ["a", "b", "c"]
 
@@ -70,3 +72,39 @@
         bench.admit(name)
     bench.subject.flush()
     assert bench.shed == ["b", "c"]
+
+
+def test_one_that_must_run_alone_does():
+    bench = Bench(limit=4, queue=9)
+    bench.admit("a")
+    bench.admit("suspect", alone=True)
+    bench.admit("b")
+    assert bench.started == ["a"]
+    bench.subject.release(0.0)
+    assert bench.started == ["a", "suspect"]
+    bench.subject.release(0.0)
+    assert bench.started == ["a", "suspect", "b"]
+
+
+def test_a_target_that_refuses_gets_less_and_then_slowly_more():
+    bench = Bench(limit=10)
+    for _ in range(3):
+        bench.subject.refused()
+    low = bench.subject.limit(0.0)
+    assert low == 3
+    for _ in range(200):
+        bench.subject.served()
+    assert bench.subject.limit(0.0) == 10
+
+
+def test_a_target_that_has_just_come_starts_with_less():
+    subject = limiter.Limiter()
+    subject.resize(12, 9, 100.0)
+    assert subject.limit(100.0) == 3
+    assert 3 < subject.limit(102.5) < 12
+    assert subject.limit(105.0) == 12
+
+
+def test_without_a_target_nothing_runs():
+    subject = limiter.Limiter()
+    assert subject.limit(0.0) == 0
