Placement by load: slots of hot keys settle, others leave them

Now: an owner meters its slots, tells a bounded sample of members its rate each second, and gives slots away only beyond a tolerance and beyond what chance explains; members of unknown load take no part. Moves are bounded by the minute. Hot keys are found by a sketch and shown in 'status'. Ruled out: a plan over all members' loads from one leader, which would need an agreed leader and a fresh view of everything. Measured on the pure functions: 64 slots, load 1/rank, four members: within the greater of 1.10 and the hottest slot after at most 24 moves; none where the load is even.

--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -33,6 +33,7 @@
 
 _TICK_S = 0.02
 _GAUGES_S = 0.5
+_LOAD_S = 1.0
 _ENVELOPE_BYTES = 65_536
 _RETRY_BURST = 100.0
 _FIRST_ANNOUNCEMENT_S = 1.0
@@ -174,6 +175,7 @@
         self._timers.each_turn(self._measure_turn)
         self._timers.every(_TICK_S, self._tick)
         self._timers.every(_GAUGES_S, self._set_gauges)
+        self._timers.every(_LOAD_S, self._tell_load)
         self._timers.every(settings.table_poll / 1000, self._read)
         self._read()
 
@@ -207,6 +209,10 @@
         if leaving:
             self._leave(now)
 
+    def _tell_load(self) -> None:
+        self._core.served(self._owner.rates(), time.monotonic())
+        self._carry_out()
+
     def _carry_out(self) -> None:
         for effect in self._core.take_effects():
             match effect:
--- a/tamarackgap/env.py
+++ b/tamarackgap/env.py
@@ -15,6 +15,7 @@
     "aioprometheus",
     "circuits",
     "click",
+    "datasketches",
     "eliot",
     "msgspec",
     "pyzmq",
--- a/tamarackgap/messages.py
+++ b/tamarackgap/messages.py
@@ -197,6 +197,16 @@
     alone: bool
 
 
+class Load(msgspec.Struct, tag="load", frozen=True):
+    """What a daemon serves at present.
+
+    Attributes:
+        rate: Requests a second.
+    """
+
+    rate: float
+
+
 Message = (
     Renew
     | Granted
@@ -212,6 +222,7 @@
     | Outcome
     | Cancel
     | Crashed
+    | Load
 )
 
 
--- a/tamarackgap/owner.py
+++ b/tamarackgap/owner.py
@@ -8,6 +8,7 @@
 
 from tamarackgap import (
     fitness,
+    heat,
     limiter,
     logs,
     memory,
@@ -25,6 +26,7 @@
 
 # A grant must have ended at the target before a successor begins.
 _LEASE_MARGIN_S = 0.02
+_HOT_KEYS = 5
 
 Reply = Callable[[messages.Outcome], None]
 
@@ -83,6 +85,8 @@
         self._suspects = suspected
         self._crashed = crashed
         self._fitness = fitness.Fitness()
+        self._meter = heat.SlotMeter(clock())
+        self._hot_keys = heat.HotKeys(clock())
         self._clock = clock
         self._wall_ms = wall_ms
         self._metrics = counters
@@ -108,6 +112,19 @@
         """Returns whether the target answers what it is given."""
         return self._fitness.is_fit(self._clock())
 
+    def rates(self) -> dict[int, float]:
+        """Returns requests a second of each slot that is owned here."""
+        owned = self._core.owned
+        return {
+            slot: rate
+            for slot, rate in self._meter.rates(self._clock()).items()
+            if slot in owned
+        }
+
+    def hottest(self) -> list[heat.HotKey]:
+        """Returns the keys that bring most load."""
+        return self._hot_keys.hottest(_HOT_KEYS)
+
     def resize(self, policy: records.Policy) -> None:
         """Follows the target's announcement and the operators' limits."""
         limit = self._target.concurrency
@@ -215,6 +232,8 @@
                 return
             self._memory.begin(forward.request, self._wall_ms())
         self._busy[forward.slot] = self._busy.get(forward.slot, 0) + 1
+        self._meter.count(forward.slot, now)
+        self._hot_keys.count(forward.key, now)
         order = target.Order(forward, held.fence, self._run_until(leg))
         logs.event(
             "handed_over",
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -13,6 +13,7 @@
 from tamarackgap import (
     changes,
     lease,
+    loads,
     messages,
     planner,
     records,
@@ -32,6 +33,8 @@
 _PREPARE_LIMIT_S = 2.0
 _SUSPICION_KEPT_S = 2.0
 _LAPSED_LIMIT_S = 1.0
+# Loads go to a sample, so that their number does not grow with the square.
+_LOAD_FANOUT = 16
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -173,6 +176,9 @@
         self._intent: planner.Intent | None = None
         self._prepare_until = 0.0
         self._renew_at = now
+        self._rates: dict[int, float] = {}
+        self._loads = loads.Loads()
+        self._move_budget = loads.MoveBudget(records.Policy().moves, now)
         self._notified: dict[str, float] = {}
         self._reclaim_at = 0.0
         self._plan_at = now
@@ -290,6 +296,27 @@
         self._accepting = accepting
         self._checks_grants = checks_grants
 
+    def served(self, rates: dict[int, float], now: float) -> None:
+        """Says what load the slots bring, and tells other members of it.
+
+        Args:
+            rates: Requests a second of each slot.
+            now: Monotonic time, seconds.
+        """
+        self._rates = rates
+        total = sum(rates.values())
+        self._loads.note(self._incarnation, total, now)
+        policy = self._view.policy(
+            self._settings.service, self._settings.data_centre
+        )
+        self._move_budget.resize(policy.moves, now)
+        members = self._view.members(self._settings.service)
+        others = [m for m in members if m.incarnation != self._incarnation]
+        if len(others) > _LOAD_FANOUT:
+            others = self._rng.sample(others, _LOAD_FANOUT)
+        for record in others:
+            self._post(record.peer_address, messages.Load(total))
+
     def drain(self) -> None:
         """Begins to give all slots away."""
         self._draining = True
@@ -390,6 +417,8 @@
                 self.merge(list(message.rows), now)
             case messages.Claim():
                 self._claimed(sender, message)
+            case messages.Load(rate=rate):
+                self._loads.note(sender, rate, now)
         if answer is not None:
             self._post(envelope.address, answer)
         self._progress(now)
@@ -721,6 +750,9 @@
                 slot: held.fence for slot, held in self._unrecorded.items()
             },
             busy=self._busy,
+            rates=self._rates,
+            loads=self._loads.fresh(now),
+            most_moves=int(self._move_budget.tokens(now)),
             age=now - self._started,
             now=now,
         )
@@ -755,6 +787,7 @@
             self._intent = None
             return
         self._moving = frozenset(move.slot for move in change.moves)
+        self._move_budget.spend(len(change.moves))
         for move in change.moves:
             self._log(
                 "move", slot=move.slot, to=move.destination, reason=move.reason
--- a/tamarackgap/pages.py
+++ b/tamarackgap/pages.py
@@ -4,6 +4,7 @@
 
 from tamarackgap import (
     entry,
+    heat,
     ownership,
     scheduler,
     slots,
@@ -33,6 +34,7 @@
         in_progress: Requests at the target.
         queued: Requests that wait for it.
         in_flight: Callers' requests under way here.
+        hot_keys: Keys that bring most of the target's load.
         table_revision: Revision up to which the table was read.
         route_version: Rises with each route learnt.
         pending: What the awaited transaction is for, if there is one.
@@ -53,6 +55,7 @@
     in_progress: int
     queued: int
     in_flight: int
+    hot_keys: list[heat.HotKey]
     table_revision: int
     route_version: int
     pending: str
@@ -157,6 +160,7 @@
         in_progress=own.in_progress,
         queued=own.waiting,
         in_flight=front.in_flight,
+        hot_keys=own.hottest(),
         table_revision=core.view.cursor,
         route_version=core.routes.version,
         pending=pending.kind.value if pending else "",
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -9,11 +9,16 @@
 import msgspec
 import xxhash
 
-from tamarackgap import records, slots, types
-
-# A difference of this share of the quota is left alone: to even it out
-# would cost moves and gain nothing that a caller notices.
-TOLERANCE = 0.02
+from tamarackgap import heat, records, slots, types
+
+# Below this many requests a second in all, only numbers of slots count.
+_LEAST_RATE = 20.0
+# Load counts for nearly all of a slot's cost; the rest keeps idle slots even.
+_HEAT = 0.9
+# A difference counts only if it is this many standard deviations large.
+_DEVIATIONS = 3.0
+# Numbers of slots are exact: they are evened out closer than load.
+_COUNT_TOLERANCE = 0.02
 # A successor is kept until it has this much more than its fair share: each
 # change costs a new epoch.
 _SUCCESSOR_SLACK = 0.25
@@ -28,6 +33,8 @@
         data_centre: Where it stands.
         weight: Its share against other members; 0 takes nothing.
         owned: The slots it owns now.
+        rate: Requests a second that it serves, or None where nothing
+            fresh is known of it.
     """
 
     incarnation: str
@@ -35,6 +42,7 @@
     data_centre: str
     weight: int
     owned: tuple[int, ...]
+    rate: float | None = None
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -77,22 +85,119 @@
     }
 
 
-def _tolerated(quota: int) -> int:
-    return max(1, int(quota * TOLERANCE))
-
-
-def plan(slot_count: int, members: Sequence[Member]) -> list[Move]:
-    """Returns the moves that bring every member to its quota.
-
-    Only surplus slots move, each once, so the churn is the least possible.
+class Costs:
+    """What slots and members cost, as shares of the members' whole."""
+
+    def __init__(
+        self, members: Sequence[Member], rates: dict[int, float]
+    ) -> None:
+        """Weighs load and number of slots.
+
+        Args:
+            members: Members whose load is known, or that own nothing.
+            rates: Requests a second of the slots that are known exactly.
+        """
+        self.total = sum(member.rate or 0.0 for member in members)
+        count = sum(len(member.owned) for member in members)
+        self._even = (1 - _HEAT) / max(1, count)
+        self._rates = rates
+
+    def slot(self, slot: int, owner: Member) -> float:
+        """Returns a slot's cost; of others' slots, their mean."""
+        rate = self._rates.get(slot)
+        if rate is None:
+            rate = (owner.rate or 0.0) / max(1, len(owner.owned))
+        return self._even + _HEAT * rate / self.total
+
+    def member(self, member: Member) -> float:
+        """Returns what a member's slots cost together."""
+        load = _HEAT * (member.rate or 0.0) / self.total
+        return self._even * len(member.owned) + load
+
+
+def plan(
+    slot_count: int,
+    members: Sequence[Member],
+    rates: dict[int, float] | None = None,
+    tolerance: float = 0.08,
+) -> list[Move]:
+    """Returns the moves that bring every member near to its share.
+
+    Only surplus moves, hottest slots first, so the churn is the least
+    possible. A slot too hot for any member stays, and others leave it.
+    Members whose load is not known take no part, so that a plan never rests
+    on a stale view; with hardly any load, numbers of slots count alone.
 
     Args:
         slot_count: Number of slots of the service.
         members: All members that own slots or may.
+        rates: Requests a second of the slots that are known exactly.
+        tolerance: Excess over its share at which a member gives slots
+            away, as a part of the share.
     """
-    wanted = quotas(slot_count, members)
-    if not any(wanted.values()):
+    if not any(member.weight for member in members):
         return []
+    known = [m for m in members if m.rate is not None or not m.owned]
+    costs = Costs(known, rates or {})
+    if costs.total < _LEAST_RATE:
+        return _plan_counts(slot_count, members)
+    total = sum(member.weight for member in known)
+    if not total:
+        return []
+    room = {
+        member.incarnation: member.weight / total - costs.member(member)
+        for member in known
+    }
+    moves: list[Move] = []
+    for giver in sorted(known, key=lambda member: member.name):
+        share = giver.weight / total
+        least = max(tolerance, _noise(giver.rate or 0.0)) * share
+        if giver.weight and -room[giver.incarnation] <= least:
+            continue
+        moves += _give(giver, known, costs, room)
+    return moves
+
+
+def _noise(rate: float) -> float:
+    """Returns how far a measured rate may be off by chance, as a share."""
+    counted = rate * heat.LIFE_S
+    return _DEVIATIONS / max(1.0, counted) ** 0.5
+
+
+def _give(
+    giver: Member,
+    members: Sequence[Member],
+    costs: Costs,
+    room: dict[str, float],
+) -> list[Move]:
+    """Moves slots of one giver, and takes their cost out of `room`."""
+    moves: list[Move] = []
+    reason = "load" if giver.weight else "weight-zero"
+    priced = [(costs.slot(slot, giver), slot) for slot in giver.owned]
+    takers = [member for member in members if member.weight]
+    for cost, slot in sorted(priced, reverse=True):
+        excess = -room[giver.incarnation]
+        if giver.weight and excess <= 0:
+            break
+        taker = max(
+            (member for member in takers if member is not giver),
+            key=lambda member: (room[member.incarnation], member.name),
+            default=None,
+        )
+        if taker is None:
+            break
+        # A move must leave the fuller of the two less full than before.
+        if giver.weight and cost >= excess + room[taker.incarnation]:
+            continue
+        room[giver.incarnation] += cost
+        room[taker.incarnation] -= cost
+        moves.append(Move(slot, giver.incarnation, taker.incarnation, reason))
+    return moves
+
+
+def _plan_counts(slot_count: int, members: Sequence[Member]) -> list[Move]:
+    """Returns the moves that bring every member to its number of slots."""
+    wanted = quotas(slot_count, members)
     room = {
         member.incarnation: wanted[member.incarnation] - len(member.owned)
         for member in members
@@ -106,10 +211,11 @@
     )
     for giver in sorted(members, key=lambda member: member.name):
         surplus = -room[giver.incarnation]
-        reason = "weight-zero" if not giver.weight else "above-quota"
+        reason = "above-quota" if giver.weight else "weight-zero"
         for slot in giver.owned[: max(0, surplus)]:
             taker = next(
-                (taker for taker in takers if room[taker.incarnation] > 0), None
+                (taker for taker in takers if room[taker.incarnation] > 0),
+                None,
             )
             if taker is None:
                 return moves
@@ -126,7 +232,7 @@
     return any(
         (not member.weight and member.owned)
         or abs(room[member.incarnation])
-        > _tolerated(wanted[member.incarnation])
+        > max(1, int(wanted[member.incarnation] * _COUNT_TOLERANCE))
         for member in members
     )
 
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -40,6 +40,9 @@
         takeovers: Attempts to end other daemons' epochs.
         unrecorded: Fences of the slots that the table does not show yet.
         busy: Tells whether requests of a slot are in progress.
+        rates: Requests a second of each slot served here.
+        loads: Requests a second of each member of which it is known.
+        most_moves: Most slots that may be given away now.
         age: Seconds since the incarnation began.
         now: Monotonic time, seconds.
     """
@@ -56,6 +59,9 @@
     takeovers: list[takeover.Takeover]
     unrecorded: dict[int, int]
     busy: Callable[[int], bool]
+    rates: dict[int, float]
+    loads: dict[str, float]
+    most_moves: int
     age: float
     now: float
 
@@ -309,8 +315,10 @@
     )
 
 
-def members(view: records.View, service: str) -> list[placement.Member]:
-    """Returns a service's daemons with their weights and slots."""
+def members(
+    view: records.View, service: str, loads: dict[str, float]
+) -> list[placement.Member]:
+    """Returns a service's daemons with their weights, slots and loads."""
     return [
         placement.Member(
             incarnation=record.incarnation,
@@ -322,6 +330,7 @@
                 else 0
             ),
             owned=tuple(sorted(slots.expand(record.runs))),
+            rate=loads.get(record.incarnation),
         )
         for record in view.members(service)
     ]
@@ -341,14 +350,24 @@
     if unclaimed:
         # Claims come first: they may bring the quotas about by themselves.
         return ()
-    planned = placement.plan(founded.slots, members(view, service))
-    mine = [
+    mine = situation.mine
+    policy = view.policy(service, mine.data_centre)
+    planned = placement.plan(
+        founded.slots,
+        members(view, service, situation.loads),
+        situation.rates,
+        policy.tolerance / 100,
+    )
+    own = [
         move
         for move in planned
         if move.source == situation.incarnation
         and not situation.busy(move.slot)
     ]
-    return tuple(mine[: situation.settings.batch])
+    most = situation.settings.batch
+    if situation.accepting:
+        most = min(most, situation.most_moves)
+    return tuple(own[:most])
 
 
 def reconfiguration(
--- a/tamarackgap/policy.py
+++ b/tamarackgap/policy.py
@@ -25,6 +25,12 @@
         0, 100_000, "requests", "most at one target; 0: as it announces"
     ),
     "queue": Bound(0, 1_000_000, "requests", "most waiting at one owner"),
+    "tolerance": Bound(
+        1, 100, "percent", "load above its share that makes a daemon give"
+    ),
+    "moves": Bound(
+        0, 100_000, "slots", "most given away in a minute to even out"
+    ),
 }
 
 
--- a/tamarackgap/records.py
+++ b/tamarackgap/records.py
@@ -90,12 +90,18 @@
         in_progress: Most requests in progress at one target; 0 leaves it
             to what the target announces.
         queue: Most requests waiting at one owner.
+        tolerance: Load above its share, percent, at which a daemon gives
+            slots away: higher for less churn.
+        moves: Most slots that a daemon gives away in a minute to even out;
+            draining is not bounded.
         change: Id of the write that made this row.
     """
 
     weight: int = 100
     in_progress: int = 0
     queue: int = 256
+    tolerance: int = 8
+    moves: int = 600
     change: str = ""
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -114,3 +114,78 @@
     holdings = {0: slots.Holding(1, "r2"), 1: slots.Holding(1, "r1")}
     found = placement.choose_successors(owner, holdings, rest)
     assert {held.successor for held in found.values()} == {"r1"}
+
+
+def hot(name, owned, rate, weight=100):
+    return placement.Member(name, name, "a", weight, tuple(owned), rate)
+
+
+def carry(members, rates, rounds=30):
+    """Lets every member carry its own part of the plan out, in turns."""
+    owned = {m.name: set(m.owned) for m in members}
+    moved = 0
+    for _ in range(rounds):
+        for giver in members:
+            now = [
+                hot(
+                    m.name,
+                    sorted(owned[m.name]),
+                    sum(rates.get(s, 0) for s in owned[m.name]),
+                    m.weight,
+                )
+                for m in members
+            ]
+            mine = {s: rates.get(s, 0) for s in owned[giver.name]}
+            for move in placement.plan(64, now, mine):
+                if move.source == giver.name:
+                    owned[giver.name].remove(move.slot)
+                    owned[move.destination].add(move.slot)
+                    moved += 1
+    return owned, moved
+
+
+def test_load_is_evened_out_with_few_moves():
+    rates = {slot: 2000 / (slot + 1) for slot in range(64)}
+    members = [hot(f"m{i}", range(16 * i, 16 * i + 16), 0) for i in range(4)]
+    owned, moved = carry(members, rates)
+    loads = [sum(rates[s] for s in held) for held in owned.values()]
+    mean = sum(loads) / 4
+    # The hottest slot alone is more than the bound allows for.
+    assert max(loads) <= max(1.10 * mean, rates[0])
+    assert moved <= 24
+
+
+def test_a_slot_too_hot_for_anybody_stays_and_others_leave_it():
+    rates = dict.fromkeys(range(64), 10.0) | {0: 3000.0}
+    members = [hot(f"m{i}", range(16 * i, 16 * i + 16), 0) for i in range(4)]
+    owned, _ = carry(members, rates)
+    assert owned["m0"] == {0}
+
+
+def test_with_even_load_nothing_moves():
+    rates = dict.fromkeys(range(64), 50.0)
+    members = [hot(f"m{i}", range(16 * i, 16 * i + 16), 0) for i in range(4)]
+    assert carry(members, rates)[1] == 0
+
+
+def test_a_member_of_unknown_load_takes_no_part():
+    members = [
+        hot("a", range(8), 900.0),
+        hot("b", range(8, 12), 10.0),
+        hot("c", range(12, 16), None),
+    ]
+    rates = dict.fromkeys(range(8), 112.5)
+    moves = placement.plan(16, members, rates)
+    assert moves
+    assert {move.destination for move in moves} == {"b"}
+
+
+def test_differences_that_may_be_chance_move_nothing():
+    members = [hot("a", range(8), 24.0), hot("b", range(8, 16), 18.0)]
+    assert placement.plan(16, members, dict.fromkeys(range(8), 3.0)) == []
+
+
+def test_weight_zero_empties_a_loaded_member_too():
+    members = [hot("a", range(8), 80.0, weight=0), hot("b", range(8, 16), 80)]
+    moves = placement.plan(16, members, dict.fromkeys(range(8), 10.0))
+    assert sorted(move.slot for move in moves) == list(range(8))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -20,7 +20,11 @@
         ("weight=1001", "weight: expected 0 to 1000 shares, not 1001"),
         ("weight=-1", "weight: expected 0 to 1000 shares, not -1"),
         ("weight=much", "weight: expected 0 to 1000 shares, not 'much'"),
-        ("wait=1", "wait=1: expected one of weight, in_progress, queue"),
+        (
+            "wait=1",
+            "wait=1: expected one of weight, in_progress, queue,"
+            " tolerance, moves",
+        ),
     ],
 )
 def test_a_row_out_of_range_is_refused(text, expected):
