--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,10 +2,11 @@
 
 import click
 
-from bench import recovery, slopes
+from bench import policy, recovery, slopes
 
 _PARTS = {
     "recovery": recovery.run,
+    "policy": policy.run,
     "slopes": slopes.run,
 }
 
--- a/demo/report.py
+++ b/demo/report.py
@@ -108,15 +108,14 @@
 def _moved(running: cluster.Cluster, results: list[load.Result]) -> int:
     """Returns slots moved or taken over, from the daemons' logs."""
     begun = min(int(done.request.partition("-")[0]) for done in results)
-    moves = [
-        line for line in running.log_lines("move") if _stamp_ms(line) >= begun
-    ]
-    taken = [
-        int(re.search(r" slots=(\d+)", line)[1])
-        for line in running.log_lines("taken_over")
-        if _stamp_ms(line) >= begun
-    ]
-    return len(moves) + sum(taken)
+    moved = 0
+    for event, field in (("slots_changed", "gained"), ("taken_over", "slots")):
+        moved += sum(
+            int(re.search(rf" {field}=(\d+)", line)[1])
+            for line in running.log_lines(event)
+            if _stamp_ms(line) >= begun
+        )
+    return moved
 
 
 def _stamp_ms(line: str) -> int:
--- a/tamarackgap/heat.py
+++ b/tamarackgap/heat.py
@@ -10,6 +10,8 @@
 LIFE_S = _HALF_LIFE_S / math.log(2)
 # The sketch keeps up to three quarters of 2**8 keys.
 _SKETCH_LOG2 = 8
+# Of a slot that came just now, one request must not look like a flood.
+_LEAST_AGE_S = 2.0
 _SKETCH_KEPT_S = 60.0
 _FORGOTTEN = 0.001
 
@@ -33,7 +35,6 @@
         """Creates a meter that has counted nothing."""
         self._weights: dict[int, float] = {}
         self._scale_at = now
-        self._begun = now
 
     def count(self, slot: int, now: float) -> None:
         """Counts a request."""
@@ -42,13 +43,19 @@
         weight = 2.0 ** ((now - self._scale_at) / _HALF_LIFE_S)
         self._weights[slot] = self._weights.get(slot, 0.0) + weight
 
-    def rates(self, now: float) -> dict[int, float]:
-        """Returns requests a second of each slot that has any."""
+    def rates(self, since: dict[int, float], now: float) -> dict[int, float]:
+        """Returns requests a second of each slot.
+
+        Args:
+            since: Since when each slot is served here; a slot that came
+                lately has had less time to be counted.
+            now: Monotonic time, seconds.
+        """
         self._rescale(now)
-        seen = LIFE_S * (1 - 2.0 ** ((self._begun - now) / _HALF_LIFE_S))
-        if seen <= 0:
-            return {}
-        return {slot: w / seen for slot, w in self._weights.items()}
+        return {
+            slot: self._weights.get(slot, 0.0) / _seen(now - begun)
+            for slot, begun in since.items()
+        }
 
     def _rescale(self, now: float) -> None:
         factor = 2.0 ** ((self._scale_at - now) / _HALF_LIFE_S)
@@ -60,6 +67,11 @@
         self._scale_at = now
 
 
+def _seen(age: float) -> float:
+    """Returns the weights of one request a second over the last `age`."""
+    return LIFE_S * (1 - 2.0 ** (-max(age, _LEAST_AGE_S) / _HALF_LIFE_S))
+
+
 class HotKeys:
     """The keys with most requests, by a heavy-hitters sketch."""
 
--- a/tamarackgap/loads.py
+++ b/tamarackgap/loads.py
@@ -11,9 +11,15 @@
     def __init__(self) -> None:
         self._known: dict[str, tuple[float, float]] = {}
 
-    def note(self, incarnation: str, rate: float, now: float) -> None:
-        """Takes in what a member serves, in requests a second."""
-        self._known[incarnation] = (rate, now)
+    def note(self, incarnation: str, rate: float | None, now: float) -> None:
+        """Takes in what a member serves, in requests a second.
+
+        None makes it unknown: its slots have changed too lately.
+        """
+        if rate is None:
+            self._known.pop(incarnation, None)
+        else:
+            self._known[incarnation] = (rate, now)
 
     def fresh(self, now: float) -> dict[str, float]:
         """Returns the loads that are not too old; forgets the others."""
--- a/tamarackgap/messages.py
+++ b/tamarackgap/messages.py
@@ -201,10 +201,10 @@
     """What a daemon serves at present.
 
     Attributes:
-        rate: Requests a second.
+        rate: Requests a second; None while its slots have just changed.
     """
 
-    rate: float
+    rate: float | None
 
 
 Message = (
--- a/tamarackgap/owner.py
+++ b/tamarackgap/owner.py
@@ -114,12 +114,8 @@
 
     def rates(self) -> dict[int, float]:
         """Returns requests a second of each slot that is owned here."""
-        owned = self._core.owned
-        return {
-            slot: rate
-            for slot, rate in self._meter.rates(self._clock()).items()
-            if slot in owned
-        }
+        since = {slot: held.since for slot, held in self._core.owned.items()}
+        return self._meter.rates(since, self._clock())
 
     def hottest(self) -> list[heat.HotKey]:
         """Returns the keys that bring most load."""
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -33,6 +33,10 @@
 _PREPARE_LIMIT_S = 2.0
 _SUSPICION_KEPT_S = 2.0
 _LAPSED_LIMIT_S = 1.0
+# After a change of slots, load is measured anew for this long.
+_UNSETTLED_S = 5.0
+# Requests a second below which there is nothing to measure.
+_IDLE_RATE = 5.0
 # Loads go to a sample, so that their number does not grow with the square.
 _LOAD_FANOUT = 16
 
@@ -177,6 +181,7 @@
         self._prepare_until = 0.0
         self._renew_at = now
         self._rates: dict[int, float] = {}
+        self._changed_at = now
         self._loads = loads.Loads()
         self._move_budget = loads.MoveBudget(records.Policy().moves, now)
         self._notified: dict[str, float] = {}
@@ -304,7 +309,10 @@
             now: Monotonic time, seconds.
         """
         self._rates = rates
-        total = sum(rates.values())
+        total: float | None = sum(rates.values())
+        if now - self._changed_at < _UNSETTLED_S and total >= _IDLE_RATE:
+            # What came lately is not measured well enough to move more.
+            total = None
         self._loads.note(self._incarnation, total, now)
         policy = self._view.policy(
             self._settings.service, self._settings.data_centre
@@ -505,6 +513,7 @@
         for slot in held:
             self._unrecorded.pop(slot, None)
         if gained or lost:
+            self._changed_at = now
             self._log(
                 "slots_changed",
                 gained=len(gained),
@@ -660,6 +669,8 @@
                 self._send(name, message)
 
     def _serve(self, record: records.LeaseRecord, now: float) -> None:
+        before = len(self._unrecorded)
+        self._changed_at = now
         for slot, holding in slots.expand(record.runs).items():
             if holding.successor == self._incarnation:
                 self._unrecorded[slot] = Owned(holding.fence + 1, now)
@@ -670,7 +681,7 @@
             owner=record.incarnation,
             daemon=record.daemon,
             epoch=record.epoch,
-            slots=len(self._unrecorded),
+            slots=len(self._unrecorded) - before,
             lease_left=round(self._lease.valid_until() - now, 4),
         )
         self._announce_claims(now)
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -15,6 +15,10 @@
 _LEAST_RATE = 20.0
 # Load counts for nearly all of a slot's cost; the rest keeps idle slots even.
 _HEAT = 0.9
+# A move may leave the taker with at most this part of the giver's excess,
+# and a slot below this part of a member's share is a trifle.
+_LEFT = 0.5
+_TRIFLE = 0.005
 # A difference counts only if it is this many standard deviations large.
 _DEVIATIONS = 3.0
 # Numbers of slots are exact: they are evened out closer than load.
@@ -97,7 +101,7 @@
             members: Members whose load is known, or that own nothing.
             rates: Requests a second of the slots that are known exactly.
         """
-        self.total = sum(member.rate or 0.0 for member in members)
+        self.total = sum(member.rate or 0.0 for member in members) or 1.0
         count = sum(len(member.owned) for member in members)
         self._even = (1 - _HEAT) / max(1, count)
         self._rates = rates
@@ -137,9 +141,11 @@
     """
     if not any(member.weight for member in members):
         return []
-    known = [m for m in members if m.rate is not None or not m.owned]
+    known = [
+        m for m in members if m.rate is not None or not (m.owned and m.weight)
+    ]
     costs = Costs(known, rates or {})
-    if costs.total < _LEAST_RATE:
+    if costs.total < _LEAST_RATE and _is_idle(members):
         return _plan_counts(slot_count, members)
     total = sum(member.weight for member in known)
     if not total:
@@ -154,10 +160,17 @@
         least = max(tolerance, _noise(giver.rate or 0.0)) * share
         if giver.weight and -room[giver.incarnation] <= least:
             continue
-        moves += _give(giver, known, costs, room)
+        moves += _give(giver, known, costs, room, share)
     return moves
 
 
+def _is_idle(members: Sequence[Member]) -> bool:
+    """Returns whether no member with unknown load owns slots."""
+    return all(m.rate is not None or not m.owned for m in members) or all(
+        m.rate is None for m in members
+    )
+
+
 def _noise(rate: float) -> float:
     """Returns how far a measured rate may be off by chance, as a share."""
     counted = rate * heat.LIFE_S
@@ -169,6 +182,7 @@
     members: Sequence[Member],
     costs: Costs,
     room: dict[str, float],
+    share: float,
 ) -> list[Move]:
     """Moves slots of one giver, and takes their cost out of `room`."""
     moves: list[Move] = []
@@ -186,8 +200,9 @@
         )
         if taker is None:
             break
-        # A move must leave the fuller of the two less full than before.
-        if giver.weight and cost >= excess + room[taker.incarnation]:
+        if giver.weight and not _helps(
+            cost, excess, room[taker.incarnation], share
+        ):
             continue
         room[giver.incarnation] += cost
         room[taker.incarnation] -= cost
@@ -195,6 +210,15 @@
     return moves
 
 
+def _helps(cost: float, excess: float, room: float, share: float) -> bool:
+    """Returns whether a move is worth its churn.
+
+    It must leave the fuller of the two a good deal less full than before,
+    and carry more than a trifle: cold slots stay beside a hot one.
+    """
+    return cost - room <= excess * _LEFT and cost >= share * _TRIFLE
+
+
 def _plan_counts(slot_count: int, members: Sequence[Member]) -> list[Move]:
     """Returns the moves that bring every member to its number of slots."""
     wanted = quotas(slot_count, members)
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -7,6 +7,8 @@
     subject.note("b", 6.0, 4.0)
     assert subject.fresh(5.0) == {"a": 5.0, "b": 6.0}
     assert subject.fresh(8.0) == {"b": 6.0}
+    subject.note("b", None, 8.0)
+    assert subject.fresh(8.0) == {}
 
 
 def test_moves_are_bounded_by_the_minute():
