--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -55,13 +55,18 @@
     return total / len(before) / time_s
 
 
+def _slots(size: int) -> int:
+    """Returns a power of two with at least four slots a daemon."""
+    return 1 << max(6, (4 * size - 1).bit_length())
+
+
 def _measure(size: int, loss: bool) -> list[table.Row]:
     with tempfile.TemporaryDirectory() as folder:
         running = cluster.Cluster(
             _plan(size),
             pathlib.Path(folder),
             _BASE_PORT,
-            overrides={"ownership": {"slots": max(64, 4 * size)}},
+            overrides={"ownership": {"slots": _slots(size)}},
         )
         running.start()
         try:
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -17,7 +17,7 @@
 _HEAT = 0.9
 # A move may leave the taker with at most this part of the giver's excess,
 # and a slot below this part of a member's share is a trifle.
-_LEFT = 0.5
+_LEFT = 0.9
 _TRIFLE = 0.005
 # A difference counts only if it is this many standard deviations large.
 _DEVIATIONS = 3.0
@@ -150,17 +150,18 @@
     total = sum(member.weight for member in known)
     if not total:
         return []
+    shares = {member: member.weight / total for member in known}
     room = {
-        member.incarnation: member.weight / total - costs.member(member)
-        for member in known
+        member.incarnation: share - costs.member(member)
+        for member, share in shares.items()
     }
     moves: list[Move] = []
     for giver in sorted(known, key=lambda member: member.name):
-        share = giver.weight / total
+        share = shares[giver]
         least = max(tolerance, _noise(giver.rate or 0.0)) * share
         if giver.weight and -room[giver.incarnation] <= least:
             continue
-        moves += _give(giver, known, costs, room, share)
+        moves += _give(giver, known, costs, room, shares)
     return moves
 
 
@@ -182,27 +183,30 @@
     members: Sequence[Member],
     costs: Costs,
     room: dict[str, float],
-    share: float,
+    shares: dict[Member, float],
 ) -> list[Move]:
     """Moves slots of one giver, and takes their cost out of `room`."""
     moves: list[Move] = []
     reason = "load" if giver.weight else "weight-zero"
+    share = shares[giver]
     priced = [(costs.slot(slot, giver), slot) for slot in giver.owned]
     takers = [member for member in members if member.weight]
     for cost, slot in sorted(priced, reverse=True):
         excess = -room[giver.incarnation]
         if giver.weight and excess <= 0:
             break
+        # A slot that can never fit here goes where it can; that member then
+        # gives others away.
+        fits = cost > share and [m for m in takers if shares[m] >= cost]
         taker = max(
-            (member for member in takers if member is not giver),
+            (m for m in fits or takers if m is not giver),
             key=lambda member: (room[member.incarnation], member.name),
             default=None,
         )
         if taker is None:
             break
-        if giver.weight and not _helps(
-            cost, excess, room[taker.incarnation], share
-        ):
+        helps = _helps(cost, excess, room[taker.incarnation], share)
+        if giver.weight and not (fits or helps):
             continue
         room[giver.incarnation] += cost
         room[taker.incarnation] -= cost
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -189,3 +189,21 @@
     members = [hot("a", range(8), 80.0, weight=0), hot("b", range(8, 16), 80)]
     moves = placement.plan(16, members, dict.fromkeys(range(8), 10.0))
     assert sorted(move.slot for move in moves) == list(range(8))
+
+
+def test_a_slot_too_hot_for_a_small_member_goes_to_a_greater_one():
+    rates = dict.fromkeys(range(64), 10.0) | {0: 150.0}
+    members = [
+        hot("small", range(8), 0, weight=10),
+        hot("great", range(8, 64), 0, weight=100),
+    ]
+    owned, _ = carry(members, rates)
+    assert 0 in owned["great"]
+
+
+def test_an_evened_out_load_stays_as_it_is():
+    rates = {slot: 2000 / (slot + 1) for slot in range(64)}
+    members = [hot(f"m{i}", range(16 * i, 16 * i + 16), 0) for i in range(4)]
+    _, moved = carry(members, rates, rounds=10)
+    _, moved_longer = carry(members, rates, rounds=60)
+    assert moved == moved_longer
