Split the ownership protocol by its sides; baselines and data path benches

Cause: ownership.py had 830 lines and three jobs. Now: effects.py (what it is told and asks for), witnessing.py, succession.py, and ownership.py for the owner's side; behaviour as before, tests unchanged but for the names of the effects.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,10 +2,12 @@
 
 import click
 
-from bench import policy, recovery, slopes
+from bench import baselines, datapath, policy, recovery, slopes
 
 _PARTS = {
     "recovery": recovery.run,
+    "baselines": baselines.run,
+    "datapath": datapath.run,
     "policy": policy.run,
     "slopes": slopes.run,
 }
--- /dev/null
+++ b/bench/bare.py
@@ -0,0 +1,34 @@
+"""A bare `circuits.web` handler: what the frame itself costs."""
+
+import sys
+
+import circuits
+from circuits.web import events, servers
+
+
+class Bare(circuits.Component):
+    """Answers every request with two bytes."""
+
+    channel = "web"
+
+    @circuits.handler("request", priority=10)
+    def _on_request(
+        self, event: circuits.Event, request: object, response: object
+    ) -> bool:
+        event.stop()
+        response.headers["Content-Type"] = "text/plain"
+        response.body = b"ok"
+        self.fire(events.response(response))
+        return True
+
+
+def main(address: str) -> None:
+    """Serves on `ip:port` until it is killed."""
+    root = circuits.Component()
+    servers.BaseServer(address, display_banner=False).register(root)
+    Bare().register(root)
+    root.run()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- /dev/null
+++ b/bench/datapath.py
@@ -0,0 +1,148 @@
+"""Cost of a request: entry and owner, beside a bare handler."""
+
+import http.client
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from bench import process, recovery, table
+from demo import cluster, deployments
+
+_BASE_PORT = 27000
+_BARE = "127.0.0.1:27100"
+_PLAN = deployments.Deployment(
+    name="datapath",
+    data_centres=("a", "b", "c"),
+    slots=32,
+    connections=130,
+    services=(
+        deployments.Service("seats", 3, False),
+        deployments.Service("other", 1, False),
+    ),
+    operations=(),
+)
+_TARGET_A_DAEMON = 3667
+
+
+def _drive(
+    address: str, path: str, seconds: float, latencies: list[float]
+) -> None:
+    host, _, port = address.rpartition(":")
+    link = http.client.HTTPConnection(host, int(port), timeout=10)
+    headers = {
+        "X-Run-Id": "r",
+        "X-Request-Id": "bench",
+        "X-Attempt": "1",
+        "X-Key": "6b",
+        "X-Slot": "0",
+        "X-Fence": "0",
+        "X-Owner": "bench",
+        "X-Deadline": "1e18",
+    }
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        begun = time.monotonic()
+        link.request("GET", path, headers=headers)
+        link.getresponse().read()
+        latencies.append(time.monotonic() - begun)
+
+
+def _measure(
+    name: str,
+    address: str,
+    path: str,
+    pids: list[int],
+    callers: int,
+    seconds: float,
+) -> table.Row:
+    before = sum(map(process.seconds, pids))
+    latencies: list[float] = []
+    threads = [
+        threading.Thread(
+            target=_drive, args=(address, path, seconds, latencies)
+        )
+        for _ in range(callers)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    used = sum(map(process.seconds, pids)) - before
+    return {
+        "path": name,
+        "callers": callers,
+        "requests_per_s": round(len(latencies) / seconds),
+        "p50_ms": round(table.percentile(latencies, 0.5) * 1000, 2),
+        "p99_ms": round(table.percentile(latencies, 0.99) * 1000, 2),
+        "core_us_a_request": round(used / len(latencies) * 1e6),
+        "requests_a_core_s": round(len(latencies) / max(used, 1e-9)),
+    }
+
+
+def _lateness(place: cluster.Place) -> float:
+    text = cluster.call(place.http, "GET", "/metrics")[1].decode()
+    line = next(
+        line
+        for line in text.splitlines()
+        if line.startswith("tamarackgap_renewal_lateness_seconds{")
+    )
+    return float(line.rpartition(" ")[2])
+
+
+def run(quick: bool) -> None:
+    """Measures each path alone, then the entry at its limit."""
+    seconds = 2.0 if quick else 8.0
+    with tempfile.TemporaryDirectory() as folder:
+        running = cluster.Cluster(
+            _PLAN, pathlib.Path(folder), _BASE_PORT, work_ms=0.0
+        )
+        bare = subprocess.Popen(
+            [sys.executable, "-m", "bench.bare", _BARE],
+            stdout=subprocess.DEVNULL,
+        )
+        running.start()
+        try:
+            if running.ready(60.0) is None:
+                raise RuntimeError("the deployment did not get ready")
+            rows = _paths(running, bare.pid, seconds)
+        finally:
+            running.stop()
+            bare.kill()
+            bare.wait()
+    table.show("datapath", rows)
+
+
+def _paths(
+    running: cluster.Cluster, bare: int, seconds: float
+) -> list[table.Row]:
+    entry = running.place("other-0")
+    owner = running.place("seats-0")
+    key = recovery.key_of(running, entry, owner)
+    path = f"/v1/seats/x?key={key}"
+    own = owner.daemon_process.pid
+    both = [entry.daemon_process.pid, own]
+    target = owner.target_process.pid
+    rows = []
+    for callers in (1, 8):
+        rows += [
+            _measure("bare handler", _BARE, "/", [bare], callers, seconds),
+            _measure(
+                "target, direct", owner.target, "/x", [target], callers, seconds
+            ),
+            _measure("owner asked", owner.http, path, [own], callers, seconds),
+            _measure(
+                "entry, then owner", entry.http, path, both, callers, seconds
+            ),
+        ]
+    for row in rows:
+        row["worst_renewal_late_ms"] = ""
+        alone = rows[0]["core_us_a_request"]
+        row["times_bare"] = round(row["core_us_a_request"] / alone, 2)
+        row["short_of_3667_by"] = round(
+            _TARGET_A_DAEMON / row["requests_a_core_s"], 1
+        )
+    rows[-1]["worst_renewal_late_ms"] = round(_lateness(owner) * 1000, 1)
+    return rows
--- /dev/null
+++ b/bench/process.py
@@ -0,0 +1,20 @@
+"""Processor time and memory of other processes here."""
+
+import os
+import pathlib
+import re
+
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def seconds(pid: int) -> float:
+    """Returns the processor time of a process so far, seconds."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS
+
+
+def memory_mb(pid: int) -> float:
+    """Returns the resident memory of a process, MB."""
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", text)[1]) / 1024
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -37,7 +37,7 @@
     entry = next(
         place for place in running.places if place.service != victim.service
     )
-    key = _key_of(running, entry, victim)
+    key = key_of(running, entry, victim)
     path = f"/v1/{victim.service}/browse?key={key}"
     victim.daemon_process.send_signal(signal.SIGKILL)
     begun = time.monotonic()
@@ -47,9 +47,14 @@
     return time.monotonic() - begun
 
 
-def _key_of(
+def key_of(
     running: cluster.Cluster, entry: cluster.Place, victim: cluster.Place
 ) -> str:
+    """Returns a key that a victim's daemon owns.
+
+    Raises:
+        RuntimeError: If it owns none.
+    """
     for number in range(10_000):
         query = f"/explain?service={victim.service}&key=k{number}"
         found = cluster.call(entry.http, "GET", query)[1]
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,20 +1,18 @@
 """What control costs one daemon, as the deployment grows."""
 
 import json
-import os
 import pathlib
 import re
 import signal
 import tempfile
 import time
 
-from bench import table
+from bench import process, table
 from demo import cluster, deployments
 
 _SETTLE_S = 6.0
 _MEASURE_S = 10.0
 _BASE_PORT = 26000
-_TICKS = os.sysconf("SC_CLK_TCK")
 
 
 def _plan(size: int) -> deployments.Deployment:
@@ -28,18 +26,6 @@
     )
 
 
-def _seconds(pid: int) -> float:
-    """Returns the processor time of a process so far."""
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS
-
-
-def _memory_mb(pid: int) -> float:
-    text = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(re.search(r"VmRSS:\s+(\d+)", text)[1]) / 1024
-
-
 def _metrics(place: cluster.Place) -> dict[str, float]:
     text = cluster.call(place.http, "GET", "/metrics")[1].decode()
     found = re.findall(r"^tamarackgap_(\w+)\{[^}]*\} (\S+)$", text, re.M)
@@ -85,10 +71,10 @@
     pids = [place.daemon_process.pid for place in running.places]
     metrics = [_metrics(place) for place in running.places]
     counts = _counts(running)
-    cpu = [_seconds(pid) for pid in pids]
+    cpu = [process.seconds(pid) for pid in pids]
     begun = time.monotonic()
     time.sleep(_MEASURE_S)
-    cpu_after = [_seconds(pid) for pid in pids]
+    cpu_after = [process.seconds(pid) for pid in pids]
     took = time.monotonic() - begun
     metrics_after = [_metrics(place) for place in running.places]
     counts_after = _counts(running)
@@ -107,7 +93,7 @@
         "messages_per_s": round(rate("peer_messages_sent"), 1),
         "kb_per_s": round(rate("peer_bytes_sent") / 1000, 2),
         "core_percent": round(100 * _mean_rate(cpu, cpu_after, took), 2),
-        "memory_mb": round(sum(map(_memory_mb, pids)) / size, 1),
+        "memory_mb": round(sum(map(process.memory_mb, pids)) / size, 1),
         "table_writes_per_s": round(
             (counts_after["writes"] - counts["writes"]) / took, 2
         ),
--- a/examples/embedded.py
+++ b/examples/embedded.py
@@ -7,14 +7,14 @@
 import random
 
 from standins import table as table_lib
-from tamarackgap import messages, ownership, records
+from tamarackgap import effects, messages, ownership, records
 
 STEP_S = 0.02
 
 
 def make(number: int, now: float) -> ownership.Ownership:
     """Returns a member of the service `tickets`."""
-    settings = ownership.Settings(
+    settings = effects.Settings(
         service="tickets",
         daemon=f"member-{number}",
         data_centre=f"place-{number}",
@@ -38,18 +38,18 @@
     own_address = member.settings.peer_address
     for effect in member.take_effects():
         match effect:
-            case ownership.Send(sender=sender, address=to, message=message):
+            case effects.Send(sender=sender, address=to, message=message):
                 envelope = messages.Envelope(
                     "demo", sender, own_address, message
                 )
                 members[to].receive(envelope, now)
-            case ownership.Commit(change=change):
+            case effects.Commit(change=change):
                 committed, rows = table.commit(change.transaction)
-                state = ownership.CommitState.CONFLICT
+                state = effects.CommitState.CONFLICT
                 if committed:
-                    state = ownership.CommitState.COMMITTED
+                    state = effects.CommitState.COMMITTED
                 member.committed(state, rows, now)
-            case ownership.Decision(event=event, fields=fields):
+            case effects.Decision(event=event, fields=fields):
                 print(f"{now:5.2f} {member.settings.daemon} {event} {fields}")
 
 
--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -12,6 +12,7 @@
 
 from tamarackgap import (
     config,
+    effects,
     entry,
     httpclient,
     logs,
@@ -48,9 +49,9 @@
 _MILLIONTHS = 1_000_000
 
 
-def ownership_settings(settings: config.Config) -> ownership.Settings:
+def ownership_settings(settings: config.Config) -> effects.Settings:
     """Returns what the ownership protocol needs of the settings."""
-    return ownership.Settings(
+    return effects.Settings(
         service=settings.daemon_service,
         daemon=settings.daemon_name,
         data_centre=settings.daemon_data_centre,
@@ -155,7 +156,7 @@
         self._last_turn = clock()
         self._longest_turn = 0.0
         self._granted_until = 0.0
-        self._granted_slots: dict[int, ownership.Owned] = {}
+        self._granted_slots: dict[int, effects.Owned] = {}
         self._grant_step = settings.ownership_lease / 1000 * _GRANT_SHARE
         self._begin()
 
@@ -216,20 +217,20 @@
     def _carry_out(self) -> None:
         for effect in self._core.take_effects():
             match effect:
-                case ownership.Send(
+                case effects.Send(
                     sender=sender, address=address, message=message
                 ):
                     self._peers.send(sender, address, message)
-                case ownership.Commit(change=change):
+                case effects.Commit(change=change):
                     self._table.commit(
                         change.transaction,
                         functools.partial(
                             self._committed, self._core.incarnation
                         ),
                     )
-                case ownership.Decision(event=event, fields=fields):
+                case effects.Decision(event=event, fields=fields):
                     self._log_decision(event, fields)
-                case ownership.Refresh():
+                case effects.Refresh():
                     self._read()
         self._grant()
 
@@ -301,13 +302,13 @@
     def _committed(
         self,
         incarnation: str,
-        state: ownership.CommitState,
+        state: effects.CommitState,
         rows: list,
     ) -> None:
         if incarnation != self._core.incarnation:
             return
         now = time.monotonic()
-        if state is not ownership.CommitState.UNKNOWN:
+        if state is not effects.CommitState.UNKNOWN:
             self._table_heard = now
         self._core.committed(state, rows, now)
         self._carry_out()
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -4,14 +4,12 @@
 in, and carries out the effects that are handed back.
 """
 
-import enum
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from tamarackgap import (
     changes,
+    effects,
     lease,
     loads,
     messages,
@@ -19,19 +17,16 @@
     records,
     routes,
     slots,
+    succession,
     takeover,
     types,
-    witness,
+    witnessing,
 )
 
 _RENEWALS_PER_LEASE = 4
 _SUSPECT_SHARE = 0.8
-_ASK_AGAIN_S = 0.05
-_NOTIFY_AGAIN_S = 0.1
-_RECLAIM_S = 1.0
 _COMMIT_AGAIN_S = 0.2
 _PREPARE_LIMIT_S = 2.0
-_SUSPICION_KEPT_S = 2.0
 _LAPSED_LIMIT_S = 1.0
 # After a change of slots, load is measured anew for this long.
 _UNSETTLED_S = 5.0
@@ -41,100 +36,12 @@
 _LOAD_FANOUT = 16
 
 
-class Settings(msgspec.Struct, frozen=True):
-    """What a daemon is told about itself.
-
-    Attributes:
-        service: The service of its target.
-        daemon: Its name, kept over restarts.
-        data_centre: Where its VM stands.
-        peer_address: `ip:port` for messages between daemons.
-        http_address: `ip:port` for callers and operators.
-        slot_count: Slots of the service, if it has to be founded here.
-        lease: Length of a grant, seconds.
-        linger: Longest run past the lease's end at a target that does not
-            check grants, seconds.
-        drift: Largest relative error between two VMs' clocks.
-        witnesses: How many witnesses are wanted; odd.
-        settle: Time before a service is founded, seconds.
-        batch: Most slots handed over in one transaction.
-    """
-
-    service: str
-    daemon: str
-    data_centre: str
-    peer_address: str
-    http_address: str
-    slot_count: int = 256
-    lease: float = 0.6
-    linger: float = 0.0
-    drift: float = 0.01
-    witnesses: int = 3
-    settle: float = 1.0
-    batch: int = 64
-
-
-class Owned(msgspec.Struct, frozen=True):
-    """A slot that this daemon owns.
-
-    Attributes:
-        fence: The fence under which it serves the slot.
-        since: When it took the slot over, seconds.
-    """
-
-    fence: int
-    since: float
-
-
-class Send(msgspec.Struct, frozen=True):
-    """Effect: send a message to a daemon.
-
-    Attributes:
-        sender: The incarnation that decided on it; by the time it is sent,
-            the process may already be another one.
-        address: The receiver's `ip:port`.
-        message: The message.
-    """
-
-    sender: str
-    address: str
-    message: messages.Message
-
-
-class Commit(msgspec.Struct, frozen=True):
-    """Effect: put a transaction to the table, then call `committed`."""
-
-    change: changes.Change
-
-
-class Decision(msgspec.Struct, frozen=True):
-    """Effect: write a line to the log."""
-
-    event: str
-    fields: dict[str, object]
-
-
-class Refresh(msgspec.Struct, frozen=True):
-    """Effect: read the table soon; it has rows that are not known here."""
-
-
-Effect = Send | Commit | Decision | Refresh
-
-
-class CommitState(enum.Enum):
-    """What is known of a transaction's outcome."""
-
-    COMMITTED = "committed"
-    CONFLICT = "conflict"
-    UNKNOWN = "unknown"
-
-
 class Ownership:
     """All that one incarnation owns, witnesses and takes over."""
 
     def __init__(
         self,
-        settings: Settings,
+        settings: effects.Settings,
         rng: random.Random,
         busy: Callable[[int], bool],
         now: float,
@@ -152,7 +59,7 @@
         self._busy = busy
         self._view = records.View()
         self._routes = routes.Routes()
-        self._effects: list[Effect] = []
+        self._outbox = effects.Outbox(self._view, types.NOBODY)
         self._accepting = False
         self._checks_grants = False
         self._draining = False
@@ -165,16 +72,23 @@
         self._incarnation = types.Incarnation(
             f"{self._rng.getrandbits(64):016x}"
         )
+        self._outbox.incarnation = self._incarnation
         self._started = now
         self._lapsed_at = now
         self._joined = False
-        self._witness = witness.Witness(self._settings.lease * _SUSPECT_SHARE)
+        self._witnessing = witnessing.Witnessing(
+            self._settings.lease * _SUSPECT_SHARE, self._view, self._outbox
+        )
+        self._succession = succession.Succession(
+            self._settings.drift,
+            self._view,
+            self._routes,
+            self._outbox,
+            self._witnessing.seal,
+        )
         self._lease = lease.Lease(self._grants(0, (), now))
-        self._owned: dict[int, Owned] = {}
-        # Slots taken over under seals, which the table does not show yet.
-        self._unrecorded: dict[int, Owned] = {}
+        self._owned: dict[int, effects.Owned] = {}
         self._moving: frozenset[int] = frozenset()
-        self._takeovers: dict[tuple[str, int], takeover.Takeover] = {}
         self._pending: changes.Change | None = None
         self._commit_at = 0.0
         self._intent: planner.Intent | None = None
@@ -184,8 +98,6 @@
         self._changed_at = now
         self._loads = loads.Loads()
         self._move_budget = loads.MoveBudget(records.Policy().moves, now)
-        self._notified: dict[str, float] = {}
-        self._reclaim_at = 0.0
         self._plan_at = now
 
     @property
@@ -194,7 +106,7 @@
         return self._incarnation
 
     @property
-    def settings(self) -> Settings:
+    def settings(self) -> effects.Settings:
         """What the daemon is told about itself."""
         return self._settings
 
@@ -234,19 +146,19 @@
         return self._draining
 
     @property
-    def owned(self) -> dict[int, Owned]:
+    def owned(self) -> dict[int, effects.Owned]:
         """All slots held, recorded in the table or not."""
-        return {**self._owned, **self._unrecorded}
+        return {**self._owned, **self._succession.held}
 
     @property
-    def unrecorded(self) -> dict[int, Owned]:
+    def unrecorded(self) -> dict[int, effects.Owned]:
         """Slots held under seals that the table does not show yet."""
-        return dict(self._unrecorded)
+        return self._succession.held
 
     @property
     def takeovers(self) -> list[takeover.Takeover]:
         """Attempts to end other daemons' epochs."""
-        return list(self._takeovers.values())
+        return self._succession.attempts
 
     @property
     def pending(self) -> changes.Change | None:
@@ -261,9 +173,9 @@
         """Returns the grants of the current epoch."""
         return self._lease.current
 
-    def find(self, slot: int) -> Owned | None:
+    def find(self, slot: int) -> effects.Owned | None:
         """Returns a slot's holding here, or None."""
-        return self._unrecorded.get(slot) or self._owned.get(slot)
+        return self._succession.find(slot) or self._owned.get(slot)
 
     def refusal(self, slot: int, now: float) -> types.Reason | None:
         """Returns why a slot can't be served now, or None if it can."""
@@ -275,11 +187,9 @@
             return types.Reason.SLOT_MOVING
         return None
 
-    def take_effects(self) -> list[Effect]:
+    def take_effects(self) -> list[effects.Effect]:
         """Returns the effects since the last call."""
-        effects = self._effects
-        self._effects = []
-        return effects
+        return self._outbox.take()
 
     @property
     def linger(self) -> float:
@@ -323,7 +233,7 @@
         if len(others) > _LOAD_FANOUT:
             others = self._rng.sample(others, _LOAD_FANOUT)
         for record in others:
-            self._post(record.peer_address, messages.Load(total))
+            self._outbox.post(record.peer_address, messages.Load(total))
 
     def drain(self) -> None:
         """Begins to give all slots away."""
@@ -335,8 +245,8 @@
         The successors need not wait then. Nothing may be in progress.
         """
         for name in self._lease.current.witnesses:
-            self._send(name, messages.Release(name, self.epoch))
-        self._log("released", slots=len(self.owned))
+            self._outbox.send(name, messages.Release(name, self.epoch))
+        self._outbox.log("released", slots=len(self.owned))
         self._begin(now)
 
     def merge(self, rows: list[records.Row], now: float) -> None:
@@ -362,7 +272,7 @@
         self._table_ok = False
 
     def committed(
-        self, state: CommitState, rows: list[records.Row], now: float
+        self, state: effects.CommitState, rows: list[records.Row], now: float
     ) -> None:
         """Takes in what is known of the pending transaction.
 
@@ -373,13 +283,13 @@
         change = self._pending
         if change is None:
             return
-        if state is CommitState.UNKNOWN:
+        if state is effects.CommitState.UNKNOWN:
             self._commit_at = now + _COMMIT_AGAIN_S * (1 + self._rng.random())
             return
         self._pending = None
         incarnation = self._incarnation
         self.merge(rows, now)
-        self._log(
+        self._outbox.log(
             "commit",
             kind=change.kind.value,
             reason=change.reason,
@@ -388,8 +298,8 @@
         )
         if incarnation != self._incarnation:
             return
-        if state is CommitState.COMMITTED:
-            self._broadcast(messages.Rows(tuple(rows)))
+        if state is effects.CommitState.COMMITTED:
+            self._outbox.broadcast(messages.Rows(tuple(rows)))
         if change.kind is changes.Kind.RECONFIGURE:
             self._lease.abandon()
             self._intent = None
@@ -402,40 +312,40 @@
         answer = None
         match message:
             case messages.Renew(witness=name) if name == self._incarnation:
-                answer = self._renewal(sender, message, now)
+                self._heard_revision(message.revision)
+                answer = self._witnessing.renew(sender, message, now)
             case messages.Granted(owner=name) if name == self._incarnation:
                 self._granted(sender, message, now)
             case messages.Suspect():
-                self._suspected(message.owner, message.epoch, now)
+                self._suspect(message.owner, message.epoch, now)
             case messages.Seal(witness=name) if name == self._incarnation:
-                answer = self._seal(message, now)
+                answer = self._witnessing.seal(message, now)
             case messages.Sealed():
-                self._sealed(sender, message, now)
+                self._succession.sealed(sender, message, now)
             case messages.Retire(witness=name) if name == self._incarnation:
-                state = self._witness.retire(sender, message.epoch)
-                answer = messages.Retired(sender, message.epoch, state)
+                answer = self._witnessing.retire(sender, message)
             case messages.Retired(owner=name) if name == self._incarnation:
                 for grants in self._lease.epochs():
                     if grants.epoch == message.epoch:
                         grants.answered(sender, message.state, now)
             case messages.Release(witness=name) if name == self._incarnation:
-                self._witness.release(sender, message.epoch)
-                self._notified.pop(sender, None)
+                self._witnessing.release(sender, message)
             case messages.Rows():
                 self.merge(list(message.rows), now)
             case messages.Claim():
-                self._claimed(sender, message)
+                self._succession.claimed(sender, message)
             case messages.Load(rate=rate):
                 self._loads.note(sender, rate, now)
         if answer is not None:
-            self._post(envelope.address, answer)
+            self._outbox.post(envelope.address, answer)
         self._progress(now)
 
     def tick(self, now: float) -> None:
         """Does all that is due; to be called every few milliseconds."""
         self._renew(now)
         self._check_lapse(now)
-        self._watch(now)
+        for record in self._witnessing.silent_owners(now):
+            self._suspect(record.incarnation, record.epoch, now)
         self._progress(now)
         self._repeat(now)
         self._plan(now)
@@ -459,7 +369,9 @@
         self._renew_at = now + self._settings.lease / _RENEWALS_PER_LEASE
         for grants in self._lease.epochs():
             for name in grants.witnesses:
-                self._send(name, self._renewal_of(name, grants.epoch, now))
+                self._outbox.send(
+                    name, self._renewal_of(name, grants.epoch, now)
+                )
 
     def _renewal_of(self, name: str, epoch: int, now: float) -> messages.Renew:
         return messages.Renew(name, epoch, now, self._view.cursor)
@@ -489,7 +401,7 @@
             self._depose("lapsed", now)
 
     def _depose(self, reason: str, now: float) -> None:
-        self._log("lease_lost", reason=reason, slots=len(self.owned))
+        self._outbox.log("lease_lost", reason=reason, slots=len(self.owned))
         self._begin(now)
 
     def _adopt(self, now: float) -> None:
@@ -511,10 +423,10 @@
         lost = self._owned.keys() - held.keys()
         self._owned = held
         for slot in held:
-            self._unrecorded.pop(slot, None)
+            self._succession.recorded(slot)
         if gained or lost:
             self._changed_at = now
-            self._log(
+            self._outbox.log(
                 "slots_changed",
                 gained=len(gained),
                 lost=len(lost),
@@ -522,213 +434,37 @@
                 epoch=record.epoch,
             )
 
-    def _kept(self, slot: int, fence: int, now: float) -> Owned:
+    def _kept(self, slot: int, fence: int, now: float) -> effects.Owned:
         present = self.find(slot)
         if present is not None and present.fence == fence:
             return present
-        return Owned(fence, now)
-
-    # The witness's side.
-
-    def _renewal(
-        self, sender: str, message: messages.Renew, now: float
-    ) -> messages.Granted:
-        self._heard_revision(message.revision)
-        state = self._witness.renew(sender, message.epoch, types.Seconds(now))
-        granted = state in (
-            types.WitnessState.OPEN,
-            types.WitnessState.RETIRED,
-        )
-        return messages.Granted(
-            sender,
-            message.epoch,
-            message.sent,
-            granted,
-            state,
-            self._view.cursor,
-        )
-
-    def _seal(self, message: messages.Seal, now: float) -> messages.Sealed:
-        state, age = self._witness.seal(
-            message.owner, message.epoch, types.Seconds(now)
-        )
-        known = age if age != float("inf") else -1.0
-        self._log(
-            "seal_asked",
-            owner=message.owner,
-            epoch=message.epoch,
-            state=state.value,
-            age=round(known, 4),
-        )
-        return messages.Sealed(message.owner, message.epoch, state, known)
-
-    def _watch(self, now: float) -> None:
-        for suspicion in self._witness.suspicions(types.Seconds(now)):
-            if now - self._notified.get(suspicion.owner, 0.0) < _NOTIFY_AGAIN_S:
-                continue
-            self._notified[suspicion.owner] = now
-            record = self._view.lease(suspicion.owner)
-            if record is None or not record.is_open:
-                if self._view.revision(records.lease_key(suspicion.owner)):
-                    self._witness.forget_suspicion(suspicion)
-                continue
-            self._notify(record, suspicion, now)
-
-    def _notify(
-        self,
-        record: records.LeaseRecord,
-        suspicion: witness.Suspicion,
-        now: float,
-    ) -> None:
-        message = messages.Suspect(suspicion.owner, suspicion.epoch)
-        successors = record.successors()
-        for name in successors:
-            if name == self._incarnation:
-                self._suspected(suspicion.owner, suspicion.epoch, now)
-            else:
-                self._send(name, message)
-        lost = [name for name in successors if not self._is_open(name)]
-        if lost or not successors:
-            # Nobody else may come to close this record.
-            self._suspected(suspicion.owner, suspicion.epoch, now)
-
-    def _is_open(self, incarnation: str) -> bool:
-        record = self._view.lease(incarnation)
-        return record is not None and record.is_open
+        return effects.Owned(fence, now)
 
     # The successor's side.
 
-    def _suspected(self, owner: str, epoch: int, now: float) -> None:
-        record = self._view.lease(owner)
-        if record is None or not record.is_open or not self._joined:
-            return
-        if record.epoch != epoch:
-            self._effects.append(Refresh())
-            return
-        attempt = self._takeovers.get((owner, epoch))
-        if attempt is None:
-            attempt = takeover.Takeover(
-                record, self._settings.drift, types.Seconds(now)
-            )
-            self._takeovers[owner, epoch] = attempt
-            self._log("takeover_begun", owner=owner, epoch=epoch)
-        attempt.suspected_at = types.Seconds(now)
-
-    def _sealed(
-        self, sender: str, message: messages.Sealed, now: float
-    ) -> None:
-        attempt = self._takeovers.get((message.owner, message.epoch))
-        if attempt is not None:
-            attempt.answered(sender, message, types.Seconds(now))
+    def _suspect(self, owner: str, epoch: int, now: float) -> None:
+        if self._joined:
+            self._succession.suspect(owner, epoch, now)
 
     def _progress(self, now: float) -> None:
-        for (owner, epoch), attempt in list(self._takeovers.items()):
-            record = self._view.lease(owner)
-            if record is None or not record.is_open or record.epoch != epoch:
-                del self._takeovers[owner, epoch]
-            elif attempt.mode() is takeover.Mode.SUPERSEDED:
-                del self._takeovers[owner, epoch]
-                self._effects.append(Refresh())
-            elif not attempt.done:
-                self._advance(attempt, record, now)
-
-    def _advance(
-        self,
-        attempt: takeover.Takeover,
-        record: records.LeaseRecord,
-        now: float,
-    ) -> None:
-        mode = attempt.mode()
-        if mode is takeover.Mode.PENDING:
-            if now - attempt.suspected_at > _SUSPICION_KEPT_S:
-                del self._takeovers[record.incarnation, record.epoch]
-            elif now - attempt.asked_at >= _ASK_AGAIN_S:
-                attempt.asked_at = now
-                self._ask_seals(attempt, record, now)
-            return
-        if now < attempt.over_at():
-            return
-        attempt.done = True
-        if mode is takeover.Mode.SEALED:
-            self._serve(record, now)
-        # The slots of a retired epoch are served once the table shows them.
-        self._plan_at = now
-
-    def _ask_seals(
-        self,
-        attempt: takeover.Takeover,
-        record: records.LeaseRecord,
-        now: float,
-    ) -> None:
-        for name in attempt.unanswered():
-            message = messages.Seal(name, record.incarnation, record.epoch)
-            if name == self._incarnation:
-                answer = self._seal(message, now)
-                attempt.answered(name, answer, types.Seconds(now))
-            else:
-                self._send(name, message)
-
-    def _serve(self, record: records.LeaseRecord, now: float) -> None:
-        before = len(self._unrecorded)
-        self._changed_at = now
-        for slot, holding in slots.expand(record.runs).items():
-            if holding.successor == self._incarnation:
-                self._unrecorded[slot] = Owned(holding.fence + 1, now)
-                route = routes.Route(self._incarnation, holding.fence + 1)
-                self._routes.learn(record.service, slot, route)
-        self._log(
-            "taken_over",
-            owner=record.incarnation,
-            daemon=record.daemon,
-            epoch=record.epoch,
-            slots=len(self._unrecorded) - before,
-            lease_left=round(self._lease.valid_until() - now, 4),
-        )
-        self._announce_claims(now)
-
-    def _announce_claims(self, now: float) -> None:
-        self._reclaim_at = now + _RECLAIM_S
-        for attempt in self._takeovers.values():
-            if not attempt.done:
-                continue
-            record = attempt.record
-            held = {
-                types.Slot(slot): slots.Holding(self._unrecorded[slot].fence)
-                for slot, holding in slots.expand(record.runs).items()
-                if holding.successor == self._incarnation
-                and slot in self._unrecorded
-            }
-            runs = slots.compress(held)
-            self._broadcast(
-                messages.Claim(record.service, record.incarnation, runs)
-            )
-
-    def _claimed(self, sender: str, message: messages.Claim) -> None:
-        news = sum(
-            self._routes.learn(
-                message.service, slot, routes.Route(sender, run.fence)
-            )
-            for run in message.runs
-            for slot in range(run.first, run.last + 1)
-        )
-        if news:
-            self._log(
-                "routes_claimed", owner=message.owner, by=sender, slots=news
-            )
+        before = len(self._succession.held)
+        if self._succession.progress(now):
+            self._plan_at = now
+        if len(self._succession.held) > before:
+            self._changed_at = now
 
     # Changes of the table.
 
     def _repeat(self, now: float) -> None:
         if self._pending is not None and now >= self._commit_at:
             self._put(self._pending, now)
-        if self._unrecorded and now >= self._reclaim_at:
-            self._announce_claims(now)
+        self._succession.repeat_claims(now)
 
     def _put(self, change: changes.Change, now: float) -> None:
         self._pending = change
         # Set again by `committed`; a lost call must not stop the protocol.
         self._commit_at = now + _PREPARE_LIMIT_S
-        self._effects.append(Commit(change))
+        self._outbox.put(effects.Commit(change))
 
     def _plan(self, now: float) -> None:
         if self._pending is not None:
@@ -758,7 +494,7 @@
             grants=self._lease.current,
             takeovers=self.takeovers,
             unrecorded={
-                slot: held.fence for slot, held in self._unrecorded.items()
+                slot: held.fence for slot, held in self._succession.held.items()
             },
             busy=self._busy,
             rates=self._rates,
@@ -779,9 +515,9 @@
         grants = self._grants(current.epoch + 1, intent.witnesses, now)
         self._lease.prepare(grants)
         for name in current.witnesses:
-            self._send(name, messages.Retire(name, current.epoch))
+            self._outbox.send(name, messages.Retire(name, current.epoch))
         for name in grants.witnesses:
-            self._send(name, self._renewal_of(name, grants.epoch, now))
+            self._outbox.send(name, self._renewal_of(name, grants.epoch, now))
 
     def _prepare(self, now: float) -> None:
         intent = self._intent
@@ -800,7 +536,7 @@
         self._moving = frozenset(move.slot for move in change.moves)
         self._move_budget.spend(len(change.moves))
         for move in change.moves:
-            self._log(
+            self._outbox.log(
                 "move", slot=move.slot, to=move.destination, reason=move.reason
             )
         self._lease.begin_write()
@@ -810,20 +546,4 @@
 
     def _heard_revision(self, revision: int) -> None:
         if revision > self._view.cursor:
-            self._effects.append(Refresh())
-
-    def _send(self, incarnation: str, message: messages.Message) -> None:
-        record = self._view.lease(incarnation)
-        if record is not None:
-            self._post(record.peer_address, message)
-
-    def _post(self, address: str, message: messages.Message) -> None:
-        self._effects.append(Send(self._incarnation, address, message))
-
-    def _broadcast(self, message: messages.Message) -> None:
-        for record in self._view.members():
-            if record.incarnation != self._incarnation:
-                self._post(record.peer_address, message)
-
-    def _log(self, event: str, **fields: object) -> None:
-        self._effects.append(Decision(event, fields))
+            self._outbox.put(effects.Refresh())
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -1,14 +1,12 @@
 """Decides which change of the table a daemon makes next, if any."""
 
-from __future__ import annotations
-
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from tamarackgap import (
     changes,
+    effects,
     lease,
     placement,
     records,
@@ -17,9 +15,6 @@
     types,
 )
 
-if TYPE_CHECKING:
-    from tamarackgap import ownership
-
 PLAN_EVERY_S = 0.1
 _SILENT_LEASES = 2.0
 
@@ -48,7 +43,7 @@
     """
 
     view: records.View
-    settings: ownership.Settings
+    settings: effects.Settings
     incarnation: str
     accepting: bool
     checks_grants: bool
--- a/tamarackgap/tableclient.py
+++ b/tamarackgap/tableclient.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns import result
 
-from tamarackgap import httpclient, ownership, records
+from tamarackgap import effects, httpclient, records
 
 _LARGEST_BYTES = 256 * 1024 * 1024
 _CONFLICT = 409
@@ -37,7 +37,7 @@
 
 
 ReadDone = Callable[[result.Result[Changes, str]], None]
-CommitDone = Callable[[ownership.CommitState, list[records.Row]], None]
+CommitDone = Callable[[effects.CommitState, list[records.Row]], None]
 
 
 class TableClient:
@@ -86,7 +86,7 @@
                 case result.Success(Outcome(committed=committed, rows=rows)):
                     done(_state(committed), rows)
                 case _:
-                    done(ownership.CommitState.UNKNOWN, [])
+                    done(effects.CommitState.UNKNOWN, [])
 
         body = msgspec.json.encode(transaction)
         self._http.send(self._request("POST", "/transactions", body), answered)
@@ -105,10 +105,10 @@
         )
 
 
-def _state(committed: bool) -> ownership.CommitState:
+def _state(committed: bool) -> effects.CommitState:
     if committed:
-        return ownership.CommitState.COMMITTED
-    return ownership.CommitState.CONFLICT
+        return effects.CommitState.COMMITTED
+    return effects.CommitState.CONFLICT
 
 
 def _cause(failure: httpclient.Failure) -> str:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -9,7 +9,7 @@
 import random
 
 from standins import table as table_lib
-from tamarackgap import messages, ownership
+from tamarackgap import effects, messages, ownership
 
 STEP_S = 0.005
 
@@ -66,7 +66,7 @@
 
     def add(self, name, data_centre, service="seats", port=None):
         port = port or next(self._ports)
-        settings = ownership.Settings(
+        settings = effects.Settings(
             service=service,
             daemon=name,
             data_centre=data_centre,
@@ -156,9 +156,7 @@
 
     def _carry_out(self, node, effect):
         match effect:
-            case ownership.Send(
-                sender=sender, address=address, message=message
-            ):
+            case effects.Send(sender=sender, address=address, message=message):
                 settings = node.core.settings
                 self._send(
                     node,
@@ -172,11 +170,11 @@
                         )
                     ),
                 )
-            case ownership.Commit(change=change):
+            case effects.Commit(change=change):
                 self._commit(node, change.transaction)
-            case ownership.Decision(event=event, fields=fields):
+            case effects.Decision(event=event, fields=fields):
                 self.log.append((event, {"at": node.name, **fields}))
-            case ownership.Refresh():
+            case effects.Refresh():
                 node.read_at = self.now
 
     def _send(self, node, address, frame):
@@ -201,17 +199,17 @@
 
         def arrive():
             if not self.table_up:
-                unknown = ownership.CommitState.UNKNOWN
+                unknown = effects.CommitState.UNKNOWN
                 self.later(0.05, lambda: answer(unknown, []))
                 return
             committed, rows = self.table.commit(transaction)
             state = (
-                ownership.CommitState.COMMITTED
+                effects.CommitState.COMMITTED
                 if committed
-                else ownership.CommitState.CONFLICT
+                else effects.CommitState.CONFLICT
             )
             if self.rng.random() < self.lose_answers:
-                state, rows = ownership.CommitState.UNKNOWN, []
+                state, rows = effects.CommitState.UNKNOWN, []
             self.later(self.table_delay, lambda: answer(state, rows))
 
         self.later(self.table_delay, arrive)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackgap import messages, ownership, records, types
+from tamarackgap import effects, messages, records, types
 from tests.support import world
 
 # The users' bound: a key is served again within a second of a loss.
@@ -219,7 +219,7 @@
     clock = node.clock(found.now) + 5.0
     core.tick(clock)
     core.tick(clock + 2.0)
-    sends = [e for e in core.take_effects() if isinstance(e, ownership.Send)]
+    sends = [e for e in core.take_effects() if isinstance(e, effects.Send)]
     assert core.incarnation != old
     assert sends
     assert {send.sender for send in sends} == {old}
