An owner that does not hear its witnesses only probes them

Cause: a daemon cut in one direction, so that it sends but hears nothing, lost its lease while its renewals kept its witnesses' grants fresh: nobody suspected it, and its slots were served by nobody for good. Ruled out: stopping renewals altogether, since such an owner could not come back by itself once the cut heals. Change: without answers of a majority for 1.9 renewals it sends probes, which grant nothing; an answer to a probe makes it renew at once.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -56,7 +56,7 @@
         )
         running.start()
         try:
-            if running.ready(90.0) is None:
+            if running.ready(90.0, even=False) is None:
                 raise RuntimeError(f"{size} daemons did not get ready")
             time.sleep(_SETTLE_S)
             rows = [_steady(running, size)]
--- a/tamarackgap/lease.py
+++ b/tamarackgap/lease.py
@@ -99,6 +99,11 @@
             if now - heard > after
         }
 
+    def hears(self, now: types.Seconds, within: types.Seconds) -> bool:
+        """Returns whether a majority has answered `within` the last time."""
+        silent = self.silent(now, within)
+        return len(self._heard) - len(silent) >= self.quorum
+
     def refusing(self) -> set[str]:
         """Returns the witnesses that will renew no more."""
         stopped = (
--- a/tamarackgap/messages.py
+++ b/tamarackgap/messages.py
@@ -17,12 +17,15 @@
         epoch: The owner's epoch.
         sent: Time of sending on the owner's clock, seconds.
         revision: Newest revision of the table that the owner knows of.
+        probe: Whether the owner asks for an answer only, not for a grant:
+            it has not heard from most witnesses lately.
     """
 
     witness: str
     epoch: int
     sent: float
     revision: int
+    probe: bool = False
 
 
 class Granted(msgspec.Struct, tag="granted", frozen=True):
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -24,6 +24,8 @@
 )
 
 _RENEWALS_PER_LEASE = 4
+# Without answers of a majority for so many renewals, an owner only probes.
+_HEARING_INTERVALS = 1.9
 _SUSPECT_SHARE = 0.8
 _COMMIT_AGAIN_S = 0.2
 _PREPARE_LIMIT_S = 2.0
@@ -368,22 +370,36 @@
         self.renewal_lateness = max(self.renewal_lateness, now - self._renew_at)
         self._renew_at = now + self._settings.lease / _RENEWALS_PER_LEASE
         for grants in self._lease.epochs():
+            # Grants that are not heard of would only delay a successor.
+            probe = not self._hears(grants, now)
             for name in grants.witnesses:
-                self._outbox.send(
-                    name, self._renewal_of(name, grants.epoch, now)
-                )
+                renewal = self._renewal_of(name, grants.epoch, now, probe)
+                self._outbox.send(name, renewal)
 
-    def _renewal_of(self, name: str, epoch: int, now: float) -> messages.Renew:
-        return messages.Renew(name, epoch, now, self._view.cursor)
+    def _hears(self, grants: lease.EpochGrants, now: float) -> bool:
+        interval = self._settings.lease / _RENEWALS_PER_LEASE
+        return grants.hears(
+            types.Seconds(now), types.Seconds(interval * _HEARING_INTERVALS)
+        )
+
+    def _renewal_of(
+        self, name: str, epoch: int, now: float, probe: bool = False
+    ) -> messages.Renew:
+        return messages.Renew(name, epoch, now, self._view.cursor, probe)
 
     def _granted(
         self, sender: str, message: messages.Granted, now: float
     ) -> None:
         self._heard_revision(message.revision)
         for grants in self._lease.epochs():
-            if grants.epoch == message.epoch:
-                sent = message.sent if message.granted else None
-                grants.answered(sender, message.state, now, sent)
+            if grants.epoch != message.epoch:
+                continue
+            deaf = not self._hears(grants, now)
+            sent = message.sent if message.granted else None
+            grants.answered(sender, message.state, now, sent)
+            if deaf and self._hears(grants, now):
+                # Its probes are answered again: it renews at once.
+                self._renew_at = now
         stopped = (types.WitnessState.SEALED, types.WitnessState.CLOSED)
         if self._lease.current.has_majority(*stopped):
             self._depose("sealed-by-majority", now)
--- a/tamarackgap/witness.py
+++ b/tamarackgap/witness.py
@@ -68,13 +68,21 @@
         return epochs.setdefault(epoch, Entry())
 
     def renew(
-        self, owner: str, epoch: int, now: types.Seconds
+        self,
+        owner: str,
+        epoch: int,
+        now: types.Seconds,
+        probe: bool = False,
     ) -> types.WitnessState:
-        """Grants, if the returned state is OPEN or RETIRED."""
+        """Grants, if the returned state is OPEN or RETIRED.
+
+        A probe is no renewal: the owner may not hear the answers, and would
+        stay unserved and unsuspected for ever.
+        """
         entry = self.entry(owner, epoch)
         if entry is None:
             return types.WitnessState.SUPERSEDED
-        if entry.state not in _STOPPED:
+        if entry.state not in _STOPPED and not probe:
             entry.granted_at = now
         return entry.state
 
--- a/tamarackgap/witnessing.py
+++ b/tamarackgap/witnessing.py
@@ -34,12 +34,14 @@
         self, owner: str, message: messages.Renew, now: float
     ) -> messages.Granted:
         """Returns the answer to a renewal."""
-        state = self._witness.renew(owner, message.epoch, types.Seconds(now))
+        state = self._witness.renew(
+            owner, message.epoch, types.Seconds(now), message.probe
+        )
         return messages.Granted(
             owner,
             message.epoch,
             message.sent,
-            state in _GRANTING,
+            state in _GRANTING and not message.probe,
             state,
             self._view.cursor,
         )
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -70,3 +70,11 @@
     subject.forget_suspicion(found)
     assert subject.suspicions(11.0) == []
     assert subject.renew("o", 1, 12.0) is STATE.CLOSED
+
+
+def test_a_probe_renews_nothing():
+    subject = make()
+    subject.renew("o", 1, 10.0)
+    assert subject.renew("o", 1, 10.4, probe=True) is STATE.OPEN
+    assert subject.entry("o", 1).granted_at == 10.0
+    assert subject.seal("o", 1, 10.5)[0] is STATE.SEALED
