--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,12 +2,13 @@
 
 import click
 
-from bench import baselines, datapath, policy, recovery, slopes
+from bench import baselines, datapath, moves, policy, recovery, slopes
 
 _PARTS = {
     "recovery": recovery.run,
     "baselines": baselines.run,
     "datapath": datapath.run,
+    "moves": moves.run,
     "policy": policy.run,
     "slopes": slopes.run,
 }
--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -145,4 +145,7 @@
             _TARGET_A_DAEMON / row["requests_a_core_s"], 1
         )
     rows[-1]["worst_renewal_late_ms"] = round(_lateness(owner) * 1000, 1)
+    for row in rows:
+        row["takeovers"] = ""
+    rows[-1]["takeovers"] = len(running.log_lines("taken_over"))
     return rows
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -56,6 +56,7 @@
     refused: int = 0
     doubled: int = 0
     moved_keys: int = 0
+    moved_at_event: int = 0
     unserved_s: float = 0.0
     crashed: int = 0
 
@@ -83,6 +84,7 @@
         self._lost_at: dict[str, float] = {}
         self._tried: dict[int, int] = {}
         self._convicted = False
+        self._moved_before = 0
 
     def run(self) -> Tally:
         """Runs all seconds."""
@@ -91,6 +93,9 @@
             self._event(now)
             self._restore(now)
             self.policy.step(self.servers, float(now))
+            if now == _EVENT_AT + 4:
+                moved = getattr(self.policy, "moved", 0)
+                self.tally.moved_at_event = moved - self._moved_before
             self.tally.per_second.append({})
             requests = traffic.second(self.rng, self.keys, now, _RATE, number)
             number += len(requests)
@@ -103,6 +108,7 @@
     def _event(self, now: int) -> None:
         event = self.scenario.event
         if now == _EVENT_AT:
+            self._moved_before = getattr(self.policy, "moved", 0)
             if "flash" in event:
                 self.keys.flash("k7", 0.12)
             if event == "shift":
@@ -210,6 +216,7 @@
         ),
         "keys_moved": tally.moved_keys,
         "slots_moved": getattr(running.policy, "moved", ""),
+        "in_4_s": tally.moved_at_event or "",
         "unserved_key_s": round(tally.unserved_s, 1),
         "p99_ms": round(table.percentile(tally.latencies, 0.99) * 1000, 1),
         "refused": tally.refused,
--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -1,6 +1,7 @@
 """One daemon: the parts, put together on one loop and one thread."""
 
 import functools
+import gc
 import random
 import signal
 import time
@@ -32,7 +33,7 @@
 )
 from tamarackgap import owner as owner_lib
 
-_TICK_S = 0.02
+_TICK_S = 0.04
 _GAUGES_S = 0.5
 _RESIZE_S = 0.1
 _LOAD_S = 1.0
@@ -405,4 +406,8 @@
         OSError: If an address can't be bound.
     """
     logs.start(settings.daemon_log, settings.daemon_name)
-    Daemon(settings).run()
+    daemon = Daemon(settings)
+    # What exists by now stays: collections need not look at it again.
+    gc.collect()
+    gc.freeze()
+    daemon.run()
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -35,7 +35,7 @@
 # Requests a second below which there is nothing to measure.
 _IDLE_RATE = 5.0
 # Loads go to a sample, so that their number does not grow with the square.
-_LOAD_FANOUT = 16
+_LOAD_FANOUT = 8
 
 
 class Ownership:
