--- a/tamarackgap/loads.py
+++ b/tamarackgap/loads.py
@@ -1,5 +1,15 @@
 """What other members serve, and how much may be moved because of it."""
 
+import random
+
+from tamarackgap import effects, messages, records
+
+# Loads go to a sample, so that their number does not grow with the square.
+_FANOUT = 8
+# After a change of slots, load is measured anew for this long.
+_UNSETTLED_S = 5.0
+# Requests a second below which there is nothing to measure.
+_IDLE_RATE = 5.0
 # A load that is older than this counts as unknown.
 _FRESH_S = 6.0
 _MINUTE_S = 60.0
@@ -59,3 +69,61 @@
         gained = (now - self._at) * self._a_minute / _MINUTE_S
         self._tokens = min(float(self._a_minute), self._tokens + gained)
         self._at = now
+
+
+class Sharing:
+    """Tells other members of this daemon's load, and learns of theirs."""
+
+    def __init__(
+        self,
+        settings: effects.Settings,
+        view: records.View,
+        outbox: effects.Outbox,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Creates a daemon that has served nothing.
+
+        Args:
+            settings: What the daemon is told about itself.
+            view: The rows of the table known here.
+            outbox: Takes messages.
+            rng: Chooses whom to tell.
+            now: Monotonic time, seconds.
+        """
+        self._settings = settings
+        self._view = view
+        self._outbox = outbox
+        self._rng = rng
+        self.known = Loads()
+        self.budget = MoveBudget(records.Policy().moves, now)
+        # Requests a second of each slot served here.
+        self.rates: dict[int, float] = {}
+
+    def share(
+        self, rates: dict[int, float], now: float, changed_at: float
+    ) -> None:
+        """Notes the slots' rates, and tells a sample of the others.
+
+        Args:
+            rates: Requests a second of each slot.
+            now: Monotonic time, seconds.
+            changed_at: When slots came or went last, seconds.
+        """
+        self.rates = rates
+        total: float | None = sum(rates.values())
+        if now - changed_at < _UNSETTLED_S and total >= _IDLE_RATE:
+            # What came lately is not measured well enough to move more.
+            total = None
+        own = self._outbox.incarnation
+        self.known.note(own, total, now)
+        service = self._settings.service
+        policy = self._view.policy(service, self._settings.data_centre)
+        self.budget.resize(policy.moves, now)
+        others = [
+            record
+            for record in self._view.members(service)
+            if record.incarnation != own
+        ]
+        for record in self._rng.sample(others, min(_FANOUT, len(others))):
+            self._outbox.post(record.peer_address, messages.Load(total))
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -15,6 +15,7 @@
     messages,
     planner,
     records,
+    renewal,
     routes,
     slots,
     succession,
@@ -23,19 +24,10 @@
     witnessing,
 )
 
-_RENEWALS_PER_LEASE = 4
-# Without answers of a majority for so many renewals, an owner only probes.
-_HEARING_INTERVALS = 1.9
 _SUSPECT_SHARE = 0.8
 _COMMIT_AGAIN_S = 0.2
 _PREPARE_LIMIT_S = 2.0
 _LAPSED_LIMIT_S = 1.0
-# After a change of slots, load is measured anew for this long.
-_UNSETTLED_S = 5.0
-# Requests a second below which there is nothing to measure.
-_IDLE_RATE = 5.0
-# Loads go to a sample, so that their number does not grow with the square.
-_LOAD_FANOUT = 8
 
 
 class Ownership:
@@ -68,8 +60,9 @@
         self._table_ok = False
         # Rises whenever other slots are owned than before.
         self.slots_version = 0
-        # Largest delay of a renewal so far, seconds.
-        self.renewal_lateness = 0.0
+        self._renewal = renewal.Renewal(
+            settings.lease, self._view, self._outbox, now
+        )
         self._begin(now)
 
     def _begin(self, now: float) -> None:
@@ -91,18 +84,21 @@
             self._outbox,
             self._witnessing.seal,
         )
-        self._lease = lease.Lease(self._grants(0, (), now))
+        late = self._renewal.lateness
+        self._renewal = renewal.Renewal(
+            self._settings.lease, self._view, self._outbox, now
+        )
+        self._renewal.lateness = late
         self._owned: dict[int, effects.Owned] = {}
         self._moving: frozenset[int] = frozenset()
         self._pending: changes.Change | None = None
         self._commit_at = 0.0
         self._intent: planner.Intent | None = None
         self._prepare_until = 0.0
-        self._renew_at = now
-        self._rates: dict[int, float] = {}
         self._changed_at = now
-        self._loads = loads.Loads()
-        self._move_budget = loads.MoveBudget(records.Policy().moves, now)
+        self._sharing = loads.Sharing(
+            self._settings, self._view, self._outbox, self._rng, now
+        )
         self._plan_at = now
 
     @property
@@ -128,7 +124,12 @@
     @property
     def epoch(self) -> int:
         """The lease's epoch."""
-        return self._lease.current.epoch
+        return self._renewal.own_lease.current.epoch
+
+    @property
+    def renewal_lateness(self) -> float:
+        """Largest delay of a renewal so far, seconds."""
+        return self._renewal.lateness
 
     @property
     def joined(self) -> bool:
@@ -172,11 +173,11 @@
 
     def lease_until(self) -> float:
         """Returns the end of the lease on this daemon's clock, seconds."""
-        return self._lease.valid_until()
+        return self._renewal.own_lease.valid_until()
 
     def grants(self) -> lease.EpochGrants:
         """Returns the grants of the current epoch."""
-        return self._lease.current
+        return self._renewal.own_lease.current
 
     def find(self, slot: int) -> effects.Owned | None:
         """Returns a slot's holding here, or None."""
@@ -186,7 +187,7 @@
         """Returns why a slot can't be served now, or None if it can."""
         if self.find(slot) is None:
             return types.Reason.WRONG_OWNER
-        if now >= self._lease.valid_until():
+        if now >= self._renewal.own_lease.valid_until():
             return types.Reason.LEASE_EXPIRED
         if slot in self._moving:
             return types.Reason.SLOT_MOVING
@@ -223,22 +224,7 @@
             rates: Requests a second of each slot.
             now: Monotonic time, seconds.
         """
-        self._rates = rates
-        total: float | None = sum(rates.values())
-        if now - self._changed_at < _UNSETTLED_S and total >= _IDLE_RATE:
-            # What came lately is not measured well enough to move more.
-            total = None
-        self._loads.note(self._incarnation, total, now)
-        policy = self._view.policy(
-            self._settings.service, self._settings.data_centre
-        )
-        self._move_budget.resize(policy.moves, now)
-        members = self._view.members(self._settings.service)
-        others = [m for m in members if m.incarnation != self._incarnation]
-        if len(others) > _LOAD_FANOUT:
-            others = self._rng.sample(others, _LOAD_FANOUT)
-        for record in others:
-            self._outbox.post(record.peer_address, messages.Load(total))
+        self._sharing.share(rates, now, self._changed_at)
 
     def drain(self) -> None:
         """Begins to give all slots away."""
@@ -249,7 +235,7 @@
 
         The successors need not wait then. Nothing may be in progress.
         """
-        for name in self._lease.current.witnesses:
+        for name in self._renewal.own_lease.current.witnesses:
             self._outbox.send(name, messages.Release(name, self.epoch))
         self._outbox.log("released", slots=len(self.owned))
         self._begin(now)
@@ -306,7 +292,7 @@
         if state is effects.CommitState.COMMITTED:
             self._outbox.broadcast(messages.Rows(tuple(rows)))
         if change.kind is changes.Kind.RECONFIGURE:
-            self._lease.abandon()
+            self._renewal.own_lease.abandon()
             self._intent = None
         self._moving = frozenset()
 
@@ -330,9 +316,7 @@
             case messages.Retire(witness=name) if name == self._incarnation:
                 answer = self._witnessing.retire(sender, message)
             case messages.Retired(owner=name) if name == self._incarnation:
-                for grants in self._lease.epochs():
-                    if grants.epoch == message.epoch:
-                        grants.answered(sender, message.state, now)
+                self._renewal.retired(sender, message, now)
             case messages.Release(witness=name) if name == self._incarnation:
                 self._witnessing.release(sender, message)
             case messages.Rows():
@@ -340,14 +324,14 @@
             case messages.Claim():
                 self._succession.claimed(sender, message)
             case messages.Load(rate=rate):
-                self._loads.note(sender, rate, now)
+                self._sharing.known.note(sender, rate, now)
         if answer is not None:
             self._outbox.post(envelope.address, answer)
         self._progress(now)
 
     def tick(self, now: float) -> None:
         """Does all that is due; to be called every few milliseconds."""
-        self._renew(now)
+        self._renewal.renew(now)
         self._check_lapse(now)
         for record in self._witnessing.silent_owners(now):
             self._suspect(record.incarnation, record.epoch, now)
@@ -357,56 +341,12 @@
 
     # The owner's side.
 
-    def _grants(
-        self, epoch: int, witnesses: tuple[str, ...], now: float
-    ) -> lease.EpochGrants:
-        return lease.EpochGrants(
-            types.Epoch(epoch),
-            witnesses,
-            types.Seconds(self._settings.lease),
-            types.Seconds(now),
-        )
-
-    def _renew(self, now: float) -> None:
-        if now < self._renew_at:
-            return
-        if self.epoch:
-            late = now - self._renew_at
-            self.renewal_lateness = max(self.renewal_lateness, late)
-        self._renew_at = now + self._settings.lease / _RENEWALS_PER_LEASE
-        for grants in self._lease.epochs():
-            # Grants that are not heard of would only delay a successor.
-            probe = not self._hears(grants, now)
-            for name in grants.witnesses:
-                renewal = self._renewal_of(name, grants.epoch, now, probe)
-                self._outbox.send(name, renewal)
-
-    def _hears(self, grants: lease.EpochGrants, now: float) -> bool:
-        interval = self._settings.lease / _RENEWALS_PER_LEASE
-        return grants.hears(
-            types.Seconds(now), types.Seconds(interval * _HEARING_INTERVALS)
-        )
-
-    def _renewal_of(
-        self, name: str, epoch: int, now: float, probe: bool = False
-    ) -> messages.Renew:
-        return messages.Renew(name, epoch, now, self._view.cursor, probe)
-
     def _granted(
         self, sender: str, message: messages.Granted, now: float
     ) -> None:
         self._heard_revision(message.revision)
-        for grants in self._lease.epochs():
-            if grants.epoch != message.epoch:
-                continue
-            deaf = not self._hears(grants, now)
-            sent = message.sent if message.granted else None
-            grants.answered(sender, message.state, now, sent)
-            if deaf and self._hears(grants, now):
-                # Its probes are answered again: it renews at once.
-                self._renew_at = now
-        stopped = (types.WitnessState.SEALED, types.WitnessState.CLOSED)
-        if self._lease.current.has_majority(*stopped):
+        self._renewal.granted(sender, message, now)
+        if self._renewal.is_ended():
             self._depose("sealed-by-majority", now)
 
     def _check_lapse(self, now: float) -> None:
@@ -416,7 +356,7 @@
         incarnation at this address vouches that the old one is over. While
         the table is down the old epoch is kept: it may still come back.
         """
-        if now < self._lease.valid_until() or not self._table_ok:
+        if now < self._renewal.own_lease.valid_until() or not self._table_ok:
             self._lapsed_at = now
         elif now - self._lapsed_at > _LAPSED_LIMIT_S and self.epoch:
             self._depose("lapsed", now)
@@ -433,9 +373,9 @@
             self._depose("left" if left else "record-closed", now)
             return
         self._joined = True
-        prepared = self._lease.next
+        prepared = self._renewal.own_lease.next
         if prepared is not None and record.epoch == prepared.epoch:
-            self._lease.promote()
+            self._renewal.own_lease.promote()
         held = {
             slot: self._kept(slot, holding.fence, now)
             for slot, holding in slots.expand(record.runs).items()
@@ -513,16 +453,16 @@
             checks_grants=self._checks_grants,
             draining=self._draining,
             table_ok=self._table_ok,
-            lease_valid=now < self._lease.valid_until(),
-            grants=self._lease.current,
+            lease_valid=now < self._renewal.own_lease.valid_until(),
+            grants=self._renewal.own_lease.current,
             takeovers=self.takeovers,
             unrecorded={
                 slot: held.fence for slot, held in self._succession.held.items()
             },
             busy=self._busy,
-            rates=self._rates,
-            loads=self._loads.fresh(now),
-            most_moves=int(self._move_budget.tokens(now)),
+            rates=self._sharing.rates,
+            loads=self._sharing.known.fresh(now),
+            most_moves=int(self._sharing.budget.tokens(now)),
             age=now - self._started,
             now=now,
         )
@@ -534,35 +474,29 @@
         """Collects retirements and new grants before the epoch changes."""
         self._intent = intent
         self._prepare_until = now + _PREPARE_LIMIT_S
-        current = self._lease.current
-        grants = self._grants(current.epoch + 1, intent.witnesses, now)
-        self._lease.prepare(grants)
-        for name in current.witnesses:
-            self._outbox.send(name, messages.Retire(name, current.epoch))
-        for name in grants.witnesses:
-            self._outbox.send(name, self._renewal_of(name, grants.epoch, now))
+        self._renewal.prepare(intent.witnesses, now)
 
     def _prepare(self, now: float) -> None:
         intent = self._intent
-        if not self._lease.is_prepared(now):
+        if not self._renewal.own_lease.is_prepared(now):
             if now >= self._prepare_until:
-                self._lease.abandon()
+                self._renewal.own_lease.abandon()
                 self._intent = None
             return
         change = planner.reconfiguration(
             intent, self._situation(now), self._change_id()
         )
         if change is None:
-            self._lease.abandon()
+            self._renewal.own_lease.abandon()
             self._intent = None
             return
         self._moving = frozenset(move.slot for move in change.moves)
-        self._move_budget.spend(len(change.moves))
+        self._sharing.budget.spend(len(change.moves))
         for move in change.moves:
             self._outbox.log(
                 "move", slot=move.slot, to=move.destination, reason=move.reason
             )
-        self._lease.begin_write()
+        self._renewal.own_lease.begin_write()
         self._put(change.change, now)
 
     # Helpers.
--- a/tamarackgap/web.py
+++ b/tamarackgap/web.py
@@ -1,7 +1,5 @@
 """HTTP towards callers, operators and the target, by circuits.web."""
 
-import time
-import urllib.parse
 from collections.abc import Callable
 
 import circuits
@@ -12,6 +10,7 @@
 from returns import result
 
 from tamarackgap import (
+    callers,
     config,
     entry,
     logs,
@@ -21,7 +20,6 @@
     verdicts,
 )
 
-_CALLER_PREFIX = "/v1/"
 _HEAD_BYTES = 65_536
 _TLS_HANDSHAKE = b"\x16\x03"
 _TRACE_CHARACTERS = 2000
@@ -38,118 +36,10 @@
 _NO_ANSWER = 504
 
 
-class Problem(msgspec.Struct, frozen=True):
-    """What a refused caller is told.
-
-    Attributes:
-        verdict: Whether the operation may have run.
-        reason: Why it was refused.
-        request: The request's id.
-        detail: What was wrong with it, for a person.
-    """
-
-    verdict: str
-    reason: str
-    request: str
-    detail: str = ""
-
-
 # Returns a page's JSON text for a query; raises KeyError for a bad query.
 Page = Callable[[dict[str, str]], bytes]
 
 
-def parse(
-    request: wrappers.Request, body: bytes, settings: config.Config
-) -> result.Result[entry.Request, Problem]:
-    """Returns the caller's request, or what is wrong with it."""
-    now_ms = int(time.time() * 1000)
-    headers = request.headers
-    request_id = headers.get("X-Request-Id") or entry.new_request_id(now_ms)
-
-    def bad(
-        detail: str, reason: types.Reason = types.Reason.BAD_REQUEST
-    ) -> result.Result[entry.Request, Problem]:
-        verdict = types.Verdict.NOT_RUN.value
-        return result.Failure(
-            Problem(verdict, reason.value, request_id, detail)
-        )
-
-    if len(request_id) > 128 or not request_id.isprintable():
-        request_id = "?"
-        return bad("X-Request-Id: expected at most 128 printable characters")
-    service, _, rest = request.path[len(_CALLER_PREFIX) :].partition("/")
-    query = _query(request.qs or "")
-    if query is None:
-        return bad("key: expected UTF-8")
-    key = query.pop("key", "")
-    size = len(key.encode("utf-8"))
-    if not 0 < size <= settings.requests_key:
-        return bad(f"key: expected 1 to {settings.requests_key} bytes")
-    timeout_ms = _integer(
-        headers.get("X-Deadline-Ms"), settings.requests_deadline
-    )
-    if timeout_ms is None or timeout_ms > 600_000:
-        return bad("X-Deadline-Ms: expected a whole number up to 600000")
-    if timeout_ms <= 0:
-        return bad("X-Deadline-Ms: passed", types.Reason.DEADLINE_PASSED)
-    # An id that a caller chose may have been sent before.
-    attempt = _integer(
-        headers.get("X-Attempt"), 2 if headers.get("X-Request-Id") else 1
-    )
-    first_sent_ms = _integer(
-        headers.get("X-First-Sent-Ms"), _sent_ms(request_id, now_ms, attempt)
-    )
-    if attempt is None or attempt < 1 or first_sent_ms is None:
-        return bad("X-Attempt, X-First-Sent-Ms: expected whole numbers")
-    safe = "true" if request.method in ("GET", "HEAD") else "false"
-    idempotent = headers.get("X-Idempotent", safe).lower()
-    if idempotent not in ("true", "false"):
-        return bad("X-Idempotent: expected true or false")
-    left = urllib.parse.urlencode(query)
-    return result.Success(
-        entry.Request(
-            request=request_id,
-            service=service,
-            key=key,
-            method=request.method,
-            path="/" + rest + ("?" + left if left else ""),
-            body=body,
-            timeout=timeout_ms / 1000,
-            idempotent=idempotent == "true",
-            attempt=attempt,
-            first_sent_ms=first_sent_ms,
-            urgent=headers.get("X-Urgency", "").lower() != "report",
-        )
-    )
-
-
-def _query(text: str) -> dict[str, str] | None:
-    try:
-        pairs = urllib.parse.parse_qsl(
-            text, keep_blank_values=True, errors="strict"
-        )
-    except ValueError:
-        return None
-    return dict(pairs)
-
-
-def _integer(text: str | None, default: int | None) -> int | None:
-    if text is None:
-        return default
-    try:
-        return int(text)
-    except ValueError:
-        return None
-
-
-def _sent_ms(request_id: str, now_ms: int, attempt: int | None) -> int:
-    """Returns the time that an id carries; unknown counts as long ago."""
-    head = request_id.partition("-")[0]
-    if head.isdecimal() and len(head) < 16:
-        return int(head)
-    return now_ms if attempt == 1 else 0
-
-
 class _Part(msgspec.Struct):
     """A request of which not all has come in."""
 
@@ -267,7 +157,7 @@
         self._forget_part(request.sock)
         body = request.body.read()
         path = request.path
-        if path.startswith(_CALLER_PREFIX):
+        if path.startswith(callers.PREFIX):
             self._serve(request, response, body)
         elif path == "/announce" and request.method == "POST":
             self._announce(response, body)
@@ -281,20 +171,24 @@
             self._page(request, response)
         else:
             self._refuse(
-                response, 404, Problem("not-run", "unknown-path", "", path)
+                response,
+                404,
+                callers.Problem("not-run", "unknown-path", "", path),
             )
         return True
 
     def _page(
         self, request: wrappers.Request, response: wrappers.Response
     ) -> None:
-        query = _query(request.qs or "") or {}
+        query = callers.query_of(request.qs or "") or {}
         try:
             text = self._pages[request.path](query)
         except (KeyError, ValueError) as error:
             detail = f"query: {error}"
             self._refuse(
-                response, 400, Problem("not-run", "bad-request", "", detail)
+                response,
+                400,
+                callers.Problem("not-run", "bad-request", "", detail),
             )
             return
         self._respond(response, 200, "application/json", text)
@@ -309,7 +203,9 @@
         if wrong is not None:
             logs.event("announcement_refused", problem=wrong)
             self._refuse(
-                response, 400, Problem("not-run", "bad-request", "", wrong)
+                response,
+                400,
+                callers.Problem("not-run", "bad-request", "", wrong),
             )
             return
         self._respond(response, 200, "application/json", b"{}")
@@ -326,8 +222,8 @@
         if self.draining:
             self._refuse_reason(response, types.Reason.DRAINING)
             return
-        match parse(request, body, self._settings):
-            case result.Failure(Problem() as problem):
+        match callers.parse(request, body, self._settings):
+            case result.Failure(callers.Problem() as problem):
                 reason = types.Reason(problem.reason)
                 logs.event(
                     "request_refused",
@@ -376,7 +272,7 @@
             case result.Failure(verdicts.Refusal() as refusal):
                 status = _NO_ANSWER if refusal.may_have_run else _UNAVAILABLE
                 status = _STATUS.get(refusal.reason, status)
-                problem = Problem(
+                problem = callers.Problem(
                     refusal.verdict.value,
                     refusal.reason.value,
                     parsed.request,
@@ -389,12 +285,25 @@
         reason: types.Reason,
         request: str = "",
     ) -> None:
-        problem = Problem(types.Verdict.NOT_RUN.value, reason.value, request)
+        problem = callers.Problem(
+            types.Verdict.NOT_RUN.value, reason.value, request
+        )
         logs.event("request_refused", reason=reason.value, request=request)
         self._refuse(response, _STATUS.get(reason, _UNAVAILABLE), problem)
 
+    def _refuse_detail(
+        self,
+        response: wrappers.Response,
+        status: int,
+        reason: str,
+        detail: str,
+    ) -> None:
+        verdict = types.Verdict.NOT_RUN.value
+        problem = callers.Problem(verdict, reason, "", detail)
+        self._refuse(response, status, problem)
+
     def _refuse(
-        self, response: wrappers.Response, status: int, problem: Problem
+        self, response: wrappers.Response, status: int, problem: callers.Problem
     ) -> None:
         response.headers["X-Verdict"] = problem.verdict
         self._respond(
@@ -418,7 +327,7 @@
 
 def _closing(status: str, reason: types.Reason) -> bytes:
     """Returns a whole answer that ends its connection."""
-    problem = Problem(types.Verdict.NOT_RUN.value, reason.value, "")
+    problem = callers.Problem(types.Verdict.NOT_RUN.value, reason.value, "")
     body = msgspec.json.encode(problem)
     head = (
         f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
