Plan only when something has changed, or once a second

Cause: every daemon went over all records and slots five times a second: at 1,800 daemons that alone would be more than a core.

--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -23,6 +23,7 @@
     types,
     witnessing,
 )
+from tamarackgap import situation as situation_lib
 
 _SUSPECT_SHARE = 0.8
 _COMMIT_AGAIN_S = 0.2
@@ -100,6 +101,9 @@
             self._settings, self._view, self._outbox, self._rng, now
         )
         self._plan_at = now
+        # What the last decision rested on, where there was nothing to do.
+        self._idle: situation_lib.Signature | None = None
+        self._idle_until = now
 
     @property
     def incarnation(self) -> types.Incarnation:
@@ -438,14 +442,20 @@
         if now < self._plan_at:
             return
         self._plan_at = now + planner.PLAN_EVERY_S
-        decided = planner.decide(self._situation(now), self._change_id())
+        situation = self._situation(now)
+        signature = situation.signature()
+        if signature == self._idle and now < self._idle_until:
+            return
+        decided = planner.decide(situation, self._change_id())
+        self._idle = signature if decided is None else None
+        self._idle_until = now + planner.IDLE_S
         if isinstance(decided, changes.Change):
             self._put(decided, now)
         elif decided is not None:
             self._intend(decided, now)
 
-    def _situation(self, now: float) -> planner.Situation:
-        return planner.Situation(
+    def _situation(self, now: float) -> situation_lib.Situation:
+        return situation_lib.Situation(
             view=self._view,
             settings=self._settings,
             incarnation=self._incarnation,
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -1,69 +1,19 @@
 """Decides which change of the table a daemon makes next, if any."""
 
-from collections.abc import Callable
-
 import msgspec
 
 from tamarackgap import (
     changes,
-    effects,
-    lease,
     placement,
     records,
     slots,
-    takeover,
     types,
 )
+from tamarackgap import situation as situation_lib
 
 PLAN_EVERY_S = 0.2
-_SILENT_LEASES = 2.0
-
-
-class Situation(msgspec.Struct, frozen=True):
-    """All that a decision rests on.
-
-    Attributes:
-        view: Rows of the table known here.
-        settings: What the daemon is told about itself.
-        incarnation: This process start's id.
-        accepting: Whether the daemon takes more slots.
-        checks_grants: Whether the target stops by itself at a lease's end.
-        draining: Whether it gives its slots away to leave.
-        table_ok: Whether the table answered lately.
-        lease_valid: Whether the lease holds now.
-        grants: Grants of the current epoch.
-        takeovers: Attempts to end other daemons' epochs.
-        unrecorded: Fences of the slots that the table does not show yet.
-        busy: Tells whether requests of a slot are in progress.
-        rates: Requests a second of each slot served here.
-        loads: Requests a second of each member of which it is known.
-        most_moves: Most slots that may be given away now.
-        age: Seconds since the incarnation began.
-        now: Monotonic time, seconds.
-    """
-
-    view: records.View
-    settings: effects.Settings
-    incarnation: str
-    accepting: bool
-    checks_grants: bool
-    draining: bool
-    table_ok: bool
-    lease_valid: bool
-    grants: lease.EpochGrants
-    takeovers: list[takeover.Takeover]
-    unrecorded: dict[int, int]
-    busy: Callable[[int], bool]
-    rates: dict[int, float]
-    loads: dict[str, float]
-    most_moves: int
-    age: float
-    now: float
-
-    @property
-    def mine(self) -> records.LeaseRecord | None:
-        """This incarnation's record."""
-        return self.view.lease(self.incarnation)
+# With nothing new, loads and ages are looked at this often.
+IDLE_S = 1.0
 
 
 class Intent(msgspec.Struct, frozen=True):
@@ -85,7 +35,9 @@
     moves: tuple[placement.Move, ...]
 
 
-def decide(situation: Situation, change: str) -> changes.Change | Intent | None:
+def decide(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | Intent | None:
     """Returns the change that is due, an intent, or None.
 
     Args:
@@ -101,7 +53,9 @@
     return None
 
 
-def _join(situation: Situation, change: str) -> changes.Change | None:
+def _join(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
     if situation.mine is not None or situation.draining:
         return None
     settings = situation.settings
@@ -122,7 +76,9 @@
     return builder.build(changes.Kind.JOIN, "started")
 
 
-def _flag(situation: Situation, change: str) -> changes.Change | None:
+def _flag(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
     mine = situation.mine
     if mine is None:
         return None
@@ -137,7 +93,9 @@
     return builder.build(changes.Kind.FLAG, reason)
 
 
-def _claim(situation: Situation, change: str) -> changes.Change | None:
+def _claim(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
     mine = situation.mine
     if mine is None or not situation.lease_valid:
         return None
@@ -152,7 +110,7 @@
 
 
 def _claimable(
-    situation: Situation, record: records.LeaseRecord
+    situation: situation_lib.Situation, record: records.LeaseRecord
 ) -> dict[int, int] | None:
     """Returns new fences of what may be taken; None leaves it alone."""
     over = any(
@@ -177,7 +135,7 @@
 
 
 def _stranded(
-    situation: Situation,
+    situation: situation_lib.Situation,
     record: records.LeaseRecord,
     holdings: dict[types.Slot, slots.Holding],
 ) -> dict[int, int]:
@@ -205,7 +163,9 @@
     return fences
 
 
-def _vouch(situation: Situation, change: str) -> changes.Change | None:
+def _vouch(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
     """Closes records of earlier incarnations at this daemon's own address.
 
     Only one process can be bound to an address, so the earlier one is gone;
@@ -230,7 +190,9 @@
     return builder.build(changes.Kind.VOUCH, "earlier-incarnation-gone")
 
 
-def _found(situation: Situation, change: str) -> changes.Change | None:
+def _found(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
     mine = situation.mine
     settings = situation.settings
     if (
@@ -244,7 +206,9 @@
     return changes.found(situation.view, mine, settings.slot_count, change)
 
 
-def _leave(situation: Situation, change: str) -> changes.Change | None:
+def _leave(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
     mine = situation.mine
     if (
         mine is None
@@ -259,14 +223,14 @@
     return builder.build(changes.Kind.LEAVE, "drained")
 
 
-def _is_witness(situation: Situation) -> bool:
+def _is_witness(situation: situation_lib.Situation) -> bool:
     return any(
         situation.incarnation in record.witnesses
         for record in situation.view.members()
     )
 
 
-def _intent(situation: Situation, change: str) -> Intent | None:
+def _intent(situation: situation_lib.Situation, change: str) -> Intent | None:
     del change
     mine = situation.mine
     if mine is None or not situation.table_ok:
@@ -283,13 +247,9 @@
 
 
 def _witnesses(
-    situation: Situation, mine: records.LeaseRecord
+    situation: situation_lib.Situation, mine: records.LeaseRecord
 ) -> tuple[str, ...]:
-    grants = situation.grants
-    unresponsive = grants.refusing() | grants.silent(
-        types.Seconds(situation.now),
-        types.Seconds(situation.settings.lease * _SILENT_LEASES),
-    )
+    unresponsive = situation_lib.unresponsive(situation)
     chosen = placement.choose_witnesses(
         mine,
         situation.view.members(),
@@ -300,7 +260,9 @@
     return chosen or mine.witnesses
 
 
-def _successors_stale(situation: Situation, mine: records.LeaseRecord) -> bool:
+def _successors_stale(
+    situation: situation_lib.Situation, mine: records.LeaseRecord
+) -> bool:
     holdings = slots.expand(mine.runs)
     members = situation.view.members(mine.service)
     wanted = placement.choose_successors(mine, holdings, members)
@@ -331,7 +293,7 @@
     ]
 
 
-def _moves(situation: Situation) -> tuple[placement.Move, ...]:
+def _moves(situation: situation_lib.Situation) -> tuple[placement.Move, ...]:
     """Returns the moves that this daemon should make now."""
     view = situation.view
     service = situation.settings.service
@@ -366,7 +328,7 @@
 
 
 def reconfiguration(
-    intent: Intent, situation: Situation, change: str
+    intent: Intent, situation: situation_lib.Situation, change: str
 ) -> Reconfiguration | None:
     """Returns the write that begins the next epoch, or None.
 
--- a/tamarackgap/records.py
+++ b/tamarackgap/records.py
@@ -212,6 +212,12 @@
         self._cursor = types.Revision(0)
         self._leases: dict[str, LeaseRecord] = {}
         self._is_read = False
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Rises with each row that was news."""
+        return self._version
 
     @property
     def is_read(self) -> bool:
@@ -239,6 +245,7 @@
             self._rows[row.key] = (row.revision, value)
             self._index(row.key, value)
             changed.append(row.key)
+        self._version += len(changed)
         return changed
 
     def advance(self, revision: types.Revision) -> None:
--- /dev/null
+++ b/tamarackgap/situation.py
@@ -0,0 +1,100 @@
+"""All that a decision about the table rests on."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackgap import effects, lease, records, takeover, types
+
+_SILENT_LEASES = 2.0
+
+
+class Signature(msgspec.Struct, frozen=True):
+    """The part of a situation that changes seldom.
+
+    Attributes:
+        view: Version of the rows known here.
+        accepting: Whether the daemon takes more slots.
+        lease_valid: Whether the lease holds.
+        table_ok: Whether the table answered lately.
+        done: Number of epochs that were ended here.
+        unrecorded: Number of slots that the table does not show yet.
+        unresponsive: Witnesses that do not answer or renew no more.
+    """
+
+    view: int
+    accepting: bool
+    lease_valid: bool
+    table_ok: bool
+    done: int
+    unrecorded: int
+    unresponsive: frozenset[str]
+
+
+class Situation(msgspec.Struct, frozen=True):
+    """All that a decision rests on.
+
+    Attributes:
+        view: Rows of the table known here.
+        settings: What the daemon is told about itself.
+        incarnation: This process start's id.
+        accepting: Whether the daemon takes more slots.
+        checks_grants: Whether the target stops by itself at a lease's end.
+        draining: Whether it gives its slots away to leave.
+        table_ok: Whether the table answered lately.
+        lease_valid: Whether the lease holds now.
+        grants: Grants of the current epoch.
+        takeovers: Attempts to end other daemons' epochs.
+        unrecorded: Fences of the slots that the table does not show yet.
+        busy: Tells whether requests of a slot are in progress.
+        rates: Requests a second of each slot served here.
+        loads: Requests a second of each member of which it is known.
+        most_moves: Most slots that may be given away now.
+        age: Seconds since the incarnation began.
+        now: Monotonic time, seconds.
+    """
+
+    view: records.View
+    settings: effects.Settings
+    incarnation: str
+    accepting: bool
+    checks_grants: bool
+    draining: bool
+    table_ok: bool
+    lease_valid: bool
+    grants: lease.EpochGrants
+    takeovers: list[takeover.Takeover]
+    unrecorded: dict[int, int]
+    busy: Callable[[int], bool]
+    rates: dict[int, float]
+    loads: dict[str, float]
+    most_moves: int
+    age: float
+    now: float
+
+    def signature(self) -> Signature:
+        """Returns what has to change before another decision is due."""
+        done = sum(attempt.done for attempt in self.takeovers)
+        return Signature(
+            self.view.version,
+            self.accepting,
+            self.lease_valid,
+            self.table_ok,
+            done,
+            len(self.unrecorded),
+            frozenset(unresponsive(self)),
+        )
+
+    @property
+    def mine(self) -> records.LeaseRecord | None:
+        """This incarnation's record."""
+        return self.view.lease(self.incarnation)
+
+
+def unresponsive(situation: Situation) -> set[str]:
+    """Returns the witnesses that do not answer or renew no more."""
+    grants = situation.grants
+    return grants.refusing() | grants.silent(
+        types.Seconds(situation.now),
+        types.Seconds(situation.settings.lease * _SILENT_LEASES),
+    )
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -7,9 +7,10 @@
 
 import pytest
 import zmq
+from click import testing
 
 from demo import cluster
-from tamarackgap import messages
+from tamarackgap import cmdline, messages
 from tests.support import callers, processes
 
 BODY_LIMIT = 20_000
@@ -225,6 +226,23 @@
         assert f"{name}=" in line
 
 
+def test_operators_commands_work_on_running_daemons(running):
+    daemon = ("--daemon", running.places[0].http)
+    table = ("--table", running.table)
+
+    def run(*words):
+        found = testing.CliRunner().invoke(cmdline.cli, list(words))
+        assert found.exit_code == 0, found.output
+        return found.stdout
+
+    assert "seats-0" in run("owners", *daemon)
+    assert "accepting: True" in run("status", *daemon)
+    explained = run("explain", "k1", "--service", "payments", *daemon)
+    assert "owned by payments-" in explained
+    edited = run("table", "set", "payments", "*", "queue=99", *table)
+    assert "in force at 6 of 6 daemons" in edited
+
+
 def test_a_killed_daemons_keys_are_served_and_it_comes_back(running):
     place = callers.owner_of(running, "seats", "k2")
     place.daemon_process.send_signal(signal.SIGKILL)
