--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,15 @@
 
 import click
 
-from bench import baselines, datapath, moves, policy, recovery, slopes
+from bench import (
+    baselines,
+    datapath,
+    moves,
+    policy,
+    recovery,
+    slopes,
+    state,
+)
 
 _PARTS = {
     "recovery": recovery.run,
@@ -11,6 +19,7 @@
     "moves": moves.run,
     "policy": policy.run,
     "slopes": slopes.run,
+    "state": state.run,
 }
 
 
