At most eight successors for a daemon; reads of the table spread out

Polls of 1,800 daemons twice a second are 3,600 reads a second (the table takes about 2,000), and every change made all of them read at once. After: polls keep to 300 a second in all, reads after a change to 600. Nothing changes at today's sizes.

--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -44,6 +44,9 @@
 # With the table silent for this long, slots are given up without it.
 _TABLE_SILENCE_S = 1.0
 _REFRESH_MIN_S = 0.05
+# The table takes about 2,000 reads a second from all daemons together.
+_POLLS_PER_S = 300.0
+_REFRESHES_PER_S = 600.0
 _SUSPECTS_KEPT_S = 600.0
 _SUSPECTS_LIMIT = 10_000
 _MILLIONTHS = 1_000_000
@@ -151,7 +154,7 @@
         ).register(self)
         self._started = clock()
         self._reading = False
-        self._read_again = False
+        self._read_timer = False
         self._read_at = 0.0
         self._table_heard = clock()
         self._leave_by: float | None = None
@@ -178,8 +181,7 @@
         self._timers.every(_RESIZE_S, self._resize)
         self._timers.every(_GAUGES_S, self._set_gauges)
         self._timers.every(_LOAD_S, self._tell_load)
-        self._timers.every(settings.table_poll / 1000, self._read)
-        self._read()
+        self._poll()
 
     # The loop's turns.
 
@@ -234,7 +236,7 @@
                 case effects.Decision(event=event, fields=fields):
                     self._log_decision(event, fields)
                 case effects.Refresh():
-                    self._read()
+                    self._read_soon()
         self._granter.renew()
 
     def _log_decision(self, event: str, fields: dict[str, object]) -> None:
@@ -277,6 +279,28 @@
 
     # The table.
 
+    def _poll(self) -> None:
+        """Reads now, and again at a rate that all daemons together keep."""
+        self._read()
+        fair = len(self._core.view.members()) / _POLLS_PER_S
+        wait = max(self._settings.table_poll / 1000, fair)
+        self._timers.after(wait, self._poll)
+
+    def _read_soon(self) -> None:
+        """Reads once, within a time that grows with the daemons.
+
+        All of them hear of a change at about the same time.
+        """
+        if self._read_timer:
+            return
+        self._read_timer = True
+        spread = len(self._core.view.members()) / _REFRESHES_PER_S
+        self._timers.after(self._rng.uniform(0, spread), self._read_now)
+
+    def _read_now(self) -> None:
+        self._read_timer = False
+        self._read()
+
     def _read(self) -> None:
         now = time.monotonic()
         if self._reading or now - self._read_at < _REFRESH_MIN_S:
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -23,6 +23,9 @@
 _DEVIATIONS = 3.0
 # Numbers of slots are exact: they are evened out closer than load.
 _COUNT_TOLERANCE = 0.02
+# A lost daemon's slots go to so many others: each of them has one write to
+# make, and gets an eighth of the load on top of its own.
+_SUCCESSORS = 8
 # A successor is kept until it has this much more than its fair share: each
 # change costs a new epoch.
 _SUCCESSOR_SLACK = 0.25
@@ -331,7 +334,11 @@
     outside = [
         record for record in others if record.data_centre != owner.data_centre
     ]
-    names = sorted(record.incarnation for record in outside or others)
+    names = sorted(
+        (record.incarnation for record in outside or others),
+        key=lambda name: score(owner.incarnation, name),
+        reverse=True,
+    )[:_SUCCESSORS]
     if not names:
         return {
             slot: slots.Holding(held.fence) for slot, held in holdings.items()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -207,3 +207,17 @@
     _, moved = carry(members, rates, rounds=10)
     _, moved_longer = carry(members, rates, rounds=60)
     assert moved == moved_longer
+
+
+def test_a_lost_daemons_slots_go_to_a_bounded_number_of_others():
+    owner = record("o", "a")
+    rest = [record(f"r{i}", "bc"[i % 2]) for i in range(40)]
+    holdings = {slot: slots.Holding(1) for slot in range(200)}
+    found = placement.choose_successors(owner, holdings, rest)
+    first = {held.successor for held in found.values()}
+    assert len(first) == 8
+    # Losing one of them changes only the slots that it would have had.
+    fewer = [r for r in rest if r.incarnation != min(first)]
+    again = placement.choose_successors(owner, found, fewer)
+    changed = [s for s in found if again[s].successor != found[s].successor]
+    assert {found[s].successor for s in changed} == {min(first)}
