--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -1,10 +1,8 @@
 """Cost of a request: entry and owner, beside a bare handler."""
 
 import http.client
-import pathlib
 import subprocess
 import sys
-import tempfile
 import threading
 import time
 
@@ -95,23 +93,15 @@
 def run(quick: bool) -> None:
     """Measures each path alone, then the entry at its limit."""
     seconds = 2.0 if quick else 8.0
-    with tempfile.TemporaryDirectory() as folder:
-        running = cluster.Cluster(
-            _PLAN, pathlib.Path(folder), _BASE_PORT, work_ms=0.0
-        )
-        bare = subprocess.Popen(
-            [sys.executable, "-m", "bench.bare", _BARE],
-            stdout=subprocess.DEVNULL,
-        )
-        running.start()
-        try:
-            if running.ready(60.0) is None:
-                raise RuntimeError("the deployment did not get ready")
+    bare = subprocess.Popen(
+        [sys.executable, "-m", "bench.bare", _BARE], stdout=subprocess.DEVNULL
+    )
+    try:
+        with cluster.deployed(_PLAN, _BASE_PORT, work_ms=0.0) as running:
             rows = _paths(running, bare.pid, seconds)
-        finally:
-            running.stop()
-            bare.kill()
-            bare.wait()
+    finally:
+        bare.kill()
+        bare.wait()
     table.show("datapath", rows)
 
 
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -1,20 +1,25 @@
 """Starts and stops the processes of one deployment."""
 
+from __future__ import annotations
+
 import contextlib
-import http.client
 import json
 import pathlib
 import signal
 import subprocess
 import sys
+import tempfile
 import time
+from collections.abc import Iterator
 
 import msgspec
 
 from demo import deployments
 from standins import target as target_lib
+from tamarackgap import control
 
 _HOST = "127.0.0.1"
+_READY_S = 90.0
 
 
 class Place(msgspec.Struct):
@@ -50,22 +55,42 @@
     body: object = None,
     timeout: float = 2.0,
 ) -> tuple[int, bytes]:
-    """Returns status and body of one HTTP request to a process here.
+    """Returns status and body of one request, with a JSON body.
 
     Raises:
         OSError: If there is no whole answer.
     """
-    host, _, port = address.rpartition(":")
-    link = http.client.HTTPConnection(host, int(port), timeout=timeout)
-    try:
-        data = json.dumps(body).encode() if body is not None else b""
-        link.request(method, path, data)
-        answer = link.getresponse()
-        return answer.status, answer.read()
-    except http.client.HTTPException as error:
-        raise OSError(repr(error)) from error
-    finally:
-        link.close()
+    data = json.dumps(body).encode() if body is not None else b""
+    return control.ask(address, method, path, data, timeout)
+
+
+@contextlib.contextmanager
+def deployed(
+    plan: deployments.Deployment,
+    base_port: int,
+    even: bool = True,
+    **options: object,
+) -> Iterator[Cluster]:
+    """Runs a deployment in a temporary folder, for a measurement.
+
+    Args:
+        plan: What to start.
+        base_port: First of the ports.
+        even: Whether to wait for an even spread.
+        **options: As for `Cluster`.
+
+    Raises:
+        RuntimeError: If it does not get ready.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        running = Cluster(plan, pathlib.Path(folder), base_port, **options)
+        running.start()
+        try:
+            if running.ready(_READY_S, even) is None:
+                raise RuntimeError(f"{plan.name} did not get ready")
+            yield running
+        finally:
+            running.stop()
 
 
 class Cluster:
