--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -9,7 +9,6 @@
 import circuits
 from circuits.core import pollers
 from circuits.web import servers
-from returns import result
 
 from tamarackgap import (
     config,
@@ -28,6 +27,7 @@
     scheduler,
     suspects,
     tableclient,
+    tablereader,
     target,
     web,
 )
@@ -41,12 +41,6 @@
 _RETRY_BURST = 100.0
 _FIRST_ANNOUNCEMENT_S = 1.0
 _LEAVE_LIMIT_S = 10.0
-# With the table silent for this long, slots are given up without it.
-_TABLE_SILENCE_S = 1.0
-_REFRESH_MIN_S = 0.05
-# The table takes about 2,000 reads a second from all daemons together.
-_POLLS_PER_S = 300.0
-_REFRESHES_PER_S = 600.0
 _SUSPECTS_KEPT_S = 600.0
 _SUSPECTS_LIMIT = 10_000
 _MILLIONTHS = 1_000_000
@@ -112,6 +106,14 @@
         self._table = tableclient.TableClient(
             self._http, settings.table_address, settings.table_timeout / 1000
         )
+        self._reader = tablereader.TableReader(
+            self._table,
+            self._core,
+            self._timers,
+            self._rng,
+            settings.table_poll / 1000,
+            self._was_read,
+        )
         self._granter = granting.Granter(
             self._core, self._target, settings.ownership_lease / 1000, clock
         )
@@ -153,10 +155,6 @@
             self._metrics.render,
         ).register(self)
         self._started = clock()
-        self._reading = False
-        self._read_timer = False
-        self._read_at = 0.0
-        self._table_heard = clock()
         self._leave_by: float | None = None
         self._stopped = False
         self._last_turn = clock()
@@ -181,7 +179,7 @@
         self._timers.every(_RESIZE_S, self._resize)
         self._timers.every(_GAUGES_S, self._set_gauges)
         self._timers.every(_LOAD_S, self._tell_load)
-        self._poll()
+        self._reader.poll()
 
     # The loop's turns.
 
@@ -236,7 +234,7 @@
                 case effects.Decision(event=event, fields=fields):
                     self._log_decision(event, fields)
                 case effects.Refresh():
-                    self._read_soon()
+                    self._reader.read_soon()
         self._granter.renew()
 
     def _log_decision(self, event: str, fields: dict[str, object]) -> None:
@@ -279,52 +277,10 @@
 
     # The table.
 
-    def _poll(self) -> None:
-        """Reads now, and again at a rate that all daemons together keep."""
-        self._read()
-        fair = len(self._core.view.members()) / _POLLS_PER_S
-        wait = max(self._settings.table_poll / 1000, fair)
-        self._timers.after(wait, self._poll)
-
-    def _read_soon(self) -> None:
-        """Reads once, within a time that grows with the daemons.
-
-        All of them hear of a change at about the same time.
-        """
-        if self._read_timer:
-            return
-        self._read_timer = True
-        spread = len(self._core.view.members()) / _REFRESHES_PER_S
-        self._timers.after(self._rng.uniform(0, spread), self._read_now)
-
-    def _read_now(self) -> None:
-        self._read_timer = False
-        self._read()
-
-    def _read(self) -> None:
-        now = time.monotonic()
-        if self._reading or now - self._read_at < _REFRESH_MIN_S:
-            return
-        self._reading = True
-        self._read_at = now
-        self._table.read(self._core.view.cursor, self._was_read)
-
-    def _was_read(
-        self, outcome: result.Result[tableclient.Changes, str]
-    ) -> None:
-        self._reading = False
-        now = time.monotonic()
-        match outcome:
-            case result.Success(tableclient.Changes() as found):
-                self._table_heard = now
-                self._core.read(found.rows, found.revision, now)
-                self._peers.keep(
-                    {record.peer_address for record in self._core.view.leases()}
-                )
-                self._carry_out()
-            case result.Failure(problem):
-                self._core.table_failed()
-                logs.event("table_read_failed", problem=problem)
+    def _was_read(self) -> None:
+        addresses = {record.peer_address for record in self._core.view.leases()}
+        self._peers.keep(addresses)
+        self._carry_out()
 
     def _committed(
         self,
@@ -336,7 +292,7 @@
             return
         now = time.monotonic()
         if state is not effects.CommitState.UNKNOWN:
-            self._table_heard = now
+            self._reader.heard()
         self._core.committed(state, rows, now)
         self._carry_out()
 
@@ -351,9 +307,6 @@
 
     # Leaving.
 
-    def _table_silent(self, now: float) -> bool:
-        return now - self._table_heard > _TABLE_SILENCE_S
-
     def _release_if_useless(self, now: float) -> None:
         """Lets successors serve at once, where this daemon can't.
 
@@ -362,7 +315,7 @@
         if (
             self._core.accepting
             or not self._core.owned
-            or not self._table_silent(now)
+            or not self._reader.is_silent(now)
             or self._owner.in_progress
         ):
             return
