Nothing but the lost slots moves after a loss; a refusal names its cause

The cause before that is kept now, and the test lets the retry budget end the request, not the clock; it asks for the one reason.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -57,6 +57,7 @@
     doubled: int = 0
     moved_keys: int = 0
     moved_at_event: int = 0
+    lost_slots: int = 0
     unserved_s: float = 0.0
     crashed: int = 0
 
@@ -131,6 +132,9 @@
     def _lose(self, name: str, now: float, seconds: float) -> None:
         server = next(s for s in self.servers if s.name == name)
         server.alive = False
+        if now == _EVENT_AT:
+            owners = getattr(self.policy, "owner", {}).values()
+            self.tally.lost_slots += sum(owner == name for owner in owners)
         self._down_until[name] = now + seconds
         self._lost_at[name] = now
 
@@ -217,6 +221,7 @@
         "keys_moved": tally.moved_keys,
         "slots_moved": getattr(running.policy, "moved", ""),
         "in_4_s": tally.moved_at_event or "",
+        "lost_slots": tally.lost_slots or "",
         "unserved_key_s": round(tally.unserved_s, 1),
         "p99_ms": round(table.percentile(tally.latencies, 0.99) * 1000, 1),
         "refused": tally.refused,
--- a/examples/embedded.py
+++ b/examples/embedded.py
@@ -65,6 +65,7 @@
         for member in members.values():
             revision, rows = table.since(member.view.cursor)
             member.read(list[records.Row](rows), revision, now)
+            member.served({}, now)
             member.tick(now)
             carry_out(member, members, table, now)
     for member in members.values():
--- a/tamarackgap/entry.py
+++ b/tamarackgap/entry.py
@@ -256,6 +256,12 @@
         self._refused(flight, verdicts.Refusal(types.Verdict.NOT_RUN, reason))
 
     def _refused(self, flight: Flight, refusal: verdicts.Refusal) -> None:
+        if refusal.reason is types.Reason.DEADLINE_PASSED:
+            # What took up the time says more than that it is up.
+            reason = flight.last.reason if flight.attempts > 1 else None
+            refusal = verdicts.Refusal(
+                refusal.verdict, reason or refusal.reason
+            )
         flight.may_have_run = flight.may_have_run or refusal.may_have_run
         if flight.may_have_run:
             refusal = verdicts.Refusal(
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -169,10 +169,12 @@
 
 
 def _is_idle(members: Sequence[Member]) -> bool:
-    """Returns whether no member with unknown load owns slots."""
-    return all(m.rate is not None or not m.owned for m in members) or all(
-        m.rate is None for m in members
-    )
+    """Returns whether it is known that owners have little to do.
+
+    Where nothing is known of any owner, slots have just changed: then their
+    numbers would be evened out for nothing, and load right after.
+    """
+    return any(m.rate is not None for m in members if m.owned)
 
 
 def _noise(rate: float) -> float:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -31,6 +31,7 @@
         self.inbox = []
         self.reading = False
         self.read_at = 0.0
+        self.told_at = 0.0
         self.core = ownership.Ownership(
             settings,
             random.Random(rng.getrandbits(64)),
@@ -158,6 +159,9 @@
         for frame in node.inbox:
             node.core.receive(messages.decode(frame), clock)
         node.inbox.clear()
+        if self.now >= node.told_at:
+            node.told_at = self.now + 1.0
+            node.core.served({}, clock)
         node.core.tick(clock)
         if not node.reading and self.now >= node.read_at:
             self._read(node)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -128,15 +128,13 @@
         running.places[0],
         "POST",
         "/v1/payments/pay?key=k",
-        X_Deadline_Ms="500",
+        # The retry budget ends it, long before the deadline.
+        X_Deadline_Ms="30000",
         X_Request_Id="shed-1",
         X_Attempt="1",
     )
     assert reply[:2] == (503, "not-run")
-    assert json.loads(reply[2])["reason"] in (
-        "target-refused",
-        "deadline-passed",
-    )
+    assert json.loads(reply[2])["reason"] == "target-refused"
     assert [run for run in running.runs() if run.request == "shed-1"] == []
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,7 @@
 
 
 def member(name, owned, weight=100, place="a"):
-    return placement.Member(name, name, place, weight, tuple(owned))
+    return placement.Member(name, name, place, weight, tuple(owned), 0.0)
 
 
 def record(name, place, **changed):
@@ -221,3 +221,10 @@
     again = placement.choose_successors(owner, found, fewer)
     changed = [s for s in found if again[s].successor != found[s].successor]
     assert {found[s].successor for s in changed} == {min(first)}
+
+
+def test_right_after_a_loss_nothing_else_moves():
+    # With the loads of all owners unknown for the moment, numbers of slots
+    # were evened out: a loss moved 46 slots where 24 were lost.
+    members = [hot("a", range(20), None), hot("b", range(20, 24), None)]
+    assert placement.plan(24, members, dict.fromkeys(range(20), 9.0)) == []
