--- a/tamarackgap/heat.py
+++ b/tamarackgap/heat.py
@@ -77,13 +77,16 @@
 
     def __init__(self, now: float) -> None:
         """Creates an empty sketch."""
+        self._begin(now)
+
+    def _begin(self, now: float) -> None:
         self._sketch = datasketches.frequent_strings_sketch(_SKETCH_LOG2)
         self._begun = now
 
     def count(self, key: str, now: float) -> None:
         """Counts a request; a new sketch begins every minute."""
         if now - self._begun > _SKETCH_KEPT_S:
-            self.__init__(now)
+            self._begin(now)
         self._sketch.update(key)
 
     def hottest(self, most: int) -> list[HotKey]:
--- a/tamarackgap/messages.py
+++ b/tamarackgap/messages.py
@@ -142,12 +142,12 @@
         urgent: False where the request can wait, as reports can.
     """
 
-    owner: str
+    owner: types.Incarnation
     leg: str
-    request: str
-    service: str
-    key: str
-    slot: int
+    request: types.RequestId
+    service: types.ServiceName
+    key: types.Key
+    slot: types.Slot
     method: str
     path: str
     body: bytes
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -135,16 +135,6 @@
         """Largest delay of a renewal so far, seconds."""
         return self._renewal.lateness
 
-    @property
-    def joined(self) -> bool:
-        """Whether the table has this incarnation's record."""
-        return self._joined
-
-    @property
-    def started(self) -> float:
-        """When this incarnation began, seconds."""
-        return self._started
-
     @property
     def accepting(self) -> bool:
         """Whether the daemon takes more slots."""
--- a/tamarackgap/records.py
+++ b/tamarackgap/records.py
@@ -34,13 +34,13 @@
         change: Id of the write that made this row.
     """
 
-    service: str
-    daemon: str
-    incarnation: str
-    data_centre: str
+    service: types.ServiceName
+    daemon: types.DaemonName
+    incarnation: types.Incarnation
+    data_centre: types.DataCentre
     peer_address: str
     http_address: str
-    epoch: int = 0
+    epoch: types.Epoch = types.Epoch(0)
     witnesses: tuple[str, ...] = ()
     runs: tuple[slots.Run, ...] = ()
     lease_ms: int = 600
--- a/tamarackgap/types.py
+++ b/tamarackgap/types.py
@@ -50,7 +50,6 @@
     NO_ANSWER = "no-answer"
     REPEAT_UNKNOWN = "repeat-unknown"
     IN_PROGRESS = "in-progress"
-    RETRY_BUDGET = "retry-budget"
     DRAINING = "draining"
     CRASHES_TARGETS = "crashes-targets"
 
