An answer decides only the write that it answers

Cause, found in reading the whole change: the outcome of a transaction was matched by incarnation at most, so a late answer to an earlier write (put again just as its first copy timed out, or put by an incarnation that ended in the same turn) was taken for the outcome of whatever write was pending. Now the caller names the change and all others are ignored; the checks of the incarnation in daemon and fakes went, since a change's id has it. Not seen to happen; the new test could not be run against the old signature.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -194,12 +194,8 @@
     def _take_over(self, usable: list[Server], now: float) -> None:
         names = [server.name for server in usable if server.weight]
         counts = dict.fromkeys(names, 0)
-        lost = [s for s, o in self.owner.items() if o not in counts]
-        lost = [
-            slot
-            for slot in lost
-            if self.owner[slot] not in {s.name for s in usable}
-        ]
+        alive = {server.name for server in usable}
+        lost = [s for s, o in self.owner.items() if o not in alive]
         for slot in lost:
             heir = min(
                 names, key=lambda name: (counts[name], _hash(slot, name))
--- a/examples/embedded.py
+++ b/examples/embedded.py
@@ -48,7 +48,7 @@
                 state = effects.CommitState.CONFLICT
                 if committed:
                     state = effects.CommitState.COMMITTED
-                member.committed(state, rows, now)
+                member.committed(change.transaction.change, state, rows, now)
             case effects.Decision(event=event, fields=fields):
                 print(f"{now:5.2f} {member.settings.daemon} {event} {fields}")
 
--- a/tamarackgap/daemon.py
+++ b/tamarackgap/daemon.py
@@ -228,7 +228,7 @@
                     self._table.commit(
                         change.transaction,
                         functools.partial(
-                            self._committed, self._core.incarnation
+                            self._committed, change.transaction.change
                         ),
                     )
                 case effects.Decision(event=event, fields=fields):
@@ -284,16 +284,14 @@
 
     def _committed(
         self,
-        incarnation: str,
+        change: str,
         state: effects.CommitState,
         rows: list,
     ) -> None:
-        if incarnation != self._core.incarnation:
-            return
         now = time.monotonic()
         if state is not effects.CommitState.UNKNOWN:
             self._reader.heard()
-        self._core.committed(state, rows, now)
+        self._core.committed(change, state, rows, now)
         self._carry_out()
 
     # The target.
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -257,16 +257,23 @@
         self._table_ok = False
 
     def committed(
-        self, state: effects.CommitState, rows: list[records.Row], now: float
+        self,
+        change_id: str,
+        state: effects.CommitState,
+        rows: list[records.Row],
+        now: float,
     ) -> None:
-        """Takes in what is known of the pending transaction.
+        """Takes in what is known of a transaction.
+
+        Only the pending one is decided by it: a late answer to an earlier
+        one, or to one of an ended incarnation, says nothing of this one.
 
         An unknown outcome stays pending and the same transaction is put
         again, until its checks fail or it lands: only then is it certain
         that no delayed copy can still land.
         """
         change = self._pending
-        if change is None:
+        if change is None or change.transaction.change != change_id:
             return
         if state is effects.CommitState.UNKNOWN:
             self._commit_at = now + _COMMIT_AGAIN_S * (1 + self._rng.random())
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -205,11 +205,10 @@
 
     def _commit(self, node, transaction):
         core = node.core
-        incarnation = core.incarnation
 
         def answer(state, rows):
-            if core.incarnation == incarnation:
-                core.committed(state, rows, node.clock(self.now))
+            clock = node.clock(self.now)
+            core.committed(transaction.change, state, rows, clock)
 
         def arrive():
             if not self.table_up:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -277,6 +277,20 @@
     assert node.core.lease_until() == until
 
 
+def test_a_late_answer_to_another_write_decides_nothing():
+    # It was taken for the outcome of whatever write was pending by then,
+    # and a write that may still land was given up.
+    found = settled()
+    found.table_up = False
+    node = found.nodes["seats-0"]
+    node.core.accept(False)
+    assert found.run(3, lambda: node.core.pending is not None) is not None
+    pending = node.core.pending
+    conflict = effects.CommitState.CONFLICT
+    node.core.committed("earlier", conflict, [], node.clock(found.now))
+    assert node.core.pending is pending
+
+
 CUTS = {"cut": (True, True), "mute": (True, False), "deaf": (False, True)}
 FAULTS = ("kill", "restart", "pause", "table", "busy", *CUTS)
 
