--- a/tamarackgap/changes.py
+++ b/tamarackgap/changes.py
@@ -1,7 +1,7 @@
 """Pure functions that build the transactions of the ownership protocol."""
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -117,10 +117,23 @@
     mine: records.LeaseRecord,
     slot_count: int,
     change: str,
+    share: bool = False,
 ) -> Change:
-    """Gives all slots of a new service to one daemon, which spreads them."""
+    """Gives all slots of a new service out.
+
+    Args:
+        view: The rows known here.
+        mine: The record of the daemon that founds the service.
+        slot_count: Number of slots.
+        change: The write's id.
+        share: Whether each member gets an equal run; otherwise one daemon
+            gets all, and spreads them.
+    """
     builder = Builder(view, change)
     builder.put_founded(mine.service, slot_count)
+    if share:
+        _share(builder, view, mine, slot_count)
+        return builder.build(Kind.FOUND, "no-slots-given-out-yet")
     holdings = {
         types.Slot(slot): slots.Holding(1) for slot in range(slot_count)
     }
@@ -129,6 +142,23 @@
     return builder.build(Kind.FOUND, "no-slots-given-out-yet")
 
 
+def _share(
+    builder: Builder,
+    view: records.View,
+    mine: records.LeaseRecord,
+    slot_count: int,
+) -> None:
+    members = view.members(mine.service)
+    owners = [record for record in members if record.can_own] or [mine]
+    for index, owner in enumerate(owners):
+        first = slot_count * index // len(owners)
+        end = slot_count * (index + 1) // len(owners)
+        holdings = {
+            types.Slot(slot): slots.Holding(1) for slot in range(first, end)
+        }
+        builder.put(own_record(owner, holdings, members))
+
+
 def claim(
     view: records.View,
     mine: records.LeaseRecord,
@@ -164,6 +194,7 @@
     moves: Iterable[placement.Move],
     change: str,
     reason: str,
+    handover: Callable[[int], str] = lambda slot: "",
 ) -> Change:
     """Begins a new epoch, and hands slots over in the same transaction.
 
@@ -173,6 +204,7 @@
         moves: Slots to hand over.
         change: The write's id.
         reason: The cause, for the log.
+        handover: What to tell the next target of a slot.
     """
     builder = Builder(view, change)
     holdings = slots.expand(target.runs)
@@ -180,7 +212,9 @@
     for move in moves:
         held = holdings.pop(types.Slot(move.slot))
         taken = gained.setdefault(move.destination, {})
-        taken[types.Slot(move.slot)] = slots.Holding(held.fence + 1)
+        taken[types.Slot(move.slot)] = slots.Holding(
+            held.fence + 1, handover=handover(move.slot)
+        )
     members = view.members(target.service)
     builder.put(own_record(target, holdings, members))
     for destination, taken in gained.items():
--- a/tamarackgap/config.py
+++ b/tamarackgap/config.py
@@ -23,6 +23,15 @@
     daemon_http_address: str
     daemon_peer_address: str
     daemon_log: str
+    router_announce_address: str
+    router_ready_address: str
+    router_metrics_address: str
+    router_target_address: str
+    router_announce_interval: int
+    router_longest_hold: int
+    router_grace: int
+    router_reruns: int
+    router_extra_reruns: int
     table_address: str
     table_poll: int
     table_timeout: int
--- a/tamarackgap/effects.py
+++ b/tamarackgap/effects.py
@@ -24,6 +24,9 @@
         witnesses: How many witnesses are wanted; odd.
         settle: Time before a service is founded, seconds.
         batch: Most slots handed over in one transaction.
+        ordered: Whether keys lie in slots by their order; then slots are
+            given out in runs, and the target is asked to release them
+            before they move.
     """
 
     service: str
@@ -38,6 +41,7 @@
     witnesses: int = 3
     settle: float = 1.0
     batch: int = 64
+    ordered: bool = False
 
 
 class Owned(msgspec.Struct, frozen=True):
@@ -46,10 +50,12 @@
     Attributes:
         fence: The fence under which it serves the slot.
         since: When it took the slot over, seconds.
+        handover: What the target that released it last said, or "".
     """
 
     fence: int
     since: float
+    handover: str = ""
 
 
 class Send(msgspec.Struct, frozen=True):
@@ -84,7 +90,16 @@
     """Effect: read the table soon; it has rows that are not known here."""
 
 
-Effect = Send | Commit | Decision | Refresh
+class HandOff(msgspec.Struct, frozen=True):
+    """Effect: take slots back from the target, then call `handed_off`.
+
+    With no slots, a move is over or was given up.
+    """
+
+    moving: frozenset[int]
+
+
+Effect = Send | Commit | Decision | Refresh | HandOff
 
 
 class CommitState(enum.Enum):
--- a/tamarackgap/heat.py
+++ b/tamarackgap/heat.py
@@ -2,14 +2,13 @@
 
 import math
 
-import datasketches
 import msgspec
 
 _HALF_LIFE_S = 10.0
 # Sum of the weights of one request a second for ever.
 LIFE_S = _HALF_LIFE_S / math.log(2)
-# The sketch keeps up to three quarters of 2**8 keys.
-_SKETCH_LOG2 = 8
+# The sketch keeps so many keys.
+_SKETCH_KEYS = 192
 # Of a slot that came just now, one request must not look like a flood.
 _LEAST_AGE_S = 2.0
 _SKETCH_KEPT_S = 60.0
@@ -73,28 +72,50 @@
 
 
 class HotKeys:
-    """The keys with most requests, by a heavy-hitters sketch."""
+    """The keys with most requests, by the Space-Saving sketch.
+
+    A key that is not kept takes the place of the one counted least, and its
+    count as a possible error. So a count less its error is never too high.
+    """
 
     def __init__(self, now: float) -> None:
         """Creates an empty sketch."""
         self._begin(now)
 
     def _begin(self, now: float) -> None:
-        self._sketch = datasketches.frequent_strings_sketch(_SKETCH_LOG2)
+        self._counts: dict[str, int] = {}
+        self._errors: dict[str, int] = {}
+        self._total = 0
         self._begun = now
 
     def count(self, key: str, now: float) -> None:
         """Counts a request; a new sketch begins every minute."""
         if now - self._begun > _SKETCH_KEPT_S:
             self._begin(now)
-        self._sketch.update(key)
+        self._total += 1
+        if key in self._counts:
+            self._counts[key] += 1
+            return
+        error = 0
+        if len(self._counts) >= _SKETCH_KEYS:
+            least = min(self._counts, key=self._counts.__getitem__)
+            error = self._counts.pop(least)
+            del self._errors[least]
+        self._counts[key] = error + 1
+        self._errors[key] = error
 
     def hottest(self, most: int) -> list[HotKey]:
         """Returns up to `most` keys that are surely among the hottest."""
-        kind = datasketches.frequent_items_error_type.NO_FALSE_POSITIVES
-        found = self._sketch.get_frequent_items(kind)
-        total = self._sketch.total_weight
+        least = 0
+        if len(self._counts) >= _SKETCH_KEYS:
+            least = min(self._counts.values())
+        lower = {
+            key: count - self._errors[key]
+            for key, count in self._counts.items()
+        }
+        sure = [key for key, bound in lower.items() if bound > least]
+        sure.sort(key=lower.__getitem__, reverse=True)
         return [
-            HotKey(key, round(lower / total, 4))
-            for key, _, lower, _ in found[:most]
+            HotKey(key, round(lower[key] / self._total, 4))
+            for key in sure[:most]
         ]
--- a/tamarackgap/logs.py
+++ b/tamarackgap/logs.py
@@ -2,9 +2,10 @@
 
 import datetime
 import json
+import os
 import re
 import sys
-from typing import TextIO
+import time
 
 import eliot
 
@@ -13,6 +14,10 @@
 _HIDDEN = frozenset(
     {"timestamp", "task_uuid", "task_level", "message_type", "action_type"}
 )
+STANDARD_OUTPUT = "stdout"
+# Lines a second about requests that went well; about those that failed.
+_SUCCESSES_PER_S = 40
+_FAILURES_PER_S = 200
 
 
 def _text(value: object) -> str:
@@ -36,20 +41,45 @@
     return " ".join(pairs)
 
 
+class _Stream:
+    """A descriptor that is written to without ever waiting for its reader."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lost = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, message: dict[str, object]) -> None:
+        """Writes a line, or counts it as lost if there is no room."""
+        line = line_of(message)
+        if self._lost:
+            line = f"event=log_lines_lost count={self._lost}\n{line}"
+        try:
+            # A line that fits only in part is cut: the reader was stalled.
+            os.write(self._descriptor, f"{line}\n".encode())
+        except OSError:
+            self._lost += 1
+        else:
+            self._lost = 0
+
+
 def start(path: str, daemon: str) -> None:
     """Sends all events to a file.
 
     Args:
-        path: The file; `-` is standard error.
+        path: The file; `-` is standard error, `stdout` standard output.
         daemon: The daemon's name, for every line.
     """
-    stream: TextIO = (
-        sys.stderr if path == "-" else open(path, "a", encoding="utf-8")  # noqa: SIM115
-    )
+    if path == STANDARD_OUTPUT:
+        write = _Stream(sys.stdout.fileno()).write
+    else:
+        stream = (
+            sys.stderr if path == "-" else open(path, "a", encoding="utf-8")  # noqa: SIM115
+        )
 
-    def write(message: dict[str, object]) -> None:
-        stream.write(line_of(message) + "\n")
-        stream.flush()
+        def write(message: dict[str, object]) -> None:
+            stream.write(line_of(message) + "\n")
+            stream.flush()
 
     eliot.add_global_fields(daemon=daemon)
     eliot.add_destinations(write)
@@ -63,3 +93,46 @@
         **fields: What it happened to, and why.
     """
     eliot.log_message(message_type=name, **fields)
+
+
+class Bound:
+    """Lets so many lines through a second, and counts the others."""
+
+    def __init__(self, per_s: int) -> None:
+        """Creates a bound of `per_s` lines a second."""
+        self._per_s = per_s
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+
+    def admits(self, now: float) -> bool:
+        """Returns whether one more line may be written."""
+        second = int(now)
+        if second != self._second:
+            if self._left_out:
+                event("request_lines_left_out", count=self._left_out)
+            self._second = second
+            self._written = 0
+            self._left_out = 0
+        if self._written >= self._per_s:
+            self._left_out += 1
+            return False
+        self._written += 1
+        return True
+
+
+_successes = Bound(_SUCCESSES_PER_S)
+_failures = Bound(_FAILURES_PER_S)
+
+
+def request_event(name: str, failed: bool, **fields: object) -> None:
+    """Writes an event of one request, within a bound a second.
+
+    Args:
+        name: What happened.
+        failed: Whether it went wrong; such lines have a bound of their own.
+        **fields: What it happened to, and why.
+    """
+    bound = _failures if failed else _successes
+    if bound.admits(time.monotonic()):
+        event(name, **fields)
--- a/tamarackgap/messages.py
+++ b/tamarackgap/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from tamarackgap import records, slots, types
+from tamarackgap.traffic import calls
 
 
 class Renew(msgspec.Struct, tag="renew", frozen=True):
@@ -226,6 +227,10 @@
     | Cancel
     | Crashed
     | Load
+    | calls.Dispatch
+    | calls.Completion
+    | calls.Withdraw
+    | calls.Status
 )
 
 
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -7,6 +7,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from tamarackgap import (
     changes,
     effects,
@@ -29,6 +31,8 @@
 _COMMIT_AGAIN_S = 0.2
 _PREPARE_LIMIT_S = 2.0
 _LAPSED_LIMIT_S = 1.0
+# Longest time for a target to release slots that are to move, seconds.
+_HAND_OFF_LIMIT_S = 4.0
 
 
 class Ownership:
@@ -59,6 +63,8 @@
         self._checks_grants = False
         self._draining = False
         self._table_ok = False
+        # Whether the service's keys have owners at all.
+        self.keyed = True
         # Rises whenever other slots are owned than before.
         self.slots_version = 0
         self._renewal = renewal.Renewal(
@@ -96,6 +102,7 @@
         self._commit_at = 0.0
         self._intent: planner.Intent | None = None
         self._prepare_until = 0.0
+        self._hand_off: planner.HandOff | None = None
         self._changed_at = now
         self._sharing = loads.Sharing(
             self._settings, self._view, self._outbox, self._rng, now
@@ -295,7 +302,7 @@
         if change.kind is changes.Kind.RECONFIGURE:
             self._renewal.own_lease.abandon()
             self._intent = None
-        self._moving = frozenset()
+        self._end_hand_off()
 
     def receive(self, envelope: messages.Envelope, now: float) -> None:
         """Takes a message of another daemon in."""
@@ -378,7 +385,7 @@
         if prepared is not None and record.epoch == prepared.epoch:
             self._renewal.own_lease.promote()
         held = {
-            slot: self._kept(slot, holding.fence, now)
+            slot: self._kept(slot, holding, now)
             for slot, holding in slots.expand(record.runs).items()
         }
         gained = held.keys() - self.owned.keys()
@@ -397,11 +404,13 @@
                 epoch=record.epoch,
             )
 
-    def _kept(self, slot: int, fence: int, now: float) -> effects.Owned:
+    def _kept(
+        self, slot: int, holding: slots.Holding, now: float
+    ) -> effects.Owned:
         present = self.find(slot)
-        if present is not None and present.fence == fence:
+        if present is not None and present.fence == holding.fence:
             return present
-        return effects.Owned(fence, now)
+        return effects.Owned(holding.fence, now, holding.handover)
 
     # The successor's side.
 
@@ -472,6 +481,7 @@
             most_moves=int(self._sharing.budget.tokens(now)),
             age=now - self._started,
             now=now,
+            keyed=self.keyed,
         )
 
     def _change_id(self) -> str:
@@ -487,17 +497,24 @@
         intent = self._intent
         if not self._renewal.own_lease.is_prepared(now):
             if now >= self._prepare_until:
-                self._renewal.own_lease.abandon()
-                self._intent = None
+                self._give_up_intent()
+            return
+        if self._hand_off is not None and self._hand_off.handovers is None:
+            if now >= self._prepare_until:
+                self._give_up_intent()
             return
         change = planner.reconfiguration(
-            intent, self._situation(now), self._change_id()
+            intent, self._situation(now), self._change_id(), self._hand_off
         )
         if change is None:
-            self._renewal.own_lease.abandon()
-            self._intent = None
+            self._give_up_intent()
             return
         self._moving = frozenset(move.slot for move in change.moves)
+        if self._settings.ordered and self._moving and self._hand_off is None:
+            self._hand_off = planner.HandOff(change.moves)
+            self._prepare_until = now + _HAND_OFF_LIMIT_S
+            self._outbox.put(effects.HandOff(self._moving))
+            return
         self._sharing.budget.spend(len(change.moves))
         for move in change.moves:
             self._outbox.log(
@@ -506,6 +523,28 @@
         self._renewal.own_lease.begin_write()
         self._put(change.change, now)
 
+    def handed_off(self, handovers: dict[slots.Run, str]) -> None:
+        """Notes that the target has released the slots that are to move.
+
+        Args:
+            handovers: What it said to tell each run's next target.
+        """
+        if self._hand_off is not None:
+            self._hand_off = msgspec.structs.replace(
+                self._hand_off, handovers=handovers
+            )
+
+    def _give_up_intent(self) -> None:
+        self._renewal.own_lease.abandon()
+        self._intent = None
+        self._end_hand_off()
+
+    def _end_hand_off(self) -> None:
+        self._moving = frozenset()
+        if self._hand_off is not None:
+            self._hand_off = None
+            self._outbox.put(effects.HandOff(self._moving))
+
     # Helpers.
 
     def _heard_revision(self, revision: int) -> None:
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -343,7 +343,8 @@
     )[:_SUCCESSORS]
     if not names:
         return {
-            slot: slots.Holding(held.fence) for slot, held in holdings.items()
+            slot: msgspec.structs.replace(held, successor=types.NOBODY)
+            for slot, held in holdings.items()
         }
     return _spread(holdings, names)
 
@@ -363,13 +364,18 @@
         if counts.get(held.successor, most) < most:
             chosen[slot] = held.successor
             counts[held.successor] += 1
+    # Neighbouring slots get the same successor, up to its fair share: what
+    # is taken over stays in few runs.
+    name = ""
     for slot in sorted(holdings.keys() - chosen.keys()):
-        chosen[slot] = min(
-            names, key=lambda name: (counts[name], -score(slot, name))
-        )
-        counts[chosen[slot]] += 1
+        if not name or counts[name] >= fair:
+            name = min(
+                names, key=lambda name: (counts[name], -score(slot, name))
+            )
+        chosen[slot] = name
+        counts[name] += 1
     return {
-        slot: slots.Holding(held.fence, chosen[slot])
+        slot: msgspec.structs.replace(held, successor=chosen[slot])
         for slot, held in holdings.items()
     }
 
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -14,6 +14,8 @@
 PLAN_EVERY_S = 0.2
 # With nothing new, loads and ages are looked at this often.
 IDLE_S = 1.0
+# After so many settling times a service is founded without those missing.
+_FOUND_ANYHOW = 2.0
 
 
 class Intent(msgspec.Struct, frozen=True):
@@ -28,6 +30,26 @@
     reason: str
 
 
+class HandOff(msgspec.Struct, frozen=True):
+    """Moves whose slots the target is releasing, or has released.
+
+    Attributes:
+        moves: The moves.
+        handovers: What it said to tell each run's next target; None until
+            it has released all of them.
+    """
+
+    moves: tuple[placement.Move, ...]
+    handovers: dict[slots.Run, str] | None = None
+
+    def handover(self, slot: int) -> str:
+        """Returns what to tell a slot's next target, or ""."""
+        for run, text in (self.handovers or {}).items():
+            if run.first <= slot <= run.last:
+                return text
+        return ""
+
+
 class Reconfiguration(msgspec.Struct, frozen=True):
     """A new epoch that is ready to be written, and the moves in it."""
 
@@ -197,13 +219,35 @@
     settings = situation.settings
     if (
         mine is None
+        or not situation.keyed
         or situation.age < settings.settle
         or not situation.lease_valid
         or not situation.accepting
         or situation.view.founded(settings.service) is not None
     ):
         return None
-    return changes.found(situation.view, mine, settings.slot_count, change)
+    if settings.ordered and not _founds(situation, mine):
+        return None
+    return changes.found(
+        situation.view, mine, settings.slot_count, change, settings.ordered
+    )
+
+
+def _founds(
+    situation: situation_lib.Situation, mine: records.LeaseRecord
+) -> bool:
+    """Returns whether it is this member's turn to found the service.
+
+    The others wait, so that not all of them write at the same time.
+    """
+    members = situation.view.members(mine.service)
+    if any(not record.can_own for record in members):
+        return situation.age > _FOUND_ANYHOW * situation.settings.settle
+    first = min(record.incarnation for record in members)
+    return (
+        first == mine.incarnation
+        or situation.age > _FOUND_ANYHOW * situation.settings.settle
+    )
 
 
 def _leave(
@@ -298,7 +342,7 @@
     view = situation.view
     service = situation.settings.service
     founded = view.founded(service)
-    if founded is None or situation.unrecorded:
+    if not situation.keyed or founded is None or situation.unrecorded:
         return ()
     unclaimed = any(
         record.runs and not record.is_open and record.service == service
@@ -319,7 +363,7 @@
         move
         for move in planned
         if move.source == situation.incarnation
-        and not situation.busy(move.slot)
+        and (situation.settings.ordered or not situation.busy(move.slot))
     ]
     most = situation.settings.batch
     if situation.accepting:
@@ -328,7 +372,10 @@
 
 
 def reconfiguration(
-    intent: Intent, situation: situation_lib.Situation, change: str
+    intent: Intent,
+    situation: situation_lib.Situation,
+    change: str,
+    hand_off: HandOff | None = None,
 ) -> Reconfiguration | None:
     """Returns the write that begins the next epoch, or None.
 
@@ -339,11 +386,15 @@
         intent: The epoch wanted.
         situation: What is known.
         change: A fresh id for the write.
+        hand_off: Moves that were chosen before, with what the target said
+            when it released their slots.
     """
     mine = situation.mine
     if mine is None:
         return None
-    moves = _moves(situation)
+    if hand_off is None:
+        hand_off = HandOff(_moves(situation))
+    moves = hand_off.moves
     if intent.reason == "moves" and not moves:
         return None
     target = msgspec.structs.replace(
@@ -353,6 +404,8 @@
     if moves and reason != "moves":
         reason += "+moves"
     return Reconfiguration(
-        changes.reconfigure(situation.view, target, moves, change, reason),
+        changes.reconfigure(
+            situation.view, target, moves, change, reason, hand_off.handover
+        ),
         moves,
     )
--- /dev/null
+++ b/tamarackgap/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product, and no more."""
--- /dev/null
+++ b/tamarackgap/platform/__main__.py
@@ -0,0 +1,54 @@
+"""Runs a router daemon on the users' platform."""
+
+import os
+import pathlib
+import sys
+
+from returns import result
+
+from tamarackgap import config, logs, router
+from tamarackgap.platform import operators, requests, servers, store
+from tamarackgap.traffic import boundary, runner
+
+_SETTINGS_VARIABLE = "TAMARACKGAP_NODE_FILE"
+_EXIT_USAGE = 2
+
+
+def main() -> int:
+    """Runs until SIGTERM; returns the exit code."""
+    path = os.environ.get(_SETTINGS_VARIABLE)
+    if path is None:
+        print(f"{_SETTINGS_VARIABLE} is not set", file=sys.stderr)
+        return _EXIT_USAGE
+    match config.load(pathlib.Path(path)):
+        case result.Failure(problem):
+            print(problem, file=sys.stderr)
+            return _EXIT_USAGE
+        case result.Success(config.Config() as settings):
+            pass
+        case other:
+            raise AssertionError(other)
+    logs.start(settings.daemon_log, settings.daemon_name)
+    daemon = router.Router(settings)
+    daemon.begin(
+        boundary.Boundary(
+            store=store.Store(
+                daemon.poller, daemon.timers, settings.table_address
+            ),
+            decode_call=requests.decode_call,
+            encode_answer=requests.encode_answer,
+            codec=runner.Codec(
+                requests.encode_call, requests.belongs, requests.judge
+            ),
+            encode_order=servers.encode_order,
+            judge_order=servers.judge_order,
+            decode_announcement=servers.decode_announcement,
+            decode_table=operators.decode,
+        )
+    )
+    router.run(daemon)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tamarackgap/platform/operators.py
@@ -0,0 +1,127 @@
+"""The operator's configuration, decoded once into the product's types."""
+
+import msgspec
+
+from tamarackgap import logs, types
+from tamarackgap.traffic import door, routetable
+
+_IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
+_HEXADECIMAL = 16
+
+
+class _Metadata(msgspec.Struct):
+    name: str = ""
+
+
+class _Resource(msgspec.Struct):
+    # The kind of item, not of a request.
+    type: str
+    spec: msgspec.Raw
+    metadata: _Metadata = msgspec.field(default_factory=_Metadata)
+
+
+class _Configuration(msgspec.Struct):
+    # Eight hexadecimal digits.
+    version: str
+    resources: list[_Resource]
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    max_attempts: int
+    priority: int
+    service: str = ""
+    traffic_split: list[_Split] = []
+
+
+class _Service(msgspec.Struct):
+    max_connections: int = 0
+    sharded: bool = False
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+def decode(value: bytes) -> routetable.RouteTable | None:
+    """Returns the configuration in a row's value, or None if unreadable."""
+    try:
+        found = msgspec.json.decode(value, type=_Configuration)
+        version = int(found.version, _HEXADECIMAL)
+    except (msgspec.MsgspecError, ValueError) as error:
+        logs.event("configuration_malformed", error=str(error))
+        return None
+    routes: list[routetable.Route] = []
+    services: dict[types.ServiceName, routetable.Service] = {}
+    limits = door.Limits()
+    for resource in found.resources:
+        try:
+            match resource.type:
+                case "routes":
+                    routes.append(_route(resource))
+                case "services":
+                    service = _service(resource)
+                    services[service.name] = service
+                case "limits":
+                    limits = _limits(resource)
+        except (msgspec.MsgspecError, KeyError) as error:
+            logs.event(
+                "resource_malformed",
+                kind=resource.type,
+                name=resource.metadata.name,
+                error=str(error),
+            )
+    return routetable.RouteTable(
+        version, tuple(routes), services, limits, value
+    )
+
+
+def _route(resource: _Resource) -> routetable.Route:
+    spec = msgspec.json.decode(resource.spec, type=_Route)
+    shares = spec.traffic_split or [_Split(spec.service, 1.0)]
+    return routetable.Route(
+        name=resource.metadata.name,
+        host=spec.host,
+        prefix=spec.path_prefix,
+        shares=tuple(
+            routetable.Share(types.ServiceName(share.service), share.weight)
+            for share in shares
+            if share.weight > 0
+        ),
+        idempotent=_IDEMPOTENT[spec.kind],
+        timeout=spec.timeout_ms / 1000,
+        aim=spec.target_latency_ms / 1000,
+        attempts=spec.max_attempts,
+        rank=spec.priority,
+    )
+
+
+def _service(resource: _Resource) -> routetable.Service:
+    spec = msgspec.json.decode(resource.spec, type=_Service)
+    return routetable.Service(
+        types.ServiceName(resource.metadata.name),
+        spec.sharded,
+        spec.max_connections,
+    )
+
+
+def _limits(resource: _Resource) -> door.Limits:
+    spec = msgspec.json.decode(resource.spec, type=_Limits)
+    return door.Limits(
+        spec.max_header_bytes,
+        spec.max_body_bytes,
+        spec.header_timeout_ms / 1000,
+        spec.idle_timeout_ms / 1000,
+    )
--- /dev/null
+++ b/tamarackgap/platform/requests.py
@@ -0,0 +1,156 @@
+"""Requests and answers: clients' on the one side, servers' on the other."""
+
+from returns import result
+
+from tamarackgap import slots, types
+from tamarackgap.platform import names
+from tamarackgap.traffic import boundary, calls, door, httplink
+
+# What concerns one connection only, what this system sets itself, and what
+# is written anew.
+_NOT_PASSED_ON = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authorization",
+        b"proxy-authenticate",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+        names.TIMEOUT_MS,
+        names.INSTANCE_WANTED,
+        names.ORIGIN,
+    }
+)
+_NOT_RUN_STATUS = frozenset({408, 429, 503})
+_MISDIRECTED = 421
+_UNAVAILABLE = 503
+_FAILED = 502
+_TIMED_OUT = 504
+_BAD = 400
+
+
+def decode_call(
+    incoming: door.Incoming, origin: types.ServiceName
+) -> result.Result[boundary.Asked, str]:
+    """Returns a client's request, or what is wrong with it."""
+    host = b""
+    request = b""
+    timeout: float | None = None
+    position: int | None = None
+    named = {
+        token.strip().lower()
+        for name, value in incoming.headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    lines = []
+    for name, value in incoming.headers:
+        if name == b"host":
+            host = value
+        elif name == names.REQUEST_ID:
+            request = value
+        elif name == names.TIMEOUT_MS:
+            if not value.isdigit():
+                return result.Failure(f"timeout {value!r}: no whole number")
+            timeout = int(value) / 1000
+        elif name == names.POSITION:
+            if not value.isdigit() or int(value) >= slots.POSITIONS:
+                return result.Failure(f"key {value!r}: not in range")
+            position = int(value)
+        if name not in _NOT_PASSED_ON and name not in named:
+            lines.append(b"%b: %b\r\n" % (name, value))
+    if not request:
+        return result.Failure("no request id")
+    call = calls.Call(
+        types.RequestId(request.decode("latin-1")),
+        origin,
+        incoming.method,
+        incoming.target,
+        b"".join(lines),
+        incoming.body,
+        position,
+    )
+    name = host.decode("latin-1").partition(":")[0]
+    return result.Success(boundary.Asked(name, call, timeout))
+
+
+def encode_call(dispatch: calls.Dispatch, left_ms: int, instance: str) -> bytes:
+    """Returns a call's bytes for the server beside this daemon."""
+    call = dispatch.call
+    head = (
+        f"{call.method} {call.target} HTTP/1.1\r\n".encode("latin-1"),
+        call.head,
+        b"%b: %d\r\n" % (names.TIMEOUT_MS, left_ms),
+        b"%b: %b\r\n" % (names.INSTANCE_WANTED, instance.encode("latin-1")),
+        b"%b: %b\r\n" % (names.ORIGIN, call.origin.encode("latin-1")),
+        b"content-length: %d\r\n\r\n" % len(call.body),
+        call.body,
+    )
+    return b"".join(head)
+
+
+def belongs(request: str, answer: httplink.Answer) -> bool:
+    """Returns whether an answer is the one to a request.
+
+    Servers echo the id, but for some refusals.
+    """
+    echoed = answer.header(names.REQUEST_ID)
+    if echoed is None:
+        return True
+    return echoed == request.encode("latin-1")
+
+
+def judge(leg: int, answer: httplink.Answer) -> calls.Completion:
+    """Returns what a server's answer means."""
+    if (
+        answer.status == _MISDIRECTED
+        or answer.header(names.NOT_EXECUTED) is not None
+    ):
+        return calls.Completion(
+            leg, types.Verdict.NOT_RUN, types.Reason.TARGET_REFUSED
+        )
+    signed = answer.header(names.SIGNATURE) is not None
+    encoded = answer.header(b"content-encoding") is not None
+    spoilt = encoded or (answer.status < 300 and not signed)
+    # Only the header says that a request has not run; these statuses would
+    # say the same to the client.
+    if spoilt or answer.status in _NOT_RUN_STATUS:
+        return calls.Completion(
+            leg, types.Verdict.MAY_HAVE_RUN, types.Reason.TARGET_FAILED
+        )
+    head = b"".join(
+        b"%b: %b\r\n" % header
+        for header in answer.headers
+        if header[0] not in _NOT_PASSED_ON
+    )
+    return calls.Completion(
+        leg,
+        types.Verdict.ANSWERED,
+        status=answer.status,
+        head=head,
+        body=answer.body,
+    )
+
+
+def encode_answer(completion: calls.Completion) -> boundary.Said:
+    """Returns how a completion is told to the client."""
+    if completion.verdict is types.Verdict.ANSWERED:
+        headers = [
+            tuple(line.split(b": ", 1))
+            for line in completion.head.split(b"\r\n")
+            if line
+        ]
+        return boundary.Said(completion.status, headers, completion.body)
+    reason = completion.reason
+    if reason is types.Reason.BAD_REQUEST:
+        return boundary.Said(_BAD, [], b"")
+    if completion.verdict is types.Verdict.MAY_HAVE_RUN:
+        timed_out = reason is types.Reason.NO_ANSWER
+        return boundary.Said(_TIMED_OUT if timed_out else _FAILED, [], b"")
+    wait = f"{completion.retry_after:.3f}".encode("ascii")
+    return boundary.Said(_UNAVAILABLE, [(names.RETRY_AFTER, wait)], b"")
--- a/tamarackgap/retries.py
+++ b/tamarackgap/retries.py
@@ -20,6 +20,11 @@
         """Retries that are allowed now."""
         return self._tokens
 
+    def resize(self, burst: float) -> None:
+        """Sets how many tokens are saved at most."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def deposit(self) -> None:
         """Notes a request."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
@@ -30,3 +35,38 @@
             return False
         self._tokens -= 1
         return True
+
+
+class ServiceBudgets:
+    """One daemon's part of a budget that all daemons share.
+
+    Each spends from its own requests and its own part of the fixed amount,
+    so the sum holds in any window without a word between them.
+    """
+
+    def __init__(self, ratio: float, extra: float) -> None:
+        """Creates full budgets.
+
+        Args:
+            ratio: Retries allowed for each request of a service.
+            extra: Retries allowed besides, for all daemons together.
+        """
+        # A window may begin with saved tokens and end on new ones.
+        self._ratio = ratio / 2
+        self._extra = extra / 2
+        self._burst = 1.0
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def share(self, daemons: int) -> None:
+        """Sets among how many daemons the fixed amount is divided."""
+        self._burst = max(1.0, self._extra / max(1, daemons))
+        for budget in self._budgets.values():
+            budget.resize(self._burst)
+
+    def of(self, service: str) -> RetryBudget:
+        """Returns the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._ratio, self._burst)
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/tamarackgap/router.py
@@ -0,0 +1,514 @@
+"""One router daemon: the parts, put together on one loop and one thread."""
+
+import functools
+import gc
+import random
+import signal
+import time
+from collections.abc import Callable
+
+import circuits
+import msgspec
+from returns import result
+
+from tamarackgap import (
+    config,
+    effects,
+    logs,
+    messages,
+    ownership,
+    peers,
+    records,
+    retries,
+    scheduler,
+    sockets,
+    types,
+)
+from tamarackgap.traffic import (
+    beside,
+    boundary,
+    calls,
+    dispatcher,
+    door,
+    httplink,
+    keyholds,
+    routetable,
+    runner,
+)
+
+_TICK_S = 0.05
+_SWEEP_S = 0.02
+_STATUS_S = 0.25
+_LOAD_S = 1.0
+# A process that leaves is still asked until the second question in a row has
+# failed; it serves all who come until then.
+_LINGER_S = 2.6
+# Left of the grace time when the process ends whatever is still going on.
+_LAST_S = 0.4
+_TARGET_IDLE_S = 7.0
+_TARGET_SILENCE_MS = 3000
+_ENVELOPE_BYTES = 65_536
+_OK = 200
+_NO_ROUTE = 404
+_BAD = 400
+_UNAVAILABLE = 503
+_RETRY_S = b"0.2"
+_MILLIONTHS = 1_000_000
+
+
+def now() -> float:
+    """Returns seconds on a clock that also counts suspended time.
+
+    A lease must not outlive a suspension of the VM.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Router(circuits.Component):
+    """A process of the system, beside one target."""
+
+    channel = "router"
+
+    def __init__(self, settings: config.Config) -> None:
+        """Creates the parts that need nothing of the world.
+
+        Args:
+            settings: All settings.
+        """
+        super().__init__()
+        self._settings = settings
+        self._service = types.ServiceName(settings.daemon_service)
+        self._rng = random.Random()
+        self.poller = sockets.Poller().register(self)
+        self.timers = scheduler.Scheduler(now).register(self)
+        self._table: routetable.RouteTable | None = None
+        self._index: routetable.Index | None = None
+        self._read_at = float("-inf")
+        self._leave_at: float | None = None
+        self._end_at = 0.0
+        self._stopped = False
+        self._started = now()
+
+    def begin(self, outside: boundary.Boundary) -> None:
+        """Binds all addresses, and starts.
+
+        Args:
+            outside: How the world around the router is met.
+
+        Raises:
+            OSError: If an address can't be bound.
+        """
+        settings = self._settings
+        self._outside = outside
+        self._core = ownership.Ownership(
+            _ownership_settings(settings), self._rng, _never_busy, now()
+        )
+        self._core.keyed = False
+        self._link = httplink.Link(
+            self.poller,
+            self.timers,
+            settings.router_target_address,
+            _TARGET_IDLE_S,
+            _TARGET_SILENCE_MS,
+        )
+        lease = settings.ownership_lease / 1000
+        self._holds = keyholds.KeyHolds(
+            self._core, self._order, self.timers, lease
+        )
+        self._peers = peers.Peers(
+            self.poller,
+            self.timers,
+            settings.daemon_deployment,
+            settings.daemon_peer_address,
+            settings.requests_body + settings.requests_answer + _ENVELOPE_BYTES,
+            self._receive,
+        ).register(self)
+        self._runner = runner.Runner(
+            self._service,
+            self._core,
+            self._holds,
+            self._link,
+            outside.codec,
+            self.timers,
+            self._target_refused,
+        )
+        self._budgets = retries.ServiceBudgets(
+            settings.router_reruns / 100, settings.router_extra_reruns
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            self._core,
+            self._runner,
+            self._peers,
+            self.timers,
+            self._budgets,
+            self._rng,
+        )
+        self._beside = beside.Beside(
+            self._service, settings.router_announce_interval / 1000, now()
+        )
+        self._door = self._open(settings.daemon_http_address, self._serve)
+        self._open(settings.router_announce_address, self._announced)
+        self._open(settings.router_ready_address, self._asked_ready)
+        logs.event(
+            "started",
+            incarnation=self._core.incarnation,
+            service=self._service,
+            data_centre=settings.daemon_data_centre,
+            callers=settings.daemon_http_address,
+            peers=settings.daemon_peer_address,
+        )
+        outside.store.watch(self._rows_read, self._read_failed)
+        outside.store.watch_operators(self._table_changed)
+        self.timers.every(_TICK_S, self._tick)
+        self.timers.every(_SWEEP_S, self._runner.sweep)
+        self.timers.every(_STATUS_S, self._tell_status)
+        self.timers.every(_LOAD_S, self._tell_load)
+
+    def _open(self, address: str, serve: door.Serve) -> door.Door:
+        return door.Door(self.poller, self.timers, address, serve)
+
+    # Callers.
+
+    def _serve(self, incoming: door.Incoming) -> None:
+        match self._outside.decode_call(incoming, self._service):
+            case result.Failure(problem):
+                logs.request_event("request_malformed", True, problem=problem)
+                incoming.answer(_BAD, [], b"")
+                return
+            case result.Success(boundary.Asked() as asked):
+                pass
+            case other:
+                raise AssertionError(other)
+        if self._index is None:
+            incoming.answer(_UNAVAILABLE, [(b"retry-after", _RETRY_S)], b"")
+            return
+        route = self._index.find(asked.host, asked.call.target)
+        if route is None:
+            logs.request_event(
+                "request_without_route",
+                True,
+                request=asked.call.request,
+                host=asked.host,
+                version=self._table.version,
+            )
+            incoming.answer(_NO_ROUTE, [], b"")
+            return
+        timeout = route.timeout if asked.timeout is None else asked.timeout
+        flight = self._dispatcher.begin(
+            asked.call,
+            route,
+            incoming.begun,
+            timeout,
+            functools.partial(self._answer, incoming),
+        )
+        if flight.done is not None:
+            incoming.gone = functools.partial(self._dispatcher.cancel, flight)
+
+    def _answer(
+        self, incoming: door.Incoming, completion: calls.Completion
+    ) -> None:
+        said = self._outside.encode_answer(completion)
+        incoming.answer(said.status, said.headers, said.body)
+
+    # The target.
+
+    def _announced(self, incoming: door.Incoming) -> None:
+        said = self._outside.decode_announcement(incoming)
+        if said is None:
+            incoming.answer(_BAD, [], b"")
+            return
+        incoming.answer(_OK, [], b"")
+        self._target_changed(self._beside.announced(said, now()))
+        if self._beside.phase is beside.Phase.SERVING:
+            self._runner.attach(self._beside.instance, self._beside.capacity)
+
+    def _target_refused(self) -> None:
+        self._target_changed(self._beside.lost())
+
+    def _target_changed(self, change: beside.Change) -> None:
+        if change is beside.Change.NONE:
+            return
+        logs.event(
+            "target_changed",
+            change=change.value,
+            instance=self._beside.instance,
+            phase=self._beside.phase.value,
+        )
+        match change:
+            case beside.Change.NEW_LIFE:
+                self._abandon_keys("target-started-anew")
+                self._holds.forget()
+                self._link.close()
+                if self._beside.phase is beside.Phase.LEAVING:
+                    self._runner.drain()
+            case beside.Change.LEAVING:
+                self._runner.drain()
+            case beside.Change.LOST:
+                self._runner.detach()
+                self._abandon_keys("target-lost")
+                self._holds.forget()
+        self._tell_status()
+
+    def _abandon_keys(self, reason: str) -> None:
+        """Lets the successors serve at once: the target holds no key."""
+        if self._core.owned:
+            logs.event("keys_abandoned", reason=reason)
+            self._core.release(now())
+            self._carry_out()
+
+    def _order(
+        self,
+        order: keyholds.Grant | keyholds.Release,
+        timeout: float,
+        done: Callable[[keyholds.Ordered], None],
+    ) -> None:
+        def answered(
+            outcome: result.Result[httplink.Answer, httplink.Failure],
+        ) -> None:
+            match outcome:
+                case result.Success(httplink.Answer() as answer):
+                    done(self._outside.judge_order(answer))
+                case result.Failure(httplink.Failure(cause=cause)):
+                    logs.event("order_unanswered", cause=cause.value)
+                    if cause is httplink.Cause.UNREACHABLE:
+                        self._target_refused()
+                    done(keyholds.Ordered(False))
+
+        self._link.send(self._outside.encode_order(order), timeout, answered)
+
+    # The store.
+
+    def _rows_read(self, rows: list[records.Row], revision: int) -> None:
+        self._read_at = now()
+        self._core.read(_readable(rows), revision, now())
+        members = self._core.view.members()
+        self._peers.keep({record.peer_address for record in members})
+        self._budgets.share(len(members))
+        self._carry_out()
+
+    def _read_failed(self, problem: str) -> None:
+        del problem
+        self._core.table_failed()
+
+    def _committed(
+        self,
+        change: str,
+        state: effects.CommitState,
+        rows: list[records.Row],
+    ) -> None:
+        self._core.committed(change, state, _readable(rows), now())
+        self._carry_out()
+
+    def _table_changed(self, table: routetable.RouteTable) -> None:
+        if self._table is not None and table.version <= self._table.version:
+            return
+        self._table = table
+        self._index = routetable.Index(table)
+        self._door.limits = table.limits
+        self._dispatcher.configure(table)
+        service = table.services.get(self._service)
+        keyed = service is not None and service.keyed
+        self._core.keyed = keyed
+        self._runner.keyed = keyed
+        logs.event(
+            "route_table_in_force",
+            version=table.version,
+            routes=len(table.routes),
+            services=len(table.services),
+        )
+
+    # Other daemons.
+
+    def _receive(self, envelope: messages.Envelope) -> None:
+        sender = envelope.sender
+        match envelope.message:
+            case calls.Dispatch() as dispatch:
+                self._runner.take(
+                    dispatch,
+                    sender,
+                    functools.partial(self._reply, envelope.address),
+                )
+            case calls.Completion() as completion:
+                self._dispatcher.completed(sender, completion)
+            case calls.Withdraw(leg=leg):
+                self._runner.withdraw(sender, leg)
+            case calls.Status() as status:
+                self._dispatcher.heard(sender, envelope.address, status)
+                self._heard_version(status.version)
+            case _:
+                self._core.receive(envelope, now())
+                self._carry_out()
+
+    def _reply(self, address: str, completion: calls.Completion) -> None:
+        self._peers.send(self._core.incarnation, address, completion)
+
+    def _heard_version(self, version: int) -> None:
+        if self._table is None or version > self._table.version:
+            self._outside.store.read_operators_soon()
+
+    def _tell_status(self) -> None:
+        queue = self._runner.queue
+        status = calls.Status(
+            self._service,
+            self._runner.accepting and self._leave_at is None,
+            queue.capacity,
+            queue.running,
+            queue.waiting,
+            queue.work,
+            self._table.version if self._table else 0,
+        )
+        own = self._core.incarnation
+        address = self._settings.daemon_peer_address
+        self._dispatcher.heard(own, address, status)
+        for record in self._core.view.members():
+            if record.peer_address != address:
+                self._peers.send(own, record.peer_address, status)
+
+    def _tell_load(self) -> None:
+        self._core.served({}, now())
+        self._carry_out()
+
+    # The loop's turns.
+
+    def _tick(self) -> None:
+        moment = now()
+        self._target_changed(self._beside.check(moment))
+        leaving = self._leave_at is not None
+        self._core.accept(
+            self._beside.phase is beside.Phase.SERVING and not leaving, True
+        )
+        self._core.tick(moment)
+        self._carry_out()
+        self._dispatcher.sweep()
+        if leaving:
+            self._leave(moment)
+
+    def _carry_out(self) -> None:
+        for effect in self._core.take_effects():
+            match effect:
+                case effects.Send(
+                    sender=sender, address=address, message=message
+                ):
+                    self._peers.send(sender, address, message)
+                case effects.Commit(change=change):
+                    self._outside.store.commit(
+                        change.transaction,
+                        functools.partial(
+                            self._committed, change.transaction.change
+                        ),
+                    )
+                case effects.Decision(event=event, fields=fields):
+                    logs.event(
+                        event, incarnation=self._core.incarnation, **fields
+                    )
+                case effects.HandOff(moving=moving):
+                    self._hand_off(moving)
+                case effects.Refresh():
+                    # The long poll brings it.
+                    pass
+        self._holds.renew()
+
+    def _hand_off(self, moving: frozenset[int]) -> None:
+        if not moving:
+            self._holds.released()
+            return
+
+        def released(handovers: dict) -> None:
+            self._core.handed_off(handovers)
+
+        self._holds.release(moving, released)
+
+    # Readiness and end.
+
+    def _asked_ready(self, incoming: door.Incoming) -> None:
+        ready = (
+            self._leave_at is None
+            and self._table is not None
+            and self._core.view.is_read
+        )
+        incoming.answer(_OK if ready else _UNAVAILABLE, [], b"")
+
+    @circuits.handler("signal", channel="*")
+    def _on_signal(
+        self, event: circuits.Event, number: int, stack: object
+    ) -> None:
+        del stack
+        if number not in (signal.SIGTERM, signal.SIGINT):
+            return
+        event.stop()
+        if self._leave_at is not None:
+            return
+        logs.event("draining", signal=number)
+        moment = now()
+        self._leave_at = moment + _LINGER_S
+        self._end_at = moment + self._settings.router_grace / 1000 - _LAST_S
+        self._door.leaving = True
+        self._core.drain()
+        self._runner.drain()
+        self._tell_status()
+
+    def _leave(self, moment: float) -> None:
+        """Ends the process, once nothing depends on it any more."""
+        if self._stopped:
+            return
+        idle = (
+            moment > self._leave_at
+            and not self._dispatcher.in_flight
+            and not self._runner.in_progress
+            and not self._door.in_progress
+            and not self._core.owned
+        )
+        if not idle and moment < self._end_at:
+            return
+        self._stopped = True
+        if self._core.owned:
+            self._core.release(moment)
+            self._carry_out()
+        logs.event("stopped", in_flight=self._dispatcher.in_flight)
+        self.timers.after(_TICK_S, self.stop)
+
+
+def _never_busy(slot: int) -> bool:
+    del slot
+    return False
+
+
+def _readable(rows: list[records.Row]) -> list[records.Row]:
+    """Returns the rows that have the expected shape."""
+    found = []
+    for row in rows:
+        try:
+            records.View().merge([row])
+        except msgspec.MsgspecError as error:
+            logs.event("row_malformed", key=row.key, error=str(error))
+        else:
+            found.append(row)
+    return found
+
+
+def _ownership_settings(settings: config.Config) -> effects.Settings:
+    return effects.Settings(
+        service=settings.daemon_service,
+        daemon=settings.daemon_name,
+        data_centre=settings.daemon_data_centre,
+        peer_address=settings.daemon_peer_address,
+        http_address=settings.daemon_http_address,
+        slot_count=settings.ownership_slots,
+        lease=settings.ownership_lease / 1000,
+        linger=0.0,
+        drift=settings.ownership_drift / _MILLIONTHS,
+        witnesses=settings.ownership_witnesses,
+        settle=settings.ownership_settle / 1000,
+        batch=settings.ownership_batch,
+        ordered=True,
+    )
+
+
+def run(router: Router) -> None:
+    """Runs a router until it has drained after SIGTERM."""
+    # What exists by now stays: collections need not look at it again.
+    gc.collect()
+    gc.freeze()
+    router.run()
+    # Libraries report what is still held when the interpreter ends.
+    gc.unfreeze()
--- a/tamarackgap/situation.py
+++ b/tamarackgap/situation.py
@@ -52,6 +52,7 @@
         most_moves: Most slots that may be given away now.
         age: Seconds since the incarnation began.
         now: Monotonic time, seconds.
+        keyed: Whether the service's keys have owners at all.
     """
 
     view: records.View
@@ -71,6 +72,7 @@
     most_moves: int
     age: float
     now: float
+    keyed: bool = True
 
     def signature(self) -> Signature:
         """Returns what has to change before another decision is due."""
--- a/tamarackgap/slots.py
+++ b/tamarackgap/slots.py
@@ -1,4 +1,4 @@
-"""Keys hash to slots; slots are stored as runs."""
+"""Keys hash to slots, or lie in them by order; slots are kept as runs."""
 
 from collections.abc import Iterable
 
@@ -7,6 +7,10 @@
 
 from tamarackgap import types
 
+# Keys of an ordered service have positions below this, and neighbouring keys
+# share a slot.
+POSITIONS = 65_536
+
 
 class Run(msgspec.Struct, array_like=True, frozen=True, order=True):
     """Neighbouring slots with the same fence and successor.
@@ -16,19 +20,23 @@
         last: The run's last slot, included.
         fence: The fence of each slot of the run.
         successor: The incarnation that takes the slots over; may be empty.
+        handover: What the target that released the slots last said to tell
+            the next one, or "".
     """
 
     first: int
     last: int
     fence: int
     successor: str = types.NOBODY
+    handover: str = ""
 
 
 class Holding(msgspec.Struct, array_like=True, frozen=True):
-    """One slot's fence and successor."""
+    """One slot's fence, successor and handover."""
 
     fence: int
     successor: str = types.NOBODY
+    handover: str = ""
 
 
 def slot_of(key: types.Key, slot_count: int) -> types.Slot:
@@ -42,10 +50,26 @@
     return types.Slot(digest & (slot_count - 1))
 
 
+def slot_at(position: int, slot_count: int) -> types.Slot:
+    """Returns the slot of a key of an ordered service.
+
+    Args:
+        position: The key's position, in [0, POSITIONS).
+        slot_count: Number of slots of the service; a power of two.
+    """
+    return types.Slot(position * slot_count // POSITIONS)
+
+
+def positions(run: Run, slot_count: int) -> tuple[int, int]:
+    """Returns the first and the last position of the keys of a run."""
+    width = POSITIONS // slot_count
+    return run.first * width, (run.last + 1) * width - 1
+
+
 def expand(runs: Iterable[Run]) -> dict[types.Slot, Holding]:
     """Returns each slot's holding, from runs."""
     return {
-        types.Slot(slot): Holding(run.fence, run.successor)
+        types.Slot(slot): Holding(run.fence, run.successor, run.handover)
         for run in runs
         for slot in range(run.first, run.last + 1)
     }
@@ -62,8 +86,11 @@
             and last.last == slot - 1
             and last.fence == held.fence
             and last.successor == held.successor
+            and last.handover == held.handover
         ):
-            runs[-1] = Run(last.first, slot, last.fence, last.successor)
+            runs[-1] = msgspec.structs.replace(last, last=slot)
         else:
-            runs.append(Run(slot, slot, held.fence, held.successor))
+            runs.append(
+                Run(slot, slot, held.fence, held.successor, held.handover)
+            )
     return tuple(runs)
--- /dev/null
+++ b/tamarackgap/traffic/boundary.py
@@ -0,0 +1,106 @@
+"""What the router needs of the world around it, as functions.
+
+Whoever embeds the router says here how requests, answers, orders and
+announcements are spelled, and where rows are kept.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from returns import result
+
+from tamarackgap import effects, records, types
+from tamarackgap.traffic import (
+    beside,
+    calls,
+    door,
+    httplink,
+    keyholds,
+    routetable,
+    runner,
+)
+
+
+class Asked(msgspec.Struct, frozen=True):
+    """A caller's request, decoded.
+
+    Attributes:
+        host: The host that it names, without port.
+        call: What is to be run.
+        timeout: How long the caller waits, seconds; None if it did not say.
+    """
+
+    host: str
+    call: calls.Call
+    timeout: float | None
+
+
+class Said(msgspec.Struct, frozen=True):
+    """An answer, as it is spelled to a caller or a target."""
+
+    status: int
+    headers: door.Headers
+    body: bytes
+
+
+class Store(Protocol):
+    """Where rows last, and where the operators' table is found."""
+
+    def watch(
+        self,
+        rows: Callable[[list[records.Row], int], None],
+        failed: Callable[[str], None],
+    ) -> None:
+        """Reads all rows, then each change, for good.
+
+        Args:
+            rows: Called with rows, and the revision up to which they go.
+            failed: Called with the cause when a read has failed.
+        """
+
+    def watch_operators(
+        self, changed: Callable[[routetable.RouteTable], None]
+    ) -> None:
+        """Reads the operators' table, and each new version, for good."""
+
+    def read_operators_soon(self) -> None:
+        """Reads the operators' table now: others know a newer version."""
+
+    def commit(
+        self,
+        transaction: records.Transaction,
+        done: Callable[[effects.CommitState, list[records.Row]], None],
+    ) -> None:
+        """Puts a transaction; its outcome may stay unknown."""
+
+    def counts(self) -> dict[str, int]:
+        """Returns how many calls were made, by kind and result."""
+
+
+class Boundary(msgspec.Struct, frozen=True):
+    """All that the router needs of the world around it.
+
+    Attributes:
+        store: Where rows last.
+        decode_call: Returns a request decoded, from the request and the
+            service of this VM, or what is wrong with it.
+        encode_answer: Returns how a completion is told to the caller.
+        codec: How calls are spelled towards targets.
+        encode_order: Returns the bytes of an order to the target.
+        judge_order: Returns what the answer to an order means.
+        decode_announcement: Returns what a target says of itself; None for
+            what is no announcement.
+        decode_table: Returns the table that another daemon has passed on.
+    """
+
+    store: Store
+    decode_call: Callable[
+        [door.Incoming, types.ServiceName], result.Result[Asked, str]
+    ]
+    encode_answer: Callable[[calls.Completion], Said]
+    codec: runner.Codec
+    encode_order: Callable[[keyholds.Grant | keyholds.Release], bytes]
+    judge_order: Callable[[httplink.Answer], keyholds.Ordered]
+    decode_announcement: Callable[[door.Incoming], beside.Announcement | None]
+    decode_table: Callable[[bytes], routetable.RouteTable | None]
--- /dev/null
+++ b/tamarackgap/traffic/calls.py
@@ -0,0 +1,105 @@
+"""What a caller asks for, and what becomes of it on the way."""
+
+import msgspec
+
+from tamarackgap import types
+
+
+class Call(msgspec.Struct, array_like=True, frozen=True):
+    """A caller's request, as it is handed to a target.
+
+    Attributes:
+        request: Its id.
+        origin: Service of the VM where it began.
+        method: HTTP method.
+        target: Path and query.
+        head: Header lines to pass on, each with its line end.
+        body: The body.
+        position: Its key's position, in [0, slots.POSITIONS), if it has one.
+    """
+
+    request: types.RequestId
+    origin: types.ServiceName
+    method: str
+    target: str
+    head: bytes
+    body: bytes
+    position: int | None
+
+
+class Dispatch(msgspec.Struct, tag="dispatch", frozen=True):
+    """A call on its way to a daemon whose target is to run it.
+
+    Attributes:
+        owner: The incarnation that is asked.
+        leg: Id of this leg; the completion carries it.
+        service: The service that is to run it.
+        call: The call.
+        remaining: Seconds until the caller's deadline.
+        rank: 0 is served first.
+        idempotent: Whether running it twice does no harm.
+        aim: Seconds within which its answer is of full use, from now.
+    """
+
+    owner: types.Incarnation
+    leg: int
+    service: types.ServiceName
+    call: Call
+    remaining: float
+    rank: int
+    idempotent: bool
+    aim: float
+
+
+class Completion(msgspec.Struct, tag="completion", frozen=True):
+    """What became of a `Dispatch`.
+
+    Attributes:
+        leg: The leg's id.
+        verdict: Whether the target ran it.
+        reason: Why there is no answer; None where there is one.
+        status: The target's HTTP status, where it answered.
+        head: The answer's header lines to pass on.
+        body: The target's whole body.
+        retry_after: When there will be room, seconds from now.
+        running: Calls at the target.
+        waiting: Calls in the daemon's queue.
+    """
+
+    leg: int
+    verdict: types.Verdict
+    reason: types.Reason | None = None
+    status: int = 0
+    head: bytes = b""
+    body: bytes = b""
+    retry_after: float = 0.0
+    running: int = 0
+    waiting: int = 0
+
+
+class Withdraw(msgspec.Struct, tag="withdraw", frozen=True):
+    """The caller no longer waits for a leg."""
+
+    leg: int
+
+
+class Status(msgspec.Struct, tag="status", frozen=True):
+    """What a daemon tells the others of itself and its target.
+
+    Attributes:
+        service: The target's service.
+        accepting: Whether the target takes new calls.
+        capacity: Calls that the target runs at once.
+        running: Calls at the target.
+        waiting: Calls in the daemon's queue.
+        work_s: Usual time of a call at the target, seconds.
+        version: Version of the route table in force there.
+    """
+
+    service: types.ServiceName
+    accepting: bool
+    capacity: int
+    running: int
+    waiting: int
+    work_s: float
+    version: int
--- /dev/null
+++ b/tamarackgap/traffic/dispatcher.py
@@ -0,0 +1,523 @@
+"""The side of a call where it came in: route it, send it, answer for it."""
+
+import functools
+import itertools
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackgap import logs, ownership, peers, retries, scheduler, slots, types
+from tamarackgap.traffic import balancer, calls, routetable, runner
+
+# A key's owner is known again within this time after a planned move.
+_MOVE_PAUSE_S = 0.02
+# Part of the aim that a call may wait for a key that is between two owners.
+_MOVE_SHARE = 0.25
+# Advice where a key has no owner: a lease has to end first, seconds.
+_NO_OWNER_RETRY_S = 0.3
+_RETRY_S = 0.1
+# A leg must have this much time left, in usual calls, to be worth sending.
+_LEAST_CALLS = 0.5
+_SERVER_ERROR = 500
+
+# Refusals of a key's daemon after which its owner is looked up again.
+_MOVED = frozenset(
+    {
+        types.Reason.WRONG_OWNER,
+        types.Reason.SLOT_MOVING,
+        types.Reason.LEASE_EXPIRED,
+        types.Reason.NO_OWNER,
+    }
+)
+
+Done = Callable[[calls.Completion], None]
+
+
+class Flight(msgspec.Struct, eq=False):
+    """A caller's request under way.
+
+    Attributes:
+        call: The request.
+        route: Its route.
+        service: The service that is to run it.
+        begun: When it came in, seconds.
+        deadline: When its answer is due, seconds.
+        done: Takes the completion, once.
+        leg: Id of the leg under way; 0 for none.
+        candidate: Where that leg was sent.
+        tried: Incarnations that got a leg.
+        runs: Legs that may have reached a target.
+        may_have_run: Whether any leg may have run.
+        timer: Fires at the deadline.
+        last: The last refusal.
+    """
+
+    call: calls.Call
+    route: routetable.Route
+    service: types.ServiceName
+    begun: float
+    deadline: float
+    done: Done | None
+    leg: int = 0
+    candidate: balancer.Candidate | None = None
+    tried: frozenset[str] = frozenset()
+    runs: int = 0
+    may_have_run: bool = False
+    timer: scheduler.Timer | None = None
+    last: calls.Completion | None = None
+
+
+class Dispatcher:
+    """All requests that came in at this daemon."""
+
+    def __init__(
+        self,
+        core: ownership.Ownership,
+        beside: runner.Runner,
+        links: peers.Peers,
+        timers: scheduler.Scheduler,
+        budgets: retries.ServiceBudgets,
+        rng: random.Random,
+    ) -> None:
+        """Creates a dispatcher without requests.
+
+        Args:
+            core: Knows the keys' owners.
+            beside: Runs calls at this daemon's own target.
+            links: Links to the other daemons.
+            timers: The loop's scheduler.
+            budgets: Bound the legs that are sent again.
+            rng: Decides between equals.
+        """
+        self._core = core
+        self._runner = beside
+        self._peers = links
+        self._timers = timers
+        self._budgets = budgets
+        self._rng = rng
+        self._spread = routetable.Spread()
+        self._keyed: frozenset[str] = frozenset()
+        self._candidates: dict[str, balancer.Candidate] = {}
+        self._addresses: dict[str, str] = {}
+        self._flights: dict[int, Flight] = {}
+        self._legs = itertools.count(1)
+        self._open = 0
+        # Observes each finished flight, for metrics.
+        self.observe: Callable[[Flight, calls.Completion], None] = _ignore
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests under way."""
+        return self._open
+
+    def configure(self, table: routetable.RouteTable) -> None:
+        """Follows a new version of the operators' table."""
+        self._keyed = frozenset(
+            name for name, service in table.services.items() if service.keyed
+        )
+
+    def services_heard(self) -> set[str]:
+        """Returns the services that have a usable target."""
+        now = self._timers.now
+        return {
+            candidate.service
+            for candidate in self._candidates.values()
+            if candidate.usable(now)
+        }
+
+    def heard(self, sender: str, address: str, status: calls.Status) -> None:
+        """Takes in what a daemon tells of itself."""
+        now = self._timers.now
+        before = self._addresses_of(address)
+        candidate = self._candidates.get(sender)
+        if candidate is None:
+            candidate = balancer.Candidate(sender)
+            self._candidates[sender] = candidate
+            logs.event("daemon_heard", incarnation=sender, address=address)
+        self._addresses[sender] = address
+        if candidate.accepting != status.accepting:
+            logs.event(
+                "target_state_heard",
+                incarnation=sender,
+                service=status.service,
+                accepting=status.accepting,
+            )
+        candidate.service = status.service
+        candidate.accepting = status.accepting
+        candidate.capacity = status.capacity
+        candidate.busy = status.running + status.waiting
+        candidate.sent = 0
+        candidate.work_s = status.work_s
+        candidate.heard = now
+        for other in before - {sender}:
+            # Another process is at that address now.
+            self._drop(other)
+
+    def begin(
+        self,
+        call: calls.Call,
+        route: routetable.Route,
+        begun: float,
+        timeout: float,
+        done: Done,
+    ) -> Flight:
+        """Serves a request.
+
+        Args:
+            call: The request.
+            route: Its route.
+            begun: When its first byte came, seconds.
+            timeout: How long the caller waits, seconds.
+            done: Called once with what became of it, perhaps at once.
+
+        Returns:
+            The flight, for `cancel`.
+        """
+        flight = Flight(
+            call,
+            route,
+            self._spread.pick(route),
+            begun,
+            begun + min(timeout, route.timeout),
+            done,
+        )
+        self._open += 1
+        self._budgets.of(flight.service).deposit()
+        left = flight.deadline - self._timers.now
+        flight.timer = self._timers.after(
+            max(0.0, left), functools.partial(self._deadline, flight)
+        )
+        self._try(flight)
+        return flight
+
+    def cancel(self, flight: Flight) -> None:
+        """Gives a flight up: its caller went away."""
+        if flight.done is None:
+            return
+        flight.done = _nobody
+        self._withdraw(flight)
+        self._finish(
+            flight,
+            self._final(flight, types.Reason.NO_ANSWER, bool(flight.leg)),
+        )
+
+    def completed(self, sender: str, completion: calls.Completion) -> None:
+        """Takes in what became of a leg; one that comes late is dropped."""
+        candidate = self._candidates.get(sender)
+        if candidate is not None:
+            candidate.busy = completion.running + completion.waiting
+            candidate.sent = 0
+            candidate.heard = max(candidate.heard, self._timers.now)
+        flight = self._flights.pop(completion.leg, None)
+        if flight is None:
+            logs.event("late_completion_dropped", leg=completion.leg)
+            return
+        flight.leg = 0
+        if completion.verdict is types.Verdict.ANSWERED:
+            self._answered(flight, completion)
+        else:
+            self._refused(flight, completion)
+
+    def sweep(self) -> None:
+        """Gives up legs at daemons that are silent."""
+        now = self._timers.now
+        for name, candidate in list(self._candidates.items()):
+            if now - candidate.heard > balancer.SILENCE_S * 10:
+                self._drop(name)
+        for leg, flight in list(self._flights.items()):
+            candidate = flight.candidate
+            if (
+                flight.route.idempotent
+                and candidate is not None
+                and now - candidate.heard > balancer.SILENCE_S
+            ):
+                self._lose(leg, flight)
+
+    # Legs.
+
+    def _try(self, flight: Flight) -> None:
+        if flight.done is None:
+            return
+        now = self._timers.now
+        if flight.service in self._keyed:
+            owner, refusal = self._owner(flight)
+            if refusal is not None:
+                self._await_owner(flight, refusal)
+                return
+            candidate = self._candidates.get(owner)
+            if candidate is None:
+                candidate = balancer.Candidate(owner, heard=now)
+        else:
+            candidate = balancer.choose(
+                (
+                    candidate
+                    for candidate in self._candidates.values()
+                    if candidate.service == flight.service
+                ),
+                flight.tried,
+                now,
+                self._rng,
+            )
+            if candidate is None:
+                reason = types.Reason.TARGET_ABSENT
+                if flight.last is not None and flight.last.reason:
+                    reason = flight.last.reason
+                self._finish(flight, self._final(flight, reason, False))
+                return
+        self._send(flight, candidate, now)
+
+    def _owner(self, flight: Flight) -> tuple[str, types.Reason | None]:
+        position = flight.call.position
+        if position is None:
+            return types.NOBODY, types.Reason.BAD_REQUEST
+        founded = self._core.view.founded(flight.service)
+        if founded is None:
+            return types.NOBODY, types.Reason.NO_OWNER
+        slot = slots.slot_at(position, founded.slots)
+        route = self._core.routes.find(flight.service, slot)
+        if route is None or self._core.view.lease(route.owner) is None:
+            return types.NOBODY, types.Reason.NO_OWNER
+        return route.owner, None
+
+    def _send(
+        self, flight: Flight, candidate: balancer.Candidate, now: float
+    ) -> None:
+        leg = next(self._legs)
+        route = flight.route
+        dispatch = calls.Dispatch(
+            owner=types.Incarnation(candidate.incarnation),
+            leg=leg,
+            service=flight.service,
+            call=flight.call,
+            remaining=flight.deadline - now,
+            rank=route.rank,
+            idempotent=route.idempotent,
+            aim=max(0.0, flight.begun + route.aim - now),
+        )
+        flight.leg = leg
+        flight.candidate = candidate
+        flight.tried |= {candidate.incarnation}
+        flight.runs += 1
+        candidate.sent += 1
+        self._flights[leg] = flight
+        own = self._core.incarnation
+        if candidate.incarnation == own:
+            self._runner.take(
+                dispatch, own, functools.partial(self.completed, own)
+            )
+            return
+        address = self._address(candidate.incarnation)
+        if not address or not self._peers.send(own, address, dispatch):
+            self._flights.pop(leg, None)
+            flight.leg = 0
+            candidate.failed(now)
+            self._refused(
+                flight,
+                calls.Completion(
+                    leg,
+                    types.Verdict.NOT_RUN,
+                    types.Reason.PEER_UNREACHABLE,
+                ),
+            )
+
+    def _answered(self, flight: Flight, completion: calls.Completion) -> None:
+        if completion.status >= _SERVER_ERROR:
+            if flight.candidate is not None:
+                flight.candidate.failed(self._timers.now)
+            if flight.route.idempotent and self._may_rerun(flight):
+                flight.may_have_run = True
+                flight.last = completion
+                self._try(flight)
+                return
+        self._finish(flight, completion)
+
+    def _refused(self, flight: Flight, completion: calls.Completion) -> None:
+        now = self._timers.now
+        reason = completion.reason
+        ran = completion.verdict is types.Verdict.MAY_HAVE_RUN
+        flight.may_have_run |= ran
+        flight.last = completion
+        if ran:
+            if flight.candidate is not None:
+                flight.candidate.failed(now)
+            if flight.route.idempotent and self._may_rerun(flight):
+                self._try(flight)
+            else:
+                self._finish(flight, self._final(flight, reason, True))
+            return
+        if flight.service in self._keyed:
+            if reason in _MOVED:
+                self._await_owner(flight, reason)
+                return
+        elif self._may_go_elsewhere(flight, reason):
+            self._try(flight)
+            return
+        self._finish(
+            flight,
+            self._final(flight, reason, False, completion.retry_after),
+        )
+
+    def _may_rerun(self, flight: Flight) -> bool:
+        """Returns whether a call that may have run is sent once more."""
+        now = self._timers.now
+        work = flight.candidate.work_s if flight.candidate else 0.0
+        return (
+            flight.runs < flight.route.attempts
+            and flight.deadline - now > work * _LEAST_CALLS
+            and self._budgets.of(flight.service).withdraw()
+        )
+
+    def _may_go_elsewhere(
+        self, flight: Flight, reason: types.Reason | None
+    ) -> bool:
+        """Returns whether a call that did not run is tried at another."""
+        if len(flight.tried) >= max(2, flight.route.attempts):
+            return False
+        if reason is types.Reason.TARGET_REFUSED:
+            # It counts as a run: the target was asked.
+            return flight.runs < flight.route.attempts and (
+                self._budgets.of(flight.service).withdraw()
+            )
+        flight.runs -= 1
+        return True
+
+    def _await_owner(self, flight: Flight, reason: types.Reason) -> None:
+        """Waits a moment for a key that is between two owners."""
+        now = self._timers.now
+        until = flight.begun + flight.route.aim * _MOVE_SHARE
+        waits = reason in (
+            types.Reason.SLOT_MOVING,
+            types.Reason.WRONG_OWNER,
+        )
+        if waits and now + _MOVE_PAUSE_S < min(until, flight.deadline):
+            flight.runs = 0
+            self._timers.after(
+                _MOVE_PAUSE_S, functools.partial(self._try, flight)
+            )
+            return
+        self._finish(
+            flight, self._final(flight, reason, False, _NO_OWNER_RETRY_S)
+        )
+
+    def _lose(self, leg: int, flight: Flight) -> None:
+        self._flights.pop(leg, None)
+        flight.leg = 0
+        self._refused(
+            flight,
+            calls.Completion(
+                leg, types.Verdict.MAY_HAVE_RUN, types.Reason.OWNER_LOST
+            ),
+        )
+
+    def _drop(self, incarnation: str) -> None:
+        """Forgets a daemon that is gone; its answers are not due."""
+        self._candidates.pop(incarnation, None)
+        self._addresses.pop(incarnation, None)
+        logs.event("daemon_dropped", incarnation=incarnation)
+        for leg, flight in list(self._flights.items()):
+            candidate = flight.candidate
+            if candidate and candidate.incarnation == incarnation:
+                self._lose(leg, flight)
+
+    def _withdraw(self, flight: Flight) -> None:
+        if not flight.leg or flight.candidate is None:
+            return
+        owner = flight.candidate.incarnation
+        own = self._core.incarnation
+        if owner == own:
+            self._runner.withdraw(own, flight.leg)
+            return
+        address = self._address(owner)
+        if address:
+            self._peers.send(own, address, calls.Withdraw(flight.leg))
+
+    # Ends.
+
+    def _deadline(self, flight: Flight) -> None:
+        if flight.done is None:
+            return
+        self._withdraw(flight)
+        under_way = bool(flight.leg)
+        self._finish(
+            flight, self._final(flight, types.Reason.NO_ANSWER, under_way)
+        )
+
+    def _final(
+        self,
+        flight: Flight,
+        reason: types.Reason | None,
+        ran: bool,
+        retry_after: float = 0.0,
+    ) -> calls.Completion:
+        if flight.last is not None and (
+            flight.last.verdict is types.Verdict.ANSWERED
+        ):
+            # The target's own failure says more than ours.
+            return flight.last
+        ran = ran or flight.may_have_run
+        verdict = types.Verdict.MAY_HAVE_RUN if ran else types.Verdict.NOT_RUN
+        return calls.Completion(
+            flight.leg,
+            verdict,
+            reason,
+            retry_after=0.0 if ran else retry_after or _RETRY_S,
+        )
+
+    def _finish(self, flight: Flight, completion: calls.Completion) -> None:
+        done = flight.done
+        if done is None:
+            return
+        flight.done = None
+        flight.timer.cancel()
+        if flight.leg:
+            self._flights.pop(flight.leg, None)
+        self._open -= 1
+        self._log(flight, completion)
+        self.observe(flight, completion)
+        done(completion)
+
+    def _log(self, flight: Flight, completion: calls.Completion) -> None:
+        now = self._timers.now
+        candidate = flight.candidate
+        reason = completion.reason
+        logs.request_event(
+            "request",
+            completion.verdict is not types.Verdict.ANSWERED,
+            request=flight.call.request,
+            route=flight.route.name,
+            service=flight.service,
+            position=flight.call.position,
+            owner=candidate.incarnation if candidate else "",
+            load=candidate.busy + candidate.sent if candidate else 0,
+            load_age_ms=(
+                round((now - candidate.heard) * 1000) if candidate else 0
+            ),
+            runs=flight.runs,
+            verdict=completion.verdict.value,
+            reason=reason.value if reason else "",
+            status=completion.status,
+            ms=round((now - flight.begun) * 1000, 1),
+        )
+
+    # Addresses.
+
+    def _address(self, incarnation: str) -> str:
+        address = self._addresses.get(incarnation)
+        if address is None:
+            record = self._core.view.lease(incarnation)
+            address = record.peer_address if record is not None else ""
+        return address
+
+    def _addresses_of(self, address: str) -> set[str]:
+        return {
+            name for name, known in self._addresses.items() if known == address
+        }
+
+
+def _ignore(flight: Flight, completion: calls.Completion) -> None:
+    del flight, completion
+
+
+def _nobody(completion: calls.Completion) -> None:
+    del completion
--- /dev/null
+++ b/tamarackgap/traffic/httplink.py
@@ -0,0 +1,366 @@
+"""Kept HTTP connections to one address, each with one request at a time."""
+
+import enum
+import socket
+from collections.abc import Callable
+
+import httptools
+import msgspec
+from returns import result
+
+from tamarackgap import logs, scheduler, sockets
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Cause(enum.Enum):
+    """Why a request has no answer."""
+
+    UNREACHABLE = "unreachable"
+    CLOSED = "closed"
+    TIMEOUT = "timeout"
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+    CANCELLED = "cancelled"
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """A request without an answer.
+
+    Attributes:
+        cause: Why.
+        sent: Whether any byte of the request may have reached the other side.
+    """
+
+    cause: Cause
+    sent: bool
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header names in lower case, and values, as they came.
+        body: The body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns a header's value, or None."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+
+Done = Callable[[result.Result[Answer, Failure]], None]
+# Tells whether an answer belongs to the request that was sent.
+Belongs = Callable[[Answer], bool]
+
+
+class Exchange:
+    """A request on its way."""
+
+    __slots__ = ("_done", "belongs", "connection", "data", "timer")
+
+    def __init__(self, data: bytes, done: Done, belongs: Belongs) -> None:
+        """Creates an exchange that calls `done` once."""
+        self.data = data
+        self.belongs = belongs
+        self.connection: _Connection | None = None
+        self.timer: scheduler.Timer | None = None
+        self._done: Done | None = done
+
+    @property
+    def finished(self) -> bool:
+        """Whether `done` has been called."""
+        return self._done is None
+
+    def finish(self, outcome: result.Result[Answer, Failure]) -> None:
+        """Hands the outcome over, the first time."""
+        done = self._done
+        self._done = None
+        if self.timer is not None:
+            self.timer.cancel()
+        if done is not None:
+            done(outcome)
+
+
+class Link:
+    """All connections to one address."""
+
+    def __init__(
+        self,
+        poller: sockets.Poller,
+        timers: scheduler.Scheduler,
+        address: str,
+        idle_s: float,
+        silence_ms: int,
+    ) -> None:
+        """Creates a link without connections.
+
+        Args:
+            poller: The loop's poller.
+            timers: The loop's scheduler.
+            address: `ip:port`.
+            idle_s: Connections idle for longer are not used again, seconds.
+            silence_ms: Unacknowledged bytes break a connection after this.
+        """
+        self.poller = poller
+        self.timers = timers
+        self.address = address
+        self.idle_s = idle_s
+        self.opened = 0
+        self._silence_ms = silence_ms
+        self._idle: list[_Connection] = []
+        self._open: set[_Connection] = set()
+
+    def send(
+        self,
+        data: bytes,
+        timeout: float,
+        done: Done,
+        belongs: Belongs = lambda answer: True,
+        fresh: bool = False,
+    ) -> Exchange:
+        """Sends a whole request.
+
+        Args:
+            data: Its bytes.
+            timeout: Longest wait for the whole answer, seconds.
+            done: Called once with the answer or the failure; perhaps before
+                this returns.
+            belongs: Answers for which it is false are skipped.
+            fresh: Whether to use a new connection.
+
+        Returns:
+            The exchange, for `cancel`.
+        """
+        exchange = Exchange(data, done, belongs)
+        connection = None if fresh else self._take()
+        if connection is None:
+            connection = self._connect()
+        if connection is None:
+            exchange.finish(result.Failure(Failure(Cause.UNREACHABLE, False)))
+            return exchange
+        exchange.timer = self.timers.after(
+            timeout, lambda: self._give_up(exchange, Cause.TIMEOUT)
+        )
+        connection.begin(exchange)
+        return exchange
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Gives an exchange up by closing its connection."""
+        self._give_up(exchange, Cause.CANCELLED)
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for connection in list(self._open):
+            connection.lose(Cause.CLOSED)
+
+    def released(self, connection: "_Connection") -> None:
+        """Takes a connection back that may be used again."""
+        self._idle.append(connection)
+
+    def discard(self, connection: "_Connection") -> None:
+        """Forgets a closed connection."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def _take(self) -> "_Connection | None":
+        # The one used last is the one least likely to be closed by now.
+        now = self.timers.now
+        while self._idle:
+            connection = self._idle.pop()
+            if now < connection.usable_until:
+                return connection
+            connection.close()
+        return None
+
+    def _connect(self) -> "_Connection | None":
+        sock = sockets.connect(self.address, self._silence_ms)
+        if sock is None:
+            return None
+        self.opened += 1
+        connection = _Connection(self, sock)
+        self._open.add(connection)
+        return connection
+
+    def _give_up(self, exchange: Exchange, cause: Cause) -> None:
+        if exchange.finished:
+            return
+        if exchange.connection is not None:
+            exchange.connection.lose(cause)
+
+
+class _Connection:
+    """One connection, with at most one exchange."""
+
+    def __init__(self, link: Link, sock: socket.socket) -> None:
+        self._link = link
+        self._sock = sock
+        self._descriptor = sock.fileno()
+        self._exchange: Exchange | None = None
+        self._closed = False
+        self._odd = False
+        self._received = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._framed = False
+        # The answer that was waited for, until its bytes are all parsed.
+        self._answered: tuple[Exchange, Answer] | None = None
+        self.usable_until = 0.0
+        link.poller.watch(
+            self._descriptor,
+            sockets.READABLE | sockets.WRITABLE,
+            self._ready,
+        )
+        self._writer = sockets.Writer(link.poller, sock, False)
+
+    def begin(self, exchange: Exchange) -> None:
+        """Sends a request on this idle connection."""
+        self._exchange = exchange
+        exchange.connection = self
+        self._received = False
+        if not self._writer.write(exchange.data):
+            self.lose(Cause.CLOSED)
+
+    # The parser's callbacks.
+
+    def on_message_begin(self) -> None:
+        if self._exchange is None:
+            self._odd = True
+        self._headers = []
+        self._body = []
+        self._framed = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        if name in (b"content-length", b"transfer-encoding"):
+            self._framed = True
+        self._headers.append((name, value))
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._finish()
+
+    # The socket.
+
+    def _ready(self, flags: int) -> None:
+        if flags & sockets.WRITABLE and not self._writer.writable():
+            self.lose(
+                Cause.CLOSED if self._writer.connected else Cause.UNREACHABLE
+            )
+            return
+        if flags & (sockets.READABLE | sockets.BROKEN):
+            self._read()
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(sockets.READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.lose(
+                Cause.TRUNCATED if self._received else Cause.CLOSED,
+            )
+            return
+        if self._exchange is None:
+            # It closed, or bytes came that nobody asked for.
+            if data:
+                logs.event("surplus_bytes", address=self._link.address)
+            self.close()
+        elif data:
+            self._feed(data)
+        else:
+            self._ended()
+
+    def _feed(self, data: bytes) -> None:
+        self._received = True
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._odd = True
+            if self._exchange is not None:
+                self.lose(Cause.MALFORMED)
+                return
+        self._settle()
+
+    def _ended(self) -> None:
+        if self._received and not self._framed and self._headers:
+            # Its length is where the connection ends.
+            self._odd = True
+            self._finish()
+            if self._exchange is None:
+                self._settle()
+                return
+        self.lose(Cause.TRUNCATED if self._received else Cause.CLOSED)
+
+    def _finish(self) -> None:
+        """Takes a whole answer, if it is the one waited for."""
+        exchange = self._exchange
+        if exchange is None:
+            self._odd = True
+            return
+        answer = Answer(
+            self._parser.get_status_code(), self._headers, b"".join(self._body)
+        )
+        if not exchange.belongs(answer):
+            logs.event("late_answer_skipped", address=self._link.address)
+            self._odd = True
+            return
+        if self._writer.unsent or not self._parser.should_keep_alive():
+            self._odd = True
+        self._exchange = None
+        self.usable_until = self._link.timers.now + self._idle_limit(answer)
+        self._answered = (exchange, answer)
+
+    def _idle_limit(self, answer: Answer) -> float:
+        told = answer.header(b"keep-alive")
+        if told is not None:
+            for part in told.split(b","):
+                name, _, value = part.strip().partition(b"=")
+                if name.lower() == b"timeout" and value.isdigit():
+                    # The other side may close a moment before its time.
+                    return min(self._link.idle_s, max(0.0, int(value) - 1.0))
+        return self._link.idle_s
+
+    def _settle(self) -> None:
+        """Keeps the connection for another request, or closes it."""
+        if self._exchange is not None:
+            return
+        if self._odd:
+            self.close()
+        elif not self._closed:
+            self._link.released(self)
+        answered = self._answered
+        self._answered = None
+        if answered is not None:
+            exchange, answer = answered
+            exchange.finish(result.Success(answer))
+
+    def lose(self, cause: Cause) -> None:
+        """Closes the connection, and fails its exchange."""
+        exchange = self._exchange
+        self._exchange = None
+        sent = self._writer.connected
+        self.close()
+        if exchange is not None:
+            exchange.finish(result.Failure(Failure(cause, sent)))
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        if self._closed:
+            return
+        self._closed = True
+        self._link.poller.forget(self._descriptor)
+        self._link.discard(self)
+        self._sock.close()
--- /dev/null
+++ b/tamarackgap/traffic/keyholds.py
@@ -0,0 +1,248 @@
+"""Keeps a target told of the keys that it holds, and for how long.
+
+The target enforces what it was told by itself, so what it holds must end no
+later than this daemon's lease.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackgap import logs, ownership, scheduler, slots
+
+# The target's clock may run so much slower than this one.
+_DRIFT = 0.02
+# Time from a grant's sending to its arrival that is allowed for, seconds.
+_TRANSIT_S = 0.03
+# A hold is renewed when the lease has grown by this part of its length.
+_STEP_SHARE = 0.2
+_LEAST_HOLD_S = 0.05
+# An order without an answer may still be carried out; it is sent again.
+_ORDER_TIMEOUT_S = 0.3
+# A release answers when running work has ended.
+_RELEASE_TIMEOUT_S = 1.5
+
+
+class Grant(msgspec.Struct, frozen=True):
+    """Gives a run of slots to the target.
+
+    Attributes:
+        first: First position of its keys.
+        last: Last position, included.
+        fence: The fence.
+        hold: For how long from its arrival, seconds.
+        handover: What the last holder said when it released them, or "".
+    """
+
+    first: int
+    last: int
+    fence: int
+    hold: float
+    handover: str
+
+
+class Release(msgspec.Struct, frozen=True):
+    """Takes a run of slots back from the target."""
+
+    first: int
+    last: int
+    fence: int
+
+
+class Ordered(msgspec.Struct, frozen=True):
+    """What became of an order.
+
+    Attributes:
+        carried_out: Whether the target said that it carried it out.
+        superseded: Whether it has seen a higher fence.
+        handover: What the next holder may be told, or "".
+    """
+
+    carried_out: bool
+    superseded: bool = False
+    handover: str = ""
+
+
+# Sends an order to the target, with the longest wait for its answer.
+Order = Callable[
+    [Grant | Release, float, Callable[[Ordered], None]],
+    None,
+]
+# Called with the handover of each run that the target has released.
+Released = Callable[[dict[slots.Run, str]], None]
+
+
+class _Hold(msgspec.Struct):
+    run: slots.Run
+    asked_until: float = float("-inf")
+    held_until: float = float("-inf")
+    asking: bool = False
+    superseded: bool = False
+
+
+class KeyHolds:
+    """What the target holds, as far as it has said so."""
+
+    def __init__(
+        self,
+        core: ownership.Ownership,
+        order: Order,
+        timers: scheduler.Scheduler,
+        lease: float,
+    ) -> None:
+        """Creates a keeper of nothing.
+
+        Args:
+            core: Holds the lease and the slots.
+            order: Sends orders to the target.
+            timers: The loop's scheduler.
+            lease: Length of a lease, seconds.
+        """
+        self._core = core
+        self._order = order
+        self._timers = timers
+        self._step = lease * _STEP_SHARE
+        self._holds: dict[slots.Run, _Hold] = {}
+        self._by_slot: dict[int, _Hold] = {}
+        self._version = -1
+        self._releasing: frozenset[int] = frozenset()
+
+    @property
+    def runs(self) -> int:
+        """Number of runs of slots."""
+        return len(self._holds)
+
+    def held(self, slot: int, now: float) -> bool:
+        """Returns whether the target holds a slot under its fence."""
+        hold = self._by_slot.get(slot)
+        return (
+            hold is not None
+            and hold.held_until > now
+            and slot not in self._releasing
+        )
+
+    def forget(self) -> None:
+        """Notes that the target holds nothing: it has started anew."""
+        self._holds.clear()
+        self._by_slot.clear()
+        self._version = -1
+
+    def doubt(self) -> None:
+        """Renews soon: the target refused work that it should hold."""
+        for hold in self._holds.values():
+            hold.asked_until = float("-inf")
+
+    def renew(self) -> None:
+        """Sends the grants that are due."""
+        if self._version != self._core.slots_version:
+            self._follow()
+        now = self._timers.now
+        until = self._core.lease_until()
+        hold_s = (until - now) / (1 + _DRIFT) - _TRANSIT_S
+        if hold_s < _LEAST_HOLD_S:
+            return
+        for hold in self._holds.values():
+            due = until - hold.asked_until >= self._step
+            if due and not hold.asking and not hold.superseded:
+                self._grant(hold, until, hold_s)
+
+    def release(self, moving: frozenset[int], done: Released) -> None:
+        """Takes slots back from the target, before they move.
+
+        Args:
+            moving: The slots.
+            done: Called with the handovers, when the target holds none of
+                them any more.
+        """
+        self._releasing = moving
+        held = {
+            slot: slots.Holding(hold.run.fence)
+            for slot, hold in self._by_slot.items()
+            if slot in moving
+        }
+        left = list(slots.compress(held))
+        if not left:
+            done({})
+            return
+        # What is not answered ends by itself with the last hold.
+        ends = max(self._by_slot[slot].asked_until for slot in held)
+        handovers: dict[slots.Run, str] = {}
+        for run in list(left):
+            self._order(
+                Release(*slots.positions(run, self._slot_count()), run.fence),
+                _RELEASE_TIMEOUT_S,
+                lambda ordered, run=run: answered(run, ordered),
+            )
+
+        def answered(run: slots.Run, ordered: Ordered) -> None:
+            if not ordered.carried_out:
+                logs.event("release_unanswered", first=run.first, last=run.last)
+                wait = max(0.0, ends - self._timers.now)
+                self._timers.after(wait, lambda: finished(run, ""))
+            else:
+                finished(run, ordered.handover)
+
+        def finished(run: slots.Run, handover: str) -> None:
+            handovers[run] = handover
+            left.remove(run)
+            if not left:
+                done(handovers)
+
+    def released(self) -> None:
+        """Notes that a move is over; what has not moved is granted again."""
+        self._releasing = frozenset()
+        self.forget()
+
+    def _slot_count(self) -> int:
+        service = self._core.settings.service
+        return self._core.view.founded(service).slots
+
+    def _follow(self) -> None:
+        """Follows the slots owned; what was held stays held."""
+        self._version = self._core.slots_version
+        holdings = {
+            slot: slots.Holding(held.fence, handover=held.handover)
+            for slot, held in self._core.owned.items()
+        }
+        before = self._by_slot
+        self._holds = {}
+        self._by_slot = {}
+        for run in slots.compress(holdings):
+            known = [before.get(s) for s in range(run.first, run.last + 1)]
+            hold = _Hold(run)
+            if all(k is not None and k.run.fence == run.fence for k in known):
+                hold.held_until = min(k.held_until for k in known)
+                hold.asked_until = min(k.asked_until for k in known)
+                hold.superseded = any(k.superseded for k in known)
+            self._holds[run] = hold
+            for slot in range(run.first, run.last + 1):
+                self._by_slot[slot] = hold
+
+    def _grant(self, hold: _Hold, until: float, hold_s: float) -> None:
+        run = hold.run
+        if any(
+            slot in self._releasing for slot in range(run.first, run.last + 1)
+        ):
+            return
+        hold.asking = True
+        hold.asked_until = until
+
+        def answered(ordered: Ordered) -> None:
+            hold.asking = False
+            if ordered.carried_out:
+                # It may count from its arrival, but not beyond the lease.
+                hold.held_until = until
+                return
+            hold.asked_until = float("-inf")
+            hold.superseded = ordered.superseded
+            logs.event(
+                "grant_failed",
+                first=run.first,
+                last=run.last,
+                fence=run.fence,
+                superseded=ordered.superseded,
+            )
+
+        first, last = slots.positions(run, self._slot_count())
+        grant = Grant(first, last, run.fence, hold_s, run.handover)
+        self._order(grant, _ORDER_TIMEOUT_S, answered)
--- /dev/null
+++ b/tamarackgap/traffic/runner.py
@@ -0,0 +1,306 @@
+"""The side of a call beside its target: admit it, hand it over, judge it."""
+
+import functools
+from collections.abc import Callable
+
+import msgspec
+from returns import result
+
+from tamarackgap import logs, ownership, scheduler, slots, types
+from tamarackgap.traffic import admission, calls, httplink, keyholds
+
+# A target ends a call at its deadline; its answer takes a little longer.
+_GRACE_S = 0.02
+# Least time left with which a call is still handed over, seconds.
+_LEAST_S = 0.005
+_DRAIN_S = 1.6
+
+Reply = Callable[[calls.Completion], None]
+
+
+class Codec(msgspec.Struct, frozen=True):
+    """How calls and answers are spelled on the way to targets.
+
+    Attributes:
+        encode: Returns a call's bytes, from the dispatch, the milliseconds
+            left and the target's instance.
+        belongs: Returns whether an answer is the one to a request id.
+        judge: Returns the completion that an answer means.
+    """
+
+    encode: Callable[[calls.Dispatch, int, str], bytes]
+    belongs: Callable[[str, httplink.Answer], bool]
+    judge: Callable[[int, httplink.Answer], calls.Completion]
+
+
+class Leg(msgspec.Struct, eq=False):
+    """A call that this daemon deals with.
+
+    Attributes:
+        dispatch: The call.
+        sender: The incarnation that sent it.
+        deadline: The caller's deadline on this clock, seconds.
+        reply: Takes the completion, once.
+        begun: When it was handed over, seconds.
+        waiting: Its place in the queue.
+        exchange: Its exchange with the target.
+    """
+
+    dispatch: calls.Dispatch
+    sender: str
+    deadline: float
+    reply: Reply | None
+    begun: float = 0.0
+    waiting: admission.Waiting | None = None
+    exchange: httplink.Exchange | None = None
+
+
+class Runner:
+    """All calls for the target beside this daemon."""
+
+    def __init__(
+        self,
+        service: types.ServiceName,
+        core: ownership.Ownership,
+        holds: keyholds.KeyHolds,
+        link: httplink.Link,
+        codec: Codec,
+        timers: scheduler.Scheduler,
+        lost: Callable[[], None],
+    ) -> None:
+        """Creates a runner without a target.
+
+        Args:
+            service: The target's service.
+            core: Says which keys are owned.
+            holds: Says which keys the target holds.
+            link: Connections to the target.
+            codec: Spells calls and answers.
+            timers: The loop's scheduler.
+            lost: Called when the target refuses connections.
+        """
+        self._service = service
+        self._core = core
+        self._holds = holds
+        self._link = link
+        self._codec = codec
+        self._timers = timers
+        self._lost = lost
+        self._admission = admission.Admission()
+        self._legs: dict[tuple[str, int], Leg] = {}
+        self._instance = ""
+        self._leave_at = 0.0
+        self._draining = False
+        # Whether each key has one owner among the service's targets.
+        self.keyed = False
+
+    @property
+    def queue(self) -> admission.Admission:
+        """The queue before the target."""
+        return self._admission
+
+    @property
+    def in_progress(self) -> int:
+        """Number of calls here, waiting or at the target."""
+        return len(self._legs)
+
+    @property
+    def accepting(self) -> bool:
+        """Whether the target takes new calls."""
+        return bool(self._instance) and not self._draining
+
+    def attach(self, instance: str, capacity: int) -> None:
+        """Takes a target into use.
+
+        Args:
+            instance: Id of this life of the target.
+            capacity: Calls that it runs at once.
+        """
+        self._instance = instance
+        self._draining = False
+        self._admission.resize(capacity, self._timers.now)
+
+    def drain(self) -> None:
+        """Takes no new calls; those that wait must start soon."""
+        if not self._draining:
+            self._draining = True
+            self._leave_at = self._timers.now + _DRAIN_S
+
+    def detach(self) -> None:
+        """Notes that there is no target any more."""
+        self._instance = ""
+        self._admission.resize(0, self._timers.now)
+        self._link.close()
+
+    def sweep(self) -> None:
+        """Refuses calls that can no longer start in time."""
+        now = self._timers.now
+        if self._draining and now >= self._leave_at:
+            self._admission.flush()
+        else:
+            self._admission.sweep(now)
+
+    def take(self, dispatch: calls.Dispatch, sender: str, reply: Reply) -> None:
+        """Deals with a call; `reply` is called once, perhaps at once."""
+        now = self._timers.now
+        leg = Leg(dispatch, sender, now + dispatch.remaining, reply)
+        refusal = self._refusal(dispatch, now)
+        if refusal is not None:
+            self._refuse(leg, refusal, 0.0)
+            return
+        self._legs[sender, dispatch.leg] = leg
+        leg.waiting = admission.Waiting(
+            dispatch.rank,
+            leg.deadline,
+            functools.partial(self._start, leg),
+            functools.partial(self._refuse, leg, types.Reason.QUEUE_FULL),
+        )
+        self._admission.offer(leg.waiting, now)
+
+    def withdraw(self, sender: str, leg_id: int) -> None:
+        """Gives a call up, where that can do no harm."""
+        leg = self._legs.get((sender, leg_id))
+        if leg is None:
+            return
+        leg.reply = None
+        if leg.exchange is None:
+            if leg.waiting is not None and self._admission.withdraw(
+                leg.waiting
+            ):
+                self._legs.pop((sender, leg_id), None)
+        elif leg.dispatch.idempotent:
+            self._link.cancel(leg.exchange)
+
+    def _refusal(
+        self, dispatch: calls.Dispatch, now: float
+    ) -> types.Reason | None:
+        if (
+            dispatch.owner != self._core.incarnation
+            or dispatch.service != self._service
+        ):
+            return types.Reason.WRONG_OWNER
+        if not self._instance:
+            return types.Reason.TARGET_ABSENT
+        if self._draining and not self.keyed:
+            return types.Reason.DRAINING
+        if not self.keyed:
+            return None
+        if dispatch.call.position is None:
+            return types.Reason.BAD_REQUEST
+        founded = self._core.view.founded(self._service)
+        if founded is None:
+            return types.Reason.NO_OWNER
+        slot = slots.slot_at(dispatch.call.position, founded.slots)
+        refusal = self._core.refusal(slot, now)
+        if refusal is None and not self._holds.held(slot, now):
+            return types.Reason.SLOT_MOVING
+        return refusal
+
+    def _start(self, leg: Leg) -> None:
+        """Hands a call over, if it still may be: time has gone by."""
+        now = self._timers.now
+        dispatch = leg.dispatch
+        refusal = self._refusal(dispatch, now)
+        left = leg.deadline - now
+        if refusal is None and left < _LEAST_S:
+            refusal = types.Reason.DEADLINE_PASSED
+        if refusal is not None:
+            self._refuse(leg, refusal, 0.0)
+            self._admission.finished(None, now)
+            return
+        leg.begun = now
+        data = self._codec.encode(dispatch, int(left * 1000), self._instance)
+        request = dispatch.call.request
+        leg.exchange = self._link.send(
+            data,
+            left + _GRACE_S,
+            functools.partial(self._ran, leg),
+            functools.partial(self._codec.belongs, request),
+        )
+
+    def _ran(
+        self,
+        leg: Leg,
+        outcome: result.Result[httplink.Answer, httplink.Failure],
+    ) -> None:
+        now = self._timers.now
+        worked: float | None = None
+        match outcome:
+            case result.Success(httplink.Answer() as answer):
+                completion = self._codec.judge(leg.dispatch.leg, answer)
+                if completion.verdict is types.Verdict.ANSWERED:
+                    worked = now - leg.begun
+                elif completion.verdict is types.Verdict.NOT_RUN:
+                    self._admission.turned_away()
+                    self._holds.doubt()
+            case result.Failure(httplink.Failure() as failure):
+                completion = self._failed(leg, failure)
+            case _:
+                raise AssertionError(outcome)
+        self._log(leg, completion, now)
+        self._finish(leg, completion)
+        self._admission.finished(worked, now)
+
+    def _failed(self, leg: Leg, failure: httplink.Failure) -> calls.Completion:
+        if failure.cause is httplink.Cause.UNREACHABLE:
+            self._lost()
+        if not failure.sent:
+            return calls.Completion(
+                leg.dispatch.leg,
+                types.Verdict.NOT_RUN,
+                types.Reason.TARGET_ABSENT,
+            )
+        return calls.Completion(
+            leg.dispatch.leg,
+            types.Verdict.MAY_HAVE_RUN,
+            _REASONS[failure.cause],
+        )
+
+    def _refuse(self, leg: Leg, reason: types.Reason, retry: float) -> None:
+        completion = calls.Completion(
+            leg.dispatch.leg,
+            types.Verdict.NOT_RUN,
+            reason,
+            retry_after=retry,
+        )
+        self._log(leg, completion, self._timers.now)
+        self._finish(leg, completion)
+
+    def _finish(self, leg: Leg, completion: calls.Completion) -> None:
+        self._legs.pop((leg.sender, leg.dispatch.leg), None)
+        reply = leg.reply
+        leg.reply = None
+        if reply is not None:
+            reply(
+                msgspec.structs.replace(
+                    completion,
+                    running=self._admission.running,
+                    waiting=self._admission.waiting,
+                )
+            )
+
+    def _log(self, leg: Leg, completion: calls.Completion, now: float) -> None:
+        reason = completion.reason
+        logs.request_event(
+            "call",
+            completion.verdict is not types.Verdict.ANSWERED,
+            request=leg.dispatch.call.request,
+            leg=leg.dispatch.leg,
+            instance=self._instance,
+            verdict=completion.verdict.value,
+            reason=reason.value if reason else "",
+            status=completion.status,
+            ms=round((now - leg.begun) * 1000, 1) if leg.begun else 0,
+            running=self._admission.running,
+            waiting=self._admission.waiting,
+        )
+
+
+_REASONS = {
+    httplink.Cause.UNREACHABLE: types.Reason.TARGET_ABSENT,
+    httplink.Cause.CLOSED: types.Reason.TARGET_FAILED,
+    httplink.Cause.TIMEOUT: types.Reason.NO_ANSWER,
+    httplink.Cause.TRUNCATED: types.Reason.ANSWER_TRUNCATED,
+    httplink.Cause.MALFORMED: types.Reason.TARGET_FAILED,
+    httplink.Cause.CANCELLED: types.Reason.NO_ANSWER,
+}
