--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -135,7 +135,7 @@
         self._budgets = retries.ServiceBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
         )
-        self._dispatcher = dispatcher.Dispatcher(
+        self._entry = dispatcher.Dispatcher(
             self._core,
             self._runner,
             self._peers,
@@ -194,7 +194,7 @@
             incoming.answer(_NO_ROUTE, [], b"")
             return
         timeout = route.timeout if asked.timeout is None else asked.timeout
-        flight = self._dispatcher.begin(
+        flight = self._entry.begin(
             asked.call,
             route,
             incoming.begun,
@@ -202,7 +202,7 @@
             functools.partial(self._answer, incoming),
         )
         if flight.done is not None:
-            incoming.gone = functools.partial(self._dispatcher.cancel, flight)
+            incoming.gone = functools.partial(self._entry.cancel, flight)
 
     def _answer(
         self, incoming: door.Incoming, completion: calls.Completion
@@ -305,7 +305,7 @@
         self._table = table
         self._index = routetable.Index(table)
         self._door.limits = table.limits
-        self._dispatcher.configure(table)
+        self._entry.configure(table)
         service = table.services.get(self._service)
         keyed = service is not None and service.keyed
         self._core.keyed = keyed
@@ -329,11 +329,11 @@
                     functools.partial(self._reply, envelope.address),
                 )
             case calls.Completion() as completion:
-                self._dispatcher.completed(sender, completion)
+                self._entry.completed(sender, completion)
             case calls.Withdraw(leg=leg):
                 self._runner.withdraw(sender, leg)
             case calls.Status() as status:
-                self._dispatcher.heard(sender, envelope.address, status)
+                self._entry.heard(sender, envelope.address, status)
                 self._heard_version(status.version)
             case _:
                 self._core.receive(envelope, now())
@@ -359,7 +359,7 @@
         )
         own = self._core.incarnation
         address = self._settings.daemon_peer_address
-        self._dispatcher.heard(own, address, status)
+        self._entry.heard(own, address, status)
         for record in self._core.view.members():
             if record.peer_address != address:
                 self._peers.send(own, record.peer_address, status)
@@ -379,7 +379,7 @@
         )
         self._core.tick(moment)
         self._carry_out()
-        self._dispatcher.sweep()
+        self._entry.sweep()
         if leaving:
             self._leave(moment)
 
@@ -453,7 +453,7 @@
             return
         idle = (
             moment > self._leave_at
-            and not self._dispatcher.in_flight
+            and not self._entry.in_flight
             and not self._runner.in_progress
             and not self._door.in_progress
             and not self._core.owned
@@ -464,7 +464,7 @@
         if self._core.owned:
             self._core.release(moment)
             self._carry_out()
-        logs.event("stopped", in_flight=self._dispatcher.in_flight)
+        logs.event("stopped", in_flight=self._entry.in_flight)
         self.timers.after(_TICK_S, self.stop)
 
 
