Loads of ordered slots by work; slowness of targets whatever the mix

Cause: on the sites keys were never moved (loads were not told), and a target that joined kept a guessed time of work, so that no call ever went there. Slots' loads now count the target's time, also of calls it had no room for; a target's slowness is its time as a part of the route's aim, unknown until its first answer, when the others' mean stands in.

--- a/tamarackgap/effects.py
+++ b/tamarackgap/effects.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tamarackgap import changes, messages, records
+from tamarackgap import changes, heat, messages, records
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -27,6 +27,9 @@
         ordered: Whether keys lie in slots by their order; then slots are
             given out in runs, and the target is asked to release them
             before they move.
+        half_life: Half-life of the loads of slots, seconds.
+        unsettled: Time after a change of slots in which loads are measured
+            anew, seconds.
     """
 
     service: str
@@ -42,6 +45,8 @@
     settle: float = 1.0
     batch: int = 64
     ordered: bool = False
+    half_life: float = heat.HALF_LIFE_S
+    unsettled: float = 5.0
 
 
 class Owned(msgspec.Struct, frozen=True):
--- a/tamarackgap/heat.py
+++ b/tamarackgap/heat.py
@@ -4,9 +4,7 @@
 
 import msgspec
 
-_HALF_LIFE_S = 10.0
-# Sum of the weights of one request a second for ever.
-LIFE_S = _HALF_LIFE_S / math.log(2)
+HALF_LIFE_S = 10.0
 # The sketch keeps so many keys.
 _SKETCH_KEYS = 192
 # Of a slot that came just now, one request must not look like a flood.
@@ -30,16 +28,23 @@
 class SlotMeter:
     """Requests a second of each slot, with an exponential decay."""
 
-    def __init__(self, now: float) -> None:
-        """Creates a meter that has counted nothing."""
+    def __init__(self, now: float, half_life: float = HALF_LIFE_S) -> None:
+        """Creates a meter that has counted nothing.
+
+        Args:
+            now: Monotonic time, seconds.
+            half_life: Time in which what was counted is half forgotten,
+                seconds.
+        """
         self._weights: dict[int, float] = {}
+        self._half_life = half_life
         self._scale_at = now
 
-    def count(self, slot: int, now: float) -> None:
-        """Counts a request."""
+    def count(self, slot: int, now: float, amount: float = 1.0) -> None:
+        """Counts a request, or what it costs in usual requests."""
         # Later requests weigh more instead of earlier ones less, so that
         # counting touches only one slot.
-        weight = 2.0 ** ((now - self._scale_at) / _HALF_LIFE_S)
+        weight = amount * 2.0 ** ((now - self._scale_at) / self._half_life)
         self._weights[slot] = self._weights.get(slot, 0.0) + weight
 
     def rates(self, since: dict[int, float], now: float) -> dict[int, float]:
@@ -52,12 +57,12 @@
         """
         self._rescale(now)
         return {
-            slot: self._weights.get(slot, 0.0) / _seen(now - begun)
+            slot: self._weights.get(slot, 0.0) / self._seen(now - begun)
             for slot, begun in since.items()
         }
 
     def _rescale(self, now: float) -> None:
-        factor = 2.0 ** ((self._scale_at - now) / _HALF_LIFE_S)
+        factor = 2.0 ** ((self._scale_at - now) / self._half_life)
         self._weights = {
             slot: weight * factor
             for slot, weight in self._weights.items()
@@ -65,10 +70,16 @@
         }
         self._scale_at = now
 
+    def _seen(self, age: float) -> float:
+        """Returns the weights of one request a second over the last `age`."""
+        life = life_s(self._half_life)
+        least = min(_LEAST_AGE_S, self._half_life)
+        return life * (1 - 2.0 ** (-max(age, least) / self._half_life))
+
 
-def _seen(age: float) -> float:
-    """Returns the weights of one request a second over the last `age`."""
-    return LIFE_S * (1 - 2.0 ** (-max(age, _LEAST_AGE_S) / _HALF_LIFE_S))
+def life_s(half_life: float) -> float:
+    """Returns the sum of the weights of one request a second for ever."""
+    return half_life / math.log(2)
 
 
 class HotKeys:
--- a/tamarackgap/loads.py
+++ b/tamarackgap/loads.py
@@ -6,8 +6,6 @@
 
 # Loads go to a sample, so that their number does not grow with the square.
 _FANOUT = 8
-# After a change of slots, load is measured anew for this long.
-_UNSETTLED_S = 5.0
 # Requests a second below which there is nothing to measure.
 _IDLE_RATE = 5.0
 # A load that is older than this counts as unknown.
@@ -112,7 +110,8 @@
         """
         self.rates = rates
         total: float | None = sum(rates.values())
-        if now - changed_at < _UNSETTLED_S and total >= _IDLE_RATE:
+        unsettled = now - changed_at < self._settings.unsettled
+        if unsettled and total >= _IDLE_RATE:
             # What came lately is not measured well enough to move more.
             total = None
         own = self._outbox.incarnation
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -127,6 +127,7 @@
     members: Sequence[Member],
     rates: dict[int, float] | None = None,
     tolerance: float = 0.08,
+    half_life: float = heat.HALF_LIFE_S,
 ) -> list[Move]:
     """Returns the moves that bring every member near to its share.
 
@@ -141,6 +142,7 @@
         rates: Requests a second of the slots that are known exactly.
         tolerance: Excess over its share at which a member gives slots
             away, as a part of the share.
+        half_life: Half-life of the rates, seconds.
     """
     if not any(member.weight for member in members):
         return []
@@ -161,7 +163,7 @@
     moves: list[Move] = []
     for giver in sorted(known, key=lambda member: member.name):
         share = shares[giver]
-        least = max(tolerance, _noise(giver.rate or 0.0)) * share
+        least = max(tolerance, _noise(giver.rate or 0.0, half_life)) * share
         if giver.weight and -room[giver.incarnation] <= least:
             continue
         moves += _give(giver, known, costs, room, shares)
@@ -177,9 +179,9 @@
     return any(m.rate is not None for m in members if m.owned)
 
 
-def _noise(rate: float) -> float:
+def _noise(rate: float, half_life: float) -> float:
     """Returns how far a measured rate may be off by chance, as a share."""
-    counted = rate * heat.LIFE_S
+    counted = rate * heat.life_s(half_life)
     return _DEVIATIONS / max(1.0, counted) ** 0.5
 
 
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -358,6 +358,7 @@
         members(view, service, situation.loads),
         situation.rates,
         policy.tolerance / 100,
+        situation.settings.half_life,
     )
     own = [
         move
--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -39,7 +39,10 @@
 _TICK_S = 0.05
 _SWEEP_S = 0.02
 _STATUS_S = 0.25
-_LOAD_S = 1.0
+_LOAD_S = 0.5
+# Hot ranges of keys change within seconds.
+_LOAD_HALF_LIFE_S = 2.0
+_LOAD_UNSETTLED_S = 1.0
 # A process that leaves is still asked until the second question in a row has
 # failed; it serves all who come until then.
 _LINGER_S = 2.6
@@ -354,7 +357,7 @@
             queue.capacity,
             queue.running,
             queue.waiting,
-            queue.work,
+            self._runner.slowness,
             self._table.version if self._table else 0,
         )
         own = self._core.incarnation
@@ -365,7 +368,7 @@
                 self._peers.send(own, record.peer_address, status)
 
     def _tell_load(self) -> None:
-        self._core.served({}, now())
+        self._core.served(self._runner.rates(), now())
         self._carry_out()
 
     # The loop's turns.
@@ -501,6 +504,8 @@
         settle=settings.ownership_settle / 1000,
         batch=settings.ownership_batch,
         ordered=True,
+        half_life=_LOAD_HALF_LIFE_S,
+        unsettled=_LOAD_UNSETTLED_S,
     )
 
 
--- a/tamarackgap/traffic/balancer.py
+++ b/tamarackgap/traffic/balancer.py
@@ -15,6 +15,7 @@
 _FAILURE_HALF_LIFE_S = 2.0
 # Each recent failure counts as so many usual calls of time.
 _FAILURE_COST = 3.0
+_FIRST_SLOWNESS = 0.3
 # Estimates this close to the best are as good as the best.
 _CLOSE = 0.1
 
@@ -29,7 +30,8 @@
         capacity: Calls that it runs at once.
         busy: Calls there, running and waiting, when it was last told of.
         sent: Calls sent there since, and not completed.
-        work_s: Usual time of a call, seconds.
+        slowness: Usual time of a call, as a part of its route's aim; 0
+            where it has served none.
         heard: When its daemon was last heard, seconds.
         failures: Recent failures, decayed.
         failed_at: When `failures` was right, seconds.
@@ -41,7 +43,7 @@
     capacity: int = 0
     busy: int = 0
     sent: int = 0
-    work_s: float = 0.1
+    slowness: float = 0.0
     heard: float = float("-inf")
     failures: float = 0.0
     failed_at: float = 0.0
@@ -64,15 +66,20 @@
             and now - self.heard < SILENCE_S
         )
 
-    def estimate(self, now: float) -> float:
-        """Returns the likely time to an answer, seconds."""
+    def estimate(self, now: float, usual: float) -> float:
+        """Returns the likely time to an answer, as a part of the aim.
+
+        Args:
+            now: Monotonic time, seconds.
+            usual: Slowness to assume where nothing is known.
+        """
         load = self.busy + self.sent
         over = max(0, load + 1 - self.capacity)
         turns = 1.0 + over / max(1, self.capacity)
         # Nearly full targets slow down, and estimates are rough.
         turns += 0.2 * load / max(1, self.capacity)
         failing = _FAILURE_COST * self.recent_failures(now)
-        return self.work_s * (turns + failing)
+        return (self.slowness or usual) * (turns + failing)
 
 
 def choose(
@@ -96,7 +103,11 @@
     ]
     if not usable:
         return None
-    estimates = [(candidate.estimate(now), candidate) for candidate in usable]
+    known = [candidate.slowness for candidate in usable if candidate.slowness]
+    usual = sum(known) / len(known) if known else _FIRST_SLOWNESS
+    estimates = [
+        (candidate.estimate(now, usual), candidate) for candidate in usable
+    ]
     limit = min(estimate for estimate, _ in estimates) * (1 + _CLOSE)
     best = [candidate for estimate, candidate in estimates if estimate <= limit]
     return rng.choice(best)
--- a/tamarackgap/traffic/calls.py
+++ b/tamarackgap/traffic/calls.py
@@ -38,7 +38,7 @@
         remaining: Seconds until the caller's deadline.
         rank: 0 is served first.
         idempotent: Whether running it twice does no harm.
-        aim: Seconds within which its answer is of full use, from now.
+        aim: Time within which the route's answers are of full use, seconds.
     """
 
     owner: types.Incarnation
@@ -92,7 +92,8 @@
         capacity: Calls that the target runs at once.
         running: Calls at the target.
         waiting: Calls in the daemon's queue.
-        work_s: Usual time of a call at the target, seconds.
+        slowness: Usual time of a call at the target, as a part of its
+            route's aim; 0 where it has served none.
         version: Version of the route table in force there.
     """
 
@@ -101,5 +102,5 @@
     capacity: int
     running: int
     waiting: int
-    work_s: float
+    slowness: float
     version: int
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -17,8 +17,8 @@
 # Advice where a key has no owner: a lease has to end first, seconds.
 _NO_OWNER_RETRY_S = 0.3
 _RETRY_S = 0.1
-# A leg must have this much time left, in usual calls, to be worth sending.
-_LEAST_CALLS = 0.5
+# A leg must have this part of the aim left to be worth sending.
+_LEAST_AIM = 0.25
 _SERVER_ERROR = 500
 
 # Refusals of a key's daemon after which its owner is looked up again.
@@ -148,7 +148,7 @@
         candidate.capacity = status.capacity
         candidate.busy = status.running + status.waiting
         candidate.sent = 0
-        candidate.work_s = status.work_s
+        candidate.slowness = status.slowness
         candidate.heard = now
         for other in before - {sender}:
             # Another process is at that address now.
@@ -293,7 +293,7 @@
             remaining=flight.deadline - now,
             rank=route.rank,
             idempotent=route.idempotent,
-            aim=max(0.0, flight.begun + route.aim - now),
+            aim=route.aim,
         )
         flight.leg = leg
         flight.candidate = candidate
@@ -361,10 +361,9 @@
     def _may_rerun(self, flight: Flight) -> bool:
         """Returns whether a call that may have run is sent once more."""
         now = self._timers.now
-        work = flight.candidate.work_s if flight.candidate else 0.0
         return (
             flight.runs < flight.route.attempts
-            and flight.deadline - now > work * _LEAST_CALLS
+            and flight.deadline - now > flight.route.aim * _LEAST_AIM
             and self._budgets.of(flight.service).withdraw()
         )
 
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from tamarackgap import logs, ownership, scheduler, slots, types
+from tamarackgap import heat, logs, ownership, scheduler, slots, types
 from tamarackgap.traffic import admission, calls, httplink, keyholds
 
 # A target ends a call at its deadline; its answer takes a little longer.
@@ -14,6 +14,10 @@
 # Least time left with which a call is still handed over, seconds.
 _LEAST_S = 0.005
 _DRAIN_S = 1.6
+# Work of a call that counts as one in the slots' loads, seconds.
+_USUAL_WORK_S = 0.05
+# How fast the slowness of a target follows what is measured.
+_LEARN = 0.05
 
 Reply = Callable[[calls.Completion], None]
 
@@ -90,9 +94,12 @@
         self._legs: dict[tuple[str, int], Leg] = {}
         self._instance = ""
         self._leave_at = 0.0
+        self._meter = heat.SlotMeter(timers.now, core.settings.half_life)
         self._draining = False
         # Whether each key has one owner among the service's targets.
         self.keyed = False
+        # Usual time of a call as a part of its route's aim; 0 is unknown.
+        self.slowness = 0.0
 
     @property
     def queue(self) -> admission.Admission:
@@ -116,6 +123,8 @@
             instance: Id of this life of the target.
             capacity: Calls that it runs at once.
         """
+        if instance != self._instance:
+            self.slowness = 0.0
         self._instance = instance
         self._draining = False
         self._admission.resize(capacity, self._timers.now)
@@ -149,6 +158,10 @@
             self._refuse(leg, refusal, 0.0)
             return
         self._legs[sender, dispatch.leg] = leg
+        if self.keyed:
+            # Calls that find no room are load as well.
+            amount = self._admission.work / _USUAL_WORK_S
+            self._meter.count(self._slot(dispatch), now, amount)
         leg.waiting = admission.Waiting(
             dispatch.rank,
             leg.deadline,
@@ -187,15 +200,27 @@
             return None
         if dispatch.call.position is None:
             return types.Reason.BAD_REQUEST
-        founded = self._core.view.founded(self._service)
-        if founded is None:
+        if self._core.view.founded(self._service) is None:
             return types.Reason.NO_OWNER
-        slot = slots.slot_at(dispatch.call.position, founded.slots)
+        slot = self._slot(dispatch)
         refusal = self._core.refusal(slot, now)
         if refusal is None and not self._holds.held(slot, now):
             return types.Reason.SLOT_MOVING
         return refusal
 
+    def _slot(self, dispatch: calls.Dispatch) -> types.Slot:
+        founded = self._core.view.founded(self._service)
+        return slots.slot_at(dispatch.call.position, founded.slots)
+
+    def rates(self) -> dict[int, float]:
+        """Returns the load of each slot owned here, in usual calls a second.
+
+        A call counts by the time that this target takes for one, so that
+        a slow target has more load from the same calls.
+        """
+        since = {slot: held.since for slot, held in self._core.owned.items()}
+        return self._meter.rates(since, self._timers.now)
+
     def _start(self, leg: Leg) -> None:
         """Hands a call over, if it still may be: time has gone by."""
         now = self._timers.now
@@ -230,6 +255,7 @@
                 completion = self._codec.judge(leg.dispatch.leg, answer)
                 if completion.verdict is types.Verdict.ANSWERED:
                     worked = now - leg.begun
+                    self._learn(worked, leg.dispatch.aim)
                 elif completion.verdict is types.Verdict.NOT_RUN:
                     self._admission.turned_away()
                     self._holds.doubt()
@@ -241,6 +267,14 @@
         self._finish(leg, completion)
         self._admission.finished(worked, now)
 
+    def _learn(self, worked: float, aim: float) -> None:
+        """Follows how slow the target is, whatever the mix of its calls."""
+        seen = worked / aim
+        if self.slowness:
+            self.slowness += (seen - self.slowness) * _LEARN
+        else:
+            self.slowness = seen
+
     def _failed(self, leg: Leg, failure: httplink.Failure) -> calls.Completion:
         if failure.cause is httplink.Cause.UNREACHABLE:
             self._lost()
