Blocks instead of scattered slots; orders one after the other; a refused connection is told from a reset one

Ruled out: handover itself. Now moves take blocks at the ends of runs, at most two orders are under way, only ECONNREFUSED counts as the target's end, and a silent target's keys are given up after its last hold. A daemon asks another for a newer route table; SIGHUP reloads.

--- a/tamarackgap/changes.py
+++ b/tamarackgap/changes.py
@@ -209,11 +209,16 @@
     builder = Builder(view, change)
     holdings = slots.expand(target.runs)
     gained: dict[str, dict[types.Slot, slots.Holding]] = {}
+    moves = list(moves)
+    # One fence for all that moves keeps neighbouring slots in one run.
+    fence = 1 + max(
+        (holdings[types.Slot(move.slot)].fence for move in moves), default=0
+    )
     for move in moves:
-        held = holdings.pop(types.Slot(move.slot))
+        del holdings[types.Slot(move.slot)]
         taken = gained.setdefault(move.destination, {})
         taken[types.Slot(move.slot)] = slots.Holding(
-            held.fence + 1, handover=handover(move.slot)
+            fence, handover=handover(move.slot)
         )
     members = view.members(target.service)
     builder.put(own_record(target, holdings, members))
--- a/tamarackgap/effects.py
+++ b/tamarackgap/effects.py
@@ -30,6 +30,8 @@
         half_life: Half-life of the loads of slots, seconds.
         unsettled: Time after a change of slots in which loads are measured
             anew, seconds.
+        tolerance: Least load above its share, percent, at which a daemon
+            gives slots away, whatever the operators' row says.
     """
 
     service: str
@@ -47,6 +49,7 @@
     ordered: bool = False
     half_life: float = heat.HALF_LIFE_S
     unsettled: float = 5.0
+    tolerance: int = 0
 
 
 class Owned(msgspec.Struct, frozen=True):
--- a/tamarackgap/messages.py
+++ b/tamarackgap/messages.py
@@ -231,6 +231,8 @@
     | calls.Completion
     | calls.Withdraw
     | calls.Status
+    | calls.TableWanted
+    | calls.TableNews
 )
 
 
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -65,6 +65,8 @@
         self._table_ok = False
         # Whether the service's keys have owners at all.
         self.keyed = True
+        # Whether the target has so little to do that its slots may stay.
+        self.calm = False
         # Rises whenever other slots are owned than before.
         self.slots_version = 0
         self._renewal = renewal.Renewal(
@@ -482,6 +484,7 @@
             age=now - self._started,
             now=now,
             keyed=self.keyed,
+            calm=self.calm,
         )
 
     def _change_id(self) -> str:
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement.py
@@ -19,6 +19,8 @@
 # and a slot below this part of a member's share is a trifle.
 _LEFT = 0.9
 _TRIFLE = 0.005
+# A block may cost so much more than it should, rather than be a slot short.
+_OVERSHOOT = 1.1
 # A difference counts only if it is this many standard deviations large.
 _DEVIATIONS = 3.0
 # Numbers of slots are exact: they are evened out closer than load.
@@ -92,6 +94,14 @@
     }
 
 
+# Chooses the moves of one giver, and takes their cost out of the room that
+# members have: the giver, all members, costs, room, shares.
+Give = Callable[
+    [Member, Sequence[Member], "Costs", dict[str, float], dict[Member, float]],
+    list[Move],
+]
+
+
 class Costs:
     """What slots and members cost, as shares of the members' whole."""
 
@@ -128,6 +138,7 @@
     rates: dict[int, float] | None = None,
     tolerance: float = 0.08,
     half_life: float = heat.HALF_LIFE_S,
+    give: "Give | None" = None,
 ) -> list[Move]:
     """Returns the moves that bring every member near to its share.
 
@@ -143,6 +154,7 @@
         tolerance: Excess over its share at which a member gives slots
             away, as a part of the share.
         half_life: Half-life of the rates, seconds.
+        give: Chooses one giver's moves; `give_slots` if None.
     """
     if not any(member.weight for member in members):
         return []
@@ -166,7 +178,7 @@
         least = max(tolerance, _noise(giver.rate or 0.0, half_life)) * share
         if giver.weight and -room[giver.incarnation] <= least:
             continue
-        moves += _give(giver, known, costs, room, shares)
+        moves += (give or give_slots)(giver, known, costs, room, shares)
     return moves
 
 
@@ -185,7 +197,7 @@
     return _DEVIATIONS / max(1.0, counted) ** 0.5
 
 
-def _give(
+def give_slots(
     giver: Member,
     members: Sequence[Member],
     costs: Costs,
@@ -221,6 +233,89 @@
     return moves
 
 
+def give_blocks(
+    giver: Member,
+    members: Sequence[Member],
+    costs: Costs,
+    room: dict[str, float],
+    shares: dict[Member, float],
+) -> list[Move]:
+    """Moves neighbouring slots of one giver together, as few blocks.
+
+    Each block of an ordered service is one more run to be granted, so blocks
+    are cut off at the ends of the giver's runs.
+    """
+    moves: list[Move] = []
+    reason = "load" if giver.weight else "weight-zero"
+    left = sorted(giver.owned)
+    takers = [m for m in members if m.weight and m is not giver]
+    cost_of = {slot: costs.slot(slot, giver) for slot in left}
+    while left and takers:
+        excess = -room[giver.incarnation] if giver.weight else float("inf")
+        taker = max(takers, key=lambda m: (room[m.incarnation], m.name))
+        free = room[taker.incarnation]
+        if giver.weight and min(excess, free) <= shares[giver] * _TRIFLE:
+            break
+        block = _best_block(left, cost_of, min(excess, free))
+        cost = sum(cost_of[slot] for slot in block)
+        if giver.weight and (
+            not block or not _helps(cost, excess, free, shares[giver])
+        ):
+            break
+        if not block:
+            block = left[:1]
+            cost = cost_of[left[0]]
+        room[giver.incarnation] += cost
+        room[taker.incarnation] -= cost
+        taken = set(block)
+        left = [slot for slot in left if slot not in taken]
+        moves += [
+            Move(slot, giver.incarnation, taker.incarnation, reason)
+            for slot in block
+        ]
+    return moves
+
+
+def _best_block(
+    owned: Sequence[int], cost_of: dict[int, float], wanted: float
+) -> list[int]:
+    """Returns the block at an end of a run whose cost is nearest to wanted.
+
+    Args:
+        owned: Slots, sorted.
+        cost_of: What each costs.
+        wanted: Cost that should not be exceeded by much.
+    """
+    best: list[int] = []
+    best_cost = 0.0
+    for run in _runs_of(owned):
+        for ordered in (run, run[::-1]):
+            block: list[int] = []
+            total = 0.0
+            for slot in ordered:
+                if total + cost_of[slot] > wanted * _OVERSHOOT:
+                    break
+                block.append(slot)
+                total += cost_of[slot]
+            if total > best_cost:
+                best, best_cost = block, total
+    if best:
+        return best
+    # Hot slots at all ends: one from the middle is better than none.
+    fitting = [s for s in owned if cost_of[s] <= wanted * _OVERSHOOT]
+    return [max(fitting, key=cost_of.__getitem__)] if fitting else []
+
+
+def _runs_of(owned: Sequence[int]) -> list[list[int]]:
+    runs: list[list[int]] = []
+    for slot in owned:
+        if runs and runs[-1][-1] == slot - 1:
+            runs[-1].append(slot)
+        else:
+            runs.append([slot])
+    return runs
+
+
 def _helps(cost: float, excess: float, room: float, share: float) -> bool:
     """Returns whether a move is worth its churn.
 
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -353,12 +353,19 @@
         return ()
     mine = situation.mine
     policy = view.policy(service, mine.data_centre)
+    present = members(view, service, situation.loads)
+    empty = any(member.weight and not member.owned for member in present)
+    if situation.calm and situation.accepting and not empty:
+        return ()
     planned = placement.plan(
         founded.slots,
-        members(view, service, situation.loads),
+        present,
         situation.rates,
-        policy.tolerance / 100,
+        max(policy.tolerance, situation.settings.tolerance) / 100,
         situation.settings.half_life,
+        placement.give_blocks
+        if situation.settings.ordered
+        else placement.give_slots,
     )
     own = [
         move
--- a/tamarackgap/platform/__main__.py
+++ b/tamarackgap/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs a router daemon on the users' platform."""
 
+import functools
 import os
 import pathlib
 import sys
@@ -20,7 +21,8 @@
     if path is None:
         print(f"{_SETTINGS_VARIABLE} is not set", file=sys.stderr)
         return _EXIT_USAGE
-    match config.load(pathlib.Path(path)):
+    read_settings = functools.partial(config.load, pathlib.Path(path))
+    match read_settings():
         case result.Failure(problem):
             print(problem, file=sys.stderr)
             return _EXIT_USAGE
@@ -29,7 +31,7 @@
         case other:
             raise AssertionError(other)
     logs.start(settings.daemon_log, settings.daemon_name)
-    daemon = router.Router(settings)
+    daemon = router.Router(settings, read_settings)
     daemon.begin(
         boundary.Boundary(
             store=store.Store(
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -93,7 +93,6 @@
         self._link = httplink.Link(
             poller, timers, address, _IDLE_S, _SILENCE_MS
         )
-        self._operators: _Watch | None = None
         self._counts: dict[str, int] = {}
 
     def counts(self) -> dict[str, int]:
@@ -118,19 +117,14 @@
                 if table is not None:
                     changed(table)
 
-        self._operators = _Watch(
+        watch = _Watch(
             self,
             names.OPERATOR_TABLE,
             _OPERATOR_PAUSE_S,
             rows,
             lambda problem: None,
         )
-        self._operators.begin()
-
-    def read_operators_soon(self) -> None:
-        """Reads the operator's configuration now."""
-        if self._operators is not None:
-            self._operators.read_now()
+        watch.begin()
 
     def commit(
         self,
@@ -193,10 +187,6 @@
 
         return self._link.send(head.encode("ascii") + body, timeout, counted)
 
-    def give_up(self, exchange: httplink.Exchange) -> None:
-        """Gives a call up, without an answer."""
-        self._link.cancel(exchange)
-
     @property
     def timers(self) -> scheduler.Scheduler:
         """The loop's scheduler."""
@@ -225,12 +215,9 @@
         self._page: list[records.Row] = []
         self._retry = _RETRY_S
         self._is_failing = False
-        self._exchange: httplink.Exchange | None = None
-        self._turn = 0
 
     def begin(self) -> None:
         """Makes the next call."""
-        self._turn += 1
         if self._revision is None:
             self._get("")
             return
@@ -241,17 +228,6 @@
         )
         self._call(path, _POLL_S + _POLL_MARGIN_S, self._fed)
 
-    def read_now(self) -> None:
-        """Reads the whole table now, instead of waiting for changes."""
-        exchange = self._exchange
-        self._exchange = None
-        self._turn += 1
-        if exchange is not None:
-            # Closing a connection gives up the poll that waits there.
-            self._store.timers.after(0.0, lambda: self._store.give_up(exchange))
-        self._revision = None
-        self.begin()
-
     def _get(self, start: str) -> None:
         if not start:
             self._page = []
@@ -266,14 +242,9 @@
         timeout: float,
         take: Callable[[httplink.Answer], bool],
     ) -> None:
-        turn = self._turn
-
         def done(
             outcome: result.Result[httplink.Answer, httplink.Failure],
         ) -> None:
-            if turn != self._turn:
-                return
-            self._exchange = None
             match outcome:
                 case result.Success(httplink.Answer() as answer):
                     if not take(answer):
@@ -281,7 +252,7 @@
                 case result.Failure(httplink.Failure(cause=cause)):
                     self._fail(cause.value)
 
-        self._exchange = self._store.call("GET", path, b"", timeout, done)
+        self._store.call("GET", path, b"", timeout, done)
 
     def _fail(self, problem: str) -> None:
         if not self._is_failing:
@@ -292,13 +263,7 @@
         self._retry = min(self._retry * 2, _RETRY_MAX_S)
 
     def _again(self, pause: float) -> None:
-        turn = self._turn
-
-        def begin() -> None:
-            if turn == self._turn:
-                self.begin()
-
-        self._store.timers.after(pause, begin)
+        self._store.timers.after(pause, self.begin)
 
     def _worked(self) -> None:
         self._retry = _RETRY_S
--- a/tamarackgap/retries.py
+++ b/tamarackgap/retries.py
@@ -57,6 +57,12 @@
         self._burst = 1.0
         self._budgets: dict[str, RetryBudget] = {}
 
+    def resize(self, ratio: float, extra: float) -> None:
+        """Sets both amounts; budgets begin anew with the next request."""
+        self._ratio = ratio / 2
+        self._extra = extra / 2
+        self._budgets.clear()
+
     def share(self, daemons: int) -> None:
         """Sets among how many daemons the fixed amount is divided."""
         self._burst = max(1.0, self._extra / max(1, daemons))
--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -39,10 +39,16 @@
 _TICK_S = 0.05
 _SWEEP_S = 0.02
 _STATUS_S = 0.25
+# Another daemon is asked for its newer table at most this often.
+_ASK_TABLE_S = 0.2
 _LOAD_S = 0.5
 # Hot ranges of keys change within seconds.
 _LOAD_HALF_LIFE_S = 2.0
 _LOAD_UNSETTLED_S = 1.0
+_TOLERANCE_PERCENT = 15
+# Below this part of its capacity a target gives no keys away: moving them
+# would cost their callers more than they gain.
+_CALM_UTILISATION = 0.6
 # A process that leaves is still asked until the second question in a row has
 # failed; it serves all who come until then.
 _LINGER_S = 2.6
@@ -72,21 +78,27 @@
 
     channel = "router"
 
-    def __init__(self, settings: config.Config) -> None:
+    def __init__(
+        self,
+        settings: config.Config,
+        read_settings: Callable[[], result.Result[config.Config, str]],
+    ) -> None:
         """Creates the parts that need nothing of the world.
 
         Args:
             settings: All settings.
+            read_settings: Reads them again.
         """
         super().__init__()
         self._settings = settings
+        self._read_settings = read_settings
         self._service = types.ServiceName(settings.daemon_service)
         self._rng = random.Random()
         self.poller = sockets.Poller().register(self)
         self.timers = scheduler.Scheduler(now).register(self)
         self._table: routetable.RouteTable | None = None
         self._index: routetable.Index | None = None
-        self._read_at = float("-inf")
+        self._asked_table = float("-inf")
         self._leave_at: float | None = None
         self._end_at = 0.0
         self._stopped = False
@@ -114,6 +126,14 @@
             _TARGET_IDLE_S,
             _TARGET_SILENCE_MS,
         )
+        # Orders wait for nobody, and need few of the target's connections.
+        self._orders = httplink.Link(
+            self.poller,
+            self.timers,
+            settings.router_target_address,
+            _TARGET_IDLE_S,
+            _TARGET_SILENCE_MS,
+        )
         lease = settings.ownership_lease / 1000
         self._holds = keyholds.KeyHolds(
             self._core, self._order, self.timers, lease
@@ -160,6 +180,7 @@
             callers=settings.daemon_http_address,
             peers=settings.daemon_peer_address,
         )
+        signal.signal(signal.SIGHUP, self._signal_handler)
         outside.store.watch(self._rows_read, self._read_failed)
         outside.store.watch_operators(self._table_changed)
         self.timers.every(_TICK_S, self._tick)
@@ -223,6 +244,7 @@
         incoming.answer(_OK, [], b"")
         self._target_changed(self._beside.announced(said, now()))
         if self._beside.phase is beside.Phase.SERVING:
+            self._holds.resume()
             self._runner.attach(self._beside.instance, self._beside.capacity)
 
     def _target_refused(self) -> None:
@@ -242,16 +264,28 @@
                 self._abandon_keys("target-started-anew")
                 self._holds.forget()
                 self._link.close()
+                self._orders.close()
                 if self._beside.phase is beside.Phase.LEAVING:
                     self._runner.drain()
             case beside.Change.LEAVING:
                 self._runner.drain()
             case beside.Change.LOST:
                 self._runner.detach()
-                self._abandon_keys("target-lost")
+                self._abandon_keys("target-gone")
                 self._holds.forget()
+            case beside.Change.SILENT:
+                self._runner.detach()
+                # It may live, and hold keys until its holds have ended.
+                self.timers.after(
+                    self._holds.pause(),
+                    functools.partial(self._abandon_if_silent),
+                )
         self._tell_status()
 
+    def _abandon_if_silent(self) -> None:
+        if self._beside.phase is beside.Phase.ABSENT:
+            self._abandon_keys("target-silent")
+
     def _abandon_keys(self, reason: str) -> None:
         """Lets the successors serve at once: the target holds no key."""
         if self._core.owned:
@@ -273,16 +307,15 @@
                     done(self._outside.judge_order(answer))
                 case result.Failure(httplink.Failure(cause=cause)):
                     logs.event("order_unanswered", cause=cause.value)
-                    if cause is httplink.Cause.UNREACHABLE:
+                    if cause is httplink.Cause.REFUSED:
                         self._target_refused()
                     done(keyholds.Ordered(False))
 
-        self._link.send(self._outside.encode_order(order), timeout, answered)
+        self._orders.send(self._outside.encode_order(order), timeout, answered)
 
     # The store.
 
     def _rows_read(self, rows: list[records.Row], revision: int) -> None:
-        self._read_at = now()
         self._core.read(_readable(rows), revision, now())
         members = self._core.view.members()
         self._peers.keep({record.peer_address for record in members})
@@ -337,7 +370,18 @@
                 self._runner.withdraw(sender, leg)
             case calls.Status() as status:
                 self._entry.heard(sender, envelope.address, status)
-                self._heard_version(status.version)
+                self._heard_version(status.version, envelope.address)
+            case calls.TableWanted():
+                if self._table is not None:
+                    self._peers.send(
+                        self._core.incarnation,
+                        envelope.address,
+                        calls.TableNews(self._table.source),
+                    )
+            case calls.TableNews(source=source):
+                table = self._outside.decode_table(source)
+                if table is not None:
+                    self._table_changed(table)
             case _:
                 self._core.receive(envelope, now())
                 self._carry_out()
@@ -345,9 +389,15 @@
     def _reply(self, address: str, completion: calls.Completion) -> None:
         self._peers.send(self._core.incarnation, address, completion)
 
-    def _heard_version(self, version: int) -> None:
-        if self._table is None or version > self._table.version:
-            self._outside.store.read_operators_soon()
+    def _heard_version(self, version: int, address: str) -> None:
+        """Asks for a newer table, in case the store is out of reach here."""
+        known = self._table.version if self._table is not None else 0
+        moment = now()
+        if version > known and moment - self._asked_table > _ASK_TABLE_S:
+            self._asked_table = moment
+            self._peers.send(
+                self._core.incarnation, address, calls.TableWanted()
+            )
 
     def _tell_status(self) -> None:
         queue = self._runner.queue
@@ -368,6 +418,7 @@
                 self._peers.send(own, record.peer_address, status)
 
     def _tell_load(self) -> None:
+        self._core.calm = self._runner.utilisation < _CALM_UTILISATION
         self._core.served(self._runner.rates(), now())
         self._carry_out()
 
@@ -375,7 +426,9 @@
 
     def _tick(self) -> None:
         moment = now()
-        self._target_changed(self._beside.check(moment))
+        self._target_changed(
+            self._beside.check(self._runner.answered_at, moment)
+        )
         leaving = self._leave_at is not None
         self._core.accept(
             self._beside.phase is beside.Phase.SERVING and not leaving, True
@@ -436,6 +489,10 @@
         self, event: circuits.Event, number: int, stack: object
     ) -> None:
         del stack
+        if number == signal.SIGHUP:
+            event.stop()
+            self._reload()
+            return
         if number not in (signal.SIGTERM, signal.SIGINT):
             return
         event.stop()
@@ -450,6 +507,18 @@
         self._runner.drain()
         self._tell_status()
 
+    def _reload(self) -> None:
+        """Takes over the settings that can change while it runs."""
+        match self._read_settings():
+            case result.Failure(problem):
+                logs.event("settings_refused", problem=problem)
+            case result.Success(config.Config() as settings):
+                self._settings = settings
+                self._budgets.resize(
+                    settings.router_reruns / 100, settings.router_extra_reruns
+                )
+                logs.event("settings_reloaded")
+
     def _leave(self, moment: float) -> None:
         """Ends the process, once nothing depends on it any more."""
         if self._stopped:
@@ -506,6 +575,7 @@
         ordered=True,
         half_life=_LOAD_HALF_LIFE_S,
         unsettled=_LOAD_UNSETTLED_S,
+        tolerance=_TOLERANCE_PERCENT,
     )
 
 
--- a/tamarackgap/situation.py
+++ b/tamarackgap/situation.py
@@ -20,6 +20,7 @@
         done: Number of epochs that were ended here.
         unrecorded: Number of slots that the table does not show yet.
         unresponsive: Witnesses that do not answer or renew no more.
+        calm: Whether the target has little to do.
     """
 
     view: int
@@ -29,6 +30,7 @@
     done: int
     unrecorded: int
     unresponsive: frozenset[str]
+    calm: bool
 
 
 class Situation(msgspec.Struct, frozen=True):
@@ -53,6 +55,7 @@
         age: Seconds since the incarnation began.
         now: Monotonic time, seconds.
         keyed: Whether the service's keys have owners at all.
+        calm: Whether the target has so little to do that its slots may stay.
     """
 
     view: records.View
@@ -73,6 +76,7 @@
     age: float
     now: float
     keyed: bool = True
+    calm: bool = False
 
     def signature(self) -> Signature:
         """Returns what has to change before another decision is due."""
@@ -85,6 +89,7 @@
             done,
             len(self.unrecorded),
             frozenset(unresponsive(self)),
+            self.calm,
         )
 
     @property
--- a/tamarackgap/sockets.py
+++ b/tamarackgap/sockets.py
@@ -110,6 +110,8 @@
         self._descriptor = sock.fileno()
         self._unsent = b""
         self._connected = connected
+        # Whether nobody listens at the other side.
+        self.refused = False
 
     @property
     def connected(self) -> bool:
@@ -139,7 +141,9 @@
             False where the connection is broken or was never made.
         """
         if not self._connected:
-            if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self.refused = code == errno.ECONNREFUSED
                 return False
             self._connected = True
         data = self._unsent
--- a/tamarackgap/traffic/beside.py
+++ b/tamarackgap/traffic/beside.py
@@ -51,7 +51,10 @@
     NEW_LIFE = "new-life"
     BACK = "back"
     LEAVING = "leaving"
+    # Nobody listens at its address: it has ended.
     LOST = "lost"
+    # It says and answers nothing; it may live all the same.
+    SILENT = "silent"
 
 
 class Beside:
@@ -68,7 +71,6 @@
         self._service = service
         self._silence = interval * _SILENT_INTERVALS
         self._heard = now
-        self._answered = float("-inf")
         self._latest = Announcement("")
         self.phase = Phase.ABSENT
 
@@ -110,10 +112,6 @@
             return Change.NEW_LIFE
         return Change.BACK if before is Phase.ABSENT else Change.NONE
 
-    def answered(self, now: float) -> None:
-        """Notes that the target has answered something."""
-        self._answered = now
-
     def lost(self) -> Change:
         """Notes that the target refuses connections."""
         if self.phase is Phase.ABSENT:
@@ -121,12 +119,19 @@
         self.phase = Phase.ABSENT
         return Change.LOST
 
-    def check(self, now: float) -> Change:
-        """Returns LOST once the target has been silent for too long."""
-        silent = now - self._heard > self._silence
-        if silent and now - self._answered > _ANSWERED_S:
-            return self.lost()
-        return Change.NONE
+    def check(self, answered: float, now: float) -> Change:
+        """Returns SILENT once the target has been silent for too long.
+
+        Args:
+            answered: When it last answered a call, seconds.
+            now: Monotonic time, seconds.
+        """
+        if self.phase is Phase.ABSENT or now - self._heard <= self._silence:
+            return Change.NONE
+        if now - answered <= _ANSWERED_S:
+            return Change.NONE
+        self.phase = Phase.ABSENT
+        return Change.SILENT
 
     def _if_new(self, before: Phase) -> Change:
         return Change.NONE if before is Phase.LEAVING else Change.LEAVING
--- a/tamarackgap/traffic/boundary.py
+++ b/tamarackgap/traffic/boundary.py
@@ -64,9 +64,6 @@
     ) -> None:
         """Reads the operators' table, and each new version, for good."""
 
-    def read_operators_soon(self) -> None:
-        """Reads the operators' table now: others know a newer version."""
-
     def commit(
         self,
         transaction: records.Transaction,
--- a/tamarackgap/traffic/calls.py
+++ b/tamarackgap/traffic/calls.py
@@ -83,6 +83,16 @@
     leg: int
 
 
+class TableWanted(msgspec.Struct, tag="table-wanted", frozen=True):
+    """A daemon asks another for its newer route table."""
+
+
+class TableNews(msgspec.Struct, tag="table-news", frozen=True):
+    """A route table, passed on as the operators wrote it."""
+
+    source: bytes
+
+
 class Status(msgspec.Struct, tag="status", frozen=True):
     """What a daemon tells the others of itself and its target.
 
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -13,7 +13,7 @@
 # A key's owner is known again within this time after a planned move.
 _MOVE_PAUSE_S = 0.02
 # Part of the aim that a call may wait for a key that is between two owners.
-_MOVE_SHARE = 0.25
+_MOVE_SHARE = 0.6
 # Advice where a key has no owner: a lease has to end first, seconds.
 _NO_OWNER_RETRY_S = 0.3
 _RETRY_S = 0.1
--- a/tamarackgap/traffic/httplink.py
+++ b/tamarackgap/traffic/httplink.py
@@ -16,6 +16,8 @@
 class Cause(enum.Enum):
     """Why a request has no answer."""
 
+    # Nobody listens at the address.
+    REFUSED = "refused"
     UNREACHABLE = "unreachable"
     CLOSED = "closed"
     TIMEOUT = "timeout"
@@ -256,22 +258,25 @@
 
     def _ready(self, flags: int) -> None:
         if flags & sockets.WRITABLE and not self._writer.writable():
-            self.lose(
-                Cause.CLOSED if self._writer.connected else Cause.UNREACHABLE
-            )
+            self.lose(self._cause())
             return
         if flags & (sockets.READABLE | sockets.BROKEN):
             self._read()
 
+    def _cause(self) -> Cause:
+        if self._writer.refused:
+            return Cause.REFUSED
+        if not self._writer.connected:
+            return Cause.UNREACHABLE
+        return Cause.TRUNCATED if self._received else Cause.CLOSED
+
     def _read(self) -> None:
         try:
             data = self._sock.recv(sockets.READ_BYTES)
         except BlockingIOError:
             return
         except OSError:
-            self.lose(
-                Cause.TRUNCATED if self._received else Cause.CLOSED,
-            )
+            self.lose(self._cause())
             return
         if self._exchange is None:
             # It closed, or bytes came that nobody asked for.
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -4,6 +4,7 @@
 later than this daemon's lease.
 """
 
+import collections
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +18,8 @@
 # A hold is renewed when the lease has grown by this part of its length.
 _STEP_SHARE = 0.2
 _LEAST_HOLD_S = 0.05
+# A target accepts few connections, and each order takes one.
+_ORDERS_AT_ONCE = 2
 # An order without an answer may still be carried out; it is sent again.
 _ORDER_TIMEOUT_S = 0.3
 # A release answers when running work has ended.
@@ -106,6 +109,10 @@
         self._by_slot: dict[int, _Hold] = {}
         self._version = -1
         self._releasing: frozenset[int] = frozenset()
+        self._paused = False
+        # Orders that wait until the ones before them are answered.
+        self._queue: collections.deque[Callable[[], None]] = collections.deque()
+        self._ordered = 0
 
     @property
     def runs(self) -> int:
@@ -127,6 +134,16 @@
         self._by_slot.clear()
         self._version = -1
 
+    def pause(self) -> float:
+        """Renews nothing; returns after how long all holds have ended."""
+        self._paused = True
+        ends = [hold.asked_until for hold in self._holds.values()]
+        return max(0.0, max(ends, default=0.0) - self._timers.now)
+
+    def resume(self) -> None:
+        """Renews again."""
+        self._paused = False
+
     def doubt(self) -> None:
         """Renews soon: the target refused work that it should hold."""
         for hold in self._holds.values():
@@ -134,6 +151,8 @@
 
     def renew(self) -> None:
         """Sends the grants that are due."""
+        if self._paused:
+            return
         if self._version != self._core.slots_version:
             self._follow()
         now = self._timers.now
@@ -144,7 +163,7 @@
         for hold in self._holds.values():
             due = until - hold.asked_until >= self._step
             if due and not hold.asking and not hold.superseded:
-                self._grant(hold, until, hold_s)
+                self._grant(hold, until)
 
     def release(self, moving: frozenset[int], done: Released) -> None:
         """Takes slots back from the target, before they move.
@@ -168,8 +187,12 @@
         ends = max(self._by_slot[slot].asked_until for slot in held)
         handovers: dict[slots.Run, str] = {}
         for run in list(left):
+            order = Release(
+                *slots.positions(run, self._slot_count()), run.fence
+            )
+            # A release waits for running work: it must not hold up grants.
             self._order(
-                Release(*slots.positions(run, self._slot_count()), run.fence),
+                order,
                 _RELEASE_TIMEOUT_S,
                 lambda ordered, run=run: answered(run, ordered),
             )
@@ -190,8 +213,10 @@
 
     def released(self) -> None:
         """Notes that a move is over; what has not moved is granted again."""
+        for slot in self._releasing:
+            self._by_slot.pop(slot, None)
         self._releasing = frozenset()
-        self.forget()
+        self._version = -1
 
     def _slot_count(self) -> int:
         service = self._core.settings.service
@@ -218,17 +243,34 @@
             for slot in range(run.first, run.last + 1):
                 self._by_slot[slot] = hold
 
-    def _grant(self, hold: _Hold, until: float, hold_s: float) -> None:
+    def _grant(self, hold: _Hold, until: float) -> None:
+        hold.asking = True
+        self._queue.append(lambda: self._send_grant(hold, until))
+        self._next()
+
+    def _next(self) -> None:
+        while self._queue and self._ordered < _ORDERS_AT_ONCE:
+            self._ordered += 1
+            self._queue.popleft()()
+
+    def _send_grant(self, hold: _Hold, until: float) -> None:
+        # It has waited: the lease is nearer to its end now.
+        hold_s = (until - self._timers.now) / (1 + _DRIFT) - _TRANSIT_S
         run = hold.run
-        if any(
+        moving = any(
             slot in self._releasing for slot in range(run.first, run.last + 1)
-        ):
+        )
+        if moving or self._holds.get(run) is not hold or hold_s < _LEAST_HOLD_S:
+            hold.asking = False
+            self._ordered -= 1
+            self._next()
             return
-        hold.asking = True
         hold.asked_until = until
 
         def answered(ordered: Ordered) -> None:
             hold.asking = False
+            self._ordered -= 1
+            self._next()
             if ordered.carried_out:
                 # It may count from its arrival, but not beyond the lease.
                 hold.held_until = until
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -100,6 +100,10 @@
         self.keyed = False
         # Usual time of a call as a part of its route's aim; 0 is unknown.
         self.slowness = 0.0
+        # When the target last answered a call, seconds.
+        self.answered_at = float("-inf")
+        # Part of the target's capacity that was in use lately.
+        self._utilisation = 0.0
 
     @property
     def queue(self) -> admission.Admission:
@@ -141,9 +145,16 @@
         self._admission.resize(0, self._timers.now)
         self._link.close()
 
+    @property
+    def utilisation(self) -> float:
+        """Calls here against what the target runs at once, of late."""
+        return self._utilisation
+
     def sweep(self) -> None:
         """Refuses calls that can no longer start in time."""
         now = self._timers.now
+        used = len(self._legs) / max(1, self._admission.capacity)
+        self._utilisation += (used - self._utilisation) * _LEARN
         if self._draining and now >= self._leave_at:
             self._admission.flush()
         else:
@@ -252,6 +263,7 @@
         worked: float | None = None
         match outcome:
             case result.Success(httplink.Answer() as answer):
+                self.answered_at = now
                 completion = self._codec.judge(leg.dispatch.leg, answer)
                 if completion.verdict is types.Verdict.ANSWERED:
                     worked = now - leg.begun
@@ -276,7 +288,7 @@
             self.slowness = seen
 
     def _failed(self, leg: Leg, failure: httplink.Failure) -> calls.Completion:
-        if failure.cause is httplink.Cause.UNREACHABLE:
+        if failure.cause is httplink.Cause.REFUSED:
             self._lost()
         if not failure.sent:
             return calls.Completion(
@@ -331,6 +343,7 @@
 
 
 _REASONS = {
+    httplink.Cause.REFUSED: types.Reason.TARGET_ABSENT,
     httplink.Cause.UNREACHABLE: types.Reason.TARGET_ABSENT,
     httplink.Cause.CLOSED: types.Reason.TARGET_FAILED,
     httplink.Cause.TIMEOUT: types.Reason.NO_ANSWER,
