--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -523,8 +523,11 @@
         """Ends the process, once nothing depends on it any more."""
         if self._stopped:
             return
+        if moment > self._leave_at and self._door.is_open:
+            # Callers that come later find nobody, and lose nothing.
+            self._door.close()
         idle = (
-            moment > self._leave_at
+            not self._door.is_open
             and not self._entry.in_flight
             and not self._runner.in_progress
             and not self._door.in_progress
--- a/tamarackgap/traffic/door.py
+++ b/tamarackgap/traffic/door.py
@@ -126,6 +126,11 @@
         """Number of connections with a request that is not answered."""
         return sum(connection.is_busy for connection in self._connections)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it accepts connections."""
+        return self._socket.fileno() >= 0
+
     def close(self) -> None:
         """Stops listening, and closes connections without a request."""
         self.poller.forget(self._socket.fileno())
