--- a/tamarackgap/traffic/admission.py
+++ b/tamarackgap/traffic/admission.py
@@ -2,11 +2,11 @@
 
 Answers a target that gets more calls than it has slots: the daemon beside it
 holds the queue, so that the target's own queue stays empty and nothing that
-is refused has ever reached it.
+is refused has ever reached it. Calls that can still be answered within their
+aim go before those of the same rank that can't: a late answer is worth
+little, and must not make the next one late as well.
 """
 
-import heapq
-import itertools
 import math
 from collections.abc import Callable
 
@@ -14,16 +14,20 @@
 
 # A call whose remaining time is less than this part of the usual work would
 # be stopped at its deadline with nothing to show.
-_LEAST_TIME = 0.5
+_LEAST_TIME = 0.7
 # How fast the usual time of a call follows what is measured.
 _LEARN = 0.05
-_FIRST_WORK_S = 0.1
+# Usual time of a call as a part of its aim, until the first is answered.
+_FIRST_SLOWNESS = 0.3
 # A target that turns calls away has less room than it says; it comes back.
 _BACKOFF = 0.8
 _REGAIN = 0.02
 _LEAST_SHARE = 0.25
 # Least advice on when to come back: sooner than a slot's usual turn is vain.
 _LEAST_RETRY_S = 0.05
+# A late call is kept only if its turn is likely to come in this part of the
+# time that it has left.
+_LATE_SHARE = 0.6
 
 
 class Waiting(msgspec.Struct, frozen=True, eq=False):
@@ -31,6 +35,9 @@
 
     Attributes:
         rank: 0 goes first.
+        aim: Time within which an answer is of full use, seconds; usual work
+            is taken to be in proportion to it.
+        due: When an answer is no longer of full use, seconds.
         deadline: When its answer is of no more use, seconds.
         start: Called when its turn comes.
         refuse: Called with advice on when to come back, seconds, if its
@@ -38,6 +45,8 @@
     """
 
     rank: int
+    aim: float
+    due: float
     deadline: float
     start: Callable[[], None]
     refuse: Callable[[float], None]
@@ -50,9 +59,8 @@
         self._capacity = 0
         self._share = 1.0
         self._running = 0
-        self._work = _FIRST_WORK_S
-        self._order = itertools.count()
-        self._queue: list[tuple[int, float, int, Waiting]] = []
+        self._slowness = 0.0
+        self._queue: list[Waiting] = []
 
     @property
     def running(self) -> int:
@@ -72,9 +80,13 @@
         return max(1, round(self._capacity * self._share))
 
     @property
-    def work(self) -> float:
-        """Usual time of a call at the target, seconds."""
-        return self._work
+    def slowness(self) -> float:
+        """Usual time of a call as a part of its aim; 0 where none ran."""
+        return self._slowness
+
+    def work(self, aim: float) -> float:
+        """Returns the usual time of a call with an aim, seconds."""
+        return (self._slowness or _FIRST_SLOWNESS) * aim
 
     def resize(self, capacity: int, now: float) -> None:
         """Sets how many calls the target runs at once; 0 for no target."""
@@ -83,41 +95,39 @@
             self.flush()
         self.pump(now)
 
+    def renew(self) -> None:
+        """Forgets how fast the target is: it is another one."""
+        self._slowness = 0.0
+        self._share = 1.0
+
     def offer(self, waiting: Waiting, now: float) -> None:
         """Starts a call, queues it, or refuses it at once."""
         if not self._queue and self._running < self.capacity:
             self._running += 1
             waiting.start()
             return
-        wait = self.wait_for(waiting.rank)
-        if now + wait + self._work * _LEAST_TIME > waiting.deadline:
+        wait = self._wait_for(waiting, now)
+        if not self._is_worth_it(waiting, wait, now):
             waiting.refuse(max(_LEAST_RETRY_S, wait))
             return
-        heapq.heappush(
-            self._queue,
-            (waiting.rank, waiting.deadline, next(self._order), waiting),
-        )
-
-    def wait_for(self, rank: int) -> float:
-        """Returns how long a call of a rank would wait now, seconds."""
-        capacity = self.capacity
-        if not capacity:
-            return math.inf
-        ahead = sum(entry[0] <= rank for entry in self._queue)
-        free = capacity - self._running
-        turns = ahead + 1 - max(0, free)
-        return max(0.0, turns) * self._work / capacity
+        self._queue.append(waiting)
+        self.pump(now)
 
-    def finished(self, worked: float | None, now: float) -> None:
+    def finished(self, worked: float | None, aim: float, now: float) -> None:
         """Frees a slot, and starts the call whose turn it is.
 
         Args:
             worked: Seconds that the target took, where it answered.
+            aim: The call's aim, seconds.
             now: Monotonic time, seconds.
         """
         self._running -= 1
         if worked is not None:
-            self._work += (worked - self._work) * _LEARN
+            seen = worked / aim
+            if self._slowness:
+                self._slowness += (seen - self._slowness) * _LEARN
+            else:
+                self._slowness = seen
             self._share = min(1.0, self._share + _REGAIN)
         self.pump(now)
 
@@ -128,36 +138,62 @@
     def pump(self, now: float) -> None:
         """Starts calls while there are slots, and refuses those too late."""
         while self._queue and self._running < self.capacity:
-            waiting = heapq.heappop(self._queue)[-1]
-            if now + self._work * _LEAST_TIME > waiting.deadline:
+            waiting = min(self._queue, key=lambda w: self._order(w, now))
+            self._queue.remove(waiting)
+            if not self._fits(waiting, now):
                 waiting.refuse(_LEAST_RETRY_S)
                 continue
             self._running += 1
             waiting.start()
 
     def sweep(self, now: float) -> None:
-        """Refuses all calls whose turn can no longer come in time."""
-        least = now + self._work * _LEAST_TIME
-        late = [entry for entry in self._queue if entry[1] < least]
-        if not late:
-            return
-        self._queue = [entry for entry in self._queue if entry[1] >= least]
-        heapq.heapify(self._queue)
-        for entry in late:
-            entry[-1].refuse(max(_LEAST_RETRY_S, self.wait_for(entry[0])))
+        """Refuses all calls whose turn is not likely to come in time."""
+        for waiting in sorted(self._queue, key=lambda w: self._order(w, now)):
+            wait = self._wait_for(waiting, now)
+            if not self._is_worth_it(waiting, wait, now):
+                self._queue.remove(waiting)
+                waiting.refuse(max(_LEAST_RETRY_S, wait))
 
     def withdraw(self, waiting: Waiting) -> bool:
         """Takes a call out of the queue; returns whether it was there."""
-        left = [entry for entry in self._queue if entry[-1] is not waiting]
-        if len(left) == len(self._queue):
+        if waiting not in self._queue:
             return False
-        heapq.heapify(left)
-        self._queue = left
+        self._queue.remove(waiting)
         return True
 
     def flush(self) -> None:
         """Refuses all calls that wait."""
         queue = self._queue
         self._queue = []
-        for entry in queue:
-            entry[-1].refuse(_LEAST_RETRY_S)
+        for waiting in queue:
+            waiting.refuse(_LEAST_RETRY_S)
+
+    def _order(self, waiting: Waiting, now: float) -> tuple[int, bool, float]:
+        late = now + self.work(waiting.aim) > waiting.due
+        return (waiting.rank, late, waiting.deadline if late else waiting.due)
+
+    def _wait_for(self, waiting: Waiting, now: float) -> float:
+        """Returns how long a call is likely to wait from now, seconds."""
+        capacity = self.capacity
+        if not capacity:
+            return math.inf
+        own = self._order(waiting, now)
+        ahead = sum(
+            self.work(other.aim)
+            for other in self._queue
+            if other is not waiting and self._order(other, now) < own
+        )
+        # A slot falls free once a part of the work has been done.
+        return (ahead + self.work(waiting.aim)) / capacity
+
+    def _fits(self, waiting: Waiting, now: float) -> bool:
+        least = self.work(waiting.aim) * _LEAST_TIME
+        return now + least <= waiting.deadline
+
+    def _is_worth_it(self, waiting: Waiting, wait: float, now: float) -> bool:
+        """Returns whether a call's turn is likely to come in time."""
+        left = waiting.deadline - now - self.work(waiting.aim) * _LEAST_TIME
+        if now + wait + self.work(waiting.aim) > waiting.due:
+            # Others that can be in time will come before it.
+            left *= _LATE_SHARE
+        return wait <= left
