--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -407,7 +407,7 @@
             queue.capacity,
             queue.running,
             queue.waiting,
-            self._runner.slowness,
+            queue.slowness,
             self._table.version if self._table else 0,
         )
         own = self._core.incarnation
--- a/tamarackgap/traffic/calls.py
+++ b/tamarackgap/traffic/calls.py
@@ -39,6 +39,7 @@
         rank: 0 is served first.
         idempotent: Whether running it twice does no harm.
         aim: Time within which the route's answers are of full use, seconds.
+        due: What is left of it, seconds; negative where it has passed.
     """
 
     owner: types.Incarnation
@@ -49,6 +50,7 @@
     rank: int
     idempotent: bool
     aim: float
+    due: float
 
 
 class Completion(msgspec.Struct, tag="completion", frozen=True):
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -294,6 +294,7 @@
             rank=route.rank,
             idempotent=route.idempotent,
             aim=route.aim,
+            due=flight.begun + route.aim - now,
         )
         flight.leg = leg
         flight.candidate = candidate
@@ -364,9 +365,19 @@
         return (
             flight.runs < flight.route.attempts
             and flight.deadline - now > flight.route.aim * _LEAST_AIM
+            and self._has_room(flight.service)
             and self._budgets.of(flight.service).withdraw()
         )
 
+    def _has_room(self, service: types.ServiceName) -> bool:
+        """Returns whether a call more would wait for no other."""
+        now = self._timers.now
+        return any(
+            candidate.busy + candidate.sent < candidate.capacity
+            for candidate in self._candidates.values()
+            if candidate.service == service and candidate.usable(now)
+        )
+
     def _may_go_elsewhere(
         self, flight: Flight, reason: types.Reason | None
     ) -> bool:
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -16,7 +16,7 @@
 _DRAIN_S = 1.6
 # Work of a call that counts as one in the slots' loads, seconds.
 _USUAL_WORK_S = 0.05
-# How fast the slowness of a target follows what is measured.
+# How fast the part of the target in use follows what is seen in each sweep.
 _LEARN = 0.05
 
 Reply = Callable[[calls.Completion], None]
@@ -98,8 +98,6 @@
         self._draining = False
         # Whether each key has one owner among the service's targets.
         self.keyed = False
-        # Usual time of a call as a part of its route's aim; 0 is unknown.
-        self.slowness = 0.0
         # When the target last answered a call, seconds.
         self.answered_at = float("-inf")
         # Part of the target's capacity that was in use lately.
@@ -128,7 +126,7 @@
             capacity: Calls that it runs at once.
         """
         if instance != self._instance:
-            self.slowness = 0.0
+            self._admission.renew()
         self._instance = instance
         self._draining = False
         self._admission.resize(capacity, self._timers.now)
@@ -171,10 +169,12 @@
         self._legs[sender, dispatch.leg] = leg
         if self.keyed:
             # Calls that find no room are load as well.
-            amount = self._admission.work / _USUAL_WORK_S
+            amount = self._admission.work(dispatch.aim) / _USUAL_WORK_S
             self._meter.count(self._slot(dispatch), now, amount)
         leg.waiting = admission.Waiting(
             dispatch.rank,
+            dispatch.aim,
+            now + dispatch.due,
             leg.deadline,
             functools.partial(self._start, leg),
             functools.partial(self._refuse, leg, types.Reason.QUEUE_FULL),
@@ -242,7 +242,7 @@
             refusal = types.Reason.DEADLINE_PASSED
         if refusal is not None:
             self._refuse(leg, refusal, 0.0)
-            self._admission.finished(None, now)
+            self._admission.finished(None, dispatch.aim, now)
             return
         leg.begun = now
         data = self._codec.encode(dispatch, int(left * 1000), self._instance)
@@ -267,7 +267,6 @@
                 completion = self._codec.judge(leg.dispatch.leg, answer)
                 if completion.verdict is types.Verdict.ANSWERED:
                     worked = now - leg.begun
-                    self._learn(worked, leg.dispatch.aim)
                 elif completion.verdict is types.Verdict.NOT_RUN:
                     self._admission.turned_away()
                     self._holds.doubt()
@@ -277,15 +276,7 @@
                 raise AssertionError(outcome)
         self._log(leg, completion, now)
         self._finish(leg, completion)
-        self._admission.finished(worked, now)
-
-    def _learn(self, worked: float, aim: float) -> None:
-        """Follows how slow the target is, whatever the mix of its calls."""
-        seen = worked / aim
-        if self.slowness:
-            self.slowness += (seen - self.slowness) * _LEARN
-        else:
-            self.slowness = seen
+        self._admission.finished(worked, leg.dispatch.aim, now)
 
     def _failed(self, leg: Leg, failure: httplink.Failure) -> calls.Completion:
         if failure.cause is httplink.Cause.REFUSED:
