--- a/tamarackgap/platform/operators.py
+++ b/tamarackgap/platform/operators.py
@@ -80,7 +80,7 @@
             logs.event(
                 "resource_malformed",
                 kind=resource.type,
-                name=resource.metadata.name,
+                item=resource.metadata.name,
                 error=str(error),
             )
     return routetable.RouteTable(
--- a/tamarackgap/traffic/admission.py
+++ b/tamarackgap/traffic/admission.py
@@ -108,7 +108,7 @@
             return
         wait = self._wait_for(waiting, now)
         if not self._is_worth_it(waiting, wait, now):
-            waiting.refuse(max(_LEAST_RETRY_S, wait))
+            waiting.refuse(self._advice(waiting.rank))
             return
         self._queue.append(waiting)
         self.pump(now)
@@ -152,7 +152,7 @@
             wait = self._wait_for(waiting, now)
             if not self._is_worth_it(waiting, wait, now):
                 self._queue.remove(waiting)
-                waiting.refuse(max(_LEAST_RETRY_S, wait))
+                waiting.refuse(self._advice(waiting.rank))
 
     def withdraw(self, waiting: Waiting) -> bool:
         """Takes a call out of the queue; returns whether it was there."""
@@ -186,6 +186,13 @@
         # A slot falls free once a part of the work has been done.
         return (ahead + self.work(waiting.aim)) / capacity
 
+    def _advice(self, rank: int) -> float:
+        """Returns when there is likely to be room for a rank, seconds."""
+        ahead = sum(
+            self.work(other.aim) for other in self._queue if other.rank <= rank
+        )
+        return max(_LEAST_RETRY_S, ahead / max(1, self.capacity))
+
     def _fits(self, waiting: Waiting, now: float) -> bool:
         least = self.work(waiting.aim) * _LEAST_TIME
         return now + least <= waiting.deadline
--- /dev/null
+++ b/tests/platform/test_operators.py
@@ -0,0 +1,46 @@
+import json
+
+from tamarackgap.platform import operators
+from tests.support import site
+
+
+def test_a_configuration_is_decoded_whole():
+    split = site.route("r", "H.example", "/a/", "", priority=0)
+    del split["spec"]["service"]
+    split["spec"]["traffic_split"] = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    table = operators.decode(
+        site.configuration(18, split, site.service("a", keyed=True))
+    )
+    (route,) = table.routes
+    assert table.version == 18
+    assert [(s.service, s.weight) for s in route.shares] == [
+        ("a", 90),
+        ("b", 10),
+    ]
+    assert (route.timeout, route.aim, route.rank) == (2.0, 0.4, 0)
+    assert table.services["a"].keyed
+    assert table.limits.request_s == 0.5
+
+
+def test_versions_are_hexadecimal():
+    assert (
+        operators.decode(b'{"version":"0000000c","resources":[]}').version == 12
+    )
+
+
+def test_one_unreadable_item_spoils_no_other():
+    good = site.route("good", "h", "/", "a")
+    bad = {"type": "routes", "metadata": {"name": "bad"}, "spec": {"host": 3}}
+    odd = site.route("odd", "h", "/odd/", "a")
+    odd["spec"]["kind"] = "sometimes"
+    table = operators.decode(site.configuration(1, bad, good, odd))
+    assert [route.name for route in table.routes] == ["good"]
+
+
+def test_bytes_that_are_no_configuration_are_left_alone():
+    assert operators.decode(b"\xff") is None
+    assert operators.decode(b"[]") is None
+    assert operators.decode(json.dumps({"version": "xyz"}).encode()) is None
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,278 @@
+"""The whole path on stand-ins of the platform, as real processes."""
+
+import json
+import signal
+import socket
+
+import pytest
+
+from tests.support import site as site_lib
+
+READY_S = 20
+# A lease, the wait for its end, and the successor's first grant.
+TAKEOVER_S = 6
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    found = site_lib.Site(
+        tmp_path_factory.mktemp("site"),
+        [
+            ("north", "seats", False),
+            ("south", "seats", False),
+            ("east", "money", True),
+            ("west", "money", True),
+            ("centre", "money", True),
+        ],
+    )
+    found.start()
+    try:
+        assert site_lib.wait(READY_S, lambda: _works(found))
+        yield found
+    finally:
+        found.stop()
+
+
+def _works(site):
+    if not all(place.is_ready() for place in site.places):
+        return False
+    return all(
+        site_lib.call(place, "money.example", "/pay", key=key)[0] == 200
+        for place in site.places
+        for key in (0, 20_000, 40_000, 65_535)
+    ) and all(
+        site_lib.call(place, "seats.example", "/browse/x")[0] == 200
+        for place in site.places
+    )
+
+
+def _runs(site, request):
+    return [
+        (place.name, key)
+        for place in site.places
+        for ran, key in place.server.ran
+        if ran == request
+    ]
+
+
+def test_a_request_is_passed_on_and_answered_unchanged(site):
+    status, headers, body, request = site_lib.call(
+        site.places[2],
+        "seats.example",
+        "/book/hall?seat=7",
+        method="POST",
+        body="me",
+    )
+    assert status == 200
+    assert headers["x-tamarackgap-response-signature"] == "signed"
+    assert headers["x-tamarackgap-attempt-id"] == request
+    told = json.loads(body)
+    assert told["path"] == "/book/hall?seat=7"
+    assert told["body"] == "me"
+    assert told["origin"] == "money"
+    assert 0 < int(told["left_ms"]) <= 1500
+    assert len(_runs(site, request)) == 1
+
+
+def test_each_key_is_run_by_the_one_that_holds_it(site):
+    for key in range(0, 65_536, 5000):
+        holders = [
+            place.name for place in site.places if place.server.holds(key)
+        ]
+        assert len(holders) == 1
+        for place in site.places:
+            request = site_lib.call(place, "money.example", "/pay", key=key)[3]
+            assert _runs(site, request) == [(holders[0], key)]
+
+
+def test_a_path_without_route_is_not_found(site):
+    assert site_lib.call(site.places[0], "seats.example", "/none/x")[0] == 404
+    assert site_lib.call(site.places[0], "nowhere.example", "/x")[0] == 404
+
+
+def test_a_request_without_id_is_bad(site):
+    address = site.places[0].callers
+    headers = {"Host": "seats.example"}
+    assert site_lib.ask(address, "GET", "/browse/x", headers)[0] == 400
+
+
+def test_a_key_out_of_range_is_bad(site):
+    found = site_lib.call(site.places[0], "money.example", "/pay", key=70_000)
+    assert found[0] == 400
+
+
+def test_a_longer_prefix_and_a_later_version_win(site):
+    more = site_lib.route("vip", "seats.example", "/browse/vip/", "money")
+    site.store.put(
+        "op", "config", site_lib.configuration(9, *site_lib.USUAL, more)
+    )
+
+    def moved():
+        return all(
+            site_lib.call(place, "seats.example", "/browse/vip/x", key=1)[
+                1
+            ].get("x-tamarackgap-response-signature")
+            and _runs_at_money(site)
+            for place in site.places
+        )
+
+    def _runs_at_money(site):
+        request = site_lib.call(
+            site.places[0], "seats.example", "/browse/vip/x", key=1
+        )[3]
+        runs = _runs(site, request)
+        return bool(runs) and runs[0][1] == 1
+
+    assert site_lib.wait(2, moved)
+    # An older version changes nothing.
+    site.store.put("op", "config", site_lib.configuration(3))
+    assert site_lib.call(site.places[0], "seats.example", "/browse/x")[0] == 200
+    site.store.put("op", "config", site_lib.configuration(10, *site_lib.USUAL))
+
+
+def test_an_idempotent_request_is_run_again_after_a_failure(site):
+    site.places[0].server.fault = "cut"
+    try:
+        answers = [
+            site_lib.call(site.places[1], "seats.example", "/browse/x")[0]
+            for _ in range(10)
+        ]
+    finally:
+        site.places[0].server.fault = ""
+    assert answers.count(200) >= 9
+
+
+@pytest.mark.parametrize("fault", ["cut", "unsigned"])
+def test_what_may_have_run_is_neither_repeated_nor_called_unrun(site, fault):
+    for place in site.places[:2]:
+        place.server.fault = fault
+    try:
+        status, _, _, request = site_lib.call(
+            site.places[0], "seats.example", "/book/x", method="POST"
+        )
+    finally:
+        for place in site.places[:2]:
+            place.server.fault = ""
+    assert status == 502
+    assert len(_runs(site, request)) == 1
+
+
+def test_a_refusal_says_when_to_come_back(site):
+    for place in site.places[:2]:
+        place.server.fault = "full"
+    try:
+        status, headers, _, request = site_lib.call(
+            site.places[0], "seats.example", "/book/x", method="POST"
+        )
+    finally:
+        for place in site.places[:2]:
+            place.server.fault = ""
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert _runs(site, request) == []
+
+
+def test_bytes_that_are_no_request_get_400_and_the_daemon_lives(site):
+    host, port = site.places[0].callers.split(":")
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(b"nonsense\r\n\r\n")
+        assert sock.recv(100).startswith(b"HTTP/1.1 400")
+    assert site_lib.call(site.places[0], "seats.example", "/browse/x")[0] == 200
+
+
+def test_a_slow_request_is_timed_out(site):
+    host, port = site.places[0].callers.split(":")
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(b"GET /browse/x HTTP/1.1\r\nHost: se")
+        assert sock.recv(100).startswith(b"HTTP/1.1 408")
+
+
+def test_two_requests_at_once_on_a_connection_are_answered_in_turn(site):
+    host, port = site.places[0].callers.split(":")
+    one = (
+        b"GET /browse/%d HTTP/1.1\r\nHost: seats.example\r\n"
+        b"X-Tamarackgap-Attempt-Id: pipe%d\r\n"
+        b"X-Tamarackgap-Timeout-Ms: 1000\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(one % (1, 1) + one % (2, 2))
+        found = b""
+        while found.count(b"/browse/") < 2:
+            found += sock.recv(4096)
+    assert found.index(b"pipe1") < found.index(b"pipe2")
+
+
+def test_a_killed_daemon_is_succeeded_and_comes_back(site):
+    place = site.places[2]
+    keys = [key for key in range(0, 65_536, 1000) if place.server.holds(key)]
+    assert keys
+    place.kill()
+    others = [other for other in site.places if other is not place]
+
+    def served():
+        return all(
+            site_lib.call(others[0], "money.example", "/pay", key=key)[0] == 200
+            for key in keys
+        )
+
+    assert site_lib.wait(TAKEOVER_S, served)
+    place.start()
+    assert site_lib.wait(
+        READY_S,
+        lambda: (
+            place.is_ready()
+            and site_lib.call(place, "money.example", "/pay", key=1)[0] == 200
+        ),
+    )
+
+
+def test_everything_killed_at_once_serves_again(site):
+    for place in site.places:
+        place.kill()
+    for place in site.places:
+        place.start()
+    assert site_lib.wait(READY_S, lambda: _works(site))
+
+
+def test_a_server_that_starts_anew_is_used_again(site):
+    place = site.places[3]
+    place.server.stop()
+    place.start_server()
+    assert site_lib.wait(READY_S, lambda: _works(site))
+    assert site_lib.wait(
+        READY_S,
+        lambda: any(place.server.holds(key) for key in range(0, 65_536, 500)),
+    )
+
+
+def test_the_store_may_be_away(site):
+    site.store.failing = 503
+    try:
+        for place in site.places:
+            found = site_lib.call(place, "money.example", "/pay", key=30_000)
+            assert found[0] == 200
+    finally:
+        site.store.failing = None
+
+
+def test_lost_history_is_read_anew(site):
+    site.store.forget_history()
+    site.store.put("op", "config", site_lib.configuration(20, *site_lib.USUAL))
+    assert site_lib.wait(
+        READY_S,
+        lambda: all(
+            "version=20" in "".join(place.lines("route_table_in_force"))
+            for place in site.places
+        ),
+    )
+
+
+def test_a_daemon_that_is_told_to_stop_cuts_nothing(site):
+    place = site.places[0]
+    place.process.send_signal(signal.SIGTERM)
+    assert site_lib.wait(1, lambda: not place.is_ready())
+    # Callers come until they have noticed.
+    assert site_lib.call(place, "seats.example", "/browse/x")[0] == 200
+    assert place.process.wait(timeout=6) == 0
+    assert place.lines("stopped")
+    assert site_lib.call(site.places[1], "seats.example", "/browse/x")[0] == 200
--- /dev/null
+++ b/tests/support/site.py
@@ -0,0 +1,223 @@
+"""Router daemons beside stand-ins of the users' platform, as real processes."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+from standins import appserver, httpd, rowstore
+from tests.support import processes
+
+PORTS = 6
+LIMITS = {
+    "max_header_bytes": 4096,
+    "max_body_bytes": 100_000,
+    "header_timeout_ms": 500,
+    "idle_timeout_ms": 5000,
+}
+
+
+def route(name, host, prefix, service, idempotent=True, **spec):
+    return {
+        "type": "routes",
+        "metadata": {"name": name},
+        "spec": {
+            "host": host,
+            "path_prefix": prefix,
+            "kind": "idempotent" if idempotent else "non_idempotent",
+            "timeout_ms": 2000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "max_attempts": 2,
+            "service": service,
+            **spec,
+        },
+    }
+
+
+def service(name, keyed=False):
+    return {
+        "type": "services",
+        "metadata": {"name": name},
+        "spec": {
+            "health_path": "/health",
+            "max_connections": 60,
+            "sharded": keyed,
+        },
+    }
+
+
+def configuration(version, *resources):
+    limits = {"type": "limits", "metadata": {}, "spec": LIMITS}
+    return json.dumps(
+        {"version": f"{version:08x}", "resources": [*resources, limits]}
+    ).encode("utf-8")
+
+
+USUAL = (
+    route("browse", "seats.example", "/browse/", "seats"),
+    route("book", "seats.example", "/book/", "seats", idempotent=False),
+    route("pay", "money.example", "/", "money", idempotent=False),
+    service("seats"),
+    service("money", keyed=True),
+)
+
+
+class Place:
+    """One VM: a server and the daemon beside it."""
+
+    def __init__(self, site, name, service_name, keyed):
+        self.site = site
+        self.name = name
+        self.service = service_name
+        self.keyed = keyed
+        base = processes.free_ports(PORTS, site.next_port())
+        site.used(base + PORTS)
+        ports = [f"127.0.0.1:{base + index}" for index in range(PORTS)]
+        self.callers, self.peers, self.control, self.ready = ports[:4]
+        self.app, self.metrics = ports[4:]
+        self.lives = 0
+        self.server = None
+        self.process = None
+        self.log = site.folder / f"{name}.log"
+
+    def start_server(self):
+        self.lives += 1
+        self.server = appserver.AppServer(
+            f"{self.name}-{self.lives}",
+            self.service,
+            self.app,
+            self.control,
+            self.keyed,
+        )
+        self.server.start()
+
+    def start(self):
+        settings = self.site.folder / f"{self.name}.ini"
+        settings.write_text(
+            f"""[daemon]
+deployment = test
+name = {self.name}
+service = {self.service}
+data_centre = {self.name}
+http_address = {self.callers}
+peer_address = {self.peers}
+log = stdout
+[router]
+announce_address = {self.control}
+ready_address = {self.ready}
+metrics_address = {self.metrics}
+target_address = {self.app}
+announce_interval = 200
+[table]
+address = {self.site.store_address}
+[ownership]
+lease = 1000
+settle = 500
+slots = 32
+"""
+        )
+        environment = {**os.environ, "TAMARACKGAP_NODE_FILE": str(settings)}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "tamarackgap.platform"],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self):
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+
+    def is_ready(self):
+        with contextlib.suppress(OSError):
+            return ask(self.ready, "GET", "/-/readiness")[0] == 200
+        return False
+
+    def lines(self, event):
+        text = self.log.read_text()
+        return [line for line in text.splitlines() if f"event={event} " in line]
+
+
+class Site:
+    """A store and some places."""
+
+    def __init__(self, folder, places):
+        self.folder = folder
+        self._port = 25_000
+        self.store = rowstore.RowStore()
+        port = processes.free_ports(1, self.next_port())
+        self.used(port + 1)
+        self.store_address = f"127.0.0.1:{port}"
+        self._server = httpd.serve(self.store_address, self.store.answer)
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self.places = [Place(self, *place) for place in places]
+
+    def next_port(self):
+        return self._port
+
+    def used(self, port):
+        self._port = port
+
+    def start(self):
+        self.store.put("op", "config", configuration(1, *USUAL))
+        for place in self.places:
+            place.start_server()
+            place.start()
+
+    def stop(self):
+        for place in self.places:
+            if place.process is not None and place.process.poll() is None:
+                place.kill()
+            if place.server is not None:
+                place.server.stop()
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def ask(address, method, path, headers=None, body=None, timeout=5):
+    """Returns status, headers and body of a request."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        connection.close()
+
+
+_count = 0
+
+
+def call(place, host, path, key=None, method="GET", body=None, timeout_ms=1500):
+    """Returns status, headers, body and id of a client's request."""
+    global _count
+    _count += 1
+    request = f"r{_count:06d}"
+    headers = {
+        "Host": host,
+        "X-Tamarackgap-Attempt-Id": request,
+        "X-Tamarackgap-Timeout-Ms": str(timeout_ms),
+    }
+    if key is not None:
+        headers["X-Tamarackgap-Shard-Key"] = str(key)
+    return (
+        *ask(place.callers, method, path, headers, body),
+        request,
+    )
+
+
+def wait(seconds, condition):
+    """Returns whether a condition came to hold in time."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
--- /dev/null
+++ b/tests/traffic/test_balancer.py
@@ -0,0 +1,59 @@
+import random
+
+from tamarackgap.traffic import balancer
+
+
+def candidate(name, **fields):
+    values = {
+        "service": "s",
+        "accepting": True,
+        "capacity": 4,
+        "slowness": 0.3,
+        "heard": 0.0,
+        **fields,
+    }
+    return balancer.Candidate(name, **values)
+
+
+def choose(*candidates, tried=(), now=0.0):
+    found = balancer.choose(candidates, frozenset(tried), now, random.Random(1))
+    return found.incarnation if found else None
+
+
+def test_the_less_loaded_is_chosen():
+    assert choose(candidate("a", busy=5), candidate("b", busy=1)) == "b"
+
+
+def test_a_fast_target_is_chosen_before_a_slow_one_of_equal_load():
+    assert choose(candidate("a", slowness=0.6), candidate("b")) == "b"
+
+
+def test_a_queue_at_the_fast_one_is_weighed_against_slowness():
+    slow = candidate("slow", slowness=0.45)
+    assert choose(slow, candidate("fast", busy=12)) == "slow"
+
+
+def test_what_was_sent_since_counts():
+    assert choose(candidate("a", sent=6), candidate("b", busy=3)) == "b"
+
+
+def test_one_that_has_served_none_gets_its_turn():
+    assert (
+        choose(candidate("new", slowness=0.0), candidate("a", busy=2)) == "new"
+    )
+
+
+def test_silent_leaving_and_tried_ones_are_left_out():
+    silent = candidate("a", heard=-2.0)
+    leaving = candidate("b", accepting=False)
+    assert choose(silent, leaving, candidate("c"), tried=["c"]) is None
+
+
+def test_failures_are_shunned_and_forgotten():
+    failing = candidate("a", busy=0)
+    failing.failed(0.0)
+    failing.failed(0.0)
+    assert choose(failing, candidate("b", busy=3)) == "b"
+    failing.heard = 30.0
+    later = candidate("b", busy=3, heard=30.0)
+    assert choose(failing, later, now=30.0) == "a"
