Witnesses that are heard; restarted daemons take their own slots; kinds of a rank served alike

Now a witness must have been heard, and a closed record's slots go back to its own daemon; the test with all daemons restarted was red before. Kinds of one rank that were served less go first.

--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -67,6 +67,9 @@
         self.keyed = True
         # Whether the target has so little to do that its slots may stay.
         self.calm = False
+        # Tells whether an incarnation has been heard lately: a new witness
+        # must answer, or the write that names it waits in vain.
+        self.alive: Callable[[str], bool] = lambda name: True
         # Rises whenever other slots are owned than before.
         self.slots_version = 0
         self._renewal = renewal.Renewal(
@@ -485,6 +488,7 @@
             now=now,
             keyed=self.keyed,
             calm=self.calm,
+            alive=self.alive,
         )
 
     def _change_id(self) -> str:
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -7,7 +7,6 @@
     placement,
     records,
     slots,
-    types,
 )
 from tamarackgap import situation as situation_lib
 
@@ -151,7 +150,7 @@
     }
     if not record.is_open:
         if record.service == situation.settings.service:
-            fences.update(_stranded(situation, record, holdings))
+            fences.update(_stranded(situation, record))
         return fences or None
     return fences
 
@@ -159,29 +158,28 @@
 def _stranded(
     situation: situation_lib.Situation,
     record: records.LeaseRecord,
-    holdings: dict[types.Slot, slots.Holding],
 ) -> dict[int, int]:
     """Returns slots of a closed record whose successor is over as well.
 
     The successor may have served under the next fence, unseen by the table,
-    so one fence is left out.
+    so one fence is left out. The daemon that owned them takes them again, if
+    it has been started anew: its target has served their keys.
     """
     view = situation.view
     if view.cursor < view.revision(record.key):
         # The successor's record may not have been read yet.
         return {}
-    heirs = [
-        member.incarnation
-        for member in view.members(record.service)
-        if member.can_own
-    ]
+    members = [m for m in view.members(record.service) if m.can_own]
+    again = [m.incarnation for m in members if m.daemon == record.daemon]
+    heirs = again or [member.incarnation for member in members]
     fences = {}
-    for slot, held in holdings.items():
-        successor = view.lease(held.successor)
+    for run in record.runs:
+        successor = view.lease(run.successor)
         if successor is not None and successor.is_open:
             continue
-        if placement.rendezvous(slot, heirs) == situation.incarnation:
-            fences[slot] = held.fence + 2
+        if placement.rendezvous(run.first, heirs) == situation.incarnation:
+            for slot in range(run.first, run.last + 1):
+                fences[slot] = run.fence + 2
     return fences
 
 
@@ -298,7 +296,7 @@
         mine,
         situation.view.members(),
         situation.settings.witnesses,
-        lambda name: name in unresponsive,
+        lambda name: name in unresponsive or not situation.alive(name),
     )
     # A lease with a majority of what is left is better than none.
     return chosen or mine.witnesses
--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -166,6 +166,7 @@
             self._budgets,
             self._rng,
         )
+        self._core.alive = self._entry.is_heard
         self._beside = beside.Beside(
             self._service, settings.router_announce_interval / 1000, now()
         )
--- a/tamarackgap/situation.py
+++ b/tamarackgap/situation.py
@@ -56,6 +56,7 @@
         now: Monotonic time, seconds.
         keyed: Whether the service's keys have owners at all.
         calm: Whether the target has so little to do that its slots may stay.
+        alive: Tells whether an incarnation has been heard lately.
     """
 
     view: records.View
@@ -77,6 +78,7 @@
     now: float
     keyed: bool = True
     calm: bool = False
+    alive: Callable[[str], bool] = lambda name: True
 
     def signature(self) -> Signature:
         """Returns what has to change before another decision is due."""
--- a/tamarackgap/traffic/admission.py
+++ b/tamarackgap/traffic/admission.py
@@ -4,7 +4,9 @@
 holds the queue, so that the target's own queue stays empty and nothing that
 is refused has ever reached it. Calls that can still be answered within their
 aim go before those of the same rank that can't: a late answer is worth
-little, and must not make the next one late as well.
+little, and must not make the next one late as well. Among kinds of one rank
+the one that was served least goes first, or the one with the shortest aim
+would take all there is.
 """
 
 import math
@@ -23,6 +25,12 @@
 _BACKOFF = 0.8
 _REGAIN = 0.02
 _LEAST_SHARE = 0.25
+# What became of a kind of call is half forgotten in this time.
+_FORTUNE_HALF_LIFE_S = 2.0
+# Kinds are told apart by steps of this part of what they were offered, once
+# they were offered a few.
+_STEPS = 10
+_FEW_CALLS = 5
 # Least advice on when to come back: sooner than a slot's usual turn is vain.
 _LEAST_RETRY_S = 0.05
 # A late call is kept only if its turn is likely to come in this part of the
@@ -52,10 +60,38 @@
     refuse: Callable[[float], None]
 
 
+class _Fortune:
+    """How many calls of one kind were started while they could be in time."""
+
+    def __init__(self, now: float) -> None:
+        self._offered = 0.0
+        self._started = 0.0
+        self._at = now
+
+    def offered(self, now: float) -> None:
+        """Counts a call that came."""
+        factor = 0.5 ** ((now - self._at) / _FORTUNE_HALF_LIFE_S)
+        self._offered = self._offered * factor + 1
+        self._started *= factor
+        self._at = now
+
+    def started(self) -> None:
+        """Counts a call that was started in time."""
+        self._started += 1
+
+    @property
+    def share(self) -> float:
+        """The part that was started in time, in steps."""
+        if self._offered < _FEW_CALLS:
+            return 1.0
+        return round(self._started / self._offered * _STEPS) / _STEPS
+
+
 class Admission:
     """The queue before one target."""
 
     def __init__(self) -> None:
+        self._fortunes: dict[tuple[int, float], _Fortune] = {}
         self._capacity = 0
         self._share = 1.0
         self._running = 0
@@ -102,9 +138,9 @@
 
     def offer(self, waiting: Waiting, now: float) -> None:
         """Starts a call, queues it, or refuses it at once."""
+        self._fortune(waiting, now).offered(now)
         if not self._queue and self._running < self.capacity:
-            self._running += 1
-            waiting.start()
+            self._start(waiting, now)
             return
         wait = self._wait_for(waiting, now)
         if not self._is_worth_it(waiting, wait, now):
@@ -143,8 +179,7 @@
             if not self._fits(waiting, now):
                 waiting.refuse(_LEAST_RETRY_S)
                 continue
-            self._running += 1
-            waiting.start()
+            self._start(waiting, now)
 
     def sweep(self, now: float) -> None:
         """Refuses all calls whose turn is not likely to come in time."""
@@ -168,9 +203,29 @@
         for waiting in queue:
             waiting.refuse(_LEAST_RETRY_S)
 
-    def _order(self, waiting: Waiting, now: float) -> tuple[int, bool, float]:
-        late = now + self.work(waiting.aim) > waiting.due
-        return (waiting.rank, late, waiting.deadline if late else waiting.due)
+    def _start(self, waiting: Waiting, now: float) -> None:
+        if not self._is_late(waiting, now):
+            self._fortune(waiting, now).started()
+        self._running += 1
+        waiting.start()
+
+    def _fortune(self, waiting: Waiting, now: float) -> _Fortune:
+        kind = (waiting.rank, waiting.aim)
+        fortune = self._fortunes.get(kind)
+        if fortune is None:
+            fortune = self._fortunes[kind] = _Fortune(now)
+        return fortune
+
+    def _is_late(self, waiting: Waiting, now: float) -> bool:
+        return now + self.work(waiting.aim) > waiting.due
+
+    def _order(
+        self, waiting: Waiting, now: float
+    ) -> tuple[int, bool, float, float]:
+        late = self._is_late(waiting, now)
+        share = self._fortune(waiting, now).share
+        due = waiting.deadline if late else waiting.due
+        return (waiting.rank, late, share, due)
 
     def _wait_for(self, waiting: Waiting, now: float) -> float:
         """Returns how long a call is likely to wait from now, seconds."""
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -117,6 +117,15 @@
             name for name, service in table.services.items() if service.keyed
         )
 
+    def is_heard(self, incarnation: str) -> bool:
+        """Returns whether a daemon has told of itself lately."""
+        candidate = self._candidates.get(incarnation)
+        silence = balancer.SILENCE_S
+        return (
+            candidate is not None
+            and self._timers.now - candidate.heard < silence
+        )
+
     def services_heard(self) -> set[str]:
         """Returns the services that have a usable target."""
         now = self._timers.now
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -348,3 +348,28 @@
     assert found.double == []
     assert found.run(30, found.settled) is not None
     assert found.double == []
+
+
+def _owners(world):
+    return {slot: world.serving(slot) for slot in range(32)}
+
+
+def test_daemons_restarted_all_at_once_take_their_own_slots_again():
+    subject = world.World(seed=4)
+    subject.deploy(5)
+    assert subject.run(20, subject.settled) is not None
+    before = _owners(subject)
+    for name in list(subject.nodes):
+        subject.restart(name)
+
+    def hears(name):
+        return any(
+            node.core.incarnation == name for node in subject.nodes.values()
+        )
+
+    for node in subject.nodes.values():
+        # Only processes that live are heard; the old ones are not.
+        node.core.alive = hears
+    assert subject.run(2.5, subject.all_served) is not None
+    assert _owners(subject) == before
+    assert not subject.double
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -137,6 +137,25 @@
     assert target.queue.capacity == 10
 
 
+def test_under_overload_kinds_of_one_rank_are_served_alike():
+    # Short calls always have the nearest aim; long ones must not starve.
+    target = Target(2, work=0.05)
+    count = {"short": 0, "long": 0}
+    due = 0.0
+    while target.now < 10.0:
+        if target.now >= due:
+            for kind, aim in (("short", 0.2), ("long", 0.4)):
+                count[kind] += 1
+                target.offer((kind, count[kind]), aim=aim, deadline=0.8)
+            due += 0.05 * 2 / 2 / 1.5
+        target.run(0.001)
+    started = {
+        kind: sum(name[0] == kind for name in target.started) / count[kind]
+        for kind in count
+    }
+    assert abs(started["short"] - started["long"]) < 0.15
+
+
 @pytest.mark.parametrize("factor", [1.2, 1.6])
 def test_overload_leaves_most_of_the_served_in_time(factor):
     # One kind of call, more of it than the target can run: what is served
