Keys of owner and witnesses lost together; keys of a leaving target while the store is away

Cause 1: with an owner and most of its witnesses gone for good, its keys waited for a person. Costs no call in steady state. Three tests on the stepped clock. Now nothing is handed over from 1.6 s after the announcement, and keys that can't be moved in 0.8 s are released at the target and left to the successors by their seals.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -9,6 +9,7 @@
 from standins import httpd
 
 _PAGE = 500
+_SILENT_STEP_S = 0.02
 
 
 class RowStore:
@@ -23,6 +24,8 @@
         self._begun = time.monotonic()
         # Answers every call with this status while it is set.
         self.failing: int | None = None
+        # Answers nothing while it is set.
+        self.silent = False
         self.calls: dict[str, int] = {}
 
     def put(self, table: str, key: str, value: bytes) -> None:
@@ -54,6 +57,8 @@
         """Answers a call."""
         path, _, arguments = query.path.partition("?")
         self.calls[path] = self.calls.get(path, 0) + 1
+        while self.silent:
+            time.sleep(_SILENT_STEP_S)
         if self.failing is not None:
             return httpd.Reply(self.failing)
         fields = dict(urllib.parse.parse_qsl(arguments, keep_blank_values=True))
--- a/tamarackgap/changes.py
+++ b/tamarackgap/changes.py
@@ -18,6 +18,9 @@
     CLAIM = "claim"
     RECONFIGURE = "reconfigure"
     LEAVE = "leave"
+    CHALLENGE = "challenge"
+    ANSWER = "answer"
+    CONDEMN = "condemn"
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -92,6 +95,22 @@
         row = records.Founded(slot_count, self._change)
         self._writes[key] = records.Write(key, records.encode(row))
 
+    def challenge(self, record: records.LeaseRecord, by: str) -> None:
+        """Asks a record's incarnation to show that it lives."""
+        self.check(record.key)
+        key = records.challenge_key(record.incarnation)
+        self.check(key)
+        row = records.Challenge(
+            record.epoch, types.Incarnation(by), self._change
+        )
+        self._writes[key] = records.Write(key, records.encode(row))
+
+    def end_challenge(self, incarnation: str) -> None:
+        """Takes the challenge to an incarnation back."""
+        key = records.challenge_key(incarnation)
+        self.check(key)
+        self._writes[key] = records.Write(key, None)
+
     def build(self, kind: Kind, reason: str) -> Change:
         """Returns the finished change."""
         transaction = records.Transaction(
--- a/tamarackgap/config.py
+++ b/tamarackgap/config.py
@@ -42,6 +42,7 @@
     ownership_witnesses: int
     ownership_settle: int
     ownership_batch: int
+    ownership_anchor: int
     target_silence: int
     requests_deadline: int
     requests_body: int
--- a/tamarackgap/effects.py
+++ b/tamarackgap/effects.py
@@ -32,6 +32,9 @@
             anew, seconds.
         tolerance: Least load above its share, percent, at which a daemon
             gives slots away, whatever the operators' row says.
+        anchor: An owner that has not read the table for so long serves
+            nothing, seconds; 0 for no such bound. Without it a person has
+            to say that owner and witnesses are lost together.
     """
 
     service: str
@@ -50,6 +53,17 @@
     half_life: float = heat.HALF_LIFE_S
     unsettled: float = 5.0
     tolerance: int = 0
+    anchor: float = 0.0
+
+
+def condemn_after(settings: Settings) -> float:
+    """Returns how long a challenge must stand unanswered, seconds.
+
+    By then its owner has not read the table for the anchor time on its own
+    clock, and what it handed over last has ended.
+    """
+    longest = settings.anchor + settings.lease + settings.linger
+    return longest * (1 + 2 * settings.drift)
 
 
 class Owned(msgspec.Struct, frozen=True):
--- a/tamarackgap/options.py
+++ b/tamarackgap/options.py
@@ -208,6 +208,16 @@
         "slots",
         "most slots handed over in one transaction",
     ),
+    _number(
+        "ownership",
+        "anchor",
+        0,
+        0,
+        3_600_000,
+        "ms",
+        "an owner that has not read the table for so long stops; owner and"
+        " witnesses lost together are succeeded after it; 0: never",
+    ),
     _number(
         "target",
         "silence",
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -31,6 +31,7 @@
 _COMMIT_AGAIN_S = 0.2
 _PREPARE_LIMIT_S = 2.0
 _LAPSED_LIMIT_S = 1.0
+_CHALLENGE_PAUSE_S = 10.0
 # Longest time for a target to release slots that are to move, seconds.
 _HAND_OFF_LIMIT_S = 4.0
 
@@ -75,6 +76,10 @@
         self._renewal = renewal.Renewal(
             settings.lease, self._view, self._outbox, now
         )
+        # Up to when what the table says is known here, seconds.
+        self._read_as_of = now
+        self._missed_since: dict[str, float] = {}
+        self._challenges: dict[str, tuple[int, float]] = {}
         self._begin(now)
 
     def _begin(self, now: float) -> None:
@@ -179,7 +184,10 @@
 
     def lease_until(self) -> float:
         """Returns the end of the lease on this daemon's clock, seconds."""
-        return self._renewal.own_lease.valid_until()
+        until = self._renewal.own_lease.valid_until()
+        if self._settings.anchor:
+            until = min(until, self._read_as_of + self._settings.anchor)
+        return until
 
     def grants(self) -> lease.EpochGrants:
         """Returns the grants of the current epoch."""
@@ -193,7 +201,7 @@
         """Returns why a slot can't be served now, or None if it can."""
         if self.find(slot) is None:
             return types.Reason.WRONG_OWNER
-        if now >= self._renewal.own_lease.valid_until():
+        if now >= self.lease_until():
             return types.Reason.LEASE_EXPIRED
         if slot in self._moving:
             return types.Reason.SLOT_MOVING
@@ -258,9 +266,26 @@
         if records.lease_key(self._incarnation) in changed:
             self._adopt(now)
 
-    def read(self, rows: list[records.Row], revision: int, now: float) -> None:
-        """Takes in a read of the table that went up to `revision`."""
+    def read(
+        self,
+        rows: list[records.Row],
+        revision: int,
+        now: float,
+        as_of: float | None = None,
+    ) -> None:
+        """Takes in a read of the table that went up to `revision`.
+
+        Args:
+            rows: The rows.
+            revision: The table's revision.
+            now: Monotonic time, seconds.
+            as_of: When the table was in that state at the earliest; `now`
+                if None.
+        """
         self._table_ok = True
+        self._read_as_of = max(
+            self._read_as_of, now if as_of is None else as_of
+        )
         self.merge(rows, now)
         self._view.advance(types.Revision(revision))
 
@@ -474,7 +499,7 @@
             checks_grants=self._checks_grants,
             draining=self._draining,
             table_ok=self._table_ok,
-            lease_valid=now < self._renewal.own_lease.valid_until(),
+            lease_valid=now < self.lease_until(),
             grants=self._renewal.own_lease.current,
             takeovers=self.takeovers,
             unrecorded={
@@ -489,8 +514,34 @@
             keyed=self.keyed,
             calm=self.calm,
             alive=self.alive,
+            silent_for=self._silent_for(now),
+            challenged_for=self._challenged_for(now),
         )
 
+    def _silent_for(self, now: float) -> dict[str, float]:
+        self._missed_since = {
+            record.incarnation: self._missed_since.get(record.incarnation, now)
+            for record in self._view.leases()
+            if record.is_open
+            and record.incarnation != self._incarnation
+            and not self.alive(record.incarnation)
+        }
+        return {name: now - since for name, since in self._missed_since.items()}
+
+    def _challenged_for(self, now: float) -> dict[str, float]:
+        found: dict[str, tuple[int, float]] = {}
+        for name in self._view.challenges():
+            revision = self._view.revision(records.challenge_key(name))
+            known = self._challenges.get(name)
+            if known is None or known[0] != revision:
+                known = (revision, now)
+            found[name] = known
+        for name in self._challenges.keys() - found.keys():
+            # It lives, or is over: it is not asked again for a while.
+            self._missed_since[name] = now + _CHALLENGE_PAUSE_S
+        self._challenges = found
+        return {name: now - since for name, (_, since) in found.items()}
+
     def _change_id(self) -> str:
         return f"{self._incarnation}-{self._rng.getrandbits(48):012x}"
 
--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -4,6 +4,7 @@
 
 from tamarackgap import (
     changes,
+    effects,
     placement,
     records,
     slots,
@@ -13,6 +14,9 @@
 PLAN_EVERY_S = 0.2
 # With nothing new, loads and ages are looked at this often.
 IDLE_S = 1.0
+# An owner that is not heard for so long, and whose epoch its witnesses have
+# not ended by then, is challenged, seconds.
+_CHALLENGE_AFTER_S = 3.0
 # After so many settling times a service is founded without those missing.
 _FOUND_ANYHOW = 2.0
 
@@ -67,7 +71,18 @@
     """
     if not situation.view.is_read:
         return None
-    for step in (_join, _flag, _claim, _vouch, _found, _leave, _intent):
+    for step in (
+        _join,
+        _flag,
+        _answer,
+        _claim,
+        _vouch,
+        _found,
+        _leave,
+        _condemn,
+        _challenge,
+        _intent,
+    ):
         decided = step(situation, change)
         if decided is not None:
             return decided
@@ -210,6 +225,72 @@
     return builder.build(changes.Kind.VOUCH, "earlier-incarnation-gone")
 
 
+def _answer(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
+    """Shows that this incarnation lives, where another asked for it."""
+    if situation.incarnation not in situation.view.challenges():
+        return None
+    builder = changes.Builder(situation.view, change)
+    builder.end_challenge(situation.incarnation)
+    return builder.build(changes.Kind.ANSWER, "challenged")
+
+
+def _challenge(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
+    """Asks an owner to show that it lives, if nobody here hears it.
+
+    By now its witnesses would have ended its epoch, if most of them lived.
+    """
+    if not situation.settings.anchor or not situation.table_ok:
+        return None
+    view = situation.view
+    for record in view.leases():
+        silent = situation.silent_for.get(record.incarnation, 0.0)
+        if (
+            record.is_open
+            and silent > _CHALLENGE_AFTER_S
+            and record.incarnation not in view.challenges()
+            and _is_nearest(situation, record.incarnation)
+        ):
+            builder = changes.Builder(view, change)
+            builder.challenge(record, situation.incarnation)
+            return builder.build(changes.Kind.CHALLENGE, "not-heard")
+    return None
+
+
+def _condemn(
+    situation: situation_lib.Situation, change: str
+) -> changes.Change | None:
+    """Closes a record whose challenge has stood unanswered for long enough."""
+    view = situation.view
+    limit = effects.condemn_after(situation.settings)
+    for name, challenge in view.challenges().items():
+        if not _is_nearest(situation, name):
+            continue
+        record = view.lease(name)
+        builder = changes.Builder(view, change)
+        builder.end_challenge(name)
+        if record is None or not record.is_open:
+            return builder.build(changes.Kind.CONDEMN, "is-over-already")
+        waited = situation.challenged_for.get(name, 0.0)
+        if record.epoch == challenge.epoch and waited > limit:
+            builder.close(record, slots.expand(record.runs))
+            return builder.build(changes.Kind.CONDEMN, "not-answered")
+    return None
+
+
+def _is_nearest(situation: situation_lib.Situation, item: str) -> bool:
+    """Returns whether a task that one daemon should do falls to this one."""
+    heard = [
+        record.incarnation
+        for record in situation.view.members()
+        if situation.alive(record.incarnation)
+    ]
+    return placement.rendezvous(item, heard) == situation.incarnation
+
+
 def _found(
     situation: situation_lib.Situation, change: str
 ) -> changes.Change | None:
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -39,6 +39,8 @@
 
 class _Rows(msgspec.Struct):
     ver: int = 0
+    # Milliseconds on the store's steady clock.
+    now_ms: int = 0
     rows: list[msgspec.Raw] = []
     has_more: bool = False
 
@@ -72,7 +74,9 @@
     remove: list[_Key]
 
 
-Rows = Callable[[list[records.Row], int], None]
+# Called with rows, the revision up to which they go, and since when that is
+# known to have been the state of the table.
+Rows = Callable[[list[records.Row], int, float], None]
 
 
 class Store:
@@ -94,6 +98,17 @@
             poller, timers, address, _IDLE_S, _SILENCE_MS
         )
         self._counts: dict[str, int] = {}
+        # Least difference seen between this clock and the store's, seconds.
+        self._offset = float("inf")
+
+    def as_of(self, store_ms: int) -> float:
+        """Returns a moment on this clock that is not after the store's.
+
+        The fastest answer so far tells how the clocks lie at the most.
+        """
+        moment = store_ms / 1000
+        self._offset = min(self._offset, self._timers.now - moment)
+        return moment + self._offset
 
     def counts(self) -> dict[str, int]:
         """Returns how many calls were made, by kind and result."""
@@ -108,8 +123,8 @@
     ) -> None:
         """Reads the operator's configuration, and each new version."""
 
-        def rows(found: list[records.Row], revision: int) -> None:
-            del revision
+        def rows(found: list[records.Row], revision: int, as_of: float) -> None:
+            del revision, as_of
             for row in found:
                 if row.key != names.OPERATOR_KEY or row.value is None:
                     continue
@@ -289,7 +304,7 @@
         ]
         self._keys = present
         self._revision = page.ver
-        self._rows(found + gone, page.ver)
+        self._rows(found + gone, page.ver, self._store.as_of(page.now_ms))
         self._again(0.0)
         return True
 
@@ -306,8 +321,7 @@
         found = _rows(page)
         self._keys |= {row.key for row in found if row.value is not None}
         self._revision = max(self._revision or 0, page.ver)
-        if found:
-            self._rows(found, page.ver)
+        self._rows(found, page.ver, self._store.as_of(page.now_ms))
         self._again(self._pause if found else 0.0)
         return True
 
--- a/tamarackgap/records.py
+++ b/tamarackgap/records.py
@@ -10,6 +10,7 @@
 FOUNDED_PREFIX = "founded/"
 POLICY_PREFIX = "policy/"
 HISTORY_PREFIX = "history/"
+CHALLENGE_PREFIX = "challenge/"
 
 
 class LeaseRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -70,6 +71,23 @@
         return sorted({run.successor for run in self.runs if run.successor})
 
 
+class Challenge(msgspec.Struct, frozen=True):
+    """Asks an incarnation that nobody hears to show that it lives.
+
+    An owner stops by itself once it has not read the table for the anchor
+    time, so one that leaves a challenge unanswered for longer is over.
+
+    Attributes:
+        epoch: The epoch that is to end otherwise.
+        by: The incarnation that asks.
+        change: Id of the write that made this row.
+    """
+
+    epoch: types.Epoch
+    by: types.Incarnation
+    change: str = ""
+
+
 class Founded(msgspec.Struct, frozen=True):
     """States that a service's slots have been given out once.
 
@@ -180,6 +198,11 @@
     return f"{POLICY_PREFIX}{service}/{data_centre}"
 
 
+def challenge_key(incarnation: str) -> str:
+    """Returns the key of the challenge to an incarnation."""
+    return CHALLENGE_PREFIX + incarnation
+
+
 def encode(row: msgspec.Struct) -> str:
     """Returns a row as JSON text."""
     return msgspec.json.encode(row).decode("utf-8")
@@ -196,6 +219,7 @@
     (LEASE_PREFIX, LeaseRecord),
     (FOUNDED_PREFIX, Founded),
     (POLICY_PREFIX, Policy),
+    (CHALLENGE_PREFIX, Challenge),
 )
 
 
@@ -274,6 +298,15 @@
         """Returns the founding row of a service, or None."""
         return self._rows.get(founded_key(service), (0, None))[1]
 
+    def challenges(self) -> dict[str, Challenge]:
+        """Returns the challenges, by the incarnation that is asked."""
+        size = len(CHALLENGE_PREFIX)
+        return {
+            key[size:]: value
+            for key, (_, value) in self._rows.items()
+            if key.startswith(CHALLENGE_PREFIX) and value is not None
+        }
+
     def services(self) -> set[str]:
         """Returns the names of all founded services."""
         size = len(FOUNDED_PREFIX)
--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -52,6 +52,9 @@
 # A process that leaves is still asked until the second question in a row has
 # failed; it serves all who come until then.
 _LINGER_S = 2.6
+# Keys that can't be moved in this time after a target or process began to
+# leave go to the successors without a handover.
+_GIVE_UP_S = 0.8
 # Left of the grace time when the process ends whatever is still going on.
 _LAST_S = 0.4
 _TARGET_IDLE_S = 7.0
@@ -101,6 +104,8 @@
         self._asked_table = float("-inf")
         self._leave_at: float | None = None
         self._end_at = 0.0
+        # When keys that were to move are given up instead, seconds.
+        self._give_up_at = 0.0
         self._stopped = False
         self._started = now()
 
@@ -283,6 +288,21 @@
                 )
         self._tell_status()
 
+    def _give_keys_up(self, moment: float) -> None:
+        """Lets successors serve, where the table does not take the moves.
+
+        The witnesses alone are enough for that.
+        """
+        if moment < self._give_up_at or self._holds.releasing:
+            return
+        owned = frozenset(self._core.owned)
+        if owned:
+            self._give_up_at = moment + _GIVE_UP_S
+            logs.event("keys_given_up", slots=len(owned))
+            self._holds.release(
+                owned, lambda handovers: self._abandon_keys("leaving")
+            )
+
     def _abandon_if_silent(self) -> None:
         if self._beside.phase is beside.Phase.ABSENT:
             self._abandon_keys("target-silent")
@@ -316,8 +336,10 @@
 
     # The store.
 
-    def _rows_read(self, rows: list[records.Row], revision: int) -> None:
-        self._core.read(_readable(rows), revision, now())
+    def _rows_read(
+        self, rows: list[records.Row], revision: int, as_of: float
+    ) -> None:
+        self._core.read(_readable(rows), revision, now(), as_of)
         members = self._core.view.members()
         self._peers.keep({record.peer_address for record in members})
         self._budgets.share(len(members))
@@ -437,6 +459,10 @@
         self._core.tick(moment)
         self._carry_out()
         self._entry.sweep()
+        if leaving or self._beside.phase is beside.Phase.LEAVING:
+            self._give_keys_up(moment)
+        else:
+            self._give_up_at = moment + _GIVE_UP_S
         if leaving:
             self._leave(moment)
 
@@ -580,6 +606,7 @@
         half_life=_LOAD_HALF_LIFE_S,
         unsettled=_LOAD_UNSETTLED_S,
         tolerance=_TOLERANCE_PERCENT,
+        anchor=settings.ownership_anchor / 1000,
     )
 
 
--- a/tamarackgap/situation.py
+++ b/tamarackgap/situation.py
@@ -57,6 +57,9 @@
         keyed: Whether the service's keys have owners at all.
         calm: Whether the target has so little to do that its slots may stay.
         alive: Tells whether an incarnation has been heard lately.
+        silent_for: Seconds since each incarnation that is not heard was
+            first missed.
+        challenged_for: Seconds since each challenge was first seen here.
     """
 
     view: records.View
@@ -79,6 +82,8 @@
     keyed: bool = True
     calm: bool = False
     alive: Callable[[str], bool] = lambda name: True
+    silent_for: dict[str, float] = {}
+    challenged_for: dict[str, float] = {}
 
     def signature(self) -> Signature:
         """Returns what has to change before another decision is due."""
--- a/tamarackgap/traffic/boundary.py
+++ b/tamarackgap/traffic/boundary.py
@@ -49,13 +49,14 @@
 
     def watch(
         self,
-        rows: Callable[[list[records.Row], int], None],
+        rows: Callable[[list[records.Row], int, float], None],
         failed: Callable[[str], None],
     ) -> None:
         """Reads all rows, then each change, for good.
 
         Args:
-            rows: Called with rows, and the revision up to which they go.
+            rows: Called after each read, with the rows, the revision up to
+                which they go, and since when that is known.
             failed: Called with the cause when a read has failed.
         """
 
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -113,6 +113,7 @@
         # Orders that wait until the ones before them are answered.
         self._queue: collections.deque[Callable[[], None]] = collections.deque()
         self._ordered = 0
+        self._unreleased = 0
 
     @property
     def runs(self) -> int:
@@ -165,6 +166,11 @@
             if due and not hold.asking and not hold.superseded:
                 self._grant(hold, until)
 
+    @property
+    def releasing(self) -> bool:
+        """Whether the target has not yet answered all releases."""
+        return self._unreleased > 0
+
     def release(self, moving: frozenset[int], done: Released) -> None:
         """Takes slots back from the target, before they move.
 
@@ -186,6 +192,7 @@
         # What is not answered ends by itself with the last hold.
         ends = max(self._by_slot[slot].asked_until for slot in held)
         handovers: dict[slots.Run, str] = {}
+        self._unreleased += len(left)
         for run in list(left):
             order = Release(
                 *slots.positions(run, self._slot_count()), run.fence
@@ -208,6 +215,7 @@
         def finished(run: slots.Run, handover: str) -> None:
             handovers[run] = handover
             left.remove(run)
+            self._unreleased -= 1
             if not left:
                 done(handovers)
 
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -205,7 +205,7 @@
             return types.Reason.WRONG_OWNER
         if not self._instance:
             return types.Reason.TARGET_ABSENT
-        if self._draining and not self.keyed:
+        if self._draining and (not self.keyed or now >= self._leave_at):
             return types.Reason.DRAINING
         if not self.keyed:
             return None
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import time
 
 import pytest
 
@@ -11,6 +12,8 @@
 READY_S = 20
 # A lease, the wait for its end, and the successor's first grant.
 TAKEOVER_S = 6
+# A leaving server gets nothing more after this.
+LEAVE_S = 2.0
 
 
 @pytest.fixture(scope="module")
@@ -255,6 +258,29 @@
         site.store.failing = None
 
 
+def test_a_server_that_leaves_while_the_store_is_away_gets_no_work(site):
+    place = site.places[4]
+    keys = [key for key in range(0, 65_536, 500) if place.server.holds(key)]
+    assert keys
+    site.store.silent = True
+    try:
+        place.server.state = "draining"
+        assert place.server.say()
+        time.sleep(LEAVE_S)
+        ran = len(place.server.ran)
+        statuses = [
+            site_lib.call(site.places[0], "money.example", "/pay", key=key)[0]
+            for key in keys
+        ]
+        assert len(place.server.ran) == ran
+        assert statuses.count(200) == len(keys)
+    finally:
+        site.store.silent = False
+        place.server.stop()
+        place.start_server()
+    assert site_lib.wait(READY_S, lambda: _works(site))
+
+
 def test_lost_history_is_read_anew(site):
     site.store.forget_history()
     site.store.put("op", "config", site_lib.configuration(20, *site_lib.USUAL))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -373,3 +373,65 @@
     assert subject.run(2.5, subject.all_served) is not None
     assert _owners(subject) == before
     assert not subject.double
+
+
+def _hearing(subject):
+    """Lets each daemon hear the processes that live."""
+
+    def hears(name):
+        return any(
+            node.alive and node.core.incarnation == name
+            for node in subject.nodes.values()
+        )
+
+    for node in subject.nodes.values():
+        node.core.alive = hears
+
+
+def test_owner_and_witnesses_lost_together_are_succeeded_without_a_person():
+    subject = world.World(seed=5, anchor=5.0)
+    subject.deploy(7)
+    _hearing(subject)
+    assert subject.run(20, subject.settled) is not None
+    owner = next(iter(subject.nodes.values()))
+    record = owner.core.view.lease(owner.core.incarnation)
+    lost = {owner.core.incarnation, *record.witnesses}
+    for name, node in list(subject.nodes.items()):
+        if node.core.incarnation in lost:
+            subject.kill(name)
+    assert not subject.all_served()
+    limit = effects.condemn_after(owner.core.settings)
+    taken = subject.run(limit + 8, subject.all_served)
+    assert taken is not None
+    assert taken > 5.0
+    assert not subject.double
+
+
+def test_an_owner_that_only_some_cannot_hear_answers_and_stays():
+    subject = world.World(seed=6, anchor=3.0)
+    subject.deploy(5)
+    assert subject.run(20, subject.settled) is not None
+    before = _owners(subject)
+    victim = next(iter(subject.nodes.values())).core.incarnation
+    for node in subject.nodes.values():
+        node.core.alive = lambda name: name != victim
+    subject.run(8)
+    assert subject.events("commit")
+    kinds = [fields["kind"] for fields in subject.events("commit")]
+    assert "answer" in kinds
+    assert "condemn" not in kinds
+    assert _owners(subject) == before
+    assert not subject.double
+
+
+def test_an_owner_without_the_table_stops_after_the_anchor_time():
+    subject = world.World(seed=7, anchor=3.0)
+    subject.deploy(5)
+    assert subject.run(20, subject.settled) is not None
+    subject.table_up = False
+    subject.run(2.4)
+    assert subject.all_served()
+    subject.run(1.5)
+    assert not any(subject.serving(slot) for slot in range(32))
+    subject.table_up = True
+    assert subject.run(3, subject.all_served) is not None
