A process that gave its lease up is still a witness; metrics; an end without a false release

What it promised is now kept under the old name. Test on the stepped clock, red before. The lease's end now decides, unless the target has released the keys. Metrics are served at the metrics address.

--- a/tamarackgap/metrics.py
+++ b/tamarackgap/metrics.py
@@ -21,6 +21,24 @@
             "Requests handed to the target, by verdict.",
             labels,
         )
+        self._events = self._counter(
+            "tamarackgap_events_total",
+            "Decisions that are no request's, by event.",
+            labels,
+        )
+        self._store_calls = self._gauge(
+            "tamarackgap_store_calls",
+            "Calls to the platform's store since the start, by kind and"
+            " result.",
+            labels,
+        )
+        self._leg_latency = aioprometheus.Histogram(
+            "tamarackgap_leg_seconds",
+            "Time from a call's hand-over to the target to its answer.",
+            const_labels=labels,
+            registry=self._registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
         self._gauges = {
             name: self._gauge(f"tamarackgap_{name}", text, labels)
             for name, text in _GAUGES.items()
@@ -33,14 +51,34 @@
             buckets=_LATENCY_BUCKETS_S,
         )
 
-    def request(self, verdict: str, reason: str, seconds: float) -> None:
-        """Counts a finished request of a caller."""
+    def request(
+        self, verdict: str, reason: str, seconds: float, route: str = ""
+    ) -> None:
+        """Counts a finished request of a caller, on a route if it had one."""
         self._requests.inc({"verdict": verdict, "reason": reason})
-        self._latency.observe({"verdict": verdict}, seconds)
+        where = {"route": route} if route else {}
+        self._latency.observe({"verdict": verdict, **where}, seconds)
+
+    def leg(self, verdict: str, seconds: float | None = None) -> None:
+        """Counts a request that was handed to the target.
 
-    def leg(self, verdict: str) -> None:
-        """Counts a request that was handed to the target."""
+        Args:
+            verdict: What became of it.
+            seconds: How long the target took, if it was measured.
+        """
         self._legs.inc({"verdict": verdict})
+        if seconds is not None:
+            self._leg_latency.observe({"verdict": verdict}, seconds)
+
+    def event(self, name: str) -> None:
+        """Counts a decision."""
+        self._events.inc({"event": name})
+
+    def store_calls(self, counts: dict[str, int]) -> None:
+        """Shows how many calls were made to the store."""
+        for call, count in counts.items():
+            kind, _, outcome = call.rpartition(" ")
+            self._store_calls.set({"kind": kind, "result": outcome}, count)
 
     def set(self, name: str, value: float) -> None:
         """Sets a gauge.
@@ -98,4 +136,9 @@
     "peer_frames_malformed": "Frames that were no message of ours.",
     "renewal_lateness_seconds": "Largest delay of a renewal so far.",
     "loop_pause_seconds": "Longest turn of the loop so far.",
+    "held_runs": "Runs of slots that the target is told to hold.",
+    "route_table_version": "Version of the route table in force.",
+    "route_table_age_seconds": "Time since it came into force.",
+    "table_read_age_seconds": "Time since the table was last read.",
+    "open_connections": "Connections of callers.",
 }
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership.py
@@ -32,6 +32,8 @@
 _PREPARE_LIMIT_S = 2.0
 _LAPSED_LIMIT_S = 1.0
 _CHALLENGE_PAUSE_S = 10.0
+# Ended incarnations of this process that are still witnesses.
+_FORMER_KEPT = 8
 # Longest time for a target to release slots that are to move, seconds.
 _HAND_OFF_LIMIT_S = 4.0
 
@@ -78,11 +80,19 @@
         )
         # Up to when what the table says is known here, seconds.
         self._read_as_of = now
+        self._witnessing: witnessing.Witnessing | None = None
+        self._former: dict[str, witnessing.Witnessing] = {}
         self._missed_since: dict[str, float] = {}
         self._challenges: dict[str, tuple[int, float]] = {}
         self._begin(now)
 
     def _begin(self, now: float) -> None:
+        # What an ended incarnation has promised as a witness still holds:
+        # the process remembers it.
+        if self._witnessing is not None:
+            self._former[self._incarnation] = self._witnessing
+            for name in list(self._former)[:-_FORMER_KEPT]:
+                del self._former[name]
         self._incarnation = types.Incarnation(
             f"{self._rng.getrandbits(64):016x}"
         )
@@ -182,6 +192,11 @@
         """The transaction whose outcome is awaited, if any."""
         return self._pending
 
+    @property
+    def read_as_of(self) -> float:
+        """Up to when what the table says is known here, seconds."""
+        return self._read_as_of
+
     def lease_until(self) -> float:
         """Returns the end of the lease on this daemon's clock, seconds."""
         until = self._renewal.own_lease.valid_until()
@@ -339,24 +354,26 @@
         message = envelope.message
         sender = envelope.sender
         answer = None
+        asked = getattr(message, "witness", types.NOBODY)
+        witness = self._witness(asked)
         match message:
-            case messages.Renew(witness=name) if name == self._incarnation:
+            case messages.Renew() if witness is not None:
                 self._heard_revision(message.revision)
-                answer = self._witnessing.renew(sender, message, now)
+                answer = witness.renew(sender, message, now)
             case messages.Granted(owner=name) if name == self._incarnation:
                 self._granted(sender, message, now)
             case messages.Suspect():
                 self._suspect(message.owner, message.epoch, now)
-            case messages.Seal(witness=name) if name == self._incarnation:
-                answer = self._witnessing.seal(message, now)
+            case messages.Seal() if witness is not None:
+                answer = witness.seal(message, now)
             case messages.Sealed():
                 self._succession.sealed(sender, message, now)
-            case messages.Retire(witness=name) if name == self._incarnation:
-                answer = self._witnessing.retire(sender, message)
+            case messages.Retire() if witness is not None:
+                answer = witness.retire(sender, message)
             case messages.Retired(owner=name) if name == self._incarnation:
                 self._renewal.retired(sender, message, now)
-            case messages.Release(witness=name) if name == self._incarnation:
-                self._witnessing.release(sender, message)
+            case messages.Release() if witness is not None:
+                witness.release(sender, message)
             case messages.Rows():
                 self.merge(list(message.rows), now)
             case messages.Claim():
@@ -364,19 +381,35 @@
             case messages.Load(rate=rate):
                 self._sharing.known.note(sender, rate, now)
         if answer is not None:
-            self._outbox.post(envelope.address, answer)
+            # The owner knows its witness by the name that it asked.
+            self._outbox.put(effects.Send(asked, envelope.address, answer))
         self._progress(now)
 
+    def _witness(self, name: str) -> witnessing.Witnessing | None:
+        """Returns what this process has promised under a name, or None."""
+        if name == self._incarnation:
+            return self._witnessing
+        return self._former.get(name)
+
     def tick(self, now: float) -> None:
         """Does all that is due; to be called every few milliseconds."""
         self._renewal.renew(now)
-        self._check_lapse(now)
-        for record in self._witnessing.silent_owners(now):
+        for record in self._silent_owners(now):
             self._suspect(record.incarnation, record.epoch, now)
+        self._check_lapse(now)
         self._progress(now)
         self._repeat(now)
         self._plan(now)
 
+    def _silent_owners(self, now: float) -> list[records.LeaseRecord]:
+        """Returns silent owners, whichever incarnation witnesses them."""
+        found = []
+        for name, witness in list(self._former.items()):
+            self._outbox.incarnation = name
+            found += witness.silent_owners(now)
+        self._outbox.incarnation = self._incarnation
+        return found + self._witnessing.silent_owners(now)
+
     # The owner's side.
 
     def _granted(
--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -16,6 +16,7 @@
     effects,
     logs,
     messages,
+    metrics,
     ownership,
     peers,
     records,
@@ -100,6 +101,7 @@
         self.poller = sockets.Poller().register(self)
         self.timers = scheduler.Scheduler(now).register(self)
         self._table: routetable.RouteTable | None = None
+        self._table_since = now()
         self._index: routetable.Index | None = None
         self._asked_table = float("-inf")
         self._leave_at: float | None = None
@@ -175,6 +177,11 @@
         self._beside = beside.Beside(
             self._service, settings.router_announce_interval / 1000, now()
         )
+        self._metrics = metrics.Metrics(settings.daemon_name, self._service)
+        self._entry.observe = self._observe_request
+        self._runner.observe = self._observe_call
+        if settings.router_metrics_address:
+            self._open(settings.router_metrics_address, self._asked_metrics)
         self._door = self._open(settings.daemon_http_address, self._serve)
         self._open(settings.router_announce_address, self._announced)
         self._open(settings.router_ready_address, self._asked_ready)
@@ -362,6 +369,7 @@
         if self._table is not None and table.version <= self._table.version:
             return
         self._table = table
+        self._table_since = now()
         self._index = routetable.Index(table)
         self._door.limits = table.limits
         self._entry.configure(table)
@@ -481,6 +489,7 @@
                         ),
                     )
                 case effects.Decision(event=event, fields=fields):
+                    self._metrics.event(event)
                     logs.event(
                         event, incarnation=self._core.incarnation, **fields
                     )
@@ -501,6 +510,53 @@
 
         self._holds.release(moving, released)
 
+    # Metrics.
+
+    def _observe_request(
+        self, flight: dispatcher.Flight, completion: calls.Completion
+    ) -> None:
+        reason = completion.reason.value if completion.reason else ""
+        elapsed = self.timers.now - flight.begun
+        self._metrics.request(
+            completion.verdict.value, reason, elapsed, flight.route.name
+        )
+        if flight.runs > 1:
+            self._metrics.event("request_rerun")
+
+    def _observe_call(self, verdict: types.Verdict, seconds: float) -> None:
+        self._metrics.leg(verdict.value, seconds)
+
+    def _asked_metrics(self, incoming: door.Incoming) -> None:
+        moment = now()
+        table = self._table
+        values = {
+            "owned_slots": len(self._core.owned),
+            "lease_left_seconds": max(0.0, self._core.lease_until() - moment),
+            "epoch": self._core.epoch,
+            "in_progress": self._runner.queue.running,
+            "queued": self._runner.queue.waiting,
+            "table_revision": self._core.view.cursor,
+            "peer_messages_sent": self._peers.sent_messages,
+            "peer_bytes_sent": self._peers.sent_bytes,
+            "peer_messages_dropped": self._peers.dropped,
+            "peer_frames_malformed": self._peers.malformed,
+            "renewal_lateness_seconds": self._core.renewal_lateness,
+            "held_runs": self._holds.runs,
+            "route_table_version": table.version if table else 0,
+            "route_table_age_seconds": moment - self._table_since,
+            "table_read_age_seconds": moment - self._core.read_as_of,
+            "open_connections": self._door.connections,
+        }
+        for name, value in values.items():
+            self._metrics.set(name, value)
+        self._metrics.store_calls(self._outside.store.counts())
+        body, headers = self._metrics.render("text/plain")
+        said = [
+            (name.lower().encode("ascii"), value.encode("ascii"))
+            for name, value in headers.items()
+        ]
+        incoming.answer(_OK, said, body)
+
     # Readiness and end.
 
     def _asked_ready(self, incoming: door.Incoming) -> None:
@@ -563,9 +619,8 @@
         if not idle and moment < self._end_at:
             return
         self._stopped = True
-        if self._core.owned:
-            self._core.release(moment)
-            self._carry_out()
+        # Keys still held here are not given up now: the target may run calls
+        # for them until its holds have ended with the lease.
         logs.event("stopped", in_flight=self._entry.in_flight)
         self.timers.after(_TICK_S, self.stop)
 
--- a/tamarackgap/traffic/door.py
+++ b/tamarackgap/traffic/door.py
@@ -121,6 +121,11 @@
         poller.watch(self._socket.fileno(), sockets.READABLE, self._accept)
         timers.every(_SWEEP_S, self._sweep)
 
+    @property
+    def connections(self) -> int:
+        """Number of connections."""
+        return len(self._connections)
+
     @property
     def in_progress(self) -> int:
         """Number of connections with a request that is not answered."""
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -98,6 +98,9 @@
         self._draining = False
         # Whether each key has one owner among the service's targets.
         self.keyed = False
+        # Observes each call that was handed over: what became of it, and
+        # the seconds that it took.
+        self.observe: Callable[[types.Verdict, float], None] = _ignore
         # When the target last answered a call, seconds.
         self.answered_at = float("-inf")
         # Part of the target's capacity that was in use lately.
@@ -275,6 +278,7 @@
             case _:
                 raise AssertionError(outcome)
         self._log(leg, completion, now)
+        self.observe(completion.verdict, now - leg.begun)
         self._finish(leg, completion)
         self._admission.finished(worked, leg.dispatch.aim, now)
 
@@ -342,3 +346,7 @@
     httplink.Cause.MALFORMED: types.Reason.TARGET_FAILED,
     httplink.Cause.CANCELLED: types.Reason.NO_ANSWER,
 }
+
+
+def _ignore(verdict: types.Verdict, seconds: float) -> None:
+    del verdict, seconds
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -88,6 +88,22 @@
             assert _runs(site, request) == [(holders[0], key)]
 
 
+def test_metrics_are_served(site):
+    status, headers, body = site_lib.ask(
+        site.places[2].metrics, "GET", "/metrics"
+    )
+    assert status == 200
+    text = body.decode()
+    for name in (
+        "tamarackgap_requests_total",
+        "tamarackgap_request_seconds_bucket",
+        "tamarackgap_leg_seconds_bucket",
+        "tamarackgap_store_calls",
+        "tamarackgap_route_table_age_seconds",
+    ):
+        assert name in text
+
+
 def test_a_path_without_route_is_not_found(site):
     assert site_lib.call(site.places[0], "seats.example", "/none/x")[0] == 404
     assert site_lib.call(site.places[0], "nowhere.example", "/x")[0] == 404
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -435,3 +435,22 @@
     assert not any(subject.serving(slot) for slot in range(32))
     subject.table_up = True
     assert subject.run(3, subject.all_served) is not None
+
+
+def test_a_process_that_gave_its_lease_up_is_still_a_witness():
+    # Two give their leases up while the table is away; the others keep theirs.
+    subject = world.World(seed=8)
+    subject.deploy(5)
+    assert subject.run(20, subject.settled) is not None
+    before = _owners(subject)
+    subject.table_up = False
+    gone = list(subject.nodes)[:2]
+    for name in gone:
+        node = subject.nodes[name]
+        node.core.accept(False)
+        node.core.release(node.clock(subject.now))
+    subject.run(8)
+    for slot, owners in before.items():
+        if owners[0] not in gone:
+            assert subject.serving(slot) == owners
+    assert not subject.double
