--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
 
 _PARTS = {
     "recovery": recovery.run,
+    "routerpath": datapath.run_router,
     "baselines": baselines.run,
     "datapath": datapath.run,
     "moves": moves.run,
--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -1,13 +1,16 @@
 """Cost of a request: entry and owner, beside a bare handler."""
 
 import http.client
+import pathlib
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 
 from bench import process, recovery, table
 from demo import cluster, deployments
+from standins import site
 
 _BASE_PORT = 27000
 _BARE = "127.0.0.1:27100"
@@ -25,21 +28,33 @@
 _TARGET_A_DAEMON = 3667
 
 
+_HEADERS = {
+    "X-Run-Id": "r",
+    "X-Request-Id": "bench",
+    "X-Attempt": "1",
+    "X-Key": "6b",
+    "X-Slot": "0",
+    "X-Fence": "0",
+    "X-Owner": "bench",
+    "X-Deadline": "1e18",
+}
+_ROUTER_HEADERS = {
+    "Host": "seats.example",
+    "X-Tamarackgap-Attempt-Id": "bench",
+    "X-Tamarackgap-Timeout-Ms": "5000",
+}
+_READY_S = 20.0
+
+
 def _drive(
-    address: str, path: str, seconds: float, latencies: list[float]
+    address: str,
+    path: str,
+    headers: dict[str, str],
+    seconds: float,
+    latencies: list[float],
 ) -> None:
     host, _, port = address.rpartition(":")
     link = http.client.HTTPConnection(host, int(port), timeout=10)
-    headers = {
-        "X-Run-Id": "r",
-        "X-Request-Id": "bench",
-        "X-Attempt": "1",
-        "X-Key": "6b",
-        "X-Slot": "0",
-        "X-Fence": "0",
-        "X-Owner": "bench",
-        "X-Deadline": "1e18",
-    }
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         begun = time.monotonic()
@@ -55,12 +70,13 @@
     pids: list[int],
     callers: int,
     seconds: float,
+    headers: dict[str, str] = _HEADERS,
 ) -> table.Row:
     before = sum(map(process.seconds, pids))
     latencies: list[float] = []
     threads = [
         threading.Thread(
-            target=_drive, args=(address, path, seconds, latencies)
+            target=_drive, args=(address, path, headers, seconds, latencies)
         )
         for _ in range(callers)
     ]
@@ -90,6 +106,76 @@
     return float(line.rpartition(" ")[2])
 
 
+def run_router(quick: bool) -> None:
+    """Measures the router's entry and owner side beside a bare handler."""
+    seconds = 2.0 if quick else 8.0
+    bare = subprocess.Popen(
+        [sys.executable, "-m", "bench.bare", _BARE], stdout=subprocess.DEVNULL
+    )
+    rows = []
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            found = site.Site(
+                pathlib.Path(folder),
+                [("entry", "money", True), ("owner", "seats", False)],
+            )
+            try:
+                found.start()
+                rows = _router_paths(found, bare.pid, seconds)
+            finally:
+                found.stop()
+    finally:
+        bare.kill()
+        bare.wait()
+    table.show("routerpath", rows)
+
+
+def _router_paths(
+    found: site.Site, bare: int, seconds: float
+) -> list[table.Row]:
+    entry, owner = found.places
+    owner.server.work_s = 0.0
+    path = "/browse/x"
+    if not site.wait(
+        _READY_S,
+        lambda: (
+            entry.is_ready()
+            and owner.is_ready()
+            and site.call(entry, "seats.example", path)[0] == 200
+        ),
+    ):
+        raise RuntimeError("the router did not get ready")
+    own = owner.process.pid
+    both = [entry.process.pid, own]
+    rows = []
+    for callers in (1, 8):
+        rows += [
+            _measure("bare handler", _BARE, "/", [bare], callers, seconds),
+            _measure(
+                "router, owner asked",
+                owner.callers,
+                path,
+                [own],
+                callers,
+                seconds,
+                _ROUTER_HEADERS,
+            ),
+            _measure(
+                "router, entry then owner",
+                entry.callers,
+                path,
+                both,
+                callers,
+                seconds,
+                _ROUTER_HEADERS,
+            ),
+        ]
+    for row in rows:
+        alone = rows[0]["core_us_a_request"]
+        row["times_bare"] = round(row["core_us_a_request"] / alone, 2)
+    return rows
+
+
 def run(quick: bool) -> None:
     """Measures each path alone, then the entry at its limit."""
     seconds = 2.0 if quick else 8.0
--- a/tests/support/site.py
+++ b/standins/site.py
@@ -10,8 +10,7 @@
 import threading
 import time
 
-from standins import appserver, httpd, rowstore
-from tests.support import processes
+from standins import appserver, httpd, ports, rowstore
 
 PORTS = 6
 LIMITS = {
@@ -23,6 +22,7 @@
 
 
 def route(name, host, prefix, service, idempotent=True, **spec):
+    """Returns a route as the operator writes it."""
     return {
         "type": "routes",
         "metadata": {"name": name},
@@ -41,6 +41,7 @@
 
 
 def service(name, keyed=False):
+    """Returns a service as the operator writes it."""
     return {
         "type": "services",
         "metadata": {"name": name},
@@ -53,6 +54,7 @@
 
 
 def configuration(version, *resources):
+    """Returns the bytes of a whole configuration."""
     limits = {"type": "limits", "metadata": {}, "spec": LIMITS}
     return json.dumps(
         {"version": f"{version:08x}", "resources": [*resources, limits]}
@@ -76,17 +78,18 @@
         self.name = name
         self.service = service_name
         self.keyed = keyed
-        base = processes.free_ports(PORTS, site.next_port())
+        base = ports.free_ports(PORTS, site.next_port())
         site.used(base + PORTS)
-        ports = [f"127.0.0.1:{base + index}" for index in range(PORTS)]
-        self.callers, self.peers, self.control, self.ready = ports[:4]
-        self.app, self.metrics = ports[4:]
+        own = [f"127.0.0.1:{base + index}" for index in range(PORTS)]
+        self.callers, self.peers, self.control, self.ready = own[:4]
+        self.app, self.metrics = own[4:]
         self.lives = 0
         self.server = None
         self.process = None
         self.log = site.folder / f"{name}.log"
 
     def start_server(self):
+        """Starts the next life of the server."""
         self.lives += 1
         self.server = appserver.AppServer(
             f"{self.name}-{self.lives}",
@@ -98,6 +101,7 @@
         self.server.start()
 
     def start(self):
+        """Starts the daemon."""
         settings = self.site.folder / f"{self.name}.ini"
         settings.write_text(
             f"""[daemon]
@@ -132,15 +136,18 @@
             )
 
     def kill(self):
+        """Ends the daemon with SIGKILL."""
         self.process.send_signal(signal.SIGKILL)
         self.process.wait()
 
     def is_ready(self):
+        """Returns whether the daemon says that it is ready."""
         with contextlib.suppress(OSError):
             return ask(self.ready, "GET", "/-/readiness")[0] == 200
         return False
 
     def lines(self, event):
+        """Returns the daemon's log lines of one event."""
         text = self.log.read_text()
         return [line for line in text.splitlines() if f"event={event} " in line]
 
@@ -152,7 +159,7 @@
         self.folder = folder
         self._port = 25_000
         self.store = rowstore.RowStore()
-        port = processes.free_ports(1, self.next_port())
+        port = ports.free_ports(1, self.next_port())
         self.used(port + 1)
         self.store_address = f"127.0.0.1:{port}"
         self._server = httpd.serve(self.store_address, self.store.answer)
@@ -160,18 +167,22 @@
         self.places = [Place(self, *place) for place in places]
 
     def next_port(self):
+        """Returns the first port that may be free."""
         return self._port
 
     def used(self, port):
+        """Notes that all ports below one are taken."""
         self._port = port
 
     def start(self):
+        """Starts all servers and daemons."""
         self.store.put("op", "config", configuration(1, *USUAL))
         for place in self.places:
             place.start_server()
             place.start()
 
     def stop(self):
+        """Ends everything that was started here."""
         for place in self.places:
             if place.process is not None and place.process.poll() is None:
                 place.kill()
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -1,7 +1,7 @@
 import json
 
+from standins import site
 from tamarackgap.platform import operators
-from tests.support import site
 
 
 def test_a_configuration_is_decoded_whole():
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.support import site as site_lib
+from standins import site as site_lib
 
 READY_S = 20
 # A lease, the wait for its end, and the successor's first grant.
