--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -143,7 +143,11 @@
         )
         lease = settings.ownership_lease / 1000
         self._holds = keyholds.KeyHolds(
-            self._core, self._order, self.timers, lease
+            self._core,
+            self._order,
+            self.timers,
+            lease,
+            settings.router_longest_hold / 1000,
         )
         self._peers = peers.Peers(
             self.poller,
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -508,6 +508,7 @@
             service=flight.service,
             position=flight.call.position,
             owner=candidate.incarnation if candidate else "",
+            revision=self._core.view.cursor,
             load=candidate.busy + candidate.sent if candidate else 0,
             load_age_ms=(
                 round((now - candidate.heard) * 1000) if candidate else 0
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -92,6 +92,7 @@
         order: Order,
         timers: scheduler.Scheduler,
         lease: float,
+        longest: float,
     ) -> None:
         """Creates a keeper of nothing.
 
@@ -100,8 +101,10 @@
             order: Sends orders to the target.
             timers: The loop's scheduler.
             lease: Length of a lease, seconds.
+            longest: Longest time for which the target takes keys, seconds.
         """
         self._core = core
+        self._longest = longest
         self._order = order
         self._timers = timers
         self._step = lease * _STEP_SHARE
@@ -157,7 +160,7 @@
         if self._version != self._core.slots_version:
             self._follow()
         now = self._timers.now
-        until = self._core.lease_until()
+        until = min(self._core.lease_until(), now + self._longest)
         hold_s = (until - now) / (1 + _DRIFT) - _TRANSIT_S
         if hold_s < _LEAST_HOLD_S:
             return
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -6,10 +6,9 @@
 import pytest
 from click import testing
 
-from standins import httpd
+from standins import httpd, ports
 from standins import platform as platform_lib
 from tamarackgap import cmdline, records
-from tests.support import processes
 
 GOOD = """
 [daemon]
@@ -31,7 +30,7 @@
 @pytest.fixture
 def platform():
     found = platform_lib.Platform()
-    address = f"127.0.0.1:{processes.free_ports(1, first=33000, last=34000)}"
+    address = f"127.0.0.1:{ports.free_ports(1, first=33000, last=34000)}"
     server = httpd.serve(address, found.answer)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     founding = records.Transaction(
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -42,14 +42,14 @@
 
 def test_every_log_event_is_listed():
     text = pathlib.Path("docs/operators.md").read_text()
-    for path in pathlib.Path("tamarackgap").glob("*.py"):
-        calls = r"(?:logs\.event|outbox\.log)\(\s*\"(\w+)\""
+    for path in pathlib.Path("tamarackgap").rglob("*.py"):
+        calls = r"(?:logs\.(?:request_)?event|outbox\.log)\(\s*\"(\w+)\""
         for event in re.findall(calls, path.read_text()):
             assert f"`{event}`" in text, event
 
 
 def test_the_module_map_matches_the_tree():
     text = pathlib.Path("README.md").read_text()
-    for path in pathlib.Path("tamarackgap").glob("*.py"):
+    for path in pathlib.Path("tamarackgap").rglob("*.py"):
         if not path.stem.startswith("__"):
             assert f"`{path.stem}`" in text, path.stem
