--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -126,15 +126,6 @@
             and self._timers.now - candidate.heard < silence
         )
 
-    def services_heard(self) -> set[str]:
-        """Returns the services that have a usable target."""
-        now = self._timers.now
-        return {
-            candidate.service
-            for candidate in self._candidates.values()
-            if candidate.usable(now)
-        }
-
     def heard(self, sender: str, address: str, status: calls.Status) -> None:
         """Takes in what a daemon tells of itself."""
         now = self._timers.now
--- a/tamarackgap/traffic/httplink.py
+++ b/tamarackgap/traffic/httplink.py
@@ -116,7 +116,6 @@
         self.timers = timers
         self.address = address
         self.idle_s = idle_s
-        self.opened = 0
         self._silence_ms = silence_ms
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
@@ -188,7 +187,6 @@
         sock = sockets.connect(self.address, self._silence_ms)
         if sock is None:
             return None
-        self.opened += 1
         connection = _Connection(self, sock)
         self._open.add(connection)
         return connection
