--- a/tamarackgap/planner.py
+++ b/tamarackgap/planner.py
@@ -450,7 +450,7 @@
         move
         for move in planned
         if move.source == situation.incarnation
-        and (situation.settings.ordered or not situation.busy(move.slot))
+        and not situation.busy(move.slot)
     ]
     most = situation.settings.batch
     if situation.accepting:
--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -123,7 +123,7 @@
         settings = self._settings
         self._outside = outside
         self._core = ownership.Ownership(
-            _ownership_settings(settings), self._rng, _never_busy, now()
+            _ownership_settings(settings), self._rng, self._must_stay, now()
         )
         self._core.keyed = False
         self._link = httplink.Link(
@@ -311,6 +311,9 @@
                 functools.partial(self._abandon_keys, "leaving")
             )
 
+    def _must_stay(self, slot: int) -> bool:
+        return not self._holds.confirmed(slot)
+
     def _abandon_if_silent(self) -> None:
         if self._beside.phase is beside.Phase.ABSENT:
             self._abandon_keys("target-silent")
@@ -627,11 +630,6 @@
         self.timers.after(_TICK_S, self.stop)
 
 
-def _never_busy(slot: int) -> bool:
-    del slot
-    return False
-
-
 def _readable(rows: list[records.Row]) -> list[records.Row]:
     """Returns the rows that have the expected shape."""
     found = []
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -133,6 +133,16 @@
             and slot not in self._releasing
         )
 
+    def confirmed(self, slot: int) -> bool:
+        """Returns whether the target has ever said that it holds a slot.
+
+        A grant without an answer may be carried out much later. If the slot
+        had moved by then, the target would take it under a fence that has
+        been passed elsewhere; one it has already had does no harm.
+        """
+        hold = self._by_slot.get(slot)
+        return hold is not None and hold.held_until > float("-inf")
+
     def forget(self) -> None:
         """Notes that the target holds nothing: it has started anew."""
         self._holds.clear()
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -190,6 +190,9 @@
                 self.log.append((event, {"at": node.name, **fields}))
             case effects.Refresh():
                 node.read_at = self.now
+            case effects.HandOff(moving=moving):
+                if moving:
+                    node.core.handed_off({})
 
     def _send(self, node, address, frame):
         if node.mute or self.rng.random() < self.drop:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -454,3 +454,15 @@
         if owners[0] not in gone:
             assert subject.serving(slot) == owners
     assert not subject.double
+
+
+def test_slots_that_must_stay_are_not_given_away():
+    subject = world.World(seed=9, ordered=True)
+    subject.deploy(4)
+    assert subject.run(20, subject.settled) is not None
+    node = subject.nodes["seats-0"]
+    stays = sorted(node.core.owned)[0]
+    node.busy = {stays}
+    node.core.accept(False)
+    subject.run(6)
+    assert sorted(node.core.owned) == [stays]
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -177,6 +177,24 @@
     assert [order.fence for order, _ in target.orders] == [9]
 
 
+def test_a_slot_is_confirmed_by_an_answer_only(subject):
+    # A grant without an answer was carried out after the slot had moved, and
+    # the target took it under a fence that was passed: OWNER in a hunt.
+    timers, core, target, holds = subject
+    core.own(0, 9, 1)
+    assert not holds.confirmed(3)
+    holds.renew()
+    target.answer(carried_out=False)
+    assert not holds.confirmed(3)
+    holds.renew()
+    target.answer()
+    assert holds.confirmed(3)
+    core.own(3, 3, 2)
+    holds.renew()
+    assert not holds.confirmed(3)
+    assert holds.confirmed(4)
+
+
 def test_a_superseded_run_is_not_asked_for_again(subject):
     timers, core, target, holds = subject
     core.own(0, 9, 1)
