Remove an option, a wrapper and a name that nothing uses

Cause: read again as a whole. Link.send's fresh connection was never asked for, a partial without arguments wrapped a method, and a path was named twice over. Behaviour is the same. Tests of traffic, platform and documents green, linter and formatter clean; the whole suite was not run again.

--- a/tamarackgap/platform/names.py
+++ b/tamarackgap/platform/names.py
@@ -15,7 +15,6 @@
 POSITION = b"x-tamarackgap-shard-key"
 HANDOVER = b"x-tamarackgap-handover"
 
-READINESS = "/-/readiness"
 INSTANCES = "/-/instances/"
 HEARTBEAT = "/heartbeat"
 DEREGISTER = "/deregister"
--- a/tamarackgap/router.py
+++ b/tamarackgap/router.py
@@ -291,10 +291,7 @@
             case beside.Change.SILENT:
                 self._runner.detach()
                 # It may live, and hold keys until its holds have ended.
-                self.timers.after(
-                    self._holds.pause(),
-                    functools.partial(self._abandon_if_silent),
-                )
+                self.timers.after(self._holds.pause(), self._abandon_if_silent)
         self._tell_status()
 
     def _give_keys_up(self, moment: float) -> None:
--- a/tamarackgap/traffic/httplink.py
+++ b/tamarackgap/traffic/httplink.py
@@ -126,7 +126,6 @@
         timeout: float,
         done: Done,
         belongs: Belongs = lambda answer: True,
-        fresh: bool = False,
     ) -> Exchange:
         """Sends a whole request.
 
@@ -136,15 +135,12 @@
             done: Called once with the answer or the failure; perhaps before
                 this returns.
             belongs: Answers for which it is false are skipped.
-            fresh: Whether to use a new connection.
 
         Returns:
             The exchange, for `cancel`.
         """
         exchange = Exchange(data, done, belongs)
-        connection = None if fresh else self._take()
-        if connection is None:
-            connection = self._connect()
+        connection = self._take() or self._connect()
         if connection is None:
             exchange.finish(result.Failure(Failure(Cause.UNREACHABLE, False)))
             return exchange
