--- a/bench/moves.py
+++ b/bench/moves.py
@@ -6,7 +6,7 @@
 
 from bench import recovery, table
 from demo import cluster, deployments
-from tamarackgap import control
+from tamarackgap.commands import control
 
 _BASE_PORT = 28000
 _READY_S = 60.0
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -10,7 +10,9 @@
 import msgspec
 import xxhash
 
-from tamarackgap import heat, loads, placement, slots, types
+from tamarackgap import types
+from tamarackgap.ownership import loads
+from tamarackgap.placement import heat, placement, slots
 
 SLOTS = 256
 _BOUND = 1.25
--- a/bench/state.py
+++ b/bench/state.py
@@ -5,7 +5,8 @@
 import tracemalloc
 
 from bench import table
-from tamarackgap import placement, planner, records, routes, slots
+from tamarackgap.ownership import planner
+from tamarackgap.placement import placement, records, routes, slots
 
 _SERVICES = 6
 _SLOTS = 32_768
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -16,7 +16,7 @@
 
 from demo import deployments
 from standins import target as target_lib
-from tamarackgap import control
+from tamarackgap.commands import control
 
 _HOST = "127.0.0.1"
 _READY_S = 90.0
--- a/examples/embedded.py
+++ b/examples/embedded.py
@@ -7,7 +7,9 @@
 import random
 
 from standins import table as table_lib
-from tamarackgap import effects, messages, ownership, records
+from tamarackgap.ownership import effects, ownership
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 
 STEP_S = 0.02
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,7 @@
 
 from standins import httpd
 from standins import table as table_lib
-from tamarackgap import records
+from tamarackgap.placement import records
 
 
 class Faults(msgspec.Struct):
--- a/standins/table.py
+++ b/standins/table.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from tamarackgap import records
+from tamarackgap.placement import records
 
 
 class Table:
--- a/standins/target.py
+++ b/standins/target.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from standins import httpd
-from tamarackgap import slots
-from tamarackgap import target as target_lib
+from tamarackgap.placement import slots
+from tamarackgap.requests import target as target_lib
 
 
 class Faults(msgspec.Struct):
--- a/tamarackgap/__main__.py
+++ b/tamarackgap/__main__.py
@@ -1,5 +1,5 @@
 """Runs the command line as `python -m tamarackgap`."""
 
-from tamarackgap import cmdline
+from tamarackgap.commands import cmdline
 
 cmdline.main()
--- /dev/null
+++ b/tamarackgap/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/tamarackgap/cmdline.py
+++ b/tamarackgap/commands/cmdline.py
@@ -9,16 +9,12 @@
 from returns import result
 
 import tamarackgap
-from tamarackgap import (
-    config,
-    control,
-    daemon,
-    env,
-    exceptions,
-    pages,
-    policy,
-    records,
-)
+from tamarackgap import exceptions
+from tamarackgap.commands import control, env, policy
+from tamarackgap.placement import records
+from tamarackgap.processes import daemon
+from tamarackgap.requests import pages
+from tamarackgap.settings import config
 
 _EXIT_FAILED = 1
 _EXIT_USAGE = 2
--- a/tamarackgap/control.py
+++ b/tamarackgap/commands/control.py
@@ -6,15 +6,12 @@
 
 import msgspec
 
-from tamarackgap import (
-    changes,
-    exceptions,
-    pages,
-    policy,
-    records,
-    slots,
-    tableclient,
-)
+from tamarackgap import exceptions
+from tamarackgap.commands import policy
+from tamarackgap.ownership import changes
+from tamarackgap.placement import records, slots
+from tamarackgap.requests import pages
+from tamarackgap.table import tableclient
 
 _TIMEOUT_S = 5.0
 _DAEMON_TIMEOUT_S = 1.0
--- a/tamarackgap/env.py
+++ b/tamarackgap/commands/env.py
@@ -9,7 +9,7 @@
 import msgspec
 
 import tamarackgap
-from tamarackgap import config
+from tamarackgap.settings import config
 
 _LIBRARIES = (
     "aioprometheus",
--- a/tamarackgap/policy.py
+++ b/tamarackgap/commands/policy.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns import result
 
-from tamarackgap import records
+from tamarackgap.placement import records
 
 ANY_PLACE = "*"
 
--- /dev/null
+++ b/tamarackgap/network/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and HTTP on one loop; nothing of the product."""
--- a/tamarackgap/traffic/door.py
+++ b/tamarackgap/network/door.py
@@ -6,7 +6,8 @@
 import httptools
 import msgspec
 
-from tamarackgap import logs, scheduler, sockets
+from tamarackgap import logs
+from tamarackgap.network import scheduler, sockets
 
 _BACKLOG = 1024
 # Connections accepted in one turn of the loop.
--- a/tamarackgap/httpclient.py
+++ b/tamarackgap/network/httpclient.py
@@ -17,7 +17,7 @@
 from circuits.web import parsers
 from returns import result
 
-from tamarackgap import scheduler
+from tamarackgap.network import scheduler
 
 _READ_BYTES = 65_536
 _CONNECTING = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
--- a/tamarackgap/traffic/httplink.py
+++ b/tamarackgap/network/httplink.py
@@ -8,7 +8,8 @@
 import msgspec
 from returns import result
 
-from tamarackgap import logs, scheduler, sockets
+from tamarackgap import logs
+from tamarackgap.network import scheduler, sockets
 
 Headers = list[tuple[bytes, bytes]]
 
--- /dev/null
+++ b/tamarackgap/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol by which each key has at most one owner, without I/O."""
--- a/tamarackgap/changes.py
+++ b/tamarackgap/ownership/changes.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from tamarackgap import placement, records, slots, types
+from tamarackgap import types
+from tamarackgap.placement import placement, records, slots
 
 
 class Kind(enum.Enum):
--- a/tamarackgap/effects.py
+++ b/tamarackgap/ownership/effects.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from tamarackgap import changes, heat, messages, records
+from tamarackgap.ownership import changes
+from tamarackgap.peers import messages
+from tamarackgap.placement import heat, records
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/tamarackgap/loads.py
+++ b/tamarackgap/ownership/loads.py
@@ -2,7 +2,9 @@
 
 import random
 
-from tamarackgap import effects, messages, records
+from tamarackgap.ownership import effects
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 
 # Loads go to a sample, so that their number does not grow with the square.
 _FANOUT = 8
--- a/tamarackgap/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -9,23 +9,21 @@
 
 import msgspec
 
-from tamarackgap import (
+from tamarackgap import types
+from tamarackgap.ownership import (
     changes,
     effects,
     lease,
     loads,
-    messages,
     planner,
-    records,
     renewal,
-    routes,
-    slots,
     succession,
     takeover,
-    types,
     witnessing,
 )
-from tamarackgap import situation as situation_lib
+from tamarackgap.ownership import situation as situation_lib
+from tamarackgap.peers import messages
+from tamarackgap.placement import records, routes, slots
 
 _SUSPECT_SHARE = 0.8
 _COMMIT_AGAIN_S = 0.2
--- a/tamarackgap/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -2,14 +2,9 @@
 
 import msgspec
 
-from tamarackgap import (
-    changes,
-    effects,
-    placement,
-    records,
-    slots,
-)
-from tamarackgap import situation as situation_lib
+from tamarackgap.ownership import changes, effects
+from tamarackgap.ownership import situation as situation_lib
+from tamarackgap.placement import placement, records, slots
 
 PLAN_EVERY_S = 0.2
 # With nothing new, loads and ages are looked at this often.
--- a/tamarackgap/renewal.py
+++ b/tamarackgap/ownership/renewal.py
@@ -1,6 +1,9 @@
 """An owner's renewals with its witnesses, and what they answer."""
 
-from tamarackgap import effects, lease, messages, records, types
+from tamarackgap import types
+from tamarackgap.ownership import effects, lease
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 
 _RENEWALS_PER_LEASE = 4
 # Without answers of a majority for so many renewals, an owner only probes.
--- a/tamarackgap/situation.py
+++ b/tamarackgap/ownership/situation.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from tamarackgap import effects, lease, records, takeover, types
+from tamarackgap import types
+from tamarackgap.ownership import effects, lease, takeover
+from tamarackgap.placement import records
 
 _SILENT_LEASES = 2.0
 
--- a/tamarackgap/succession.py
+++ b/tamarackgap/ownership/succession.py
@@ -2,15 +2,10 @@
 
 from collections.abc import Callable
 
-from tamarackgap import (
-    effects,
-    messages,
-    records,
-    routes,
-    slots,
-    takeover,
-    types,
-)
+from tamarackgap import types
+from tamarackgap.ownership import effects, takeover
+from tamarackgap.peers import messages
+from tamarackgap.placement import records, routes, slots
 
 _ASK_AGAIN_S = 0.05
 _RECLAIM_S = 1.0
--- a/tamarackgap/takeover.py
+++ b/tamarackgap/ownership/takeover.py
@@ -2,7 +2,10 @@
 
 import enum
 
-from tamarackgap import lease, messages, records, types
+from tamarackgap import types
+from tamarackgap.ownership import lease
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 
 _COUNTED = frozenset({types.WitnessState.SEALED, types.WitnessState.CLOSED})
 
--- a/tamarackgap/witnessing.py
+++ b/tamarackgap/ownership/witnessing.py
@@ -2,7 +2,10 @@
 
 import math
 
-from tamarackgap import effects, messages, records, types, witness
+from tamarackgap import types
+from tamarackgap.ownership import effects, witness
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 
 _NOTIFY_AGAIN_S = 0.1
 _GRANTING = (types.WitnessState.OPEN, types.WitnessState.RETIRED)
--- /dev/null
+++ b/tamarackgap/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons, and their transport."""
--- a/tamarackgap/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from tamarackgap import records, slots, types
-from tamarackgap.traffic import calls
+from tamarackgap import types
+from tamarackgap.peers import calls
+from tamarackgap.placement import records, slots
 
 
 class Renew(msgspec.Struct, tag="renew", frozen=True):
--- a/tamarackgap/peers.py
+++ b/tamarackgap/peers/peers.py
@@ -12,7 +12,9 @@
 import zmq
 from circuits.core import pollers
 
-from tamarackgap import logs, messages, scheduler
+from tamarackgap import logs
+from tamarackgap.network import scheduler
+from tamarackgap.peers import messages
 
 _HIGH_WATER_MESSAGES = 1000
 _RECONNECT_MS = 50
--- a/tamarackgap/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -9,7 +9,8 @@
 import msgspec
 import xxhash
 
-from tamarackgap import heat, records, slots, types
+from tamarackgap import types
+from tamarackgap.placement import heat, records, slots
 
 # Below this many requests a second in all, only numbers of slots count.
 _LEAST_RATE = 20.0
--- a/tamarackgap/records.py
+++ b/tamarackgap/placement/records.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from tamarackgap import slots, types
+from tamarackgap import types
+from tamarackgap.placement import slots
 
 LEASE_PREFIX = "lease/"
 FOUNDED_PREFIX = "founded/"
--- a/tamarackgap/routes.py
+++ b/tamarackgap/placement/routes.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from tamarackgap import records
+from tamarackgap.placement import records
 
 
 class Route(msgspec.Struct, frozen=True):
--- a/tamarackgap/platform/__main__.py
+++ b/tamarackgap/platform/__main__.py
@@ -7,8 +7,10 @@
 
 from returns import result
 
-from tamarackgap import config, logs, router
+from tamarackgap import logs
 from tamarackgap.platform import operators, requests, servers, store
+from tamarackgap.processes import router
+from tamarackgap.settings import config
 from tamarackgap.traffic import boundary, runner
 
 _SETTINGS_VARIABLE = "TAMARACKGAP_NODE_FILE"
--- a/tamarackgap/platform/operators.py
+++ b/tamarackgap/platform/operators.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from tamarackgap import logs, types
-from tamarackgap.traffic import door, routetable
+from tamarackgap.network import door
+from tamarackgap.traffic import routetable
 
 _IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
 _HEXADECIMAL = 16
--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -2,9 +2,12 @@
 
 from returns import result
 
-from tamarackgap import slots, types
+from tamarackgap import types
+from tamarackgap.network import door, httplink
+from tamarackgap.peers import calls
+from tamarackgap.placement import slots
 from tamarackgap.platform import names
-from tamarackgap.traffic import boundary, calls, door, httplink
+from tamarackgap.traffic import boundary
 
 # What concerns one connection only, what this system sets itself, and what
 # is written anew.
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -3,8 +3,9 @@
 import msgspec
 
 from tamarackgap import logs
+from tamarackgap.network import door, httplink
 from tamarackgap.platform import names
-from tamarackgap.traffic import beside, door, httplink, keyholds
+from tamarackgap.traffic import beside, keyholds
 
 _OK = 200
 _SUPERSEDED = 409
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -9,9 +9,12 @@
 import msgspec
 from returns import result
 
-from tamarackgap import effects, logs, records, scheduler, sockets
+from tamarackgap import logs
+from tamarackgap.network import httplink, scheduler, sockets
+from tamarackgap.ownership import effects
+from tamarackgap.placement import records
 from tamarackgap.platform import names, operators
-from tamarackgap.traffic import httplink, routetable
+from tamarackgap.traffic import routetable
 
 _IDLE_S = 20.0
 _SILENCE_MS = 2500
--- /dev/null
+++ b/tamarackgap/processes/__init__.py
@@ -0,0 +1,1 @@
+"""The processes: their parts put together, started and ended."""
--- a/tamarackgap/daemon.py
+++ b/tamarackgap/processes/daemon.py
@@ -10,28 +10,23 @@
 from circuits.core import pollers
 from circuits.web import servers
 
-from tamarackgap import (
-    config,
-    effects,
+from tamarackgap import logs, metrics
+from tamarackgap.network import httpclient, scheduler
+from tamarackgap.ownership import effects, ownership
+from tamarackgap.peers import messages, peers
+from tamarackgap.requests import (
     entry,
     granting,
-    httpclient,
-    logs,
     memory,
-    messages,
-    metrics,
-    ownership,
     pages,
-    peers,
     retries,
-    scheduler,
     suspects,
-    tableclient,
-    tablereader,
     target,
     web,
 )
-from tamarackgap import owner as owner_lib
+from tamarackgap.requests import owner as owner_lib
+from tamarackgap.settings import config
+from tamarackgap.table import tableclient, tablereader
 
 _TICK_S = 0.04
 _GAUGES_S = 0.5
--- a/tamarackgap/router.py
+++ b/tamarackgap/processes/router.py
@@ -11,27 +11,17 @@
 import msgspec
 from returns import result
 
-from tamarackgap import (
-    config,
-    effects,
-    logs,
-    messages,
-    metrics,
-    ownership,
-    peers,
-    records,
-    retries,
-    scheduler,
-    sockets,
-    types,
-)
+from tamarackgap import logs, metrics, types
+from tamarackgap.network import door, httplink, scheduler, sockets
+from tamarackgap.ownership import effects, ownership
+from tamarackgap.peers import calls, messages, peers
+from tamarackgap.placement import records
+from tamarackgap.requests import retries
+from tamarackgap.settings import config
 from tamarackgap.traffic import (
     beside,
     boundary,
-    calls,
     dispatcher,
-    door,
-    httplink,
     keyholds,
     routetable,
     runner,
--- a/tamarackgap/callers.py
+++ b/tamarackgap/requests/callers.py
@@ -7,7 +7,9 @@
 from circuits.web import wrappers
 from returns import result
 
-from tamarackgap import config, entry, types
+from tamarackgap import types
+from tamarackgap.requests import entry
+from tamarackgap.settings import config
 
 PREFIX = "/v1/"
 _LONGEST_ID = 128
--- a/tamarackgap/entry.py
+++ b/tamarackgap/requests/entry.py
@@ -8,20 +8,13 @@
 import msgspec
 from returns import result
 
-from tamarackgap import (
-    logs,
-    messages,
-    metrics,
-    ownership,
-    peers,
-    retries,
-    routes,
-    scheduler,
-    slots,
-    types,
-    verdicts,
-)
-from tamarackgap import owner as owner_lib
+from tamarackgap import logs, metrics, types, verdicts
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.peers import messages, peers
+from tamarackgap.placement import routes, slots
+from tamarackgap.requests import owner as owner_lib
+from tamarackgap.requests import retries
 
 _BACKOFF_S = 0.005
 _BACKOFF_MAX_S = 0.04
--- a/tamarackgap/granting.py
+++ b/tamarackgap/requests/granting.py
@@ -1,6 +1,9 @@
 """Tells a target that checks grants which slots it may serve until when."""
 
-from tamarackgap import ownership, scheduler, slots, target
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.placement import slots
+from tamarackgap.requests import target
 
 # A grant is renewed when the lease has grown by this share of its length.
 _STEP_SHARE = 0.2
--- a/tamarackgap/owner.py
+++ b/tamarackgap/requests/owner.py
@@ -6,23 +6,12 @@
 import msgspec
 from returns import result
 
-from tamarackgap import (
-    fitness,
-    heat,
-    limiter,
-    logs,
-    memory,
-    messages,
-    metrics,
-    ownership,
-    records,
-    scheduler,
-    slots,
-    suspects,
-    target,
-    types,
-    verdicts,
-)
+from tamarackgap import logs, metrics, types, verdicts
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.peers import messages
+from tamarackgap.placement import heat, records, slots
+from tamarackgap.requests import fitness, limiter, memory, suspects, target
 
 # A grant must have ended at the target before a successor begins.
 _LEASE_MARGIN_S = 0.02
--- a/tamarackgap/pages.py
+++ b/tamarackgap/requests/pages.py
@@ -2,17 +2,12 @@
 
 import msgspec
 
-from tamarackgap import (
-    entry,
-    heat,
-    ownership,
-    scheduler,
-    slots,
-    target,
-    types,
-    web,
-)
-from tamarackgap import owner as owner_lib
+from tamarackgap import types
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.placement import heat, slots
+from tamarackgap.requests import entry, target, web
+from tamarackgap.requests import owner as owner_lib
 
 
 class Status(msgspec.Struct, frozen=True):
--- a/tamarackgap/suspects.py
+++ b/tamarackgap/requests/suspects.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from tamarackgap import messages
+from tamarackgap.peers import messages
 
 
 class Standing(enum.Enum):
--- a/tamarackgap/target.py
+++ b/tamarackgap/requests/target.py
@@ -5,16 +5,11 @@
 import msgspec
 from returns import result
 
-from tamarackgap import (
-    config,
-    httpclient,
-    logs,
-    messages,
-    scheduler,
-    slots,
-    types,
-    verdicts,
-)
+from tamarackgap import logs, types, verdicts
+from tamarackgap.network import httpclient, scheduler
+from tamarackgap.peers import messages
+from tamarackgap.placement import slots
+from tamarackgap.settings import config
 
 _GRANT_TIMEOUT_S = 0.5
 _CANCEL_TIMEOUT_S = 0.5
--- a/tamarackgap/web.py
+++ b/tamarackgap/requests/web.py
@@ -9,16 +9,10 @@
 from circuits.web import wrappers
 from returns import result
 
-from tamarackgap import (
-    callers,
-    config,
-    entry,
-    logs,
-    scheduler,
-    target,
-    types,
-    verdicts,
-)
+from tamarackgap import logs, types, verdicts
+from tamarackgap.network import scheduler
+from tamarackgap.requests import callers, entry, target
+from tamarackgap.settings import config
 
 _HEAD_BYTES = 65_536
 _TLS_HANDSHAKE = b"\x16\x03"
--- a/tamarackgap/config.py
+++ b/tamarackgap/settings/config.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns import result
 
-from tamarackgap import options
+from tamarackgap.settings import options
 
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
--- /dev/null
+++ b/tamarackgap/table/__init__.py
@@ -0,0 +1,1 @@
+"""The table in which records last, as the product's own interface has it."""
--- a/tamarackgap/tableclient.py
+++ b/tamarackgap/table/tableclient.py
@@ -5,7 +5,9 @@
 import msgspec
 from returns import result
 
-from tamarackgap import effects, httpclient, records
+from tamarackgap.network import httpclient
+from tamarackgap.ownership import effects
+from tamarackgap.placement import records
 
 _LARGEST_BYTES = 256 * 1024 * 1024
 _CONFLICT = 409
--- a/tamarackgap/tablereader.py
+++ b/tamarackgap/table/tablereader.py
@@ -5,7 +5,10 @@
 
 from returns import result
 
-from tamarackgap import logs, ownership, scheduler, tableclient
+from tamarackgap import logs
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.table import tableclient
 
 # The table takes about 2,000 reads a second from all daemons together.
 _POLLS_PER_S = 300.0
--- a/tamarackgap/traffic/boundary.py
+++ b/tamarackgap/traffic/boundary.py
@@ -10,16 +10,12 @@
 import msgspec
 from returns import result
 
-from tamarackgap import effects, records, types
-from tamarackgap.traffic import (
-    beside,
-    calls,
-    door,
-    httplink,
-    keyholds,
-    routetable,
-    runner,
-)
+from tamarackgap import types
+from tamarackgap.network import door, httplink
+from tamarackgap.ownership import effects
+from tamarackgap.peers import calls
+from tamarackgap.placement import records
+from tamarackgap.traffic import beside, keyholds, routetable, runner
 
 
 class Asked(msgspec.Struct, frozen=True):
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -7,8 +7,13 @@
 
 import msgspec
 
-from tamarackgap import logs, ownership, peers, retries, scheduler, slots, types
-from tamarackgap.traffic import balancer, calls, routetable, runner
+from tamarackgap import logs, types
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.peers import calls, peers
+from tamarackgap.placement import slots
+from tamarackgap.requests import retries
+from tamarackgap.traffic import balancer, routetable, runner
 
 # A key's owner is known again within this time after a planned move.
 _MOVE_PAUSE_S = 0.02
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -9,7 +9,10 @@
 
 import msgspec
 
-from tamarackgap import logs, ownership, scheduler, slots
+from tamarackgap import logs
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.placement import slots
 
 # The target's clock may run so much slower than this one.
 _DRIFT = 0.02
--- a/tamarackgap/traffic/routetable.py
+++ b/tamarackgap/traffic/routetable.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from tamarackgap import types
-from tamarackgap.traffic import door
+from tamarackgap.network import door
 
 
 class Share(msgspec.Struct, frozen=True):
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -6,8 +6,12 @@
 import msgspec
 from returns import result
 
-from tamarackgap import heat, logs, ownership, scheduler, slots, types
-from tamarackgap.traffic import admission, calls, httplink, keyholds
+from tamarackgap import logs, types
+from tamarackgap.network import httplink, scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.peers import calls
+from tamarackgap.placement import heat, slots
+from tamarackgap.traffic import admission, keyholds
 
 # A target ends a call at its deadline; its answer takes a little longer.
 _GRACE_S = 0.02
--- a/tests/test_cmdline.py
+++ b/tests/commands/test_cmdline.py
@@ -8,7 +8,8 @@
 
 from standins import httpd, ports
 from standins import platform as platform_lib
-from tamarackgap import cmdline, records
+from tamarackgap.commands import cmdline
+from tamarackgap.placement import records
 
 GOOD = """
 [daemon]
--- a/tests/test_policy.py
+++ b/tests/commands/test_policy.py
@@ -2,7 +2,8 @@
 import pytest
 
 from standins import table as table_lib
-from tamarackgap import policy, records
+from tamarackgap.commands import policy
+from tamarackgap.placement import records
 
 KEY = "policy/seats/*"
 
--- a/tests/test_lease.py
+++ b/tests/ownership/test_lease.py
@@ -1,6 +1,7 @@
 import math
 
-from tamarackgap import lease, types
+from tamarackgap import types
+from tamarackgap.ownership import lease
 
 OPEN = types.WitnessState.OPEN
 RETIRED = types.WitnessState.RETIRED
--- a/tests/test_loads.py
+++ b/tests/ownership/test_loads.py
@@ -1,4 +1,4 @@
-from tamarackgap import loads
+from tamarackgap.ownership import loads
 
 
 def test_a_load_that_is_old_is_unknown():
--- a/tests/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -2,7 +2,10 @@
 
 import pytest
 
-from tamarackgap import effects, messages, records, types
+from tamarackgap import types
+from tamarackgap.ownership import effects
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 from tests.support import world
 
 # The users' bound: a key is served again within a second of a loss.
--- a/tests/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -1,6 +1,9 @@
 import pytest
 
-from tamarackgap import messages, records, takeover, types
+from tamarackgap import types
+from tamarackgap.ownership import takeover
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 
 STATE = types.WitnessState
 
--- a/tests/test_witness.py
+++ b/tests/ownership/test_witness.py
@@ -1,6 +1,7 @@
 import math
 
-from tamarackgap import types, witness
+from tamarackgap import types
+from tamarackgap.ownership import witness
 
 STATE = types.WitnessState
 
--- a/tests/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -1,7 +1,9 @@
 import msgspec
 import pytest
 
-from tamarackgap import messages, slots, types
+from tamarackgap import types
+from tamarackgap.peers import messages
+from tamarackgap.placement import slots
 
 EXAMPLES = [
     messages.Renew("w", 3, 1.5, 7),
--- a/tests/test_heat.py
+++ b/tests/placement/test_heat.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tamarackgap import heat
+from tamarackgap.placement import heat
 
 
 def test_a_steady_rate_is_found():
--- a/tests/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackgap import placement, records, slots
+from tamarackgap.placement import placement, records, slots
 
 
 def member(name, owned, weight=100, place="a"):
--- a/tests/test_records.py
+++ b/tests/placement/test_records.py
@@ -1,7 +1,7 @@
 import msgspec
 import pytest
 
-from tamarackgap import records
+from tamarackgap.placement import records
 
 
 def lease_row(incarnation, revision, **values):
--- a/tests/test_routes.py
+++ b/tests/placement/test_routes.py
@@ -1,4 +1,4 @@
-from tamarackgap import routes
+from tamarackgap.placement import routes
 
 
 def test_a_route_gives_way_only_to_a_higher_fence():
--- a/tests/test_slots.py
+++ b/tests/placement/test_slots.py
@@ -2,7 +2,8 @@
 import pytest
 from hypothesis import strategies
 
-from tamarackgap import slots, types
+from tamarackgap import types
+from tamarackgap.placement import slots
 
 
 def test_a_key_always_has_the_same_slot():
--- a/tests/test_daemon.py
+++ b/tests/processes/test_daemon.py
@@ -10,7 +10,8 @@
 from click import testing
 
 from demo import cluster
-from tamarackgap import cmdline, messages
+from tamarackgap.commands import cmdline
+from tamarackgap.peers import messages
 from tests.support import callers, processes
 
 BODY_LIMIT = 20_000
--- a/tests/test_fitness.py
+++ b/tests/requests/test_fitness.py
@@ -1,4 +1,4 @@
-from tamarackgap import fitness
+from tamarackgap.requests import fitness
 
 
 def fail(subject, times, given=1.0, now=0.0):
--- a/tests/test_limiter.py
+++ b/tests/requests/test_limiter.py
@@ -1,4 +1,4 @@
-from tamarackgap import limiter
+from tamarackgap.requests import limiter
 
 
 class Bench:
--- a/tests/test_memory.py
+++ b/tests/requests/test_memory.py
@@ -1,4 +1,5 @@
-from tamarackgap import memory, types, verdicts
+from tamarackgap import types, verdicts
+from tamarackgap.requests import memory
 
 KNOWN = memory.Known
 DONE = verdicts.answered(200, "", b"seat 4")
--- a/tests/test_retries.py
+++ b/tests/requests/test_retries.py
@@ -1,4 +1,4 @@
-from tamarackgap import retries
+from tamarackgap.requests import retries
 
 
 def test_retries_are_a_share_of_requests():
--- a/tests/test_suspects.py
+++ b/tests/requests/test_suspects.py
@@ -1,6 +1,7 @@
 import msgspec
 
-from tamarackgap import messages, suspects
+from tamarackgap.peers import messages
+from tamarackgap.requests import suspects
 
 STANDING = suspects.Standing
 
--- a/tests/test_config.py
+++ b/tests/settings/test_config.py
@@ -2,7 +2,7 @@
 import pytest
 from returns import result
 
-from tamarackgap import config, options
+from tamarackgap.settings import config, options
 
 GOOD = """
 [daemon]
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -9,7 +9,8 @@
 import random
 
 from standins import table as table_lib
-from tamarackgap import effects, messages, ownership
+from tamarackgap.ownership import effects, ownership
+from tamarackgap.peers import messages
 
 STEP_S = 0.005
 
--- a/tests/test_tablereader.py
+++ b/tests/table/test_tablereader.py
@@ -2,7 +2,8 @@
 
 from returns import result
 
-from tamarackgap import effects, ownership, tableclient, tablereader
+from tamarackgap.ownership import effects, ownership
+from tamarackgap.table import tableclient, tablereader
 
 
 class Timers:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,8 @@
 import pytest
 from returns import result
 
-from tamarackgap import cmdline, config, options
+from tamarackgap.commands import cmdline
+from tamarackgap.settings import config, options
 
 DOCS = [pathlib.Path("README.md"), pathlib.Path("docs/operators.md")]
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -8,7 +8,8 @@
 import pytest
 
 from demo import cluster, judge, load
-from tamarackgap import control, pages
+from tamarackgap.commands import control
+from tamarackgap.requests import pages
 from tests.support import processes
 
 SECONDS = 14.0
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -6,7 +6,10 @@
 
 from model import check
 from model import spec as spec_lib
-from tamarackgap import lease, messages, records, takeover, types, witness
+from tamarackgap import types
+from tamarackgap.ownership import lease, takeover, witness
+from tamarackgap.peers import messages
+from tamarackgap.placement import records
 
 Rule = spec_lib.Rule
 MOST_STATES = 400_000
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tamarackgap import effects, ownership, slots
+from tamarackgap.ownership import effects, ownership
+from tamarackgap.placement import slots
 from tamarackgap.traffic import keyholds
 
 
--- a/tests/traffic/test_routetable.py
+++ b/tests/traffic/test_routetable.py
@@ -1,6 +1,7 @@
 import collections
 
-from tamarackgap.traffic import door, routetable
+from tamarackgap.network import door
+from tamarackgap.traffic import routetable
 
 
 def route(host, prefix, *weights):
