A read that shows a challenge does not prolong the owner's right to serve

Cause: found by modelling the rule that ends silent owners. An owner counted the anchor time from its last read, also from a read that showed the challenge against it. If its answer could not be written, its record was closed by the challenger, unseen, while its last read still counted: two owners for up to the anchor time. Seen in tests/ownership/test_ownership.py (stepped clock) before the change, and as the mutant 'a read that shows a challenge does not count' (8 steps).

Change: such a read does not count. Ruled out by the model: a wait that is too short, or an answer that meets a later challenge.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -4,7 +4,7 @@
 
 import click
 
-from model import check, spec
+from model import anchor, check, spec
 
 _MOST_STATES = 6_000_000
 
@@ -19,13 +19,17 @@
         found = check.check(whole, most)
         click.echo(f"all rules, explicit={explicit}: {_text(found)}")
         failed = failed or found.holds is not True
-    for rule in spec.Rule:
-        mutant = spec.Spec(without=frozenset({rule}))
-        found = check.check(mutant, most)
-        click.echo(f"without '{rule.value}': {_text(found)}")
-        for number, label in enumerate(found.trace, 1):
-            click.echo(f"    {number:2} {label}")
-        failed = failed or found.holds is not False
+    found = check.check(anchor.Spec(), most)
+    click.echo(f"all rules of the anchor: {_text(found)}")
+    failed = failed or found.holds is not True
+    for module in (spec, anchor):
+        for rule in module.Rule:
+            mutant = module.Spec(without=frozenset({rule}))
+            found = check.check(mutant, most)
+            click.echo(f"without '{rule.value}': {_text(found)}")
+            for number, label in enumerate(found.trace, 1):
+                click.echo(f"    {number:2} {label}")
+            failed = failed or found.holds is not False
     sys.exit(1 if failed else 0)
 
 
--- a/model/check.py
+++ b/model/check.py
@@ -5,6 +5,7 @@
 import minicheck
 import msgspec
 
+from model import anchor
 from model import spec as spec_lib
 
 ONE_OWNER = "at most one owner"
@@ -29,18 +30,21 @@
     property: str = ""
 
 
-def protocol(spec: spec_lib.Spec) -> minicheck.Protocol:
+Spec = spec_lib.Spec | anchor.Spec
+
+
+def protocol(spec: Spec) -> minicheck.Protocol:
     """Returns a specification in the checker's form."""
 
     def one_owner(fields: dict) -> bool:
-        return len(spec_lib.serving(spec_lib.State(**fields), spec)) <= 1
+        return len(spec.serving(spec.state_type(**fields))) <= 1
 
     def fences(fields: dict) -> bool:
-        return len(fields["served"]) <= 1
+        return len(spec.served(spec.state_type(**fields))) <= 1
 
     def steps(state: tuple) -> list:
-        here = spec_lib.State(*state)
-        if len(spec_lib.serving(here, spec)) > 1 or len(here.served) > 1:
+        here = spec.state_type(*state)
+        if len(spec.serving(here)) > 1 or len(spec.served(here)) > 1:
             # The shortest way here is recorded: there is no more to learn.
             raise minicheck.IntBoundExceeded("violated")
         return list(spec.steps(here))
@@ -48,14 +52,14 @@
     return minicheck.Protocol(
         name="ownership",
         candidate=False,
-        fields=spec_lib.State._fields,
+        fields=spec.state_type._fields,
         initial=spec.initial(),
         transitions=steps,
         invariants={ONE_OWNER: one_owner, FENCES: fences},
     )
 
 
-def check(spec: spec_lib.Spec, most: int) -> Outcome:
+def check(spec: Spec, most: int) -> Outcome:
     """Searches all states, or the first `most` of them."""
     begun = time.monotonic()
     found = minicheck.check_safety(protocol(spec), max_states=most)
--- a/model/spec.py
+++ b/model/spec.py
@@ -117,6 +117,8 @@
     moves: bool = True
     explicit: bool = False
 
+    state_type = State
+
     def initial(self) -> State:
         """Returns the state in which O holds a fresh lease."""
         fresh = Wit(age=0, expiry=LEASE)
@@ -126,6 +128,33 @@
         """Returns whether a rule holds."""
         return rule not in self.without
 
+    def serving(self, state: State) -> list[str]:
+        """Returns all parties that would serve the slot now."""
+        parties = ["O"] if self._owner_serves(state) else []
+        if state.successor == "s":
+            parties.append("S")
+        if state.taker:
+            parties.append("P")
+        if state.claimer:
+            parties.append("Q")
+        return parties
+
+    def served(self, state: State) -> str:
+        """Returns the parties that have served under the second fence."""
+        return state.served
+
+    def _owner_serves(self, state: State) -> bool:
+        """Returns whether O would hand a request over now."""
+        if not state.owns or not state.epoch or state.write in ("m", "M"):
+            return False
+        first = sum(wit.expiry > 0 for wit in state.first) >= 2
+        second = state.second.expiry > 0
+        if state.epoch == 2:
+            return second
+        if state.write != "-" and self.holds(Rule.BOTH_EPOCHS):
+            return first and second
+        return first
+
     def steps(self, state: State) -> Iterator[tuple[str, State]]:
         """Yields every step that some party may take."""
         yield "tick", self._tick(state)
@@ -341,28 +370,3 @@
 
 def _sorted(state: State) -> State:
     return state._replace(first=tuple(sorted(state.first)))
-
-
-def owner_serves(state: State, spec: Spec) -> bool:
-    """Returns whether O would hand a request over now."""
-    if not state.owns or not state.epoch or state.write in ("m", "M"):
-        return False
-    first = sum(wit.expiry > 0 for wit in state.first) >= 2
-    second = state.second.expiry > 0
-    if state.epoch == 2:
-        return second
-    if state.write != "-" and spec.holds(Rule.BOTH_EPOCHS):
-        return first and second
-    return first
-
-
-def serving(state: State, spec: Spec) -> list[str]:
-    """Returns all parties that would serve the slot now."""
-    parties = ["O"] if owner_serves(state, spec) else []
-    if state.successor == "s":
-        parties.append("S")
-    if state.taker:
-        parties.append("P")
-    if state.claimer:
-        parties.append("Q")
-    return parties
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -296,10 +296,13 @@
                 if None.
         """
         self._table_ok = True
-        self._read_as_of = max(
-            self._read_as_of, now if as_of is None else as_of
-        )
         self.merge(rows, now)
+        # The record of a challenged owner may be closed at any time, unseen,
+        # until its answer is in the table.
+        if self._incarnation not in self._view.challenges():
+            self._read_as_of = max(
+                self._read_as_of, now if as_of is None else as_of
+            )
         self._view.advance(types.Revision(revision))
 
     def table_failed(self) -> None:
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -427,6 +427,26 @@
     assert not subject.double
 
 
+def test_an_owner_that_cannot_answer_a_challenge_stops_before_it_is_closed():
+    subject = world.World(seed=10, anchor=3.0)
+    subject.deploy(7)
+    assert subject.run(20, subject.settled) is not None
+    victim = next(iter(subject.nodes.values()))
+    name = victim.core.incarnation
+    for node in subject.nodes.values():
+        node.core.alive = lambda other: other != name
+    victim.read_only = True
+    other = subject.nodes["seats-1"]
+    assert subject.run(6, lambda: name in other.core.view.challenges())
+    # It reads the challenge until shortly before its record is closed.
+    subject.run(effects.condemn_after(victim.core.settings) - 0.5)
+    victim.blind = True
+    subject.run(4)
+    kinds = [fields["kind"] for fields in subject.events("commit")]
+    assert "condemn" in kinds
+    assert not subject.double
+
+
 def test_an_owner_without_the_table_stops_after_the_anchor_time():
     subject = world.World(seed=7, anchor=3.0)
     subject.deploy(5)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -28,6 +28,9 @@
         # Messages are lost on their way out, on their way in.
         self.mute = False
         self.deaf = False
+        # Its writes are lost; it reads nothing new of the table, from anybody.
+        self.read_only = False
+        self.blind = False
         self.busy = set()
         self.inbox = []
         self.reading = False
@@ -202,7 +205,10 @@
         def arrive():
             for other in self.nodes.values():
                 same = other.core.settings.peer_address == address
-                if same and other.alive and not other.deaf:
+                if not same or not other.alive or other.deaf:
+                    continue
+                message = messages.decode(frame).message
+                if not (other.blind and isinstance(message, messages.Rows)):
                     other.inbox.append(frame)
 
         self.later(self.rng.uniform(0.0005, self.max_delay), arrive)
@@ -215,7 +221,7 @@
             core.committed(transaction.change, state, rows, clock)
 
         def arrive():
-            if not self.table_up:
+            if not self.table_up or node.read_only or node.blind:
                 unknown = effects.CommitState.UNKNOWN
                 self.later(0.05, lambda: answer(unknown, []))
                 return
@@ -238,7 +244,7 @@
         def arrive():
             node.reading = False
             node.read_at = self.now + 0.25
-            if not self.table_up or node.mute or node.deaf:
+            if not self.table_up or node.mute or node.deaf or node.blind:
                 core.table_failed()
                 return
             revision, rows = self.table.since(core.view.cursor)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from model import check
+from model import anchor, check
 from model import spec as spec_lib
 from tamarackgap import types
 from tamarackgap.ownership import lease, takeover, witness
@@ -47,6 +47,31 @@
     assert found.property == (check.FENCES if fences else check.ONE_OWNER)
 
 
+def test_the_table_alone_never_brings_two_owners_about():
+    found = check.check(anchor.Spec(), MOST_STATES)
+    assert found.holds is True
+    assert found.states > 5_000
+
+
+# Length of the shortest violation without each rule.
+ANCHOR_STEPS = {
+    anchor.Rule.ANCHOR: 5,
+    anchor.Rule.FROM_SENDING: 8,
+    anchor.Rule.HELD: 8,
+    anchor.Rule.WAIT: 2,
+    anchor.Rule.DRIFT_MARGIN: 4,
+    anchor.Rule.SAME_CHALLENGE: 14,
+}
+
+
+@pytest.mark.parametrize("rule", anchor.Rule)
+def test_no_rule_of_the_anchor_can_be_left_out(rule):
+    mutant = anchor.Spec(without=frozenset({rule}))
+    found = check.check(mutant, MOST_STATES)
+    assert found.holds is False
+    assert len(found.trace) == ANCHOR_STEPS[rule]
+
+
 STATES = {
     types.WitnessState.OPEN: "o",
     types.WitnessState.SEALED: "s",
