Late grants are refused by their target; contents that crash targets are stopped

Ruled out: takeovers, the fences of the table.

Change: the target is told the slot's fence times 1024 plus the number of grants without an answer. Once one sent after them is answered, the target itself refuses them. A slot is moved only when the last grant was answered and none is under way. A wait for the end of all holds no longer forgets a grant that had no answer.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -51,6 +51,8 @@
         self.grants = 0
         # What to do with a request instead of running it well.
         self.fault = ""
+        # A request for this path ends its life.
+        self.deadly = ""
         self._daemon = daemon
         self._keyed = keyed
         self._born = int(time.time() * 1000)
@@ -59,6 +61,7 @@
         self._handovers = 0
         self._lock = threading.Lock()
         self._ended = threading.Event()
+        self._closed = threading.Event()
         self._server = httpd.serve(address, self._answer)
 
     def start(self) -> None:
@@ -66,11 +69,17 @@
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
         threading.Thread(target=self._announce, daemon=True).start()
 
+    @property
+    def ended(self) -> bool:
+        """Whether this life is over, and its address free."""
+        return self._closed.is_set()
+
     def stop(self) -> None:
         """Ends at once, without a word."""
         self._ended.set()
         self._server.shutdown()
         self._server.server_close()
+        self._closed.set()
 
     def say(self) -> bool:
         """Announces itself once; returns whether it was acknowledged."""
@@ -181,6 +190,10 @@
         time.sleep(self.work_s)
         with self._lock:
             self.ran.append((request, position))
+        if self.deadly and query.path.startswith(self.deadly):
+            threading.Thread(target=self.stop, daemon=True).start()
+            self._ended.wait(1)
+            return httpd.Reply(None)
         match self.fault:
             case "cut":
                 return httpd.Reply(None)
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -85,6 +85,24 @@
     leg: int
 
 
+class TargetCrash(msgspec.Struct, tag="target-crash", frozen=True):
+    """A target crashed while it ran these contents.
+
+    Attributes:
+        contents: Their fingerprints, each with the seconds that it ran.
+        ago: When it was, seconds before the message was sent.
+    """
+
+    contents: dict[str, float]
+    ago: float
+
+
+class ContentCleared(msgspec.Struct, tag="content-cleared", frozen=True):
+    """A content that was at a crash has been answered since."""
+
+    content: str
+
+
 class TableWanted(msgspec.Struct, tag="table-wanted", frozen=True):
     """A daemon asks another for its newer route table."""
 
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -231,6 +231,8 @@
     | calls.Dispatch
     | calls.Completion
     | calls.Withdraw
+    | calls.TargetCrash
+    | calls.ContentCleared
     | calls.Status
     | calls.TableWanted
     | calls.TableNews
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -21,6 +21,7 @@
 from tamarackgap.traffic import (
     beside,
     boundary,
+    crashes,
     dispatcher,
     keyholds,
     routetable,
@@ -147,6 +148,7 @@
             settings.requests_body + settings.requests_answer + _ENVELOPE_BYTES,
             self._receive,
         ).register(self)
+        self._crashes = crashes.Crashes()
         self._runner = runner.Runner(
             self._service,
             self._core,
@@ -155,7 +157,9 @@
             outside.codec,
             self.timers,
             self._target_refused,
+            self._crashes,
         )
+        self._runner.cleared = self._tell_cleared
         self._budgets = retries.ServiceBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
         )
@@ -166,6 +170,7 @@
             self.timers,
             self._budgets,
             self._rng,
+            self._crashes,
         )
         self._core.alive = self._entry.is_heard
         self._beside = beside.Beside(
@@ -266,6 +271,8 @@
             instance=self._beside.instance,
             phase=self._beside.phase.value,
         )
+        if change in (beside.Change.NEW_LIFE, beside.Change.LOST):
+            self._target_crashed()
         match change:
             case beside.Change.NEW_LIFE:
                 self._abandon_keys("target-started-anew")
@@ -284,6 +291,38 @@
                 self.timers.after(self._holds.pause(), self._abandon_if_silent)
         self._tell_status()
 
+    def _target_crashed(self) -> None:
+        """Tells all daemons what the target ran when it crashed."""
+        ended = self._runner.take_crashed()
+        if not ended:
+            return
+        moment = now()
+        news = calls.TargetCrash(
+            {content: end - begun for content, begun, end in ended},
+            moment - ended[-1][2],
+        )
+        logs.event("target_crashed", contents=len(news.contents))
+        self._note_crash(news)
+        self._tell_members(news)
+
+    def _note_crash(self, news: calls.TargetCrash) -> None:
+        ended = now() - news.ago
+        for content, ran in news.contents.items():
+            if self._crashes.note(content, ended - ran, ended):
+                logs.event(
+                    "content_barred", content=content, s=crashes.BARRED_S
+                )
+
+    def _tell_cleared(self, content: str) -> None:
+        self._tell_members(calls.ContentCleared(content))
+
+    def _tell_members(self, message: messages.Message) -> None:
+        own = self._core.incarnation
+        address = self._settings.daemon_peer_address
+        for record in self._core.view.members():
+            if record.peer_address != address:
+                self._peers.send(own, record.peer_address, message)
+
     def _give_keys_up(self, moment: float) -> None:
         """Lets successors serve, where the table does not take the moves.
 
@@ -391,6 +430,10 @@
                 self._entry.completed(sender, completion)
             case calls.Withdraw(leg=leg):
                 self._runner.withdraw(sender, leg)
+            case calls.TargetCrash() as news:
+                self._note_crash(news)
+            case calls.ContentCleared(content=content):
+                self._crashes.clear(content)
             case calls.Status() as status:
                 self._entry.heard(sender, envelope.address, status)
                 self._heard_version(status.version, envelope.address)
@@ -436,9 +479,7 @@
         own = self._core.incarnation
         address = self._settings.daemon_peer_address
         self._entry.heard(own, address, status)
-        for record in self._core.view.members():
-            if record.peer_address != address:
-                self._peers.send(own, record.peer_address, status)
+        self._tell_members(status)
 
     def _tell_load(self) -> None:
         self._core.calm = self._runner.utilisation < _CALM_UTILISATION
--- /dev/null
+++ b/tamarackgap/traffic/crashes.py
@@ -0,0 +1,96 @@
+"""Requests that crash the targets that run them, known by their content.
+
+Such a request comes again under other ids, at any daemon. It is told from
+requests that only happened to be at a target when it crashed by this: they
+are answered the next time.
+"""
+
+import collections
+
+import msgspec
+import xxhash
+
+from tamarackgap import types
+from tamarackgap.peers import calls
+
+# One crash may have any cause; a content that was there when two targets
+# crashed, one after the other, is not sent again.
+_STRIKES = 2
+# How long it is refused then; it gets one more chance after that, seconds.
+BARRED_S = 30.0
+# How long a crash is remembered, seconds.
+_KEPT_S = 120.0
+_MOST_CONTENTS = 1000
+# Daemons hear of a crash up to this much later than one another, seconds.
+_SLACK_S = 0.02
+
+
+class _Entry(msgspec.Struct):
+    strikes: int
+    last: float
+
+
+def fingerprint(service: types.ServiceName, call: calls.Call) -> str:
+    """Returns a hash of what a call asks for, whatever its id."""
+    digest = xxhash.xxh3_128()
+    for part in (service, call.origin, call.method, call.target):
+        data = part.encode("utf-8", "surrogateescape")
+        digest.update(len(data).to_bytes(4, "big"))
+        digest.update(data)
+    digest.update(str(call.position).encode())
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+class Crashes:
+    """Contents that were at targets when these crashed."""
+
+    def __init__(self) -> None:
+        """Creates an empty memory."""
+        self._entries: collections.OrderedDict[str, _Entry] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def note(self, content: str, begun: float, ended: float) -> bool:
+        """Takes in that a target crashed while it ran a content.
+
+        Targets that crash at the same moment crash for another reason: a
+        run counts only if it began after the last crash that is known.
+
+        Args:
+            content: The content's fingerprint.
+            begun: When the run began, seconds.
+            ended: When the target crashed, seconds.
+
+        Returns:
+            Whether the content is barred from now on.
+        """
+        entry = self._entries.get(content)
+        if entry is None or ended - entry.last > _KEPT_S:
+            entry = _Entry(1, ended)
+            self._entries[content] = entry
+        elif begun >= entry.last - _SLACK_S:
+            entry.strikes += 1
+            entry.last = max(entry.last, ended)
+        self._entries.move_to_end(content)
+        while len(self._entries) > _MOST_CONTENTS:
+            self._entries.popitem(last=False)
+        return entry.strikes >= _STRIKES
+
+    def clear(self, content: str) -> bool:
+        """Forgets a content that was answered.
+
+        Returns:
+            Whether it was known.
+        """
+        return self._entries.pop(content, None) is not None
+
+    def barred_for(self, content: str, now: float) -> float:
+        """Returns for how long a content must not be sent, seconds."""
+        entry = self._entries.get(content)
+        if entry is None or entry.strikes < _STRIKES:
+            return 0.0
+        return max(0.0, entry.last + BARRED_S - now)
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -13,7 +13,7 @@
 from tamarackgap.peers import calls, peers
 from tamarackgap.placement import slots
 from tamarackgap.requests import retries
-from tamarackgap.traffic import balancer, routetable, runner
+from tamarackgap.traffic import balancer, crashes, routetable, runner
 
 # A key's owner is known again within this time after a planned move.
 _MOVE_PAUSE_S = 0.02
@@ -84,6 +84,7 @@
         timers: scheduler.Scheduler,
         budgets: retries.ServiceBudgets,
         rng: random.Random,
+        crashed: crashes.Crashes,
     ) -> None:
         """Creates a dispatcher without requests.
 
@@ -94,6 +95,7 @@
             timers: The loop's scheduler.
             budgets: Bound the legs that are sent again.
             rng: Decides between equals.
+            crashed: Contents that were at targets when these crashed.
         """
         self._core = core
         self._runner = beside
@@ -101,6 +103,7 @@
         self._timers = timers
         self._budgets = budgets
         self._rng = rng
+        self._crashes = crashed
         self._spread = routetable.Spread()
         self._keyed: frozenset[str] = frozenset()
         self._candidates: dict[str, balancer.Candidate] = {}
@@ -245,6 +248,13 @@
         if flight.done is None:
             return
         now = self._timers.now
+        if self._crashes:
+            content = crashes.fingerprint(flight.service, flight.call)
+            barred = self._crashes.barred_for(content, now)
+            if barred:
+                reason = types.Reason.CRASHES_TARGETS
+                self._finish(flight, self._final(flight, reason, False, barred))
+                return
         if flight.service in self._keyed:
             owner, refusal = self._owner(flight)
             if refusal is not None:
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -21,6 +21,9 @@
 # A hold is renewed when the lease has grown by this part of its length.
 _STEP_SHARE = 0.2
 _LEAST_HOLD_S = 0.05
+# The target is told a slot's fence times this, plus the number of grants that
+# had no answer: it then refuses those that arrive late, also after a move.
+ATTEMPTS = 1024
 # A target accepts few connections, and each order takes one.
 _ORDERS_AT_ONCE = 2
 # An order without an answer may still be carried out; it is sent again.
@@ -35,7 +38,7 @@
     Attributes:
         first: First position of its keys.
         last: Last position, included.
-        fence: The fence.
+        fence: The fence that the target is told.
         hold: For how long from its arrival, seconds.
         handover: What the last holder said when it released them, or "".
     """
@@ -81,9 +84,20 @@
 class _Hold(msgspec.Struct):
     run: slots.Run
     asked_until: float = float("-inf")
+    # When the last of all grants ends, whatever became of them.
+    ends: float = float("-inf")
     held_until: float = float("-inf")
     asking: bool = False
     superseded: bool = False
+    # Grants under this fence that had no answer, and whether one that was
+    # sent after them had one.
+    unanswered: int = 0
+    confirmed: bool = False
+
+    @property
+    def fence(self) -> int:
+        """What the target is told as the fence."""
+        return self.run.fence * ATTEMPTS + self.unanswered
 
 
 class KeyHolds:
@@ -137,14 +151,14 @@
         )
 
     def confirmed(self, slot: int) -> bool:
-        """Returns whether the target has ever said that it holds a slot.
+        """Returns whether the target has answered all that it was granted.
 
         A grant without an answer may be carried out much later. If the slot
         had moved by then, the target would take it under a fence that has
-        been passed elsewhere; one it has already had does no harm.
+        been passed elsewhere, unless it has seen a higher one itself.
         """
         hold = self._by_slot.get(slot)
-        return hold is not None and hold.held_until > float("-inf")
+        return hold is not None and hold.confirmed and not hold.asking
 
     def forget(self) -> None:
         """Notes that the target holds nothing: it has started anew."""
@@ -155,7 +169,7 @@
     def pause(self) -> float:
         """Renews nothing; returns after how long all holds have ended."""
         self._paused = True
-        ends = [hold.asked_until for hold in self._holds.values()]
+        ends = [hold.ends for hold in self._holds.values()]
         return max(0.0, max(ends, default=0.0) - self._timers.now)
 
     def resume(self) -> None:
@@ -213,7 +227,7 @@
         """
         self._releasing = moving
         held = {
-            slot: slots.Holding(hold.run.fence)
+            slot: slots.Holding(hold.fence)
             for slot, hold in self._by_slot.items()
             if slot in moving
         }
@@ -222,18 +236,19 @@
             done({})
             return
         # What is not answered ends by itself with the last hold.
-        ends = max(self._by_slot[slot].asked_until for slot in held)
+        ends = max(self._by_slot[slot].ends for slot in held)
         handovers: dict[slots.Run, str] = {}
         self._unreleased += len(left)
-        for run in list(left):
+        for run in left:
             order = Release(
                 *slots.positions(run, self._slot_count()), run.fence
             )
+            own = slots.Run(run.first, run.last, run.fence // ATTEMPTS)
             # A release waits for running work: it must not hold up grants.
             self._order(
                 order,
                 _RELEASE_TIMEOUT_S,
-                lambda ordered, run=run: answered(run, ordered),
+                lambda ordered, run=own: answered(run, ordered),
             )
 
         def answered(run: slots.Run, ordered: Ordered) -> None:
@@ -246,9 +261,8 @@
 
         def finished(run: slots.Run, handover: str) -> None:
             handovers[run] = handover
-            left.remove(run)
             self._unreleased -= 1
-            if not left:
+            if len(handovers) == len(left):
                 done(handovers)
 
     def released(self) -> None:
@@ -278,7 +292,13 @@
             if all(k is not None and k.run.fence == run.fence for k in known):
                 hold.held_until = min(k.held_until for k in known)
                 hold.asked_until = min(k.asked_until for k in known)
+                hold.ends = max(k.ends for k in known)
                 hold.superseded = any(k.superseded for k in known)
+                hold.unanswered = max(k.unanswered for k in known)
+                hold.confirmed = all(
+                    k.confirmed and k.unanswered == hold.unanswered
+                    for k in known
+                )
             self._holds[run] = hold
             for slot in range(run.first, run.last + 1):
                 self._by_slot[slot] = hold
@@ -307,6 +327,9 @@
             self._next()
             return
         hold.asked_until = until
+        hold.ends = max(hold.ends, until)
+        first, last = slots.positions(run, self._slot_count())
+        grant = Grant(first, last, hold.fence, hold_s, run.handover)
 
         def answered(ordered: Ordered) -> None:
             hold.asking = False
@@ -315,17 +338,18 @@
             if ordered.carried_out:
                 # It may count from its arrival, but not beyond the lease.
                 hold.held_until = until
+                hold.confirmed = True
                 return
+            hold.confirmed = False
+            hold.unanswered = min(hold.unanswered + 1, ATTEMPTS - 1)
             hold.asked_until = float("-inf")
             hold.superseded = ordered.superseded
             logs.event(
                 "grant_failed",
                 first=run.first,
                 last=run.last,
-                fence=run.fence,
+                fence=grant.fence,
                 superseded=ordered.superseded,
             )
 
-        first, last = slots.positions(run, self._slot_count())
-        grant = Grant(first, last, run.fence, hold_s, run.handover)
         self._order(grant, _ORDER_TIMEOUT_S, answered)
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -11,7 +11,7 @@
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls
 from tamarackgap.placement import heat, slots
-from tamarackgap.traffic import admission, keyholds
+from tamarackgap.traffic import admission, crashes, keyholds
 
 # A target ends a call at its deadline; its answer takes a little longer.
 _GRACE_S = 0.02
@@ -20,6 +20,9 @@
 _DRAIN_S = 1.6
 # Work of a call that counts as one in the slots' loads, seconds.
 _USUAL_WORK_S = 0.05
+# A target that crashed refuses connections, or announces another life, within
+# this time after its connections broke, seconds.
+_CRASH_SEEN_S = 2.0
 # How fast the part of the target in use follows what is seen in each sweep.
 _LEARN = 0.05
 
@@ -75,6 +78,7 @@
         codec: Codec,
         timers: scheduler.Scheduler,
         lost: Callable[[], None],
+        crashed: crashes.Crashes,
     ) -> None:
         """Creates a runner without a target.
 
@@ -86,6 +90,7 @@
             codec: Spells calls and answers.
             timers: The loop's scheduler.
             lost: Called when the target refuses connections.
+            crashed: Contents that were at targets when these crashed.
         """
         self._service = service
         self._core = core
@@ -94,6 +99,11 @@
         self._codec = codec
         self._timers = timers
         self._lost = lost
+        self._crashes = crashed
+        # Runs that ended with their connections: content, begin and end.
+        self._broken: list[tuple[str, float, float]] = []
+        # Called with a content that was answered after a crash.
+        self.cleared: Callable[[str], None] = _forget
         self._admission = admission.Admission()
         self._legs: dict[tuple[str, int], Leg] = {}
         self._instance = ""
@@ -150,6 +160,17 @@
         self._admission.resize(0, self._timers.now)
         self._link.close()
 
+    def take_crashed(self) -> list[tuple[str, float, float]]:
+        """Returns the runs that a crash of the target has just ended.
+
+        Returns:
+            Content, begin and end of each, in seconds.
+        """
+        since = self._timers.now - _CRASH_SEEN_S
+        broken = [run for run in self._broken if run[2] >= since]
+        self._broken = []
+        return broken
+
     @property
     def utilisation(self) -> float:
         """Calls here against what the target runs at once, of late."""
@@ -212,6 +233,8 @@
             return types.Reason.WRONG_OWNER
         if not self._instance:
             return types.Reason.TARGET_ABSENT
+        if self._crashes and self._barred(dispatch, now):
+            return types.Reason.CRASHES_TARGETS
         if self._draining and (not self.keyed or now >= self._leave_at):
             return types.Reason.DRAINING
         if not self.keyed:
@@ -226,6 +249,10 @@
             return types.Reason.SLOT_MOVING
         return refusal
 
+    def _barred(self, dispatch: calls.Dispatch, now: float) -> bool:
+        content = crashes.fingerprint(dispatch.service, dispatch.call)
+        return self._crashes.barred_for(content, now) > 0
+
     def _slot(self, dispatch: calls.Dispatch) -> types.Slot:
         founded = self._core.view.founded(self._service)
         return slots.slot_at(dispatch.call.position, founded.slots)
@@ -274,6 +301,8 @@
                 completion = self._codec.judge(leg.dispatch.leg, answer)
                 if completion.verdict is types.Verdict.ANSWERED:
                     worked = now - leg.begun
+                    if self._crashes:
+                        self._clear(leg)
                 elif completion.verdict is types.Verdict.NOT_RUN:
                     self._admission.turned_away()
                     self._holds.doubt()
@@ -287,6 +316,8 @@
         self._admission.finished(worked, leg.dispatch.aim, now)
 
     def _failed(self, leg: Leg, failure: httplink.Failure) -> calls.Completion:
+        if failure.cause is httplink.Cause.CLOSED and failure.sent:
+            self._note_broken(leg)
         if failure.cause is httplink.Cause.REFUSED:
             self._lost()
         if not failure.sent:
@@ -301,6 +332,20 @@
             _REASONS[failure.cause],
         )
 
+    def _note_broken(self, leg: Leg) -> None:
+        now = self._timers.now
+        dispatch = leg.dispatch
+        content = crashes.fingerprint(dispatch.service, dispatch.call)
+        since = now - _CRASH_SEEN_S
+        self._broken = [run for run in self._broken if run[2] >= since]
+        self._broken.append((content, leg.begun, now))
+
+    def _clear(self, leg: Leg) -> None:
+        dispatch = leg.dispatch
+        content = crashes.fingerprint(dispatch.service, dispatch.call)
+        if self._crashes.clear(content):
+            self.cleared(content)
+
     def _refuse(self, leg: Leg, reason: types.Reason, retry: float) -> None:
         completion = calls.Completion(
             leg.dispatch.leg,
@@ -352,5 +397,9 @@
 }
 
 
+def _forget(content: str) -> None:
+    del content
+
+
 def _ignore(verdict: types.Verdict, seconds: float) -> None:
     del verdict, seconds
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -66,8 +66,8 @@
     found.kill("seats-1")
     found.run(0.1)
     found.run(2, found.all_served)
-    for name, slots in kept.items():
-        assert slots <= set(found.nodes[name].core.owned)
+    for name, held in kept.items():
+        assert held <= set(found.nodes[name].core.owned)
 
 
 @pytest.mark.parametrize("table_up", [True, False])
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -264,6 +264,40 @@
     )
 
 
+def test_a_request_that_crashes_servers_is_stopped_after_two(site):
+    places = [place for place in site.places if place.service == "seats"]
+    path = "/browse/deadly"
+    lives = []
+
+    def bring_back():
+        for place in places:
+            if place.server.ended:
+                place.start_server()
+            if place.server not in lives:
+                lives.append(place.server)
+            place.server.deadly = path
+        return _works(site)
+
+    def crashes():
+        return sum(life.ended for life in lives)
+
+    try:
+        assert site_lib.wait(READY_S, bring_back)
+        for _ in range(6):
+            site_lib.call(site.places[2], "seats.example", path)
+            # Its daemon sees the end by a refused connection.
+            assert site_lib.wait(READY_S, bring_back)
+        assert crashes() == 2
+        found = site_lib.call(site.places[3], "seats.example", path)
+        assert found[0] == 503
+        assert float(found[1]["retry-after"]) > 1
+        other = site_lib.call(site.places[3], "seats.example", "/browse/x")
+        assert other[0] == 200
+    finally:
+        for place in places:
+            place.server.deadly = ""
+
+
 def test_the_store_may_be_away(site):
     # What a move meets that is just being written is another matter.
     assert site_lib.wait(READY_S, site.is_quiet)
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -91,7 +91,8 @@
     holds.renew()
     assert not holds.held(5, timers.now)
     (grant,) = target.answer()
-    assert (grant.first, grant.last, grant.fence) == (0, 128 * 256 - 1, 3)
+    assert (grant.first, grant.last) == (0, 128 * 256 - 1)
+    assert grant.fence == 3 * keyholds.ATTEMPTS
     assert holds.held(5, timers.now)
     assert not holds.held(200, timers.now)
 
@@ -152,6 +153,20 @@
     assert released
 
 
+def test_a_grant_without_answer_may_hold_until_its_end(subject):
+    timers, core, target, holds = subject
+    core.own(0, 9, 1)
+    holds.renew()
+    target.answer(carried_out=False)
+    assert holds.pause() == pytest.approx(1.0)
+    released = []
+    holds.release(frozenset(range(10)), released.append)
+    target.answer(carried_out=False)
+    assert not released
+    timers.step(1.01)
+    assert released
+
+
 def test_nothing_is_granted_between_giving_up_and_the_lease_s_end(subject):
     # A planned move that ended just then granted the keys once more, and the
     # successor's target held them too: OWNER in a hunt.
@@ -175,7 +190,8 @@
     holds.begin_anew()
     core.own(4, 5, 9)
     holds.renew()
-    assert [order.fence for order, _ in target.orders] == [9]
+    fences = [order.fence for order, _ in target.orders]
+    assert fences == [9 * keyholds.ATTEMPTS]
 
 
 def test_a_slot_is_confirmed_by_an_answer_only(subject):
@@ -196,6 +212,51 @@
     assert holds.confirmed(4)
 
 
+def test_a_grant_after_one_without_answer_has_a_higher_fence(subject):
+    # The late one was carried out after the slot had moved, although a later
+    # one had been answered: OWNER in hunts, while orders were carried out late.
+    timers, core, target, holds = subject
+    core.own(0, 9, 5)
+    holds.renew()
+    target.answer()
+    timers.step(0.5)
+    holds.renew()
+    (late,) = target.answer(carried_out=False)
+    assert not holds.confirmed(3)
+    holds.renew()
+    (again,) = target.answer()
+    assert again.fence > late.fence
+    assert again.fence < 6 * keyholds.ATTEMPTS
+    assert holds.confirmed(3)
+    holds.release(frozenset({8, 9}), lambda handovers: None)
+    (release,) = target.answer()
+    assert release.fence == again.fence
+
+
+def test_a_slot_is_not_confirmed_while_a_grant_is_under_way(subject):
+    timers, core, target, holds = subject
+    core.own(0, 9, 1)
+    holds.renew()
+    target.answer()
+    assert holds.confirmed(3)
+    timers.step(0.5)
+    holds.renew()
+    assert not holds.confirmed(3)
+    target.answer()
+    assert holds.confirmed(3)
+
+
+def test_what_was_unanswered_is_remembered_when_runs_change(subject):
+    timers, core, target, holds = subject
+    core.own(0, 9, 1)
+    holds.renew()
+    target.answer(carried_out=False)
+    core.lose(8, 9)
+    holds.renew()
+    (grant,) = target.answer()
+    assert grant.fence == keyholds.ATTEMPTS + 1
+
+
 def test_a_superseded_run_is_not_asked_for_again(subject):
     timers, core, target, holds = subject
     core.own(0, 9, 1)
