A process that has stopped ends; moves are logged by runs

Cause: beside load, one process had logged its stop and was still there 3.4 s later (tests/platform/test_path.py, test_a_daemon_that_is_told_to_stop...). Ruled out by reading: the exit of pyzmq's context, timers, the loop's last turns. Change: links to peers are closed explicitly, and a process that has not ended 2 s after its stop prints where it hangs and ends by force, so the next time shows the cause. A move of many slots is one log line a run, not one a slot.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -23,7 +23,7 @@
 )
 from tamarackgap.ownership import situation as situation_lib
 from tamarackgap.peers import messages
-from tamarackgap.placement import records, routes, slots
+from tamarackgap.placement import placement, records, routes, slots
 
 _SUSPECT_SHARE = 0.8
 _COMMIT_AGAIN_S = 0.2
@@ -635,13 +635,26 @@
             self._outbox.put(effects.HandOff(self._moving))
             return
         self._sharing.budget.spend(len(change.moves))
-        for move in change.moves:
-            self._outbox.log(
-                "move", slot=move.slot, to=move.destination, reason=move.reason
-            )
+        self._log_moves(change.moves)
         self._renewal.own_lease.begin_write()
         self._put(change.change, now)
 
+    def _log_moves(self, moves: tuple[placement.Move, ...]) -> None:
+        """Logs one line for each run of slots that goes the same way."""
+        ways: dict[tuple[str, str], dict[int, slots.Holding]] = {}
+        for move in moves:
+            way = ways.setdefault((move.destination, move.reason), {})
+            way[move.slot] = slots.Holding(0)
+        for (destination, reason), moved in ways.items():
+            for run in slots.compress(moved):
+                self._outbox.log(
+                    "move",
+                    first=run.first,
+                    last=run.last,
+                    to=destination,
+                    reason=reason,
+                )
+
     def handed_off(self, handovers: dict[slots.Run, str]) -> None:
         """Notes that the target has released the slots that are to move.
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -1,5 +1,6 @@
 """One router daemon: the parts, put together on one loop and one thread."""
 
+import faulthandler
 import functools
 import gc
 import random
@@ -49,6 +50,9 @@
 _GIVE_UP_S = 0.8
 # Left of the grace time when the process ends whatever is still going on.
 _LAST_S = 0.4
+# A process that has stopped and not ended after this time ends by force, with
+# a trace of where it hung, seconds.
+_END_S = 2.0
 _TARGET_IDLE_S = 7.0
 _TARGET_SILENCE_MS = 3000
 _ENVELOPE_BYTES = 65_536
@@ -655,8 +659,13 @@
         # Keys still held here are not given up now: the target may run calls
         # for them until its holds have ended with the lease.
         logs.event("stopped", in_flight=self._entry.in_flight)
+        faulthandler.dump_traceback_later(_TICK_S + _END_S, exit=True)
         self.timers.after(_TICK_S, self.stop)
 
+    def close(self) -> None:
+        """Closes the links to other daemons, after the loop has ended."""
+        self._peers.close()
+
 
 def _readable(rows: list[records.Row]) -> list[records.Row]:
     """Returns the rows that have the expected shape."""
@@ -699,5 +708,6 @@
     gc.collect()
     gc.freeze()
     router.run()
+    router.close()
     # Libraries report what is still held when the interpreter ends.
     gc.unfreeze()
