A grant under way when runs change counts as one without answer

After a move that failed the count of grants without answer began anew, below what the target had seen. Both have tests that failed first. Change: counts are kept by slot, and a grant under way when runs change counts as unanswered. Left: an owner that is killed with grants unanswered can't raise the fence.

--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -127,6 +127,8 @@
         self._step = lease * _STEP_SHARE
         self._holds: dict[slots.Run, _Hold] = {}
         self._by_slot: dict[int, _Hold] = {}
+        # Each slot's fence, and the grants under it without an answer.
+        self._attempts: dict[int, tuple[int, int]] = {}
         self._version = -1
         self._releasing: frozenset[int] = frozenset()
         self._paused = False
@@ -284,17 +286,20 @@
             for slot, held in self._core.owned.items()
         }
         before = self._by_slot
+        for hold in self._holds.values():
+            if hold.asking:
+                # Its answer says nothing of the runs that follow.
+                self._count_unanswered(hold)
         self._holds = {}
         self._by_slot = {}
         for run in slots.compress(holdings):
             known = [before.get(s) for s in range(run.first, run.last + 1)]
-            hold = _Hold(run)
+            hold = _Hold(run, unanswered=self._unanswered(run))
             if all(k is not None and k.run.fence == run.fence for k in known):
                 hold.held_until = min(k.held_until for k in known)
                 hold.asked_until = min(k.asked_until for k in known)
                 hold.ends = max(k.ends for k in known)
                 hold.superseded = any(k.superseded for k in known)
-                hold.unanswered = max(k.unanswered for k in known)
                 hold.confirmed = all(
                     k.confirmed and k.unanswered == hold.unanswered
                     for k in known
@@ -303,6 +308,21 @@
             for slot in range(run.first, run.last + 1):
                 self._by_slot[slot] = hold
 
+    def _unanswered(self, run: slots.Run) -> int:
+        counts = (
+            self._attempts.get(slot, (0, 0))
+            for slot in range(run.first, run.last + 1)
+        )
+        same = (count for fence, count in counts if fence == run.fence)
+        return max(same, default=0)
+
+    def _count_unanswered(self, hold: _Hold) -> None:
+        hold.confirmed = False
+        hold.unanswered = min(hold.unanswered + 1, ATTEMPTS - 1)
+        run = hold.run
+        for slot in range(run.first, run.last + 1):
+            self._attempts[slot] = (run.fence, hold.unanswered)
+
     def _grant(self, hold: _Hold, until: float) -> None:
         hold.asking = True
         self._queue.append(lambda: self._send_grant(hold, until))
@@ -340,8 +360,8 @@
                 hold.held_until = until
                 hold.confirmed = True
                 return
-            hold.confirmed = False
-            hold.unanswered = min(hold.unanswered + 1, ATTEMPTS - 1)
+            if self._holds.get(run) is hold:
+                self._count_unanswered(hold)
             hold.asked_until = float("-inf")
             hold.superseded = ordered.superseded
             logs.event(
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -257,6 +257,43 @@
     assert grant.fence == keyholds.ATTEMPTS + 1
 
 
+def test_a_grant_under_way_counts_as_unanswered_when_runs_change(subject):
+    # It was carried out late under the fence of the next one: OWNER in a run.
+    timers, core, target, holds = subject
+    core.own(0, 9, 1)
+    holds.renew()
+    target.answer()
+    timers.step(0.5)
+    holds.renew()
+    ((late, tell_late),) = target.orders
+    target.orders = []
+    core.lose(8, 9)
+    holds.renew()
+    assert not holds.confirmed(3)
+    timers.step(0.5)
+    holds.renew()
+    (grant,) = target.answer()
+    assert grant.fence > late.fence
+    assert holds.confirmed(3)
+    tell_late(keyholds.Ordered(False))
+    assert holds.confirmed(3)
+
+
+def test_fences_do_not_fall_after_a_move_that_failed(subject):
+    timers, core, target, holds = subject
+    core.own(0, 9, 1)
+    holds.renew()
+    target.answer(carried_out=False)
+    holds.renew()
+    (last,) = target.answer()
+    holds.release(frozenset({8, 9}), lambda handovers: None)
+    target.answer()
+    holds.released()
+    holds.renew()
+    fences = [grant.fence for grant in target.answer()]
+    assert min(fences) >= last.fence
+
+
 def test_a_superseded_run_is_not_asked_for_again(subject):
     timers, core, target, holds = subject
     core.own(0, 9, 1)
