--- a/standins/site.py
+++ b/standins/site.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -211,14 +212,12 @@
         connection.close()
 
 
-_count = 0
+_ids = itertools.count(1)
 
 
 def call(place, host, path, key=None, method="GET", body=None, timeout_ms=1500):
     """Returns status, headers, body and id of a client's request."""
-    global _count
-    _count += 1
-    request = f"r{_count:06d}"
+    request = f"r{next(_ids):06d}"
     headers = {
         "Host": host,
         "X-Tamarackgap-Attempt-Id": request,
--- /dev/null
+++ b/tests/platform/test_operations.py
@@ -0,0 +1,157 @@
+"""The ways that docs/OPERATIONS.md shows, gone from an id to the cause."""
+
+import concurrent.futures
+import pathlib
+import re
+import time
+
+import pytest
+
+from standins import site as site_lib
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
+READY_S = 20
+LOGGED_S = 3.0
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    found = site_lib.Site(
+        tmp_path_factory.mktemp("site"),
+        [
+            ("north", "seats", False),
+            ("south", "money", True),
+            ("east", "money", True),
+            ("west", "money", True),
+        ],
+    )
+    found.start()
+    try:
+        assert site_lib.wait(READY_S, lambda: _works(found))
+        yield found
+    finally:
+        found.stop()
+
+
+def _works(site):
+    return all(place.is_ready() for place in site.places) and all(
+        site_lib.call(place, "money.example", "/pay", key=key)[0] == 200
+        for place in site.places
+        for key in (0, 20_000, 40_000, 65_535)
+    )
+
+
+def _section(title):
+    text = PAGE.read_text().split(f"## {title}\n")[1]
+    return text.split("\n## ")[0]
+
+
+def _lines(site, event, **fields):
+    """Returns the fields of all daemons' lines of an event."""
+    found = []
+    for place in site.places:
+        for line in place.log.read_text(errors="replace").splitlines():
+            pairs = dict(re.findall(r'(\w+)=("[^"]*"|\S*)', line))
+            if pairs.get("event") == event and all(
+                pairs.get(name) == value for name, value in fields.items()
+            ):
+                found.append(pairs)
+    return found
+
+
+def _logged(site, event, **fields):
+    assert site_lib.wait(LOGGED_S, lambda: _lines(site, event, **fields))
+    return _lines(site, event, **fields)
+
+
+def _reasons(title):
+    """Returns the reasons and events that a section of the page names."""
+    return set(re.findall(r"`(?:reason=)?([a-z][a-z_-]+)`", _section(title)))
+
+
+def test_refused_as_full(site):
+    north = site.places[0]
+    north.server.work_s = 0.4
+    try:
+        with concurrent.futures.ThreadPoolExecutor(40) as pool:
+            answers = list(
+                pool.map(
+                    lambda _: site_lib.call(
+                        site.places[1],
+                        "seats.example",
+                        "/browse/x",
+                        timeout_ms=600,
+                    ),
+                    range(40),
+                )
+            )
+    finally:
+        north.server.work_s = 0.005
+    refused = [answer for answer in answers if answer[0] == 503]
+    assert refused
+    request = refused[-1][3]
+    (line, *_) = _logged(site, "request", request=request)
+    assert line["reason"] in _reasons("Refused as full")
+    assert line["verdict"] == "not-run"
+    (call, *_) = _logged(site, "call", request=request)
+    assert call["daemon"] == "north"
+    assert int(call["running"]) >= 8
+    assert int(call["waiting"]) > 0
+
+
+def test_answered_502_after_it_may_have_run(site):
+    title = "Answered 502 or 504 after it may have run"
+    owner = next(
+        place for place in site.places if place.keyed and place.server.holds(5)
+    )
+    owner.server.fault = "cut"
+    try:
+        found = site_lib.call(
+            site.places[0], "money.example", "/pay", key=5, method="POST"
+        )
+    finally:
+        owner.server.fault = ""
+    assert found[0] == 502
+    (line, *_) = _logged(site, "request", request=found[3])
+    assert line["verdict"] == "may-have-run"
+    (call, *_) = _logged(site, "call", request=found[3])
+    assert call["daemon"] == owner.name
+    assert call["reason"] in _reasons(title)
+    # The target lives: it was a single answer.
+    assert not _lines(site, "target_changed", daemon=owner.name, change="lost")
+
+
+def test_a_key_without_an_owner_during_a_takeover(site):
+    title = "A key without an owner"
+    owner = next(
+        place
+        for place in site.places
+        if place.keyed and place.server.holds(30_000)
+    )
+    owner.kill()
+    time.sleep(0.3)
+    found = site_lib.call(
+        site.places[0],
+        "money.example",
+        "/pay",
+        key=30_000,
+        method="POST",
+        timeout_ms=300,
+    )
+    try:
+        assert found[0] in (502, 503, 504)
+        (line, *_) = _logged(site, "request", request=found[3])
+        assert line["reason"] in _reasons(title)
+        lost = line["owner"]
+        # The owner's start names the daemon that was lost.
+        (start, *_) = _logged(site, "started", incarnation=lost)
+        assert start["daemon"] == owner.name
+        assert {"takeover_begun", "taken_over"} <= _reasons(title)
+        _logged(site, "takeover_begun", owner=lost)
+        over = _logged(site, "taken_over", owner=lost)
+        assert {taken["daemon"] for taken in over} <= {
+            place.name for place in site.places if place.keyed
+        }
+    finally:
+        owner.start()
+    assert site_lib.wait(READY_S, lambda: _works(site))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 import pytest
 from returns import result
 
+from bench import journal
 from tamarackgap.commands import cmdline
 from tamarackgap.settings import config, options
 
@@ -49,6 +50,11 @@
             assert f"`{event}`" in text, event
 
 
+def test_the_table_of_days_is_the_journal_s():
+    note = journal.NOTE.read_text()
+    assert journal.insert(note, journal.table(journal.entries())) == note
+
+
 def test_the_module_map_matches_the_tree():
     text = pathlib.Path("README.md").read_text()
     for path in pathlib.Path("tamarackgap").rglob("*.py"):
