A call's wait counts the ranks that go before it

A call of a late rank was kept because few calls stood before it, though calls of earlier ranks kept coming and took the slots.

Change: the slots that earlier ranks took up lately count as gone, for the wait and for the advice on when to come back.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 from bench import (
     baselines,
     datapath,
+    loads,
     moves,
     pauses,
     policy,
@@ -18,6 +19,7 @@
     "routerpath": datapath.run_router,
     "baselines": baselines.run,
     "datapath": datapath.run,
+    "loads": loads.run,
     "moves": moves.run,
     "pauses": pauses.run,
     "policy": policy.run,
--- /dev/null
+++ b/bench/loads.py
@@ -0,0 +1,303 @@
+"""A service under load: the shipped queue and choice beside earlier policies.
+
+Targets, clock and arrivals are made up; `admission` and `balancer` are those
+that ship. The earlier policies: a queue in order of arrival whose calls are
+kept until their deadline, and targets chosen in turn.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from bench import table
+from tamarackgap.traffic import admission, balancer
+
+_SECONDS = 20.0
+_SLOTS = 6
+_SWEEP_S = 0.02
+_STATUS_S = 0.25
+# A caller whose call was refused comes back once.
+_RETURNS = 1
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """A kind of call: its rank, aim, deadline and work, in seconds."""
+
+    name: str
+    rank: int
+    aim: float
+    deadline: float
+    work: float
+
+
+KINDS = (
+    Kind("inner", 0, 0.2, 0.8, 0.04),
+    Kind("pay", 1, 0.4, 1.2, 0.08),
+    Kind("browse", 2, 0.4, 1.2, 0.08),
+)
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """What the targets meet.
+
+    Attributes:
+        name: Its name.
+        load: Calls against what all targets can run.
+        burst: The same, between 6 and 10 s.
+        speeds: How much longer each target takes than usual.
+        joins: When the last target joins, seconds; 0 for from the start.
+    """
+
+    name: str
+    load: float
+    burst: float
+    speeds: tuple[float, ...]
+    joins: float = 0.0
+
+
+SCENARIOS = (
+    Scenario("steady", 0.7, 0.7, (1, 1, 1, 1)),
+    Scenario("burst", 0.7, 2.0, (1, 1, 1, 1)),
+    Scenario("overload", 1.3, 1.3, (1, 1, 1, 1)),
+    Scenario("slow target", 0.7, 0.7, (1, 1, 1, 4)),
+    Scenario("unlike targets, burst", 0.7, 1.5, (0.7, 1, 1.4, 3)),
+    Scenario("one joins", 0.9, 0.9, (1, 1, 1, 1), 8.0),
+)
+
+
+class Tally(msgspec.Struct):
+    """What callers got.
+
+    Attributes:
+        asked: Callers, by kind.
+        in_aim: Answers in their aim, by kind.
+        late: Later answers.
+        refused: Callers that were refused for good or got nothing.
+        held: Seconds from coming to being refused, of each refusal.
+        at_last: Calls started at the last target.
+    """
+
+    asked: collections.Counter = msgspec.field(
+        default_factory=collections.Counter
+    )
+    in_aim: collections.Counter = msgspec.field(
+        default_factory=collections.Counter
+    )
+    late: int = 0
+    refused: int = 0
+    held: list[float] = []
+    at_last: list[float] = []
+
+    @property
+    def served_in_aim(self) -> float:
+        """Share of the callers that were answered in their aim."""
+        return sum(self.in_aim.values()) / max(1, sum(self.asked.values()))
+
+    def share(self, name: str) -> float:
+        """Share of a kind's callers that were answered in their aim."""
+        return self.in_aim[name] / max(1, self.asked[name])
+
+    def held_for(self, part: float) -> float:
+        """Time after which a part of all refusals had been told, seconds."""
+        held = sorted(self.held)
+        return held[int(len(held) * part)] if held else 0.0
+
+
+class FirstCome:
+    """The earlier queue: in order of arrival, kept until the deadline."""
+
+    def __init__(self) -> None:
+        self.capacity = _SLOTS
+        self.running = 0
+        self.slowness = 0.0
+        self._queue: collections.deque = collections.deque()
+
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait."""
+        return len(self._queue)
+
+    def offer(self, waiting: admission.Waiting, now: float) -> None:
+        """Queues a call."""
+        self._queue.append(waiting)
+        self.pump(now)
+
+    def finished(self, worked: float | None, aim: float, now: float) -> None:
+        """Frees a slot."""
+        del worked, aim
+        self.running -= 1
+        self.pump(now)
+
+    def sweep(self, now: float) -> None:
+        """Refuses what is past its deadline."""
+        while self._queue and self._queue[0].deadline <= now:
+            self._queue.popleft().refuse(0.1)
+
+    def pump(self, now: float) -> None:
+        """Starts calls while there are slots."""
+        self.sweep(now)
+        while self._queue and self.running < self.capacity:
+            self.running += 1
+            self._queue.popleft().start()
+
+
+class _Target:
+    def __init__(self, name: str, queue: object, speed: float) -> None:
+        self.queue = queue
+        self.speed = speed
+        self.told = balancer.Candidate(name, service="s", accepting=True)
+
+
+class Play:
+    """One scenario under one policy."""
+
+    def __init__(self, scenario: Scenario, shipped: bool, seed: int) -> None:
+        """Prepares the targets."""
+        self.tally = Tally()
+        self._scenario = scenario
+        self._shipped = shipped
+        self._rng = random.Random(seed)
+        self._now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._turn = itertools.count()
+        self._targets = [
+            _Target(f"t{index}", self._queue(), speed)
+            for index, speed in enumerate(scenario.speeds)
+        ]
+
+    def run(self) -> Tally:
+        """Plays it; returns what callers got."""
+        self._at(0.0, self._tell)
+        self._at(0.0, self._sweep)
+        self._at(0.0, self._arrive)
+        while self._events and self._events[0][0] < _SECONDS + 3:
+            self._now, _, action = heapq.heappop(self._events)
+            action()
+        return self.tally
+
+    def _queue(self) -> object:
+        if not self._shipped:
+            return FirstCome()
+        queue = admission.Admission()
+        queue.resize(_SLOTS, 0.0)
+        return queue
+
+    def _at(self, moment: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (moment, next(self._order), action))
+
+    def _present(self) -> list[_Target]:
+        scenario = self._scenario
+        if scenario.joins and self._now < scenario.joins:
+            return self._targets[:-1]
+        return self._targets
+
+    def _arrive(self) -> None:
+        if self._now >= _SECONDS:
+            return
+        burst = 6 <= self._now < 10
+        load = self._scenario.burst if burst else self._scenario.load
+        work = sum(kind.work for kind in KINDS) / len(KINDS)
+        capacity = sum(_SLOTS / speed for speed in self._scenario.speeds)
+        rate = load * capacity / work
+        self._at(self._now + self._rng.expovariate(rate), self._arrive)
+        kind = self._rng.choice(KINDS)
+        self.tally.asked[kind.name] += 1
+        self._ask(kind, self._now, _RETURNS)
+
+    def _ask(self, kind: Kind, first: float, returns: int) -> None:
+        target = self._choose()
+        came = self._now
+        target.told.sent += 1
+
+        def start() -> None:
+            if target is self._targets[-1]:
+                self.tally.at_last.append(self._now)
+            work = kind.work * target.speed * self._rng.uniform(0.6, 1.4)
+            self._at(self._now + work, lambda: done(work))
+
+        def done(work: float) -> None:
+            target.queue.finished(work, kind.aim, self._now)
+            taken = self._now - first
+            if taken <= kind.aim:
+                self.tally.in_aim[kind.name] += 1
+            elif self._now <= came + kind.deadline:
+                self.tally.late += 1
+            else:
+                self.tally.refused += 1
+
+        def refuse(advice: float) -> None:
+            self.tally.held.append(self._now - came)
+            if returns:
+                again = self._now + max(0.05, advice)
+                self._at(again, lambda: self._ask(kind, first, returns - 1))
+            else:
+                self.tally.refused += 1
+
+        target.queue.offer(
+            admission.Waiting(
+                kind.rank,
+                kind.aim,
+                first + kind.aim,
+                came + kind.deadline,
+                start,
+                refuse,
+            ),
+            self._now,
+        )
+
+    def _choose(self) -> _Target:
+        present = self._present()
+        if not self._shipped:
+            return present[next(self._turn) % len(present)]
+        chosen = balancer.choose(
+            (target.told for target in present),
+            frozenset(),
+            self._now,
+            self._rng,
+        )
+        return next(t for t in present if t.told is chosen)
+
+    def _tell(self) -> None:
+        """Lets entries know of the targets, as often as daemons do."""
+        for target in self._present():
+            told = target.told
+            told.capacity = target.queue.capacity
+            told.busy = target.queue.running + target.queue.waiting
+            told.sent = 0
+            told.slowness = target.queue.slowness
+            told.heard = self._now
+        if self._now < _SECONDS + 3:
+            self._at(self._now + _STATUS_S, self._tell)
+
+    def _sweep(self) -> None:
+        for target in self._targets:
+            target.queue.sweep(self._now)
+        if self._now < _SECONDS + 3:
+            self._at(self._now + _SWEEP_S, self._sweep)
+
+
+def run(quick: bool) -> None:
+    """Prints what callers get under both policies, and their ratio."""
+    rows = []
+    for scenario in SCENARIOS:
+        for seed in range(1 if quick else 5):
+            old = Play(scenario, False, seed).run()
+            new = Play(scenario, True, seed).run()
+            rows.append(
+                {
+                    "scenario": scenario.name,
+                    "seed": seed,
+                    "in_aim_before": round(old.served_in_aim, 3),
+                    "in_aim": round(new.served_in_aim, 3),
+                    "inner_before": round(old.share("inner"), 3),
+                    "inner": round(new.share("inner"), 3),
+                    "told_s_before": round(old.held_for(0.9), 3),
+                    "told_s": round(new.held_for(0.9), 3),
+                }
+            )
+    table.show("loads", rows)
--- a/tamarackgap/traffic/admission.py
+++ b/tamarackgap/traffic/admission.py
@@ -33,6 +33,10 @@
 _FEW_CALLS = 5
 # Least advice on when to come back: sooner than a slot's usual turn is vain.
 _LEAST_RETRY_S = 0.05
+# Slots that ranks before a call's own take up are half forgotten in this time.
+_USAGE_HALF_LIFE_S = 1.0
+# What a rank is taken to get at least, as a part of the slots.
+_LEAST_LEFT = 0.05
 # A late call is kept only if its turn is likely to come in this part of the
 # time that it has left.
 _LATE_SHARE = 0.6
@@ -87,11 +91,32 @@
         return round(self._started / self._offered * _STEPS) / _STEPS
 
 
+class _Usage:
+    """Slots that one rank takes up."""
+
+    def __init__(self, now: float) -> None:
+        self._work = 0.0
+        self._at = now
+
+    def started(self, work: float, now: float) -> None:
+        """Counts a call, with its likely time, seconds."""
+        self._work = self._left(now) + work
+        self._at = now
+
+    def slots(self, now: float) -> float:
+        """Returns how many slots it takes up, of late."""
+        return self._left(now) * math.log(2) / _USAGE_HALF_LIFE_S
+
+    def _left(self, now: float) -> float:
+        return self._work * 0.5 ** ((now - self._at) / _USAGE_HALF_LIFE_S)
+
+
 class Admission:
     """The queue before one target."""
 
     def __init__(self) -> None:
         self._fortunes: dict[tuple[int, float], _Fortune] = {}
+        self._usage: dict[int, _Usage] = {}
         self._capacity = 0
         self._share = 1.0
         self._running = 0
@@ -144,7 +169,7 @@
             return
         wait = self._wait_for(waiting, now)
         if not self._is_worth_it(waiting, wait, now):
-            waiting.refuse(self._advice(waiting.rank))
+            waiting.refuse(self._advice(waiting.rank, now))
             return
         self._queue.append(waiting)
         self.pump(now)
@@ -187,7 +212,7 @@
             wait = self._wait_for(waiting, now)
             if not self._is_worth_it(waiting, wait, now):
                 self._queue.remove(waiting)
-                waiting.refuse(self._advice(waiting.rank))
+                waiting.refuse(self._advice(waiting.rank, now))
 
     def withdraw(self, waiting: Waiting) -> bool:
         """Takes a call out of the queue; returns whether it was there."""
@@ -206,6 +231,10 @@
     def _start(self, waiting: Waiting, now: float) -> None:
         if not self._is_late(waiting, now):
             self._fortune(waiting, now).started()
+        usage = self._usage.get(waiting.rank)
+        if usage is None:
+            usage = self._usage[waiting.rank] = _Usage(now)
+        usage.started(self.work(waiting.aim), now)
         self._running += 1
         waiting.start()
 
@@ -239,14 +268,27 @@
             if other is not waiting and self._order(other, now) < own
         )
         # A slot falls free once a part of the work has been done.
-        return (ahead + self.work(waiting.aim)) / capacity
+        return (ahead + self.work(waiting.aim)) / self._left_for(
+            waiting.rank, now
+        )
+
+    def _left_for(self, rank: int, now: float) -> float:
+        """Returns the slots that the ranks before one leave to it."""
+        # Calls of the ranks before it go on to come.
+        before = sum(
+            usage.slots(now)
+            for other, usage in self._usage.items()
+            if other < rank
+        )
+        capacity = max(1, self.capacity)
+        return max(capacity - before, capacity * _LEAST_LEFT)
 
-    def _advice(self, rank: int) -> float:
+    def _advice(self, rank: int, now: float) -> float:
         """Returns when there is likely to be room for a rank, seconds."""
         ahead = sum(
             self.work(other.aim) for other in self._queue if other.rank <= rank
         )
-        return max(_LEAST_RETRY_S, ahead / max(1, self.capacity))
+        return max(_LEAST_RETRY_S, ahead / self._left_for(rank, now))
 
     def _fits(self, waiting: Waiting, now: float) -> bool:
         least = self.work(waiting.aim) * _LEAST_TIME
--- /dev/null
+++ b/tests/test_bench_loads.py
@@ -0,0 +1,38 @@
+"""What callers get from the shipped queue and choice under load."""
+
+import pytest
+
+from bench import loads
+
+NAMES = {scenario.name: scenario for scenario in loads.SCENARIOS}
+DEADLINE_S = max(kind.deadline for kind in loads.KINDS)
+# Calls of requests that run already come first: nearly all must be in time.
+INNER = 0.95
+# Who is refused has half of the time left to come back in.
+TOLD_S = 0.5 * DEADLINE_S
+
+
+def _play(name, shipped=True):
+    return loads.Play(NAMES[name], shipped, 1).run()
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_more_callers_are_served_in_their_aim_than_before(name):
+    before = _play(name, shipped=False).served_in_aim
+    assert _play(name).served_in_aim >= before
+
+
+@pytest.mark.parametrize("name", ["burst", "overload"])
+def test_calls_of_running_requests_come_first(name):
+    assert _play(name).share("inner") >= INNER
+
+
+@pytest.mark.parametrize("name", ["burst", "overload", "one joins"])
+def test_most_refusals_are_told_at_once(name):
+    assert _play(name).held_for(0.9) <= TOLD_S
+
+
+def test_a_target_that_joins_gets_calls_within_seconds():
+    scenario = NAMES["one joins"]
+    started = _play("one joins").at_last
+    assert min(started) < scenario.joins + 1.0
