Silent owners and ended incarnations have modules of their own

No behaviour is changed: ownership.py gives two whole jobs away, what is known of owners that are not heard, and what ended incarnations of the process leave behind.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -13,10 +13,12 @@
 from tamarackgap.ownership import (
     changes,
     effects,
+    former,
     lease,
     loads,
     planner,
     renewal,
+    silence,
     succession,
     takeover,
     witnessing,
@@ -34,9 +36,6 @@
 # After losing a lease, changes follow each other without pauses for so long:
 # a few writes and a witness's answer, seconds.
 _REJOIN_S = 3.0
-_CHALLENGE_PAUSE_S = 10.0
-# Ended incarnations of this process that are still witnesses.
-_FORMER_KEPT = 8
 # Longest time for a target to release slots that are to move, seconds.
 _HAND_OFF_LIMIT_S = 4.0
 
@@ -84,21 +83,16 @@
         # Up to when what the table says is known here, seconds.
         self._read_as_of = now
         self._witnessing: witnessing.Witnessing | None = None
-        self._former: dict[str, witnessing.Witnessing] = {}
-        # When what an ended incarnation of this process handed over is over.
-        self._over_at: dict[str, float] = {}
+        self._former = former.Former()
+        self._silence = silence.Silence()
         self._rejoin_until = now
-        self._missed_since: dict[str, float] = {}
-        self._challenges: dict[str, tuple[int, float]] = {}
         self._begin(now)
 
     def _begin(self, now: float) -> None:
         # What an ended incarnation has promised as a witness still holds:
         # the process remembers it.
         if self._witnessing is not None:
-            self._former[self._incarnation] = self._witnessing
-            for name in list(self._former)[:-_FORMER_KEPT]:
-                del self._former[name]
+            self._former.keep(self._incarnation, self._witnessing)
         self._incarnation = types.Incarnation(
             f"{self._rng.getrandbits(64):016x}"
         )
@@ -273,7 +267,7 @@
         for name in self._renewal.own_lease.current.witnesses:
             self._outbox.send(name, messages.Release(name, self.epoch))
         self._outbox.log("released", slots=len(self.owned))
-        self._over_at[self._incarnation] = now + self.linger
+        self._former.ends(self._incarnation, now + self.linger)
         self._begin(now)
 
     def merge(self, rows: list[records.Row], now: float) -> None:
@@ -401,7 +395,7 @@
         """Returns what this process has promised under a name, or None."""
         if name == self._incarnation:
             return self._witnessing
-        return self._former.get(name)
+        return self._former.witness(name)
 
     def tick(self, now: float) -> None:
         """Does all that is due; to be called every few milliseconds."""
@@ -415,11 +409,7 @@
 
     def _silent_owners(self, now: float) -> list[records.LeaseRecord]:
         """Returns silent owners, whichever incarnation witnesses them."""
-        found = []
-        for name, witness in list(self._former.items()):
-            self._outbox.incarnation = name
-            found += witness.silent_owners(now)
-        self._outbox.incarnation = self._incarnation
+        found = self._former.silent_owners(self._outbox, now)
         return found + self._witnessing.silent_owners(now)
 
     # The owner's side.
@@ -449,7 +439,7 @@
     def _depose(self, reason: str, now: float) -> None:
         self._outbox.log("lease_lost", reason=reason, slots=len(self.owned))
         until = max(now, self._renewal.own_lease.valid_until())
-        self._over_at[self._incarnation] = until + self.linger
+        self._former.ends(self._incarnation, until + self.linger)
         self._rejoin_until = now + _REJOIN_S
         self._begin(now)
 
@@ -564,45 +554,13 @@
             keyed=self.keyed,
             calm=self.calm,
             alive=self.alive,
-            silent_for=self._silent_for(now),
-            challenged_for=self._challenged_for(now),
-            over=self._over(now),
-        )
-
-    def _over(self, now: float) -> frozenset[str]:
-        """Returns incarnations of this process that are over for certain."""
-        for name in list(self._over_at):
-            record = self._view.lease(name)
-            if record is not None and not record.is_open:
-                del self._over_at[name]
-        return frozenset(
-            name for name, at in self._over_at.items() if now >= at
+            silent_for=self._silence.missed_for(
+                self._view, self._incarnation, self.alive, now
+            ),
+            challenged_for=self._silence.challenged_for(self._view, now),
+            over=self._former.over(self._view, now),
         )
 
-    def _silent_for(self, now: float) -> dict[str, float]:
-        self._missed_since = {
-            record.incarnation: self._missed_since.get(record.incarnation, now)
-            for record in self._view.leases()
-            if record.is_open
-            and record.incarnation != self._incarnation
-            and not self.alive(record.incarnation)
-        }
-        return {name: now - since for name, since in self._missed_since.items()}
-
-    def _challenged_for(self, now: float) -> dict[str, float]:
-        found: dict[str, tuple[int, float]] = {}
-        for name in self._view.challenges():
-            revision = self._view.revision(records.challenge_key(name))
-            known = self._challenges.get(name)
-            if known is None or known[0] != revision:
-                known = (revision, now)
-            found[name] = known
-        for name in self._challenges.keys() - found.keys():
-            # It lives, or is over: it is not asked again for a while.
-            self._missed_since[name] = now + _CHALLENGE_PAUSE_S
-        self._challenges = found
-        return {name: now - since for name, (_, since) in found.items()}
-
     def _change_id(self) -> str:
         return f"{self._incarnation}-{self._rng.getrandbits(48):012x}"
 
