--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,7 +1,14 @@
+import subprocess
+import sys
+
+import eliot
 import pytest
 
 from tamarackgap import logs
 
+# Generous for twenty thousand lines; a process that waits never ends.
+STALLED_S = 30.0
+
 
 def line(**fields):
     message = {
@@ -37,3 +44,58 @@
     found = line(key=value)
     assert found.endswith(f" key={shown}")
     assert "\n" not in found
+
+
+_CHATTER = """
+import time
+from tamarackgap import logs
+
+# Generous for twenty thousand lines; a process that waits never ends.
+STALLED_S = 30.0
+logs.start("stdout", "d1")
+begun = time.monotonic()
+for number in range(20000):
+    logs.event("counted", number=number, filler="x" * 60)
+print(time.monotonic() - begun, file=__import__("sys").stderr)
+__import__("sys").stdin.readline()
+logs.event("last")
+"""
+
+
+def test_a_reader_that_stalls_holds_nothing_up():
+    process = subprocess.Popen(
+        [sys.executable, "-c", _CHATTER],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    # Nobody reads its output until all events have been written.
+    assert float(process.stderr.readline()) < STALLED_S
+    first = process.stdout.read(1 << 15)
+    process.stdin.write("\n")
+    process.stdin.close()
+    lines = (first + process.stdout.read()).splitlines()
+    assert process.wait(timeout=STALLED_S) == 0
+    assert all(" event=" in f" {line}" for line in lines)
+    counted = [line for line in lines if "event=counted" in line]
+    lost = [line for line in lines if "event=log_lines_lost" in line]
+    assert lost
+    left_out = int(lost[-1].rpartition("count=")[2])
+    assert len(counted) + left_out == 20_000
+    assert "event=last" in lines[-1]
+
+
+def test_requests_that_failed_have_lines_of_their_own():
+    written = []
+    eliot.add_destinations(written.append)
+    try:
+        for number in range(1000):
+            logs.request_event("request", False, number=number)
+        for number in range(20):
+            logs.request_event("request", True, broken=number)
+    finally:
+        eliot.remove_destination(written.append)
+    failed = [line for line in written if "broken" in line]
+    assert len(failed) == 20
+    assert len(written) < 1000
