--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -23,7 +23,7 @@
 _LEAST_HOLD_S = 0.05
 # The target is told a slot's fence times this, plus the number of grants that
 # had no answer: it then refuses those that arrive late, also after a move.
-ATTEMPTS = 1024
+FENCE_STEP = 1024
 # A target accepts few connections, and each order takes one.
 _ORDERS_AT_ONCE = 2
 # An order without an answer may still be carried out; it is sent again.
@@ -97,7 +97,7 @@
     @property
     def fence(self) -> int:
         """What the target is told as the fence."""
-        return self.run.fence * ATTEMPTS + self.unanswered
+        return self.run.fence * FENCE_STEP + self.unanswered
 
 
 class KeyHolds:
@@ -245,7 +245,7 @@
             order = Release(
                 *slots.positions(run, self._slot_count()), run.fence
             )
-            own = slots.Run(run.first, run.last, run.fence // ATTEMPTS)
+            own = slots.Run(run.first, run.last, run.fence // FENCE_STEP)
             # A release waits for running work: it must not hold up grants.
             self._order(
                 order,
@@ -318,7 +318,7 @@
 
     def _count_unanswered(self, hold: _Hold) -> None:
         hold.confirmed = False
-        hold.unanswered = min(hold.unanswered + 1, ATTEMPTS - 1)
+        hold.unanswered = min(hold.unanswered + 1, FENCE_STEP - 1)
         run = hold.run
         for slot in range(run.first, run.last + 1):
             self._attempts[slot] = (run.fence, hold.unanswered)
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -92,7 +92,7 @@
     assert not holds.held(5, timers.now)
     (grant,) = target.answer()
     assert (grant.first, grant.last) == (0, 128 * 256 - 1)
-    assert grant.fence == 3 * keyholds.ATTEMPTS
+    assert grant.fence == 3 * keyholds.FENCE_STEP
     assert holds.held(5, timers.now)
     assert not holds.held(200, timers.now)
 
@@ -191,7 +191,7 @@
     core.own(4, 5, 9)
     holds.renew()
     fences = [order.fence for order, _ in target.orders]
-    assert fences == [9 * keyholds.ATTEMPTS]
+    assert fences == [9 * keyholds.FENCE_STEP]
 
 
 def test_a_slot_is_confirmed_by_an_answer_only(subject):
@@ -226,7 +226,7 @@
     holds.renew()
     (again,) = target.answer()
     assert again.fence > late.fence
-    assert again.fence < 6 * keyholds.ATTEMPTS
+    assert again.fence < 6 * keyholds.FENCE_STEP
     assert holds.confirmed(3)
     holds.release(frozenset({8, 9}), lambda handovers: None)
     (release,) = target.answer()
@@ -254,7 +254,7 @@
     core.lose(8, 9)
     holds.renew()
     (grant,) = target.answer()
-    assert grant.fence == keyholds.ATTEMPTS + 1
+    assert grant.fence == keyholds.FENCE_STEP + 1
 
 
 def test_a_grant_under_way_counts_as_unanswered_when_runs_change(subject):
