Each run that a crash ended is told with its own end

Its logs: the target's connections broke at two moments, and the message gave all contents the time of the last; the second target's run then seemed to have begun before the first crash and did not count. Ruled out: the messages' order. Change: each content is told with its own begin and end.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -89,12 +89,11 @@
     """A target crashed while it ran these contents.
 
     Attributes:
-        contents: Their fingerprints, each with the seconds that it ran.
-        ago: When it was, seconds before the message was sent.
+        contents: Their fingerprints, each with its run's begin and end in
+            seconds before the message was sent. Runs end one by one.
     """
 
-    contents: dict[str, float]
-    ago: float
+    contents: dict[str, tuple[float, float]]
 
 
 class ContentCleared(msgspec.Struct, tag="content-cleared", frozen=True):
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -302,17 +302,19 @@
             return
         moment = now()
         news = calls.TargetCrash(
-            {content: end - begun for content, begun, end in ended},
-            moment - ended[-1][2],
+            {
+                content: (moment - begun, moment - end)
+                for content, begun, end in ended
+            }
         )
         logs.event("target_crashed", contents=len(news.contents))
         self._note_crash(news)
         self._tell_members(news)
 
     def _note_crash(self, news: calls.TargetCrash) -> None:
-        ended = now() - news.ago
-        for content, ran in news.contents.items():
-            if self._crashes.note(content, ended - ran, ended):
+        moment = now()
+        for content, (begun, ended) in news.contents.items():
+            if self._crashes.note(content, moment - begun, moment - ended):
                 logs.event(
                     "content_barred", content=content, s=crashes.BARRED_S
                 )
