Crashes of two targets count in whichever order news of them come

Change: a run counts if it does not overlap those known, before or after. A test with the news in reverse order failed first.

--- a/tamarackgap/traffic/crashes.py
+++ b/tamarackgap/traffic/crashes.py
@@ -27,6 +27,8 @@
 
 class _Entry(msgspec.Struct):
     strikes: int
+    # Begin of the first and end of the last run that crashed, seconds.
+    first: float
     last: float
 
 
@@ -58,7 +60,8 @@
         """Takes in that a target crashed while it ran a content.
 
         Targets that crash at the same moment crash for another reason: a
-        run counts only if it began after the last crash that is known.
+        run counts only if it does not overlap those that are known. News of
+        crashes come in any order.
 
         Args:
             content: The content's fingerprint.
@@ -70,10 +73,11 @@
         """
         entry = self._entries.get(content)
         if entry is None or ended - entry.last > _KEPT_S:
-            entry = _Entry(1, ended)
+            entry = _Entry(1, begun, ended)
             self._entries[content] = entry
-        elif begun >= entry.last - _SLACK_S:
+        elif begun >= entry.last - _SLACK_S or ended <= entry.first + _SLACK_S:
             entry.strikes += 1
+            entry.first = min(entry.first, begun)
             entry.last = max(entry.last, ended)
         self._entries.move_to_end(content)
         while len(self._entries) > _MOST_CONTENTS:
--- a/tests/traffic/test_crashes.py
+++ b/tests/traffic/test_crashes.py
@@ -26,6 +26,13 @@
     assert found.barred_for("b", 10.3) == 0
 
 
+def test_news_of_two_crashes_count_in_either_order():
+    found = crashes.Crashes()
+    assert not found.note("a", 10.5, 10.6)
+    assert found.note("a", 10.0, 10.1)
+    assert found.barred_for("a", 10.6) == pytest.approx(crashes.BARRED_S)
+
+
 def test_targets_that_crash_at_once_bar_nothing():
     found = crashes.Crashes()
     assert not found.note("a", 9.0, 10.0)
