Both HTTP clients share their exchange and failures; both processes their settings

No behaviour changed. network/exchanges.py has Cause, Failure and the exchange that was written twice; processes/protocol.py builds the ownership settings, and the router replaces what differs. Tests of network users, processes and platform pass.

--- a/tamarackgap/network/httpclient.py
+++ b/tamarackgap/network/httpclient.py
@@ -6,7 +6,6 @@
 
 import collections
 import contextlib
-import enum
 import errno
 import socket
 from collections.abc import Callable
@@ -17,37 +16,13 @@
 from circuits.web import parsers
 from returns import result
 
-from tamarackgap.network import scheduler
+from tamarackgap.network import exchanges, scheduler
 
 _READ_BYTES = 65_536
 _CONNECTING = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 _PARSE_RESPONSE = 1
 
 
-class Cause(enum.Enum):
-    """Why a request has no answer."""
-
-    UNREACHABLE = "unreachable"
-    CLOSED = "closed"
-    TIMEOUT = "timeout"
-    TRUNCATED = "truncated"
-    MALFORMED = "malformed"
-    TOO_LARGE = "too-large"
-    CANCELLED = "cancelled"
-
-
-class Failure(msgspec.Struct, frozen=True):
-    """A request without an answer.
-
-    Attributes:
-        cause: Why.
-        sent: Whether any byte of the request had been handed to the network.
-    """
-
-    cause: Cause
-    sent: bool
-
-
 class Answer(msgspec.Struct, frozen=True):
     """A whole answer."""
 
@@ -78,32 +53,19 @@
     limit: int
 
 
-Done = Callable[[result.Result[Answer, Failure]], None]
+Done = Callable[[result.Result[Answer, exchanges.Failure]], None]
 
 
-class Exchange:
+class Exchange(exchanges.Exchange):
     """A request on its way."""
 
+    __slots__ = ("connection", "request")
+
     def __init__(self, request: Request, done: Done) -> None:
         """Creates an exchange that calls `done` once."""
+        super().__init__(done)
         self.request = request
         self.connection: _Connection | None = None
-        self.timer: scheduler.Timer | None = None
-        self._done: Done | None = done
-
-    @property
-    def finished(self) -> bool:
-        """Whether `done` has been called."""
-        return self._done is None
-
-    def finish(self, outcome: result.Result[Answer, Failure]) -> None:
-        """Hands the outcome over, the first time."""
-        done = self._done
-        self._done = None
-        if self.timer is not None:
-            self.timer.cancel()
-        if done is not None:
-            done(outcome)
 
 
 class _Connection:
@@ -168,11 +130,16 @@
         """
         exchange = Exchange(request, done)
         exchange.timer = self._timers.after(
-            request.timeout, lambda: self._fail(exchange, Cause.TIMEOUT)
+            request.timeout,
+            lambda: self._fail(exchange, exchanges.Cause.TIMEOUT),
         )
         connection = self._take(request.address)
         if connection is None:
-            exchange.finish(result.Failure(Failure(Cause.UNREACHABLE, False)))
+            exchange.finish(
+                result.Failure(
+                    exchanges.Failure(exchanges.Cause.UNREACHABLE, False)
+                )
+            )
             return exchange
         connection.load(exchange)
         if connection.connected:
@@ -181,7 +148,7 @@
 
     def cancel(self, exchange: Exchange) -> None:
         """Gives an exchange up; its answer, if it comes, is dropped."""
-        self._fail(exchange, Cause.CANCELLED)
+        self._fail(exchange, exchanges.Cause.CANCELLED)
 
     def _take(self, address: str) -> _Connection | None:
         idle = self._idle[address]
@@ -201,14 +168,14 @@
         self._poller.addWriter(self, sock)
         return connection
 
-    def _fail(self, exchange: Exchange, cause: Cause) -> None:
+    def _fail(self, exchange: Exchange, cause: exchanges.Cause) -> None:
         if exchange.finished:
             return
         connection = exchange.connection
         sent = connection is not None and connection.sent
         if connection is not None:
             self._close(connection)
-        exchange.finish(result.Failure(Failure(cause, sent)))
+        exchange.finish(result.Failure(exchanges.Failure(cause, sent)))
 
     def _close(self, connection: _Connection) -> None:
         if self._connections.pop(connection.sock, None) is None:
@@ -218,11 +185,11 @@
         self._poller.discard(connection.sock)
         connection.sock.close()
 
-    def _lose(self, connection: _Connection, cause: Cause) -> None:
+    def _lose(self, connection: _Connection, cause: exchanges.Cause) -> None:
         exchange = connection.exchange
         self._close(connection)
         if exchange is not None and not exchange.finished:
-            failure = Failure(cause, connection.sent)
+            failure = exchanges.Failure(cause, connection.sent)
             exchange.finish(result.Failure(failure))
 
     def _write(self, connection: _Connection) -> None:
@@ -236,7 +203,7 @@
                 self._poller.addWriter(self, connection.sock)
             return
         except OSError:
-            self._lose(connection, Cause.CLOSED)
+            self._lose(connection, exchanges.Cause.CLOSED)
             return
         if self._poller.isWriting(connection.sock):
             self._poller.removeWriter(connection.sock)
@@ -248,7 +215,7 @@
             return
         if not connection.connected:
             if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                self._lose(connection, Cause.UNREACHABLE)
+                self._lose(connection, exchanges.Cause.UNREACHABLE)
                 return
             connection.connected = True
         self._write(connection)
@@ -258,7 +225,11 @@
         connection = self._connections.get(sock)
         if connection is None:
             return
-        cause = Cause.CLOSED if connection.connected else Cause.UNREACHABLE
+        cause = (
+            exchanges.Cause.CLOSED
+            if connection.connected
+            else exchanges.Cause.UNREACHABLE
+        )
         self._lose(connection, cause)
 
     @circuits.handler("_read")
@@ -282,26 +253,26 @@
 
     def _ended(self, connection: _Connection) -> None:
         if not connection.connected:
-            cause = Cause.UNREACHABLE
+            cause = exchanges.Cause.UNREACHABLE
         elif connection.received:
-            cause = Cause.TRUNCATED
+            cause = exchanges.Cause.TRUNCATED
         else:
-            cause = Cause.CLOSED
+            cause = exchanges.Cause.CLOSED
         self._lose(connection, cause)
 
     def _feed(self, connection: _Connection, data: bytes) -> None:
         parser = connection.parser
         connection.received += len(data)
         if connection.received > connection.exchange.request.limit:
-            self._lose(connection, Cause.TOO_LARGE)
+            self._lose(connection, exchanges.Cause.TOO_LARGE)
             return
         try:
             parser.execute(data, len(data))
         except (ValueError, TypeError, IndexError):
-            self._lose(connection, Cause.MALFORMED)
+            self._lose(connection, exchanges.Cause.MALFORMED)
             return
         if parser.errno is not None:
-            self._lose(connection, Cause.MALFORMED)
+            self._lose(connection, exchanges.Cause.MALFORMED)
         elif parser.is_message_complete():
             self._complete(connection)
 
--- a/tamarackgap/network/httplink.py
+++ b/tamarackgap/network/httplink.py
@@ -1,6 +1,5 @@
 """Kept HTTP connections to one address, each with one request at a time."""
 
-import enum
 import socket
 from collections.abc import Callable
 
@@ -9,36 +8,11 @@
 from returns import result
 
 from tamarackgap import logs
-from tamarackgap.network import scheduler, sockets
+from tamarackgap.network import exchanges, scheduler, sockets
 
 Headers = list[tuple[bytes, bytes]]
 
 
-class Cause(enum.Enum):
-    """Why a request has no answer."""
-
-    # Nobody listens at the address.
-    REFUSED = "refused"
-    UNREACHABLE = "unreachable"
-    CLOSED = "closed"
-    TIMEOUT = "timeout"
-    TRUNCATED = "truncated"
-    MALFORMED = "malformed"
-    CANCELLED = "cancelled"
-
-
-class Failure(msgspec.Struct, frozen=True):
-    """A request without an answer.
-
-    Attributes:
-        cause: Why.
-        sent: Whether any byte of the request may have reached the other side.
-    """
-
-    cause: Cause
-    sent: bool
-
-
 class Answer(msgspec.Struct, frozen=True):
     """A whole answer.
 
@@ -60,37 +34,22 @@
         return None
 
 
-Done = Callable[[result.Result[Answer, Failure]], None]
+Done = Callable[[result.Result[Answer, exchanges.Failure]], None]
 # Tells whether an answer belongs to the request that was sent.
 Belongs = Callable[[Answer], bool]
 
 
-class Exchange:
-    """A request on its way."""
+class Exchange(exchanges.Exchange):
+    """A request, its bytes and the test of its answer."""
 
-    __slots__ = ("_done", "belongs", "connection", "data", "timer")
+    __slots__ = ("belongs", "connection", "data")
 
     def __init__(self, data: bytes, done: Done, belongs: Belongs) -> None:
         """Creates an exchange that calls `done` once."""
+        super().__init__(done)
         self.data = data
         self.belongs = belongs
         self.connection: _Connection | None = None
-        self.timer: scheduler.Timer | None = None
-        self._done: Done | None = done
-
-    @property
-    def finished(self) -> bool:
-        """Whether `done` has been called."""
-        return self._done is None
-
-    def finish(self, outcome: result.Result[Answer, Failure]) -> None:
-        """Hands the outcome over, the first time."""
-        done = self._done
-        self._done = None
-        if self.timer is not None:
-            self.timer.cancel()
-        if done is not None:
-            done(outcome)
 
 
 class Link:
@@ -143,22 +102,26 @@
         exchange = Exchange(data, done, belongs)
         connection = self._take() or self._connect()
         if connection is None:
-            exchange.finish(result.Failure(Failure(Cause.UNREACHABLE, False)))
+            exchange.finish(
+                result.Failure(
+                    exchanges.Failure(exchanges.Cause.UNREACHABLE, False)
+                )
+            )
             return exchange
         exchange.timer = self.timers.after(
-            timeout, lambda: self._give_up(exchange, Cause.TIMEOUT)
+            timeout, lambda: self._give_up(exchange, exchanges.Cause.TIMEOUT)
         )
         connection.begin(exchange)
         return exchange
 
     def cancel(self, exchange: Exchange) -> None:
         """Gives an exchange up by closing its connection."""
-        self._give_up(exchange, Cause.CANCELLED)
+        self._give_up(exchange, exchanges.Cause.CANCELLED)
 
     def close(self) -> None:
         """Closes all connections."""
         for connection in list(self._open):
-            connection.lose(Cause.CLOSED)
+            connection.lose(exchanges.Cause.CLOSED)
 
     def released(self, connection: "_Connection") -> None:
         """Takes a connection back that may be used again."""
@@ -188,7 +151,7 @@
         self._open.add(connection)
         return connection
 
-    def _give_up(self, exchange: Exchange, cause: Cause) -> None:
+    def _give_up(self, exchange: Exchange, cause: exchanges.Cause) -> None:
         if exchange.finished:
             return
         if exchange.connection is not None:
@@ -226,7 +189,7 @@
         exchange.connection = self
         self._received = False
         if not self._writer.write(exchange.data):
-            self.lose(Cause.CLOSED)
+            self.lose(exchanges.Cause.CLOSED)
 
     # The parser's callbacks.
 
@@ -258,12 +221,16 @@
         if flags & (sockets.READABLE | sockets.BROKEN):
             self._read()
 
-    def _cause(self) -> Cause:
+    def _cause(self) -> exchanges.Cause:
         if self._writer.refused:
-            return Cause.REFUSED
+            return exchanges.Cause.REFUSED
         if not self._writer.connected:
-            return Cause.UNREACHABLE
-        return Cause.TRUNCATED if self._received else Cause.CLOSED
+            return exchanges.Cause.UNREACHABLE
+        return (
+            exchanges.Cause.TRUNCATED
+            if self._received
+            else exchanges.Cause.CLOSED
+        )
 
     def _read(self) -> None:
         try:
@@ -290,7 +257,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._odd = True
             if self._exchange is not None:
-                self.lose(Cause.MALFORMED)
+                self.lose(exchanges.Cause.MALFORMED)
                 return
         self._settle()
 
@@ -302,7 +269,11 @@
             if self._exchange is None:
                 self._settle()
                 return
-        self.lose(Cause.TRUNCATED if self._received else Cause.CLOSED)
+        self.lose(
+            exchanges.Cause.TRUNCATED
+            if self._received
+            else exchanges.Cause.CLOSED
+        )
 
     def _finish(self) -> None:
         """Takes a whole answer, if it is the one waited for."""
@@ -347,14 +318,14 @@
             exchange, answer = answered
             exchange.finish(result.Success(answer))
 
-    def lose(self, cause: Cause) -> None:
+    def lose(self, cause: exchanges.Cause) -> None:
         """Closes the connection, and fails its exchange."""
         exchange = self._exchange
         self._exchange = None
         sent = self._writer.connected
         self.close()
         if exchange is not None:
-            exchange.finish(result.Failure(Failure(cause, sent)))
+            exchange.finish(result.Failure(exchanges.Failure(cause, sent)))
 
     def close(self) -> None:
         """Closes the connection at once."""
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -10,7 +10,7 @@
 from returns import result
 
 from tamarackgap import logs
-from tamarackgap.network import httplink, scheduler, sockets
+from tamarackgap.network import exchanges, httplink, scheduler, sockets
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
 from tamarackgap.platform import names, operators
@@ -191,12 +191,12 @@
         )
 
         def counted(
-            outcome: result.Result[httplink.Answer, httplink.Failure],
+            outcome: result.Result[httplink.Answer, exchanges.Failure],
         ) -> None:
             match outcome:
                 case result.Success(httplink.Answer(status=status)):
                     name = f"{kind} {status}"
-                case result.Failure(httplink.Failure(cause=cause)):
+                case result.Failure(exchanges.Failure(cause=cause)):
                     name = f"{kind} {cause.value}"
                 case _:
                     raise AssertionError(outcome)
@@ -261,13 +261,13 @@
         take: Callable[[httplink.Answer], bool],
     ) -> None:
         def done(
-            outcome: result.Result[httplink.Answer, httplink.Failure],
+            outcome: result.Result[httplink.Answer, exchanges.Failure],
         ) -> None:
             match outcome:
                 case result.Success(httplink.Answer() as answer):
                     if not take(answer):
                         self._fail(f"status {answer.status}")
-                case result.Failure(httplink.Failure(cause=cause)):
+                case result.Failure(exchanges.Failure(cause=cause)):
                     self._fail(cause.value)
 
         self._store.call("GET", path, b"", timeout, done)
@@ -367,7 +367,7 @@
 def _committed(
     transaction: records.Transaction,
     done: Callable[[effects.CommitState, list[records.Row]], None],
-    outcome: result.Result[httplink.Answer, httplink.Failure],
+    outcome: result.Result[httplink.Answer, exchanges.Failure],
 ) -> None:
     match outcome:
         case result.Success(httplink.Answer(status=status) as answer):
@@ -383,7 +383,7 @@
                 done(effects.CommitState.CONFLICT, _current(transaction, page))
                 return
             logs.event("commit_unknown", status=status)
-        case result.Failure(httplink.Failure(cause=cause)):
+        case result.Failure(exchanges.Failure(cause=cause)):
             logs.event("commit_unknown", cause=cause.value)
     done(effects.CommitState.UNKNOWN, [])
 
--- a/tamarackgap/processes/daemon.py
+++ b/tamarackgap/processes/daemon.py
@@ -14,6 +14,7 @@
 from tamarackgap.network import httpclient, scheduler
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import messages, peers
+from tamarackgap.processes import protocol
 from tamarackgap.requests import (
     entry,
     granting,
@@ -38,25 +39,6 @@
 _LEAVE_LIMIT_S = 10.0
 _SUSPECTS_KEPT_S = 600.0
 _SUSPECTS_LIMIT = 10_000
-_MILLIONTHS = 1_000_000
-
-
-def ownership_settings(settings: config.Config) -> effects.Settings:
-    """Returns what the ownership protocol needs of the settings."""
-    return effects.Settings(
-        service=settings.daemon_service,
-        daemon=settings.daemon_name,
-        data_centre=settings.daemon_data_centre,
-        peer_address=settings.daemon_peer_address,
-        http_address=settings.daemon_http_address,
-        slot_count=settings.ownership_slots,
-        lease=settings.ownership_lease / 1000,
-        linger=settings.ownership_linger / 1000,
-        drift=settings.ownership_drift / _MILLIONTHS,
-        witnesses=settings.ownership_witnesses,
-        settle=settings.ownership_settle / 1000,
-        batch=settings.ownership_batch,
-    )
 
 
 class Daemon(circuits.Component):
@@ -88,7 +70,10 @@
             settings.requests_answer,
         )
         self._core = ownership.Ownership(
-            ownership_settings(settings), self._rng, self._busy, clock()
+            protocol.ownership_settings(settings),
+            self._rng,
+            self._busy,
+            clock(),
         )
         self._peers = peers.Peers(
             self._poller,
--- /dev/null
+++ b/tamarackgap/processes/protocol.py
@@ -0,0 +1,24 @@
+"""What the ownership protocol is told of a process's settings."""
+
+from tamarackgap.ownership import effects
+from tamarackgap.settings import config
+
+_MILLIONTHS = 1_000_000
+
+
+def ownership_settings(settings: config.Config) -> effects.Settings:
+    """Returns what the ownership protocol needs of the settings."""
+    return effects.Settings(
+        service=settings.daemon_service,
+        daemon=settings.daemon_name,
+        data_centre=settings.daemon_data_centre,
+        peer_address=settings.daemon_peer_address,
+        http_address=settings.daemon_http_address,
+        slot_count=settings.ownership_slots,
+        lease=settings.ownership_lease / 1000,
+        linger=settings.ownership_linger / 1000,
+        drift=settings.ownership_drift / _MILLIONTHS,
+        witnesses=settings.ownership_witnesses,
+        settle=settings.ownership_settle / 1000,
+        batch=settings.ownership_batch,
+    )
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -13,10 +13,11 @@
 from returns import result
 
 from tamarackgap import logs, metrics, types
-from tamarackgap.network import door, httplink, scheduler, sockets
+from tamarackgap.network import door, exchanges, httplink, scheduler, sockets
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import calls, messages, peers
 from tamarackgap.placement import records
+from tamarackgap.processes import protocol
 from tamarackgap.requests import retries
 from tamarackgap.settings import config
 from tamarackgap.traffic import (
@@ -61,7 +62,6 @@
 _BAD = 400
 _UNAVAILABLE = 503
 _RETRY_S = b"0.2"
-_MILLIONTHS = 1_000_000
 
 
 def now() -> float:
@@ -365,14 +365,14 @@
         done: Callable[[keyholds.Ordered], None],
     ) -> None:
         def answered(
-            outcome: result.Result[httplink.Answer, httplink.Failure],
+            outcome: result.Result[httplink.Answer, exchanges.Failure],
         ) -> None:
             match outcome:
                 case result.Success(httplink.Answer() as answer):
                     done(self._outside.judge_order(answer))
-                case result.Failure(httplink.Failure(cause=cause)):
+                case result.Failure(exchanges.Failure(cause=cause)):
                     logs.event("order_unanswered", cause=cause.value)
-                    if cause is httplink.Cause.REFUSED:
+                    if cause is exchanges.Cause.REFUSED:
                         self._target_refused()
                     done(keyholds.Ordered(False))
 
@@ -683,19 +683,10 @@
 
 
 def _ownership_settings(settings: config.Config) -> effects.Settings:
-    return effects.Settings(
-        service=settings.daemon_service,
-        daemon=settings.daemon_name,
-        data_centre=settings.daemon_data_centre,
-        peer_address=settings.daemon_peer_address,
-        http_address=settings.daemon_http_address,
-        slot_count=settings.ownership_slots,
-        lease=settings.ownership_lease / 1000,
+    return msgspec.structs.replace(
+        protocol.ownership_settings(settings),
+        # Targets enforce the end of their holds themselves.
         linger=0.0,
-        drift=settings.ownership_drift / _MILLIONTHS,
-        witnesses=settings.ownership_witnesses,
-        settle=settings.ownership_settle / 1000,
-        batch=settings.ownership_batch,
         ordered=True,
         half_life=_LOAD_HALF_LIFE_S,
         unsettled=_LOAD_UNSETTLED_S,
--- a/tamarackgap/requests/target.py
+++ b/tamarackgap/requests/target.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from tamarackgap import logs, types, verdicts
-from tamarackgap.network import httpclient, scheduler
+from tamarackgap.network import exchanges, httpclient, scheduler
 from tamarackgap.peers import messages
 from tamarackgap.placement import slots
 from tamarackgap.settings import config
@@ -241,7 +241,7 @@
         )
 
     def _judge(
-        self, outcome: result.Result[httpclient.Answer, httpclient.Failure]
+        self, outcome: result.Result[httpclient.Answer, exchanges.Failure]
     ) -> verdicts.Result:
         match outcome:
             case result.Success(httpclient.Answer() as answer):
@@ -252,12 +252,12 @@
                     answer.headers.get("content-type", ""),
                     answer.body,
                 )
-            case result.Failure(httpclient.Failure() as failure):
+            case result.Failure(exchanges.Failure() as failure):
                 return self._judge_failure(failure)
         raise AssertionError(outcome)
 
-    def _judge_failure(self, failure: httpclient.Failure) -> verdicts.Result:
-        if failure.cause is httpclient.Cause.UNREACHABLE:
+    def _judge_failure(self, failure: exchanges.Failure) -> verdicts.Result:
+        if failure.cause is exchanges.Cause.UNREACHABLE:
             self.lost()
         if not failure.sent:
             return verdicts.not_run(types.Reason.TARGET_ABSENT)
@@ -279,13 +279,13 @@
 
 
 _REASONS = {
-    httpclient.Cause.UNREACHABLE: types.Reason.TARGET_ABSENT,
-    httpclient.Cause.CLOSED: types.Reason.TARGET_FAILED,
-    httpclient.Cause.TIMEOUT: types.Reason.NO_ANSWER,
-    httpclient.Cause.TRUNCATED: types.Reason.ANSWER_TRUNCATED,
-    httpclient.Cause.MALFORMED: types.Reason.TARGET_FAILED,
-    httpclient.Cause.TOO_LARGE: types.Reason.ANSWER_TOO_LARGE,
-    httpclient.Cause.CANCELLED: types.Reason.NO_ANSWER,
+    exchanges.Cause.UNREACHABLE: types.Reason.TARGET_ABSENT,
+    exchanges.Cause.CLOSED: types.Reason.TARGET_FAILED,
+    exchanges.Cause.TIMEOUT: types.Reason.NO_ANSWER,
+    exchanges.Cause.TRUNCATED: types.Reason.ANSWER_TRUNCATED,
+    exchanges.Cause.MALFORMED: types.Reason.TARGET_FAILED,
+    exchanges.Cause.TOO_LARGE: types.Reason.ANSWER_TOO_LARGE,
+    exchanges.Cause.CANCELLED: types.Reason.NO_ANSWER,
 }
 
 
--- a/tamarackgap/table/tableclient.py
+++ b/tamarackgap/table/tableclient.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns import result
 
-from tamarackgap.network import httpclient
+from tamarackgap.network import exchanges, httpclient
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
 
@@ -66,7 +66,7 @@
         self.reads += 1
 
         def answered(
-            outcome: result.Result[httpclient.Answer, httpclient.Failure],
+            outcome: result.Result[httpclient.Answer, exchanges.Failure],
         ) -> None:
             done(outcome.alt(_cause).bind(_changes))
 
@@ -81,7 +81,7 @@
         self.writes += 1
 
         def answered(
-            outcome: result.Result[httpclient.Answer, httpclient.Failure],
+            outcome: result.Result[httpclient.Answer, exchanges.Failure],
         ) -> None:
             found = outcome.alt(_cause).bind(_outcome)
             match found:
@@ -113,7 +113,7 @@
     return effects.CommitState.CONFLICT
 
 
-def _cause(failure: httpclient.Failure) -> str:
+def _cause(failure: exchanges.Failure) -> str:
     return failure.cause.value
 
 
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from tamarackgap import logs, types
-from tamarackgap.network import httplink, scheduler
+from tamarackgap.network import exchanges, httplink, scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls
 from tamarackgap.placement import heat, slots
@@ -291,7 +291,7 @@
     def _ran(
         self,
         leg: Leg,
-        outcome: result.Result[httplink.Answer, httplink.Failure],
+        outcome: result.Result[httplink.Answer, exchanges.Failure],
     ) -> None:
         now = self._timers.now
         worked: float | None = None
@@ -306,7 +306,7 @@
                 elif completion.verdict is types.Verdict.NOT_RUN:
                     self._admission.turned_away()
                     self._holds.doubt()
-            case result.Failure(httplink.Failure() as failure):
+            case result.Failure(exchanges.Failure() as failure):
                 completion = self._failed(leg, failure)
             case _:
                 raise AssertionError(outcome)
@@ -315,10 +315,10 @@
         self._finish(leg, completion)
         self._admission.finished(worked, leg.dispatch.aim, now)
 
-    def _failed(self, leg: Leg, failure: httplink.Failure) -> calls.Completion:
-        if failure.cause is httplink.Cause.CLOSED and failure.sent:
+    def _failed(self, leg: Leg, failure: exchanges.Failure) -> calls.Completion:
+        if failure.cause is exchanges.Cause.CLOSED and failure.sent:
             self._note_broken(leg)
-        if failure.cause is httplink.Cause.REFUSED:
+        if failure.cause is exchanges.Cause.REFUSED:
             self._lost()
         if not failure.sent:
             return calls.Completion(
@@ -387,13 +387,13 @@
 
 
 _REASONS = {
-    httplink.Cause.REFUSED: types.Reason.TARGET_ABSENT,
-    httplink.Cause.UNREACHABLE: types.Reason.TARGET_ABSENT,
-    httplink.Cause.CLOSED: types.Reason.TARGET_FAILED,
-    httplink.Cause.TIMEOUT: types.Reason.NO_ANSWER,
-    httplink.Cause.TRUNCATED: types.Reason.ANSWER_TRUNCATED,
-    httplink.Cause.MALFORMED: types.Reason.TARGET_FAILED,
-    httplink.Cause.CANCELLED: types.Reason.NO_ANSWER,
+    exchanges.Cause.REFUSED: types.Reason.TARGET_ABSENT,
+    exchanges.Cause.UNREACHABLE: types.Reason.TARGET_ABSENT,
+    exchanges.Cause.CLOSED: types.Reason.TARGET_FAILED,
+    exchanges.Cause.TIMEOUT: types.Reason.NO_ANSWER,
+    exchanges.Cause.TRUNCATED: types.Reason.ANSWER_TRUNCATED,
+    exchanges.Cause.MALFORMED: types.Reason.TARGET_FAILED,
+    exchanges.Cause.CANCELLED: types.Reason.NO_ANSWER,
 }
 
 
