--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -1,5 +1,6 @@
 """Cost of a request: entry and owner, beside a bare handler."""
 
+import contextlib
 import http.client
 import pathlib
 import subprocess
@@ -7,6 +8,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Iterator
 
 from bench import process, recovery, table
 from demo import cluster, deployments
@@ -106,27 +108,32 @@
     return float(line.rpartition(" ")[2])
 
 
-def run_router(quick: bool) -> None:
-    """Measures the router's entry and owner side beside a bare handler."""
-    seconds = 2.0 if quick else 8.0
+@contextlib.contextmanager
+def _bare_handler() -> Iterator[int]:
+    """Runs the bare handler; gives its process id."""
     bare = subprocess.Popen(
         [sys.executable, "-m", "bench.bare", _BARE], stdout=subprocess.DEVNULL
     )
-    rows = []
     try:
-        with tempfile.TemporaryDirectory() as folder:
-            found = site.Site(
-                pathlib.Path(folder),
-                [("entry", "money", True), ("owner", "seats", False)],
-            )
-            try:
-                found.start()
-                rows = _router_paths(found, bare.pid, seconds)
-            finally:
-                found.stop()
+        yield bare.pid
     finally:
         bare.kill()
         bare.wait()
+
+
+def run_router(quick: bool) -> None:
+    """Measures the router's entry and owner side beside a bare handler."""
+    seconds = 2.0 if quick else 8.0
+    with _bare_handler() as bare, tempfile.TemporaryDirectory() as folder:
+        found = site.Site(
+            pathlib.Path(folder),
+            [("entry", "money", True), ("owner", "seats", False)],
+        )
+        try:
+            found.start()
+            rows = _router_paths(found, bare, seconds)
+        finally:
+            found.stop()
     table.show("routerpath", rows)
 
 
@@ -179,15 +186,11 @@
 def run(quick: bool) -> None:
     """Measures each path alone, then the entry at its limit."""
     seconds = 2.0 if quick else 8.0
-    bare = subprocess.Popen(
-        [sys.executable, "-m", "bench.bare", _BARE], stdout=subprocess.DEVNULL
-    )
-    try:
-        with cluster.deployed(_PLAN, _BASE_PORT, work_ms=0.0) as running:
-            rows = _paths(running, bare.pid, seconds)
-    finally:
-        bare.kill()
-        bare.wait()
+    with (
+        _bare_handler() as bare,
+        cluster.deployed(_PLAN, _BASE_PORT, work_ms=0.0) as running,
+    ):
+        rows = _paths(running, bare, seconds)
     table.show("datapath", rows)
 
 
--- a/bench/journal.py
+++ b/bench/journal.py
@@ -104,7 +104,7 @@
         lines.append(
             f"| {site} | score, {begun} | all | {entry.score:.2f} | | | | |"
         )
-        lines += [_row(site, "", day) for day in entry.days]
+        lines += [_row(site, day) for day in entry.days]
     for entry in found:
         if entry.cmd == "hunt" and entry.ok:
             broken = [day for day in entry.days if day.rules]
@@ -113,17 +113,17 @@
                 f"| {entry.site} | hunt, {begun} | {len(entry.days)} days "
                 f"| | | | {len(broken)} days | |"
             )
-            lines += [_row(entry.site, "", day) for day in broken]
+            lines += [_row(entry.site, day) for day in broken]
     return "\n".join(lines) + "\n"
 
 
-def _row(site: str, run: str, day: Day) -> str:
+def _row(site: str, day: Day) -> str:
     rules = ", ".join(f"{rule} {n:g}" for rule, n in day.rules.items())
     score = "" if day.score is None else f"{day.score:.2f}"
     worth = "" if day.G is None else f"{day.G:.3f}"
     served = "" if day.served is None else f"{day.served:.3f}"
     return (
-        f"| {site} | {run} | {day.name} | {score} | {worth} | {served} "
+        f"| {site} |  | {day.name} | {score} | {worth} | {served} "
         f"| {rules} | {day.binds} |"
     )
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -169,6 +169,19 @@
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
         self.places = [Place(self, *place) for place in places]
 
+    def works(self):
+        """Returns whether all daemons are ready and serve everything."""
+        if not all(place.is_ready() for place in self.places):
+            return False
+        return all(
+            call(place, "money.example", "/pay", key=key)[0] == 200
+            for place in self.places
+            for key in (0, 20_000, 40_000, 65_535)
+        ) and all(
+            call(place, "seats.example", "/browse/x")[0] == 200
+            for place in self.places
+        )
+
     def is_quiet(self):
         """Returns whether nothing has been written for a while."""
         count = self.store.writes
@@ -201,6 +214,19 @@
         self._server.server_close()
 
 
+@contextlib.contextmanager
+def running(folder, places, ready_s):
+    """Runs a site; raises TimeoutError if it does not work in time."""
+    found = Site(folder, places)
+    found.start()
+    try:
+        if not wait(ready_s, found.works):
+            raise TimeoutError("the site does not serve everything")
+        yield found
+    finally:
+        found.stop()
+
+
 def ask(address, method, path, headers=None, body=None, timeout=5):
     """Returns status, headers and body of a request."""
     connection = http.client.HTTPConnection(address, timeout=timeout)
--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -97,6 +97,16 @@
     return b"".join(head)
 
 
+def encode_json(method: str, path: str, host: str, body: bytes) -> bytes:
+    """Returns the bytes of a request with a JSON body."""
+    head = (
+        f"{method} {path} HTTP/1.1\r\nhost: {host}\r\n"
+        f"content-type: application/json\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    return head.encode("ascii") + body
+
+
 def belongs(request: str, answer: httplink.Answer) -> bool:
     """Returns whether an answer is the one to a request.
 
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -4,7 +4,7 @@
 
 from tamarackgap import logs
 from tamarackgap.network import door, httplink
-from tamarackgap.platform import names
+from tamarackgap.platform import names, requests
 from tamarackgap.traffic import beside, keyholds
 
 _OK = 200
@@ -88,12 +88,7 @@
             body = msgspec.json.encode(
                 _ReleaseBody(order.first, order.last, order.fence)
             )
-    head = (
-        f"POST {path} HTTP/1.1\r\nhost: target\r\n"
-        f"content-type: application/json\r\n"
-        f"content-length: {len(body)}\r\n\r\n"
-    )
-    return head.encode("ascii") + body
+    return requests.encode_json("POST", path, "target", body)
 
 
 def judge_order(answer: httplink.Answer) -> keyholds.Ordered:
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -13,7 +13,7 @@
 from tamarackgap.network import exchanges, httplink, scheduler, sockets
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
-from tamarackgap.platform import names, operators
+from tamarackgap.platform import names, operators, requests
 from tamarackgap.traffic import routetable
 
 _IDLE_S = 20.0
@@ -184,11 +184,7 @@
     ) -> httplink.Exchange:
         """Makes a call."""
         kind = path.partition("?")[0]
-        head = (
-            f"{method} {path} HTTP/1.1\r\nhost: {self._address}\r\n"
-            f"content-type: application/json\r\n"
-            f"content-length: {len(body)}\r\n\r\n"
-        )
+        data = requests.encode_json(method, path, self._address, body)
 
         def counted(
             outcome: result.Result[httplink.Answer, exchanges.Failure],
@@ -203,7 +199,7 @@
             self._counts[name] = self._counts.get(name, 0) + 1
             done(outcome)
 
-        return self._link.send(head.encode("ascii") + body, timeout, counted)
+        return self._link.send(data, timeout, counted)
 
     @property
     def timers(self) -> scheduler.Scheduler:
--- a/tamarackgap/requests/suspects.py
+++ b/tamarackgap/requests/suspects.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+from collections.abc import Iterable
 
 import msgspec
 import xxhash
@@ -24,16 +25,23 @@
     until: float
 
 
+def digest(parts: Iterable[str], body: bytes) -> str:
+    """Returns a hash of parts and a body that tells where each part ends."""
+    found = xxhash.xxh3_128()
+    for part in parts:
+        data = part.encode("utf-8", "surrogateescape")
+        found.update(len(data).to_bytes(4, "big"))
+        found.update(data)
+    found.update(body)
+    return found.hexdigest()
+
+
 def fingerprint(forward: messages.Forward) -> str:
     """Returns a hash of what a request asks for, whatever its id."""
-    digest = xxhash.xxh3_128()
-    parts = (forward.service, forward.method, forward.path, forward.key)
-    for part in parts:
-        data = part.encode("utf-8")
-        digest.update(len(data).to_bytes(4, "big"))
-        digest.update(data)
-    digest.update(forward.body)
-    return digest.hexdigest()
+    return digest(
+        (forward.service, forward.method, forward.path, forward.key),
+        forward.body,
+    )
 
 
 class Suspects:
--- a/tamarackgap/traffic/crashes.py
+++ b/tamarackgap/traffic/crashes.py
@@ -8,10 +8,10 @@
 import collections
 
 import msgspec
-import xxhash
 
 from tamarackgap import types
 from tamarackgap.peers import calls
+from tamarackgap.requests import suspects
 
 # One crash may have any cause; a content that was there when two targets
 # crashed, one after the other, is not sent again.
@@ -34,14 +34,10 @@
 
 def fingerprint(service: types.ServiceName, call: calls.Call) -> str:
     """Returns a hash of what a call asks for, whatever its id."""
-    digest = xxhash.xxh3_128()
-    for part in (service, call.origin, call.method, call.target):
-        data = part.encode("utf-8", "surrogateescape")
-        digest.update(len(data).to_bytes(4, "big"))
-        digest.update(data)
-    digest.update(str(call.position).encode())
-    digest.update(call.body)
-    return digest.hexdigest()
+    position = str(call.position)
+    return suspects.digest(
+        (service, call.origin, call.method, call.target, position), call.body
+    )
 
 
 class Crashes:
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -250,7 +250,7 @@
         return refusal
 
     def _barred(self, dispatch: calls.Dispatch, now: float) -> bool:
-        content = crashes.fingerprint(dispatch.service, dispatch.call)
+        content = _content(dispatch)
         return self._crashes.barred_for(content, now) > 0
 
     def _slot(self, dispatch: calls.Dispatch) -> types.Slot:
@@ -334,15 +334,12 @@
 
     def _note_broken(self, leg: Leg) -> None:
         now = self._timers.now
-        dispatch = leg.dispatch
-        content = crashes.fingerprint(dispatch.service, dispatch.call)
         since = now - _CRASH_SEEN_S
         self._broken = [run for run in self._broken if run[2] >= since]
-        self._broken.append((content, leg.begun, now))
+        self._broken.append((_content(leg.dispatch), leg.begun, now))
 
     def _clear(self, leg: Leg) -> None:
-        dispatch = leg.dispatch
-        content = crashes.fingerprint(dispatch.service, dispatch.call)
+        content = _content(leg.dispatch)
         if self._crashes.clear(content):
             self.cleared(content)
 
@@ -397,6 +394,10 @@
 }
 
 
+def _content(dispatch: calls.Dispatch) -> str:
+    return crashes.fingerprint(dispatch.service, dispatch.call)
+
+
 def _forget(content: str) -> None:
     del content
 
--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -16,7 +16,7 @@
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
-    found = site_lib.Site(
+    with site_lib.running(
         tmp_path_factory.mktemp("site"),
         [
             ("north", "seats", False),
@@ -24,21 +24,9 @@
             ("east", "money", True),
             ("west", "money", True),
         ],
-    )
-    found.start()
-    try:
-        assert site_lib.wait(READY_S, lambda: _works(found))
+        READY_S,
+    ) as found:
         yield found
-    finally:
-        found.stop()
-
-
-def _works(site):
-    return all(place.is_ready() for place in site.places) and all(
-        site_lib.call(place, "money.example", "/pay", key=key)[0] == 200
-        for place in site.places
-        for key in (0, 20_000, 40_000, 65_535)
-    )
 
 
 def _section(title):
@@ -154,4 +142,4 @@
         }
     finally:
         owner.start()
-    assert site_lib.wait(READY_S, lambda: _works(site))
+    assert site_lib.wait(READY_S, site.works)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -18,7 +18,7 @@
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
-    found = site_lib.Site(
+    with site_lib.running(
         tmp_path_factory.mktemp("site"),
         [
             ("north", "seats", False),
@@ -27,26 +27,9 @@
             ("west", "money", True),
             ("centre", "money", True),
         ],
-    )
-    found.start()
-    try:
-        assert site_lib.wait(READY_S, lambda: _works(found))
+        READY_S,
+    ) as found:
         yield found
-    finally:
-        found.stop()
-
-
-def _works(site):
-    if not all(place.is_ready() for place in site.places):
-        return False
-    return all(
-        site_lib.call(place, "money.example", "/pay", key=key)[0] == 200
-        for place in site.places
-        for key in (0, 20_000, 40_000, 65_535)
-    ) and all(
-        site_lib.call(place, "seats.example", "/browse/x")[0] == 200
-        for place in site.places
-    )
 
 
 def _runs(site, request):
@@ -250,14 +233,14 @@
         place.kill()
     for place in site.places:
         place.start()
-    assert site_lib.wait(READY_S, lambda: _works(site))
+    assert site_lib.wait(READY_S, site.works)
 
 
 def test_a_server_that_starts_anew_is_used_again(site):
     place = site.places[3]
     place.server.stop()
     place.start_server()
-    assert site_lib.wait(READY_S, lambda: _works(site))
+    assert site_lib.wait(READY_S, site.works)
     assert site_lib.wait(
         READY_S,
         lambda: any(place.server.holds(key) for key in range(0, 65_536, 500)),
@@ -276,7 +259,7 @@
             if place.server not in lives:
                 lives.append(place.server)
             place.server.deadly = path
-        return _works(site)
+        return site.works()
 
     def crashes():
         return sum(life.ended for life in lives)
@@ -331,7 +314,7 @@
         site.store.silent = False
         place.server.stop()
         place.start_server()
-    assert site_lib.wait(READY_S, lambda: _works(site))
+    assert site_lib.wait(READY_S, site.works)
 
 
 def test_lost_history_is_read_anew(site):
