Slots whose hand-off was cut short are granted again under the next lease

From its logs: a target started anew while it was releasing slots that were to move; the daemon gave its lease up, took the slots again under the next one, and refused them with 'slot-moving' from then on. What it remembered as being released was only cleared by the end of the move, which a lost lease does not bring, nor a give-up. Change: a lost lease ends its hand-off, giving up forgets what was released, and a late answer to an earlier hand-off is not taken for the present one. Two tests failed first.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -83,6 +83,8 @@
         # Up to when what the table says is known here, seconds.
         self._read_as_of = now
         self._witnessing: witnessing.Witnessing | None = None
+        self._moving: frozenset[int] = frozenset()
+        self._hand_off: planner.HandOff | None = None
         self._former = former.Former()
         self._silence = silence.Silence()
         self._rejoin_until = now
@@ -117,12 +119,11 @@
         )
         self._renewal.lateness = late
         self._owned: dict[int, effects.Owned] = {}
-        self._moving: frozenset[int] = frozenset()
         self._pending: changes.Change | None = None
         self._commit_at = 0.0
         self._intent: planner.Intent | None = None
         self._prepare_until = 0.0
-        self._hand_off: planner.HandOff | None = None
+        self._end_hand_off()
         self._changed_at = now
         self._sharing = loads.Sharing(
             self._settings, self._view, self._outbox, self._rng, now
@@ -192,6 +193,11 @@
         """The transaction whose outcome is awaited, if any."""
         return self._pending
 
+    @property
+    def is_handing_off(self) -> bool:
+        """Whether the target is releasing slots that are to move."""
+        return self._hand_off is not None
+
     @property
     def read_as_of(self) -> float:
         """Up to when what the table says is known here, seconds."""
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -104,6 +104,8 @@
         # When keys that were to move are given up instead, seconds.
         self._give_up_at = 0.0
         self._stopped = False
+        # Hand-offs begun and ended, to tell which one an answer is of.
+        self._hand_offs = 0
         self._started = now()
 
     def begin(self, outside: boundary.Boundary) -> None:
@@ -540,12 +542,16 @@
         self._holds.renew()
 
     def _hand_off(self, moving: frozenset[int]) -> None:
+        self._hand_offs += 1
         if not moving:
             self._holds.released()
             return
+        number = self._hand_offs
 
         def released(handovers: dict) -> None:
-            self._core.handed_off(handovers)
+            # An earlier one may end when the lease was lost meanwhile.
+            if number == self._hand_offs:
+                self._core.handed_off(handovers)
 
         self._holds.release(moving, released)
 
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -191,6 +191,7 @@
     def begin_anew(self) -> None:
         """Grants again: the lease under which keys were given up is over."""
         self._stopped = False
+        self._releasing = frozenset()
         self.forget()
 
     def doubt(self) -> None:
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -479,6 +479,23 @@
     assert not subject.double
 
 
+def test_a_lease_that_is_lost_ends_a_hand_off():
+    # The slots stayed out of use under the next lease: a target had started
+    # anew before it had released them.
+    subject = world.World(seed=10, ordered=True)
+    subject.deploy(4)
+    assert subject.run(20, subject.settled) is not None
+    node = subject.nodes["seats-0"]
+    subject.targets_release = False
+    node.core.accept(False)
+    subject.run(1)
+    assert node.core.is_handing_off
+    node.core.take_effects()
+    node.core.release(node.clock(subject.now))
+    assert not node.core.is_handing_off
+    assert effects.HandOff(frozenset()) in node.core.take_effects()
+
+
 def test_slots_that_must_stay_are_not_given_away():
     subject = world.World(seed=9, ordered=True)
     subject.deploy(4)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -59,6 +59,8 @@
         self.lose_answers = 0.0
         self.table_delay = 0.002
         self.drop = 0.0
+        # Whether targets release slots that are to move.
+        self.targets_release = True
         self.max_delay = 0.004
         self.nodes = {}
         self.settings = settings
@@ -195,7 +197,7 @@
             case effects.Refresh():
                 node.read_at = self.now
             case effects.HandOff(moving=moving):
-                if moving:
+                if moving and self.targets_release:
                     node.core.handed_off({})
 
     def _send(self, node, address, frame):
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -194,6 +194,23 @@
     assert fences == [9 * keyholds.FENCE_STEP]
 
 
+def test_slots_that_were_given_up_are_granted_under_the_next_lease(subject):
+    timers, core, target, holds = subject
+    core.own(0, 9, 1)
+    holds.renew()
+    target.answer()
+    holds.give_up(lambda: None)
+    target.answer()
+    core.owned.clear()
+    core.slots_version += 1
+    holds.begin_anew()
+    core.own(4, 5, 9)
+    holds.renew()
+    (grant,) = target.answer()
+    assert grant.fence == 9 * keyholds.FENCE_STEP
+    assert holds.held(4, timers.now)
+
+
 def test_a_slot_is_confirmed_by_an_answer_only(subject):
     # A grant without an answer was carried out after the slot had moved, and
     # the target took it under a fence that was passed: OWNER in a hunt.
