A refusal's log line tells the queue as it was when that was decided

The call that was refused last had been taken out of the queue before its line was written, so the line told the queue afterwards, not the input of the decision. Ruled out: the queue itself (there were 32 calls for 8 slots); the test's bound. Change: the queue says with each refusal what it rested on (likely wait, usual work, running, waiting with itself); the line adds these and what was left. Conclusion: the check stays and also asks that wait and work exceed half of what was left.

--- a/bench/loads.py
+++ b/bench/loads.py
@@ -135,7 +135,9 @@
     def sweep(self, now: float) -> None:
         """Refuses what is past its deadline."""
         while self._queue and self._queue[0].deadline <= now:
-            self._queue.popleft().refuse(0.1)
+            self._queue.popleft().refuse(
+                admission.Refusal(0.1, 0.0, 0.0, self.running, len(self._queue))
+            )
 
     def pump(self, now: float) -> None:
         """Starts calls while there are slots."""
@@ -230,10 +232,10 @@
             else:
                 self.tally.refused += 1
 
-        def refuse(advice: float) -> None:
+        def refuse(refusal: admission.Refusal) -> None:
             self.tally.held.append(self._now - came)
             if returns:
-                again = self._now + max(0.05, advice)
+                again = self._now + max(0.05, refusal.retry_after)
                 self._at(again, lambda: self._ask(kind, first, returns - 1))
             else:
                 self.tally.refused += 1
--- a/tamarackgap/traffic/admission.py
+++ b/tamarackgap/traffic/admission.py
@@ -42,6 +42,25 @@
 _LATE_SHARE = 0.6
 
 
+class Refusal(msgspec.Struct, frozen=True):
+    """Why a call is not run, as things stood when that was decided.
+
+    Attributes:
+        retry_after: When there is likely to be room, seconds from then.
+        wait: How long it would have waited, seconds; infinite where there is
+            no target.
+        work: How long the target usually takes for such a call, seconds.
+        running: Calls at the target.
+        waiting: Calls in the queue, this one included.
+    """
+
+    retry_after: float
+    wait: float
+    work: float
+    running: int
+    waiting: int
+
+
 class Waiting(msgspec.Struct, frozen=True, eq=False):
     """A call that waits for one of the target's slots.
 
@@ -52,8 +71,7 @@
         due: When an answer is no longer of full use, seconds.
         deadline: When its answer is of no more use, seconds.
         start: Called when its turn comes.
-        refuse: Called with advice on when to come back, seconds, if its
-            turn can't come in time.
+        refuse: Called with the reason, if its turn can't come in time.
     """
 
     rank: int
@@ -61,7 +79,7 @@
     due: float
     deadline: float
     start: Callable[[], None]
-    refuse: Callable[[float], None]
+    refuse: Callable[[Refusal], None]
 
 
 class _Fortune:
@@ -168,10 +186,10 @@
             self._start(waiting, now)
             return
         wait = self._wait_for(waiting, now)
+        self._queue.append(waiting)
         if not self._is_worth_it(waiting, wait, now):
-            waiting.refuse(self._advice(waiting.rank, now))
+            self._turn_down(waiting, self._advice(waiting, now), wait)
             return
-        self._queue.append(waiting)
         self.pump(now)
 
     def finished(self, worked: float | None, aim: float, now: float) -> None:
@@ -200,10 +218,10 @@
         """Starts calls while there are slots, and refuses those too late."""
         while self._queue and self._running < self.capacity:
             waiting = min(self._queue, key=lambda w: self._order(w, now))
-            self._queue.remove(waiting)
             if not self._fits(waiting, now):
-                waiting.refuse(_LEAST_RETRY_S)
+                self._turn_down(waiting, _LEAST_RETRY_S, 0.0)
                 continue
+            self._queue.remove(waiting)
             self._start(waiting, now)
 
     def sweep(self, now: float) -> None:
@@ -211,8 +229,7 @@
         for waiting in sorted(self._queue, key=lambda w: self._order(w, now)):
             wait = self._wait_for(waiting, now)
             if not self._is_worth_it(waiting, wait, now):
-                self._queue.remove(waiting)
-                waiting.refuse(self._advice(waiting.rank, now))
+                self._turn_down(waiting, self._advice(waiting, now), wait)
 
     def withdraw(self, waiting: Waiting) -> bool:
         """Takes a call out of the queue; returns whether it was there."""
@@ -223,10 +240,21 @@
 
     def flush(self) -> None:
         """Refuses all calls that wait."""
-        queue = self._queue
-        self._queue = []
-        for waiting in queue:
-            waiting.refuse(_LEAST_RETRY_S)
+        while self._queue:
+            self._turn_down(self._queue[0], _LEAST_RETRY_S, math.inf)
+
+    def _turn_down(
+        self, waiting: Waiting, retry_after: float, wait: float
+    ) -> None:
+        refusal = Refusal(
+            retry_after,
+            wait,
+            self.work(waiting.aim),
+            self._running,
+            len(self._queue),
+        )
+        self._queue.remove(waiting)
+        waiting.refuse(refusal)
 
     def _start(self, waiting: Waiting, now: float) -> None:
         if not self._is_late(waiting, now):
@@ -283,12 +311,14 @@
         capacity = max(1, self.capacity)
         return max(capacity - before, capacity * _LEAST_LEFT)
 
-    def _advice(self, rank: int, now: float) -> float:
-        """Returns when there is likely to be room for a rank, seconds."""
+    def _advice(self, waiting: Waiting, now: float) -> float:
+        """Returns when there is likely to be room for such a call, seconds."""
         ahead = sum(
-            self.work(other.aim) for other in self._queue if other.rank <= rank
+            self.work(other.aim)
+            for other in self._queue
+            if other is not waiting and other.rank <= waiting.rank
         )
-        return max(_LEAST_RETRY_S, ahead / self._left_for(rank, now))
+        return max(_LEAST_RETRY_S, ahead / self._left_for(waiting.rank, now))
 
     def _fits(self, waiting: Waiting, now: float) -> bool:
         least = self.work(waiting.aim) * _LEAST_TIME
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -1,6 +1,7 @@
 """The side of a call beside its target: admit it, hand it over, judge it."""
 
 import functools
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -192,7 +193,7 @@
         leg = Leg(dispatch, sender, now + dispatch.remaining, reply)
         refusal = self._refusal(dispatch, now)
         if refusal is not None:
-            self._refuse(leg, refusal, 0.0)
+            self._refuse(leg, refusal)
             return
         self._legs[sender, dispatch.leg] = leg
         if self.keyed:
@@ -205,7 +206,7 @@
             now + dispatch.due,
             leg.deadline,
             functools.partial(self._start, leg),
-            functools.partial(self._refuse, leg, types.Reason.QUEUE_FULL),
+            functools.partial(self._turned_down, leg),
         )
         self._admission.offer(leg.waiting, now)
 
@@ -275,7 +276,7 @@
         if refusal is None and left < _LEAST_S:
             refusal = types.Reason.DEADLINE_PASSED
         if refusal is not None:
-            self._refuse(leg, refusal, 0.0)
+            self._refuse(leg, refusal)
             self._admission.finished(None, dispatch.aim, now)
             return
         leg.begun = now
@@ -343,14 +344,22 @@
         if self._crashes.clear(content):
             self.cleared(content)
 
-    def _refuse(self, leg: Leg, reason: types.Reason, retry: float) -> None:
+    def _turned_down(self, leg: Leg, refusal: admission.Refusal) -> None:
+        self._refuse(leg, types.Reason.QUEUE_FULL, refusal)
+
+    def _refuse(
+        self,
+        leg: Leg,
+        reason: types.Reason,
+        refusal: admission.Refusal | None = None,
+    ) -> None:
         completion = calls.Completion(
             leg.dispatch.leg,
             types.Verdict.NOT_RUN,
             reason,
-            retry_after=retry,
+            retry_after=refusal.retry_after if refusal is not None else 0.0,
         )
-        self._log(leg, completion, self._timers.now)
+        self._log(leg, completion, self._timers.now, refusal)
         self._finish(leg, completion)
 
     def _finish(self, leg: Leg, completion: calls.Completion) -> None:
@@ -366,8 +375,31 @@
                 )
             )
 
-    def _log(self, leg: Leg, completion: calls.Completion, now: float) -> None:
+    def _log(
+        self,
+        leg: Leg,
+        completion: calls.Completion,
+        now: float,
+        refusal: admission.Refusal | None = None,
+    ) -> None:
+        """Logs what became of a call.
+
+        Args:
+            leg: The call.
+            completion: What became of it.
+            now: Monotonic time, seconds.
+            refusal: Why the queue turned it down, as things stood then.
+        """
         reason = completion.reason
+        seen: dict[str, int] = {
+            "running": self._admission.running,
+            "waiting": self._admission.waiting,
+        }
+        if refusal is not None:
+            seen = {"running": refusal.running, "waiting": refusal.waiting}
+            seen["work_ms"] = round(refusal.work * 1000)
+            if math.isfinite(refusal.wait):
+                seen["wait_ms"] = round(refusal.wait * 1000)
         logs.request_event(
             "call",
             completion.verdict is not types.Verdict.ANSWERED,
@@ -378,8 +410,8 @@
             reason=reason.value if reason else "",
             status=completion.status,
             ms=round((now - leg.begun) * 1000, 1) if leg.begun else 0,
-            running=self._admission.running,
-            waiting=self._admission.waiting,
+            left_ms=round((leg.deadline - now) * 1000),
+            **seen,
         )
 
 
--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -85,6 +85,9 @@
     assert call["daemon"] == "north"
     assert int(call["running"]) >= 8
     assert int(call["waiting"]) > 0
+    # What it had left was not enough for its turn and the work.
+    needed = int(call["wait_ms"]) + int(call["work_ms"])
+    assert needed > int(call["left_ms"]) * 0.5
 
 
 def test_answered_502_after_it_may_have_run(site):
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -29,7 +29,7 @@
             self.now + aim - waited,
             self.now + deadline,
             start,
-            lambda retry: self.refused.append((name, retry)),
+            lambda refusal: self.refused.append((name, refusal)),
         )
         self.queue.offer(waiting, self.now)
         return waiting
@@ -103,7 +103,7 @@
         target.offer(index, deadline=10.0)
     target.offer("b", deadline=0.05)
     (_, sooner), (_, later) = target.refused
-    assert 0 < sooner < later
+    assert 0 < sooner.retry_after < later.retry_after
 
 
 def test_without_a_target_everything_is_refused():
@@ -181,3 +181,15 @@
     assert served >= 0.95 * 10.0 * 4 / 0.1
     longest = sorted(held.values())[int(len(held) * 0.9)]
     assert longest < 0.8
+
+
+def test_a_refusal_says_what_decided_it():
+    target = Target(1, work=10.0)
+    target.offer("first")
+    target.offer("second", deadline=0.5)
+    target.run(0.5)
+    ((name, refusal),) = target.refused
+    assert name == "second"
+    # The one that was refused is the last that waited.
+    assert (refusal.running, refusal.waiting) == (1, 1)
+    assert refusal.wait > 0
