A target is used while the daemon beside it leaves

Ruled out: the keys' moves, which begin at once as before. An announcement of the target in that time does not take it into use again. A test on the stand-ins failed before (refused as draining) and passes. The request's line also tells the route's rank.

--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -46,6 +46,10 @@
 # A process that leaves is still asked until the second question in a row has
 # failed; it serves all who come until then.
 _LINGER_S = 2.6
+# A process that leaves beside a target that stays takes calls for it until so
+# long before it closes its door: daemons hear of that within a status's
+# interval, and calls under way end meanwhile, seconds.
+_STOP_BEFORE_S = 0.8
 # Keys that can't be moved in this time after a target or process began to
 # leave go to the successors without a handover.
 _GIVE_UP_S = 0.8
@@ -263,6 +267,7 @@
         self._target_changed(self._beside.announced(said, now()))
         if self._beside.phase is beside.Phase.SERVING:
             self._holds.resume()
+        if self._takes_calls:
             self._runner.attach(self._beside.instance, self._beside.capacity)
 
     def _target_refused(self) -> None:
@@ -477,7 +482,7 @@
         queue = self._runner.queue
         status = calls.Status(
             self._service,
-            self._runner.accepting and self._leave_at is None,
+            self._runner.accepting,
             queue.capacity,
             queue.running,
             queue.waiting,
@@ -632,6 +637,19 @@
         self._end_at = moment + self._settings.router_grace / 1000 - _LAST_S
         self._door.leaving = True
         self._core.drain()
+        # The target may stay, with slots that others can use meanwhile.
+        self.timers.after(_LINGER_S - _STOP_BEFORE_S, self._stop_calls)
+        self._tell_status()
+
+    @property
+    def _takes_calls(self) -> bool:
+        """Whether the target beside this daemon may be sent new calls."""
+        leaves = self._leave_at is not None and (
+            now() >= self._leave_at - _STOP_BEFORE_S
+        )
+        return self._beside.phase is beside.Phase.SERVING and not leaves
+
+    def _stop_calls(self) -> None:
         self._runner.drain()
         self._tell_status()
 
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -511,6 +511,7 @@
             completion.verdict is not types.Verdict.ANSWERED,
             request=flight.call.request,
             route=flight.route.name,
+            rank=flight.route.rank,
             service=flight.service,
             position=flight.call.position,
             owner=candidate.incarnation if candidate else "",
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -329,6 +329,23 @@
     )
 
 
+def test_a_target_is_used_while_the_daemon_beside_it_leaves(site):
+    assert site_lib.wait(READY_S, site.works)
+    place = site.places[1]
+    place.process.send_signal(signal.SIGTERM)
+    assert site_lib.wait(1, lambda: not place.is_ready())
+    ran = len(place.server.ran)
+    statuses = [
+        site_lib.call(site.places[3], "seats.example", "/browse/x")[0]
+        for _ in range(40)
+    ]
+    assert statuses.count(200) == len(statuses)
+    assert len(place.server.ran) > ran
+    assert place.process.wait(timeout=6) == 0
+    place.start()
+    assert site_lib.wait(READY_S, site.works)
+
+
 def test_a_daemon_that_is_told_to_stop_cuts_nothing(site):
     place = site.places[0]
     place.process.send_signal(signal.SIGTERM)
