A target that refuses though it has room is not taken for a full one

Cause: each refusal of a target lowered what its daemon sends at once by a fifth, down to a quarter. A misdirected answer (421) did the same, and a refusal renewed all holds. Ruled out: a queue at the target, which the daemon keeps empty. Change: the load that a refusal tells decides: full, or refused with room; 421 is a reason of its own. Only a full target gets fewer calls, only a misdirected call makes the holds doubtful, and a key's one target is asked again within the budget if it refused with room. Tests failed before (capacity 4 of 12 after five refusals).

--- a/tamarackgap/platform/names.py
+++ b/tamarackgap/platform/names.py
@@ -8,6 +8,8 @@
 # The request is for this instance only; any other server answers 421.
 INSTANCE_WANTED = b"x-tamarackgap-target-instance"
 NOT_EXECUTED = b"x-tamarackgap-not-executed"
+# Running requests, waiting requests and slots, separated by commas.
+SERVER_LOAD = b"x-tamarackgap-server-load"
 RETRY_AFTER = b"retry-after"
 # Service of the machine where the request began, not of its client.
 ORIGIN = b"x-tamarackgap-caller-service"
--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -120,13 +120,15 @@
 
 def judge(leg: int, answer: httplink.Answer) -> calls.Completion:
     """Returns what a server's answer means."""
-    if (
-        answer.status == _MISDIRECTED
-        or answer.header(names.NOT_EXECUTED) is not None
-    ):
+    if answer.status == _MISDIRECTED:
         return calls.Completion(
-            leg, types.Verdict.NOT_RUN, types.Reason.TARGET_REFUSED
+            leg, types.Verdict.NOT_RUN, types.Reason.TARGET_MISDIRECTED
         )
+    if answer.header(names.NOT_EXECUTED) is not None:
+        reason = types.Reason.TARGET_REFUSED
+        if _is_full(answer):
+            reason = types.Reason.TARGET_FULL
+        return calls.Completion(leg, types.Verdict.NOT_RUN, reason)
     signed = answer.header(names.SIGNATURE) is not None
     encoded = answer.header(b"content-encoding") is not None
     spoilt = encoded or (answer.status < 300 and not signed)
@@ -150,6 +152,19 @@
     )
 
 
+def _is_full(answer: httplink.Answer) -> bool:
+    """Returns whether a server that refused a request had no slot for it.
+
+    One that does not tell its load is taken to be full.
+    """
+    load = answer.header(names.SERVER_LOAD)
+    fields = (load or b"").split(b",")
+    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+        return True
+    running, waiting, capacity = (int(field) for field in fields)
+    return running >= capacity or waiting > 0
+
+
 def encode_answer(completion: calls.Completion) -> boundary.Said:
     """Returns how a completion is told to the client."""
     if completion.verdict is types.Verdict.ANSWERED:
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -36,6 +36,15 @@
     }
 )
 
+# Refusals of the target itself.
+_ASKED = frozenset(
+    {
+        types.Reason.TARGET_REFUSED,
+        types.Reason.TARGET_FULL,
+        types.Reason.TARGET_MISDIRECTED,
+    }
+)
+
 Done = Callable[[calls.Completion], None]
 
 
@@ -379,6 +388,9 @@
             if reason in _MOVED:
                 self._await_owner(flight, reason)
                 return
+            if self._may_ask_again(flight, reason):
+                self._try(flight)
+                return
         elif self._may_go_elsewhere(flight, reason):
             self._try(flight)
             return
@@ -412,7 +424,7 @@
         """Returns whether a call that did not run is tried at another."""
         if len(flight.tried) >= max(2, flight.route.attempts):
             return False
-        if reason is types.Reason.TARGET_REFUSED:
+        if reason in _ASKED:
             # It counts as a run: the target was asked.
             return flight.runs < flight.route.attempts and (
                 self._budgets.of(flight.service).withdraw()
@@ -420,6 +432,19 @@
         flight.runs -= 1
         return True
 
+    def _may_ask_again(
+        self, flight: Flight, reason: types.Reason | None
+    ) -> bool:
+        """Returns whether a key's one target, which refused, is asked again.
+
+        It had room: whatever made it refuse may not concern the next try.
+        """
+        return (
+            reason is types.Reason.TARGET_REFUSED
+            and flight.runs < flight.route.attempts
+            and self._budgets.of(flight.service).withdraw()
+        )
+
     def _await_owner(self, flight: Flight, reason: types.Reason) -> None:
         """Waits a moment for a key that is between two owners."""
         now = self._timers.now
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -304,8 +304,9 @@
                     worked = now - leg.begun
                     if self._crashes:
                         self._clear(leg)
-                elif completion.verdict is types.Verdict.NOT_RUN:
+                elif completion.reason is types.Reason.TARGET_FULL:
                     self._admission.turned_away()
+                elif completion.reason is types.Reason.TARGET_MISDIRECTED:
                     self._holds.doubt()
             case result.Failure(exchanges.Failure() as failure):
                 completion = self._failed(leg, failure)
--- a/tamarackgap/types.py
+++ b/tamarackgap/types.py
@@ -41,6 +41,10 @@
     LEASE_EXPIRED = "lease-expired"
     TARGET_ABSENT = "target-absent"
     TARGET_REFUSED = "target-refused"
+    # It has no room, or it is another one than was meant, or it does not
+    # hold the key.
+    TARGET_FULL = "target-full"
+    TARGET_MISDIRECTED = "target-misdirected"
     TARGET_FAILED = "target-failed"
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_TOO_LARGE = "answer-too-large"
