Slots owned before their founding row is known wait for it; pages of a router

Cause: the stand-in site did not serve everything in 20 s, once. Its logs: a daemon learnt from rows that others pass on that it owned slots, before it had read the service's founding row; granting them raised, the loop went on, and the count of orders under way never fell, so the target was granted nothing any more. Ruled out: load (the log shows the error). Change: nothing is granted until the founding row is known, and it is read at once. Two tests failed before.

Also: the pages of a router are a module of their own, and status, owners and explain are served beside the metrics, so that the commands work on the platform too (tests on the stand-ins).

--- a/tamarackgap/commands/cmdline.py
+++ b/tamarackgap/commands/cmdline.py
@@ -136,9 +136,8 @@
 @_json_option
 def status_command(address: str, as_json: bool) -> None:
     """Print what a daemon says of itself."""
-    body = _page(address, "/status")
-    found = msgspec.json.decode(body, type=pages.Status)
-    pairs = msgspec.structs.asdict(found).items()
+    found = msgspec.json.decode(_page(address, "/status"))
+    pairs = found.items()
     _show(found, as_json, "\n".join(f"{k}: {v}" for k, v in pairs))
 
 
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -483,6 +483,9 @@
         self._owned = held
         for slot in held:
             self._succession.recorded(slot)
+        if held and self._view.founded(self._settings.service) is None:
+            # Keys are told from slots by the founding row.
+            self._outbox.put(effects.Refresh(urgent=True))
         if gained or lost:
             self._changed_at = now
             self.slots_version += 1
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -17,7 +17,7 @@
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import calls, messages, peers
 from tamarackgap.placement import records
-from tamarackgap.processes import protocol
+from tamarackgap.processes import protocol, routerpages
 from tamarackgap.requests import retries
 from tamarackgap.settings import config
 from tamarackgap.traffic import (
@@ -205,7 +205,7 @@
         self._entry.observe = self._observe_request
         self._runner.observe = self._observe_call
         if settings.router_metrics_address:
-            self._open(settings.router_metrics_address, self._asked_metrics)
+            self._open(settings.router_metrics_address, self._pages())
         self._door = self._open(settings.daemon_http_address, self._serve)
         self._open(settings.router_announce_address, self._announced)
         self._open(settings.router_ready_address, self._asked_ready)
@@ -622,36 +622,33 @@
     def _observe_call(self, verdict: types.Verdict, seconds: float) -> None:
         self._metrics.leg(verdict.value, seconds)
 
-    def _asked_metrics(self, incoming: door.Incoming) -> None:
-        moment = now()
-        table = self._table
-        values = {
-            "owned_slots": len(self._core.owned),
-            "lease_left_seconds": max(0.0, self._core.lease_until() - moment),
-            "epoch": self._core.epoch,
-            "in_progress": self._runner.queue.running,
-            "queued": self._runner.queue.waiting,
-            "table_revision": self._core.view.cursor,
+    def _gauges(self) -> dict[str, float]:
+        return {
             "peer_messages_sent": self._peers.sent_messages,
             "peer_bytes_sent": self._peers.sent_bytes,
             "peer_messages_dropped": self._peers.dropped,
             "peer_frames_malformed": self._peers.malformed,
-            "renewal_lateness_seconds": self._core.renewal_lateness,
-            "held_runs": self._holds.runs,
-            "route_table_version": table.version if table else 0,
-            "route_table_age_seconds": moment - self._table_since,
-            "table_read_age_seconds": moment - self._core.read_as_of,
             "open_connections": self._door.connections,
         }
-        for name, value in values.items():
-            self._metrics.set(name, value)
-        self._metrics.store_calls(self._outside.store.counts())
-        body, headers = self._metrics.render("text/plain")
-        said = [
-            (name.lower().encode("ascii"), value.encode("ascii"))
-            for name, value in headers.items()
-        ]
-        incoming.answer(_OK, said, body)
+
+    def _pages(self) -> door.Serve:
+        return routerpages.serve(
+            routerpages.Parts(
+                core=self._core,
+                target=self._beside,
+                runner=self._runner,
+                entry=self._entry,
+                holds=self._holds,
+                store=self._outside.store,
+                metrics=self._metrics,
+                table=lambda: (
+                    self._table.version if self._table else 0,
+                    self._table_since,
+                ),
+                gauges=self._gauges,
+                clock=now,
+            )
+        )
 
     # Readiness and end.
 
--- a/tamarackgap/requests/pages.py
+++ b/tamarackgap/requests/pages.py
@@ -120,14 +120,17 @@
         del query
         return msgspec.json.encode(_status(core, beside, own, front, clock()))
 
-    def owners(query: dict[str, str]) -> bytes:
-        return msgspec.json.encode(_owners(core, query.get("service")))
+    def owner_rows(query: dict[str, str]) -> bytes:
+        return msgspec.json.encode(owners(core, query.get("service")))
 
     def explain(query: dict[str, str]) -> bytes:
-        found = _explain(core, query["service"], query["key"], clock())
+        service = query["service"]
+        key = query["key"]
+        slot = slots.slot_of(types.Key(key), slot_count(core, service))
+        found = explanation(core, service, key, slot, clock())
         return msgspec.json.encode(found)
 
-    return {"/status": status, "/owners": owners, "/explain": explain}
+    return {"/status": status, "/owners": owner_rows, "/explain": explain}
 
 
 def _status(
@@ -162,7 +165,8 @@
     )
 
 
-def _owners(core: ownership.Ownership, service: str | None) -> list[OwnerRow]:
+def owners(core: ownership.Ownership, service: str | None) -> list[OwnerRow]:
+    """Returns each daemon's part of one service, or of all."""
     rows = [
         OwnerRow(
             service=record.service,
@@ -181,13 +185,26 @@
     return sorted(rows, key=lambda row: (row.service, row.daemon))
 
 
-def _explain(
-    core: ownership.Ownership, service: str, key: str, now: float
-) -> Explanation:
+def slot_count(core: ownership.Ownership, service: str) -> int:
+    """Returns the number of a service's slots.
+
+    Raises:
+        KeyError: If the service has no owned keys that are known here.
+    """
     founded = core.view.founded(service)
     if founded is None:
         raise KeyError(f"service {service} is not known")
-    slot = slots.slot_of(types.Key(key), founded.slots)
+    return founded.slots
+
+
+def explanation(
+    core: ownership.Ownership,
+    service: str,
+    key: str,
+    slot: types.Slot,
+    now: float,
+) -> Explanation:
+    """Returns who owns a key's slot, and why, as far as is known here."""
     route = core.routes.find(service, slot)
     owner = route.owner if route else types.NOBODY
     record = core.view.lease(owner)
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -201,7 +201,7 @@
 
     def renew(self) -> None:
         """Sends the grants that are due."""
-        if self._paused or self._stopped:
+        if self._paused or self._stopped or not self._slot_count():
             return
         if self._version != self._core.slots_version:
             self._follow()
@@ -276,8 +276,13 @@
         self._version = -1
 
     def _slot_count(self) -> int:
-        service = self._core.settings.service
-        return self._core.view.founded(service).slots
+        """Returns the service's number of slots; 0 while it is not known.
+
+        Slots may be owned by then: rows that other daemons pass on come in
+        any order.
+        """
+        founded = self._core.view.founded(self._core.settings.service)
+        return founded.slots if founded is not None else 0
 
     def _follow(self) -> None:
         """Follows the slots owned; what was held stays held."""
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -568,3 +568,26 @@
     assert served is not None
     assert served <= 1.0
     assert not subject.double
+
+
+def test_slots_without_their_services_founding_row_are_read_for_at_once():
+    found = settled()
+    node = found.restart("seats-0")
+    clock = node.clock(found.now)
+    core = node.core
+    core.take_effects()
+    record = records.LeaseRecord(
+        service="seats",
+        daemon="seats-0",
+        incarnation=core.incarnation,
+        data_centre="a",
+        peer_address=core.settings.peer_address,
+        http_address=core.settings.http_address,
+        lease_ms=600,
+        linger_ms=0,
+        runs=(slots.Run(0, 3, 1),),
+    )
+    row = records.Row(record.key, records.encode(record), types.Revision(9))
+    core.merge([row], clock)
+    assert len(core.owned) == 4
+    assert effects.Refresh(urgent=True) in core.take_effects()
--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -1,13 +1,16 @@
 """The ways that docs/OPERATIONS.md shows, gone from an id to the cause."""
 
 import concurrent.futures
+import json
 import pathlib
 import re
 import time
 
 import pytest
+from click import testing
 
 from standins import site as site_lib
+from tamarackgap.commands import cmdline
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 READY_S = 20
@@ -112,6 +115,41 @@
     assert not _lines(site, "target_changed", daemon=owner.name, change="lost")
 
 
+def _run(*words):
+    found = testing.CliRunner().invoke(cmdline.cli, [*words, "--json"])
+    return found.exit_code, json.loads(found.stdout or "null")
+
+
+def test_the_commands_work_on_the_platform(site):
+    place = next(place for place in site.places if place.server.holds(30_000))
+    code, status = _run("status", "--daemon", place.metrics)
+    assert code == 0
+    assert (status["daemon"], status["phase"]) == (place.name, "serving")
+    code, found = _run(
+        "explain", "30000", "--daemon", place.metrics, "--service", "money"
+    )
+    assert code == 0
+    assert (found["daemon"], found["here"]) == (place.name, True)
+    other = site.places[0].metrics
+    found = _run("explain", "30000", "--daemon", other, "--service", "money")[1]
+    assert (found["daemon"], found["here"]) == (place.name, False)
+    code, rows = _run("owners", "--daemon", other, "--service", "money")
+    assert code == 0
+    owned = {row["daemon"]: row["slots"] for row in rows if row["slots"]}
+    assert sum(owned.values()) == 32
+    assert place.name in owned
+
+
+@pytest.mark.parametrize("key", ["70000", "x"])
+def test_a_key_that_is_none_gets_one_line(site, key):
+    words = ["explain", key, "--service", "money", "--daemon"]
+    found = testing.CliRunner().invoke(
+        cmdline.cli, [*words, site.places[0].metrics]
+    )
+    assert found.exit_code != 0
+    assert len(found.output.splitlines()) == 1
+
+
 def test_a_key_without_an_owner_during_a_takeover(site):
     title = "A key without an owner"
     owner = next(
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -330,3 +330,17 @@
     )
     for name in ("owned", "slots_version", "view", "settings", "lease_until"):
         assert hasattr(core, name)
+
+
+def test_slots_owned_before_the_founding_row_is_known_wait_for_it(subject):
+    # Rows that daemons pass on come in any order.
+    timers, core, target, holds = subject
+    core.view.founded = lambda service: None
+    core.own(0, 127, 3)
+    holds.renew()
+    assert target.orders == []
+    assert not holds.held(5, timers.now)
+    core.view.founded = lambda service: Founded
+    holds.renew()
+    target.answer()
+    assert holds.held(5, timers.now)
