Grants are shortened by the time until they are written; long calls end before slots move

Two causes that touch the same lines, in one commit.

Long calls (waitlists, 240 ms) made short ones (payments, 42 ms) wait. Change: before slots are released, long calls for them are held back for up to 0.3 s and those that run may end, while short ones go on. A slot whose last grant has no answer by then is not released. The router's hand-offs have a module of their own.

--- a/tamarackgap/network/httplink.py
+++ b/tamarackgap/network/httplink.py
@@ -37,17 +37,20 @@
 Done = Callable[[result.Result[Answer, exchanges.Failure]], None]
 # Tells whether an answer belongs to the request that was sent.
 Belongs = Callable[[Answer], bool]
+# Returns a request's bytes when they are about to be written; none where it
+# must not be sent any more.
+Build = Callable[[], bytes]
 
 
 class Exchange(exchanges.Exchange):
     """A request, its bytes and the test of its answer."""
 
-    __slots__ = ("belongs", "connection", "data")
+    __slots__ = ("belongs", "build", "connection")
 
-    def __init__(self, data: bytes, done: Done, belongs: Belongs) -> None:
+    def __init__(self, build: Build, done: Done, belongs: Belongs) -> None:
         """Creates an exchange that calls `done` once."""
         super().__init__(done)
-        self.data = data
+        self.build = build
         self.belongs = belongs
         self.connection: _Connection | None = None
 
@@ -82,7 +85,7 @@
 
     def send(
         self,
-        data: bytes,
+        build: Build,
         timeout: float,
         done: Done,
         belongs: Belongs = lambda answer: True,
@@ -90,7 +93,7 @@
         """Sends a whole request.
 
         Args:
-            data: Its bytes.
+            build: Returns its bytes, once there is a connection.
             timeout: Longest wait for the whole answer, seconds.
             done: Called once with the answer or the failure; perhaps before
                 this returns.
@@ -99,7 +102,7 @@
         Returns:
             The exchange, for `cancel`.
         """
-        exchange = Exchange(data, done, belongs)
+        exchange = Exchange(build, done, belongs)
         connection = self._take() or self._connect()
         if connection is None:
             exchange.finish(
@@ -184,11 +187,18 @@
         self._writer = sockets.Writer(link.poller, sock, False)
 
     def begin(self, exchange: Exchange) -> None:
-        """Sends a request on this idle connection."""
+        """Sends a request on this idle connection, once it is made."""
         self._exchange = exchange
         exchange.connection = self
         self._received = False
-        if not self._writer.write(exchange.data):
+        if self._writer.connected:
+            self._write()
+
+    def _write(self) -> None:
+        data = self._exchange.build()
+        if not data:
+            self.lose(exchanges.Cause.CANCELLED, sent=False)
+        elif not self._writer.write(data):
             self.lose(exchanges.Cause.CLOSED)
 
     # The parser's callbacks.
@@ -215,8 +225,14 @@
     # The socket.
 
     def _ready(self, flags: int) -> None:
-        if flags & sockets.WRITABLE and not self._writer.writable():
-            self.lose(self._cause())
+        if flags & sockets.WRITABLE:
+            was_connected = self._writer.connected
+            if not self._writer.writable():
+                self.lose(self._cause())
+                return
+            if not was_connected and self._exchange is not None:
+                self._write()
+        if self._closed:
             return
         if flags & (sockets.READABLE | sockets.BROKEN):
             self._read()
@@ -318,11 +334,18 @@
             exchange, answer = answered
             exchange.finish(result.Success(answer))
 
-    def lose(self, cause: exchanges.Cause) -> None:
-        """Closes the connection, and fails its exchange."""
+    def lose(self, cause: exchanges.Cause, sent: bool | None = None) -> None:
+        """Closes the connection, and fails its exchange.
+
+        Args:
+            cause: Why.
+            sent: Whether any byte of the request may have been sent; None for
+                whether the connection was made.
+        """
         exchange = self._exchange
         self._exchange = None
-        sent = self._writer.connected
+        if sent is None:
+            sent = self._writer.connected
         self.close()
         if exchange is not None:
             exchange.finish(result.Failure(exchanges.Failure(cause, sent)))
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -207,7 +207,7 @@
             self._counts[name] = self._counts.get(name, 0) + 1
             done(outcome)
 
-        return self._link.send(data, timeout, counted)
+        return self._link.send(lambda: data, timeout, counted)
 
     @property
     def timers(self) -> scheduler.Scheduler:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -25,6 +25,7 @@
     boundary,
     crashes,
     dispatcher,
+    handoff,
     keyholds,
     routetable,
     runner,
@@ -118,8 +119,6 @@
         # When keys that were to move are given up instead, seconds.
         self._give_up_at = 0.0
         self._stopped = False
-        # Hand-offs begun and ended, to tell which one an answer is of.
-        self._hand_offs = 0
         self._started = now()
         # Daemons that were told of the target here, and up to which version
         # of the rows they were looked for.
@@ -184,6 +183,9 @@
             self._crashes,
         )
         self._runner.cleared = self._tell_cleared
+        self._hand_offs = handoff.HandOffs(
+            self._runner, self._holds, self.timers, self._core.handed_off
+        )
         self._budgets = retries.ServiceBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
         )
@@ -398,7 +400,13 @@
                         self._target_refused()
                     done(keyholds.Ordered(False))
 
-        self._orders.send(self._outside.encode_order(order), timeout, answered)
+        def build() -> bytes:
+            current = self._holds.as_written(order)
+            if current is None:
+                return b""
+            return self._outside.encode_order(current)
+
+        self._orders.send(build, timeout, answered)
 
     # The store.
 
@@ -585,27 +593,16 @@
                         event, incarnation=self._core.incarnation, **fields
                     )
                 case effects.HandOff(moving=moving):
-                    self._hand_off(moving)
+                    if moving:
+                        self._hand_offs.begin(moving, self._core.draining)
+                    else:
+                        self._hand_offs.end()
                 case effects.Refresh(urgent=urgent):
                     # The long poll brings it, after a pause at most.
                     if urgent:
                         self._outside.store.hurry()
         self._holds.renew()
 
-    def _hand_off(self, moving: frozenset[int]) -> None:
-        self._hand_offs += 1
-        if not moving:
-            self._holds.released()
-            return
-        number = self._hand_offs
-
-        def released(handovers: dict) -> None:
-            # An earlier one may end when the lease was lost meanwhile.
-            if number == self._hand_offs:
-                self._core.handed_off(handovers)
-
-        self._holds.release(moving, released)
-
     # Metrics.
 
     def _observe_request(
--- a/tamarackgap/traffic/keyholds.py
+++ b/tamarackgap/traffic/keyholds.py
@@ -16,11 +16,13 @@
 
 # The target's clock may run so much slower than this one.
 _DRIFT = 0.02
-# Time from a grant's sending to its arrival that is allowed for, seconds.
-_TRANSIT_S = 0.03
+# Time from a grant's writing to its arrival that is allowed for, seconds: a
+# process whose share of a core is used up stands still for the rest of a tenth
+# of a second.
+_TRANSIT_S = 0.12
 # A hold is renewed when the lease has grown by this part of its length.
 _STEP_SHARE = 0.2
-_LEAST_HOLD_S = 0.05
+_LEAST_HOLD_S = 0.1
 # The target is told a slot's fence times this, plus the number of grants that
 # had no answer: it then refuses those that arrive late, also after a move.
 FENCE_STEP = 1024
@@ -41,6 +43,7 @@
         fence: The fence that the target is told.
         hold: For how long from its arrival, seconds.
         handover: What the last holder said when it released them, or "".
+        until: When the target must hold them no more, seconds on this clock.
     """
 
     first: int
@@ -48,6 +51,7 @@
     fence: int
     hold: float
     handover: str
+    until: float
 
 
 class Release(msgspec.Struct, frozen=True):
@@ -207,14 +211,30 @@
             self._follow()
         now = self._timers.now
         until = min(self._core.lease_until(), now + self._longest)
-        hold_s = (until - now) / (1 + _DRIFT) - _TRANSIT_S
-        if hold_s < _LEAST_HOLD_S:
+        if self._hold_until(until) < _LEAST_HOLD_S:
             return
         for hold in self._holds.values():
             due = until - hold.asked_until >= self._step
             if due and not hold.asking and not hold.superseded:
                 self._grant(hold, until)
 
+    def _hold_until(self, until: float) -> float:
+        """Returns for how long a grant that is sent now may hold, seconds."""
+        return (until - self._timers.now) / (1 + _DRIFT) - _TRANSIT_S
+
+    def as_written(self, order: Grant | Release) -> Grant | Release | None:
+        """Returns an order as it may be written now.
+
+        Time goes by until a connection has been made; a hold that begins
+        later is shorter, or there is none any more.
+        """
+        if isinstance(order, Release):
+            return order
+        hold_s = min(order.hold, self._hold_until(order.until))
+        if hold_s < _LEAST_HOLD_S:
+            return None
+        return msgspec.structs.replace(order, hold=hold_s)
+
     @property
     def releasing(self) -> bool:
         """Whether the target has not yet answered all releases."""
@@ -341,7 +361,7 @@
 
     def _send_grant(self, hold: _Hold, until: float) -> None:
         # It has waited: the lease is nearer to its end now.
-        hold_s = (until - self._timers.now) / (1 + _DRIFT) - _TRANSIT_S
+        hold_s = self._hold_until(until)
         run = hold.run
         moving = any(
             slot in self._releasing for slot in range(run.first, run.last + 1)
@@ -355,7 +375,7 @@
         hold.asked_until = until
         hold.ends = max(hold.ends, until)
         first, last = slots.positions(run, self._slot_count())
-        grant = Grant(first, last, hold.fence, hold_s, run.handover)
+        grant = Grant(first, last, hold.fence, hold_s, run.handover, until)
 
         def answered(ordered: Ordered) -> None:
             hold.asking = False
--- a/tests/traffic/test_keyholds.py
+++ b/tests/traffic/test_keyholds.py
@@ -344,3 +344,30 @@
     holds.renew()
     target.answer()
     assert holds.held(5, timers.now)
+
+
+def test_a_grant_that_waited_for_its_connection_holds_no_longer(subject):
+    # A slow process wrote a grant, made under its lease, after the lease had
+    # ended: its target took keys that another had under a higher fence.
+    timers, core, target, holds = subject
+    core.own(0, 1, 1)
+    holds.renew()
+    ((grant, _),) = target.orders
+    ends = timers.now + core.lease
+    timers.now += 0.3
+    written = holds.as_written(grant)
+    assert timers.now + written.hold * 1.02 < ends
+    assert written.hold < grant.hold
+    timers.now = ends - 0.2
+    assert holds.as_written(grant) is None
+
+
+def test_a_process_that_stands_still_for_a_tenth_holds_nothing_too_long(
+    subject,
+):
+    timers, core, target, holds = subject
+    core.own(0, 1, 1)
+    holds.renew()
+    ((grant, _),) = target.orders
+    arrives = timers.now + 0.1
+    assert arrives + grant.hold * 1.02 <= timers.now + core.lease
