What a router tells the others of its target has a module of its own

No behaviour changed: neighbours.py takes statuses, crashes and route tables over from router.py (770 to 658 lines).

--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -17,7 +17,7 @@
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import calls, messages, peers
 from tamarackgap.placement import records
-from tamarackgap.processes import protocol, routerpages
+from tamarackgap.processes import neighbours, protocol, routerpages
 from tamarackgap.requests import retries
 from tamarackgap.settings import config
 from tamarackgap.traffic import (
@@ -33,14 +33,6 @@
 
 _TICK_S = 0.05
 _SWEEP_S = 0.02
-# Each daemon tells all others of its target so often. With more daemons it is
-# seldom, so that one spends at most a hundred messages a second on it; a daemon
-# that is silent for twice the longest interval counts as gone.
-_STATUS_S = 0.25
-_STATUS_EACH_S = 0.01
-_STATUS_MOST_S = 0.5
-# Another daemon is asked for its newer table at most this often.
-_ASK_TABLE_S = 0.2
 _LOAD_S = 0.5
 # Hot ranges of keys change within seconds.
 _LOAD_HALF_LIFE_S = 2.0
@@ -82,11 +74,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def status_interval(daemons: int) -> float:
-    """Returns how often a daemon tells all others of its target, seconds."""
-    return min(max(_STATUS_S, daemons * _STATUS_EACH_S), _STATUS_MOST_S)
-
-
 class Router(circuits.Component):
     """A process of the system, beside one target."""
 
@@ -113,17 +100,12 @@
         self._table: routetable.RouteTable | None = None
         self._table_since = now()
         self._index: routetable.Index | None = None
-        self._asked_table = float("-inf")
         self._leave_at: float | None = None
         self._end_at = 0.0
         # When keys that were to move are given up instead, seconds.
         self._give_up_at = 0.0
         self._stopped = False
         self._started = now()
-        # Daemons that were told of the target here, and up to which version
-        # of the rows they were looked for.
-        self._told: set[types.Incarnation] = set()
-        self._told_at = -1
 
     def begin(self, outside: boundary.Boundary) -> None:
         """Binds all addresses, and starts.
@@ -182,7 +164,6 @@
             self._target_refused,
             self._crashes,
         )
-        self._runner.cleared = self._tell_cleared
         self._hand_offs = handoff.HandOffs(
             self._runner, self._holds, self.timers, self._core.handed_off
         )
@@ -200,6 +181,16 @@
             settings.daemon_data_centre,
         )
         self._core.alive = self._entry.is_heard
+        self._neighbours = neighbours.Neighbours(
+            self._core,
+            self._peers,
+            self._runner,
+            self._entry,
+            self._crashes,
+            self.timers,
+            lambda: self._table,
+        )
+        self._runner.cleared = self._neighbours.tell_cleared
         self._beside = beside.Beside(
             self._service, settings.router_announce_interval / 1000, now()
         )
@@ -224,7 +215,6 @@
         outside.store.watch_operators(self._table_changed)
         self.timers.every(_TICK_S, self._tick)
         self.timers.every(_SWEEP_S, self._runner.sweep)
-        self.timers.after(_STATUS_S, self._tell_regularly)
         self.timers.every(_LOAD_S, self._tell_load)
 
     def _open(self, address: str, serve: door.Serve) -> door.Door:
@@ -300,7 +290,7 @@
             phase=self._beside.phase.value,
         )
         if change in (beside.Change.NEW_LIFE, beside.Change.LOST):
-            self._target_crashed()
+            self._neighbours.tell_crash()
         match change:
             case beside.Change.NEW_LIFE:
                 self._abandon_keys("target-started-anew")
@@ -317,41 +307,7 @@
                 self._runner.detach()
                 # It may live, and hold keys until its holds have ended.
                 self.timers.after(self._holds.pause(), self._abandon_if_silent)
-        self._tell_status()
-
-    def _target_crashed(self) -> None:
-        """Tells all daemons what the target ran when it crashed."""
-        ended = self._runner.take_crashed()
-        if not ended:
-            return
-        moment = now()
-        news = calls.TargetCrash(
-            {
-                content: (moment - begun, moment - end)
-                for content, begun, end in ended
-            }
-        )
-        logs.event("target_crashed", contents=len(news.contents))
-        self._note_crash(news)
-        self._tell_members(news)
-
-    def _note_crash(self, news: calls.TargetCrash) -> None:
-        moment = now()
-        for content, (begun, ended) in news.contents.items():
-            if self._crashes.note(content, moment - begun, moment - ended):
-                logs.event(
-                    "content_barred", content=content, s=crashes.BARRED_S
-                )
-
-    def _tell_cleared(self, content: str) -> None:
-        self._tell_members(calls.ContentCleared(content))
-
-    def _tell_members(self, message: messages.Message) -> None:
-        own = self._core.incarnation
-        address = self._settings.daemon_peer_address
-        for record in self._core.view.members():
-            if record.peer_address != address:
-                self._peers.send(own, record.peer_address, message)
+        self._neighbours.tell_status()
 
     def _give_keys_up(self, moment: float) -> None:
         """Lets successors serve, where the table does not take the moves.
@@ -466,86 +422,18 @@
                 self._entry.completed(sender, completion)
             case calls.Withdraw(leg=leg):
                 self._runner.withdraw(sender, leg)
-            case calls.TargetCrash() as news:
-                self._note_crash(news)
-            case calls.ContentCleared(content=content):
-                self._crashes.clear(content)
-            case calls.Status() as status:
-                self._entry.heard(sender, envelope.address, status)
-                self._heard_version(status.version, envelope.address)
-            case calls.TableWanted():
-                if self._table is not None:
-                    self._peers.send(
-                        self._core.incarnation,
-                        envelope.address,
-                        calls.TableNews(self._table.source),
-                    )
             case calls.TableNews(source=source):
                 table = self._outside.decode_table(source)
                 if table is not None:
                     self._table_changed(table)
             case _:
-                self._core.receive(envelope, now())
-                self._carry_out()
+                if not self._neighbours.receive(envelope):
+                    self._core.receive(envelope, now())
+                    self._carry_out()
 
     def _reply(self, address: str, completion: calls.Completion) -> None:
         self._peers.send(self._core.incarnation, address, completion)
 
-    def _heard_version(self, version: int, address: str) -> None:
-        """Asks for a newer table, in case the store is out of reach here."""
-        known = self._table.version if self._table is not None else 0
-        moment = now()
-        if version > known and moment - self._asked_table > _ASK_TABLE_S:
-            self._asked_table = moment
-            self._peers.send(
-                self._core.incarnation, address, calls.TableWanted()
-            )
-
-    def _status(self) -> calls.Status:
-        queue = self._runner.queue
-        return calls.Status(
-            self._service,
-            self._runner.accepting,
-            queue.capacity,
-            queue.running,
-            queue.waiting,
-            queue.slowness,
-            self._table.version if self._table else 0,
-            self._settings.daemon_data_centre,
-        )
-
-    def _tell_status(self) -> None:
-        status = self._status()
-        own = self._core.incarnation
-        address = self._settings.daemon_peer_address
-        self._entry.heard(own, address, status)
-        self._told = {
-            record.incarnation for record in self._core.view.members()
-        }
-        self._tell_members(status)
-
-    def _tell_regularly(self) -> None:
-        self._tell_status()
-        interval = status_interval(len(self._told))
-        self.timers.after(interval, self._tell_regularly)
-
-    def _tell_newcomers(self) -> None:
-        """Tells daemons that have just joined what target is here.
-
-        They have callers already, and know of no target but their own.
-        """
-        if self._core.view.version == self._told_at:
-            return
-        self._told_at = self._core.view.version
-        status = self._status()
-        for record in self._core.view.members():
-            address = record.peer_address
-            if record.incarnation in self._told:
-                continue
-            self._told.add(record.incarnation)
-            if address != self._settings.daemon_peer_address:
-                self._peers.send(self._core.incarnation, address, status)
-
     def _tell_load(self) -> None:
         self._core.calm = self._runner.utilisation < _CALM_UTILISATION
         self._core.served(self._runner.rates(), now())
@@ -564,7 +452,7 @@
         )
         self._core.tick(moment)
         self._carry_out()
-        self._tell_newcomers()
+        self._neighbours.tell_newcomers()
         self._entry.sweep()
         if leaving or self._beside.phase is beside.Phase.LEAVING:
             self._give_keys_up(moment)
@@ -679,7 +567,7 @@
         self._core.drain()
         # The target may stay, with slots that others can use meanwhile.
         self.timers.after(_LINGER_S - _STOP_BEFORE_S, self._stop_calls)
-        self._tell_status()
+        self._neighbours.tell_status()
 
     @property
     def _takes_calls(self) -> bool:
@@ -691,7 +579,7 @@
 
     def _stop_calls(self) -> None:
         self._runner.drain()
-        self._tell_status()
+        self._neighbours.tell_status()
 
     def _reload(self) -> None:
         """Takes over the settings that can change while it runs."""
