Long calls are no longer held back before slots move: a failed try

Cause, as far as seen: a move that waits for long calls takes longer, and the giver stays overloaded meanwhile.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -612,14 +612,12 @@
         if change is None:
             self._give_up_intent()
             return
-        moving = frozenset(move.slot for move in change.moves)
-        if self._settings.ordered and moving and self._hand_off is None:
-            # They are served until the target begins to release them.
+        self._moving = frozenset(move.slot for move in change.moves)
+        if self._settings.ordered and self._moving and self._hand_off is None:
             self._hand_off = planner.HandOff(change.moves)
             self._prepare_until = now + _HAND_OFF_LIMIT_S
-            self._outbox.put(effects.HandOff(moving))
+            self._outbox.put(effects.HandOff(self._moving))
             return
-        self._moving = moving
         self._sharing.budget.spend(len(change.moves))
         self._log_moves(change.moves)
         self._renewal.own_lease.begin_write()
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -164,9 +164,7 @@
             self._target_refused,
             self._crashes,
         )
-        self._hand_offs = handoff.HandOffs(
-            self._runner, self._holds, self.timers, self._core.handed_off
-        )
+        self._hand_offs = handoff.HandOffs(self._holds, self._core.handed_off)
         self._budgets = retries.ServiceBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
         )
@@ -482,7 +480,7 @@
                     )
                 case effects.HandOff(moving=moving):
                     if moving:
-                        self._hand_offs.begin(moving, self._core.draining)
+                        self._hand_offs.begin(moving)
                     else:
                         self._hand_offs.end()
                 case effects.Refresh(urgent=urgent):
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -21,9 +21,6 @@
 _DRAIN_S = 1.6
 # Work of a call that counts as one in the slots' loads, seconds.
 _USUAL_WORK_S = 0.05
-# A call that usually takes longer delays the release of its key's slot by more
-# than the others' entries wait for it, seconds.
-_LONG_S = 0.1
 # A target that crashed refuses connections, or announces another life, within
 # this time after its connections broke, seconds.
 _CRASH_SEEN_S = 2.0
@@ -114,8 +111,6 @@
         self._leave_at = 0.0
         self._meter = heat.SlotMeter(timers.now, core.settings.half_life)
         self._draining = False
-        # Slots that are about to move: no more long calls for them.
-        self._held_back: frozenset[int] = frozenset()
         # Whether each key has one owner among the service's targets.
         self.keyed = False
         # Observes each call that was handed over: what became of it, and
@@ -215,22 +210,6 @@
         )
         self._admission.offer(leg.waiting, now)
 
-    def hold_back(self, moving: frozenset[int]) -> None:
-        """Starts no long calls for slots that are about to move."""
-        self._held_back = moving
-
-    def long_calls(self, moving: frozenset[int]) -> int:
-        """Returns how many long calls for some slots are at the target."""
-        return sum(
-            leg.exchange is not None
-            and self._is_long(leg.dispatch)
-            and self._slot(leg.dispatch) in moving
-            for leg in self._legs.values()
-        )
-
-    def _is_long(self, dispatch: calls.Dispatch) -> bool:
-        return self._admission.work(dispatch.aim) > _LONG_S
-
     def withdraw(self, sender: str, leg_id: int) -> None:
         """Gives a call up, where that can do no harm."""
         leg = self._legs.get((sender, leg_id))
@@ -267,8 +246,7 @@
             return types.Reason.NO_OWNER
         slot = self._slot(dispatch)
         refusal = self._core.refusal(slot, now)
-        held_back = slot in self._held_back and self._is_long(dispatch)
-        if refusal is None and (held_back or not self._holds.held(slot, now)):
+        if refusal is None and not self._holds.held(slot, now):
             return types.Reason.SLOT_MOVING
         return refusal
 
