A soak of our own: real routers, faults from outside, promises checked

Not built: links between daemons are harmed by pauses only (their address is the one that they bind); clocks can't be stepped without privileges.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real routers, with faults injected from outside."""
--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -4,6 +4,7 @@
 import json
 import threading
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -51,6 +52,8 @@
         self.grants = 0
         # What to do with a request instead of running it well.
         self.fault = ""
+        # Called with this server, id and key of each request that it runs.
+        self.begins: Callable[[AppServer, str, int | None], None] = _ignore
         # A request for this path ends its life.
         self.deadly = ""
         self._daemon = daemon
@@ -187,6 +190,7 @@
             return httpd.Reply(
                 503, headers={**echo, "X-Tamarackgap-Not-Executed": "1"}
             )
+        self.begins(self, request, position)
         time.sleep(self.work_s)
         with self._lock:
             self.ran.append((request, position))
@@ -215,3 +219,7 @@
             json.dumps(told).encode("utf-8"),
             {**echo, "X-Tamarackgap-Response-Signature": "signed"},
         )
+
+
+def _ignore(server: AppServer, request: str, position: int | None) -> None:
+    del server, request, position
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -3,6 +3,7 @@
 import http.server
 import json
 import socketserver
+import sys
 from collections.abc import Callable
 
 import msgspec
@@ -44,6 +45,11 @@
     request_queue_size = 256
     allow_reuse_address = True
 
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Reports errors, but for callers that went away."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
 
 def serve(address: str, answer: Answer) -> http.server.HTTPServer:
     """Returns a server bound to `ip:port`; call its `serve_forever`."""
--- a/standins/site.py
+++ b/standins/site.py
@@ -86,6 +86,9 @@
         own = [f"127.0.0.1:{base + index}" for index in range(PORTS)]
         self.callers, self.peers, self.control, self.ready = own[:4]
         self.app, self.metrics = own[4:]
+        # Where the daemon finds the store and its target.
+        self.store = site.store_address
+        self.target = self.app
         self.lives = 0
         self.server = None
         self.process = None
@@ -119,10 +122,10 @@
 announce_address = {self.control}
 ready_address = {self.ready}
 metrics_address = {self.metrics}
-target_address = {self.app}
+target_address = {self.target}
 announce_interval = 200
 [table]
-address = {self.site.store_address}
+address = {self.store}
 [ownership]
 lease = 1000
 settle = 500
