--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup demo test lint format bench model
+.PHONY: setup demo test lint format bench model soak
 
 setup: .venv/ready
 
@@ -30,3 +30,6 @@
 
 model: setup
 	$(BIN)/python -m model
+
+soak: setup
+	$(BIN)/python -m soak --seeds 10
