--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -13,7 +13,7 @@
 from tamarackgap.peers import calls, peers
 from tamarackgap.placement import slots
 from tamarackgap.requests import retries
-from tamarackgap.traffic import balancer, crashes, routetable, runner
+from tamarackgap.traffic import balancer, crashes, routetable, runner, targets
 
 # A key's owner is known again within this time after a planned move.
 _MOVE_PAUSE_S = 0.02
@@ -118,8 +118,7 @@
         self._crashes = crashed
         self._spread = routetable.Spread()
         self._keyed: frozenset[str] = frozenset()
-        self._candidates: dict[str, balancer.Candidate] = {}
-        self._addresses: dict[str, str] = {}
+        self._targets = targets.Targets(core, timers)
         self._flights: dict[int, Flight] = {}
         self._legs = itertools.count(1)
         self._open = 0
@@ -139,41 +138,12 @@
 
     def is_heard(self, incarnation: str) -> bool:
         """Returns whether a daemon has told of itself lately."""
-        candidate = self._candidates.get(incarnation)
-        silence = balancer.SILENCE_S
-        return (
-            candidate is not None
-            and self._timers.now - candidate.heard < silence
-        )
+        return self._targets.is_heard(incarnation)
 
     def heard(self, sender: str, address: str, status: calls.Status) -> None:
         """Takes in what a daemon tells of itself."""
-        now = self._timers.now
-        before = self._addresses_of(address)
-        candidate = self._candidates.get(sender)
-        if candidate is None:
-            candidate = balancer.Candidate(sender)
-            self._candidates[sender] = candidate
-            logs.event("daemon_heard", incarnation=sender, address=address)
-        self._addresses[sender] = address
-        if candidate.accepting != status.accepting:
-            logs.event(
-                "target_state_heard",
-                incarnation=sender,
-                service=status.service,
-                accepting=status.accepting,
-            )
-        candidate.service = status.service
-        candidate.accepting = status.accepting
-        candidate.data_centre = status.data_centre
-        candidate.capacity = status.capacity
-        candidate.busy = status.running + status.waiting
-        candidate.sent = 0
-        candidate.slowness = status.slowness
-        candidate.heard = now
-        for other in before - {sender}:
-            # Another process is at that address now.
-            self._drop(other)
+        for gone in self._targets.heard(sender, address, status):
+            self._drop(gone)
 
     def begin(
         self,
@@ -225,11 +195,7 @@
 
     def completed(self, sender: str, completion: calls.Completion) -> None:
         """Takes in what became of a leg; one that comes late is dropped."""
-        candidate = self._candidates.get(sender)
-        if candidate is not None:
-            candidate.busy = completion.running + completion.waiting
-            candidate.sent = 0
-            candidate.heard = max(candidate.heard, self._timers.now)
+        self._targets.completed(sender, completion)
         flight = self._flights.pop(completion.leg, None)
         if flight is None:
             logs.event("late_completion_dropped", leg=completion.leg)
@@ -242,16 +208,14 @@
 
     def sweep(self) -> None:
         """Gives up legs at daemons that are silent."""
-        now = self._timers.now
-        for name, candidate in list(self._candidates.items()):
-            if now - candidate.heard > balancer.SILENCE_S * 10:
-                self._drop(name)
+        for name in self._targets.forgotten():
+            self._drop(name)
         for leg, flight in list(self._flights.items()):
             candidate = flight.candidate
             if (
                 flight.route.idempotent
                 and candidate is not None
-                and now - candidate.heard > balancer.SILENCE_S
+                and self._targets.is_silent(candidate)
             ):
                 self._lose(leg, flight)
 
@@ -273,16 +237,10 @@
             if refusal is not None:
                 self._await_owner(flight, refusal)
                 return
-            candidate = self._candidates.get(owner)
-            if candidate is None:
-                candidate = balancer.Candidate(owner, heard=now)
+            candidate = self._targets.owner(owner)
         else:
             candidate = balancer.choose(
-                (
-                    candidate
-                    for candidate in self._candidates.values()
-                    if candidate.service == flight.service
-                ),
+                self._targets.of(flight.service),
                 flight.tried,
                 now,
                 self._rng,
@@ -337,7 +295,7 @@
                 dispatch, own, functools.partial(self.completed, own)
             )
             return
-        address = self._address(candidate.incarnation)
+        address = self._targets.address(candidate.incarnation)
         if not address or not self._peers.send(own, address, dispatch):
             self._flights.pop(leg, None)
             flight.leg = 0
@@ -405,19 +363,10 @@
         return (
             flight.runs < flight.route.attempts
             and flight.deadline - now > flight.route.aim * _LEAST_AIM
-            and self._has_room(flight.service)
+            and self._targets.has_room(flight.service)
             and self._budgets.of(flight.service).withdraw()
         )
 
-    def _has_room(self, service: types.ServiceName) -> bool:
-        """Returns whether a call more would wait for no other."""
-        now = self._timers.now
-        return any(
-            candidate.busy + candidate.sent < candidate.capacity
-            for candidate in self._candidates.values()
-            if candidate.service == service and candidate.usable(now)
-        )
-
     def _may_go_elsewhere(
         self, flight: Flight, reason: types.Reason | None
     ) -> bool:
@@ -475,9 +424,7 @@
 
     def _drop(self, incarnation: str) -> None:
         """Forgets a daemon that is gone; its answers are not due."""
-        self._candidates.pop(incarnation, None)
-        self._addresses.pop(incarnation, None)
-        logs.event("daemon_dropped", incarnation=incarnation)
+        self._targets.drop(incarnation)
         for leg, flight in list(self._flights.items()):
             candidate = flight.candidate
             if candidate and candidate.incarnation == incarnation:
@@ -491,7 +438,7 @@
         if owner == own:
             self._runner.withdraw(own, flight.leg)
             return
-        address = self._address(owner)
+        address = self._targets.address(owner)
         if address:
             self._peers.send(own, address, calls.Withdraw(flight.leg))
 
@@ -565,20 +512,6 @@
             ms=round((now - flight.begun) * 1000, 1),
         )
 
-    # Addresses.
-
-    def _address(self, incarnation: str) -> str:
-        address = self._addresses.get(incarnation)
-        if address is None:
-            record = self._core.view.lease(incarnation)
-            address = record.peer_address if record is not None else ""
-        return address
-
-    def _addresses_of(self, address: str) -> set[str]:
-        return {
-            name for name, known in self._addresses.items() if known == address
-        }
-
 
 def _ignore(flight: Flight, completion: calls.Completion) -> None:
     del flight, completion
--- /dev/null
+++ b/tamarackgap/traffic/targets.py
@@ -0,0 +1,132 @@
+"""What a daemon knows of all targets, from what their daemons tell."""
+
+from collections.abc import Iterator
+
+from tamarackgap import logs, types
+from tamarackgap.network import scheduler
+from tamarackgap.ownership import ownership
+from tamarackgap.peers import calls
+from tamarackgap.traffic import balancer
+
+# A daemon that has told nothing for so long is forgotten, seconds.
+_FORGOTTEN_S = 10 * balancer.SILENCE_S
+
+
+class Targets:
+    """The targets that calls may be sent to, each by its daemon."""
+
+    def __init__(
+        self, core: ownership.Ownership, timers: scheduler.Scheduler
+    ) -> None:
+        """Creates an empty list.
+
+        Args:
+            core: Knows the addresses of daemons that have told nothing yet.
+            timers: The loop's scheduler.
+        """
+        self._core = core
+        self._timers = timers
+        self._candidates: dict[str, balancer.Candidate] = {}
+        self._addresses: dict[str, str] = {}
+
+    def heard(
+        self, sender: str, address: str, status: calls.Status
+    ) -> list[str]:
+        """Takes in what a daemon tells of itself.
+
+        Returns:
+            Incarnations that are gone: another process is at their address.
+        """
+        candidate = self._candidates.get(sender)
+        if candidate is None:
+            candidate = balancer.Candidate(sender)
+            self._candidates[sender] = candidate
+            logs.event("daemon_heard", incarnation=sender, address=address)
+        gone = [
+            name
+            for name, known in self._addresses.items()
+            if known == address and name != sender
+        ]
+        self._addresses[sender] = address
+        if candidate.accepting != status.accepting:
+            logs.event(
+                "target_state_heard",
+                incarnation=sender,
+                service=status.service,
+                accepting=status.accepting,
+            )
+        candidate.service = status.service
+        candidate.accepting = status.accepting
+        candidate.data_centre = status.data_centre
+        candidate.capacity = status.capacity
+        candidate.slowness = status.slowness
+        self._loaded(candidate, status.running + status.waiting)
+        candidate.heard = self._timers.now
+        return gone
+
+    def completed(self, sender: str, completion: calls.Completion) -> None:
+        """Takes in the load that a completion tells."""
+        candidate = self._candidates.get(sender)
+        if candidate is not None:
+            self._loaded(candidate, completion.running + completion.waiting)
+            candidate.heard = max(candidate.heard, self._timers.now)
+
+    def drop(self, incarnation: str) -> None:
+        """Forgets a daemon that is gone."""
+        self._candidates.pop(incarnation, None)
+        self._addresses.pop(incarnation, None)
+        logs.event("daemon_dropped", incarnation=incarnation)
+
+    def is_heard(self, incarnation: str) -> bool:
+        """Returns whether a daemon has told of itself lately."""
+        candidate = self._candidates.get(incarnation)
+        return candidate is not None and not self.is_silent(candidate)
+
+    def is_silent(self, candidate: balancer.Candidate) -> bool:
+        """Returns whether a target's daemon has told nothing lately."""
+        return self._timers.now - candidate.heard >= balancer.SILENCE_S
+
+    def forgotten(self) -> list[str]:
+        """Returns the daemons that were not heard for long."""
+        since = self._timers.now - _FORGOTTEN_S
+        return [
+            name
+            for name, candidate in self._candidates.items()
+            if candidate.heard < since
+        ]
+
+    def of(self, service: str) -> Iterator[balancer.Candidate]:
+        """Yields a service's targets."""
+        return (
+            candidate
+            for candidate in self._candidates.values()
+            if candidate.service == service
+        )
+
+    def owner(self, incarnation: types.Incarnation) -> balancer.Candidate:
+        """Returns a key's owner, whether it has told of itself or not."""
+        candidate = self._candidates.get(incarnation)
+        if candidate is None:
+            return balancer.Candidate(incarnation, heard=self._timers.now)
+        return candidate
+
+    def has_room(self, service: str) -> bool:
+        """Returns whether one more call would wait for no other."""
+        now = self._timers.now
+        return any(
+            candidate.busy + candidate.sent < candidate.capacity
+            for candidate in self.of(service)
+            if candidate.usable(now)
+        )
+
+    def address(self, incarnation: str) -> str:
+        """Returns a daemon's `ip:port`, or "" if it is not known."""
+        address = self._addresses.get(incarnation)
+        if address is None:
+            record = self._core.view.lease(incarnation)
+            address = record.peer_address if record is not None else ""
+        return address
+
+    def _loaded(self, candidate: balancer.Candidate, busy: int) -> None:
+        candidate.busy = busy
+        candidate.sent = 0
--- /dev/null
+++ b/tests/traffic/test_targets.py
@@ -0,0 +1,78 @@
+import types as module_types
+
+import pytest
+
+from tamarackgap.peers import calls
+from tamarackgap.traffic import balancer, targets
+
+
+def status(**changed):
+    values = {
+        "service": "s",
+        "accepting": True,
+        "capacity": 4,
+        "running": 1,
+        "waiting": 0,
+        "slowness": 0.3,
+        "version": 1,
+        "data_centre": "north",
+        **changed,
+    }
+    return calls.Status(**values)
+
+
+@pytest.fixture
+def subject():
+    timers = module_types.SimpleNamespace(now=100.0)
+    record = module_types.SimpleNamespace(peer_address="1.2.3.4:5")
+    leases = {"known": record}
+    core = module_types.SimpleNamespace(
+        view=module_types.SimpleNamespace(lease=leases.get)
+    )
+    return timers, targets.Targets(core, timers)
+
+
+def test_another_process_at_an_address_means_the_earlier_is_gone(subject):
+    _, found = subject
+    assert found.heard("a", "x:1", status()) == []
+    assert found.heard("b", "y:1", status()) == []
+    assert found.heard("c", "x:1", status()) == ["a"]
+
+
+def test_only_targets_of_a_service_are_listed(subject):
+    _, found = subject
+    found.heard("a", "x:1", status())
+    found.heard("b", "y:1", status(service="t"))
+    assert [c.incarnation for c in found.of("s")] == ["a"]
+
+
+def test_room_is_what_is_left_of_the_capacity(subject):
+    _, found = subject
+    found.heard("a", "x:1", status(running=3))
+    assert found.has_room("s")
+    next(found.of("s")).sent = 1
+    assert not found.has_room("s")
+    found.completed(
+        "a", calls.Completion(1, calls.types.Verdict.ANSWERED, running=2)
+    )
+    assert found.has_room("s")
+
+
+def test_silence_is_noticed_and_forgotten_in_the_end(subject):
+    timers, found = subject
+    found.heard("a", "x:1", status())
+    assert found.is_heard("a")
+    timers.now += balancer.SILENCE_S
+    assert not found.is_heard("a")
+    assert found.forgotten() == []
+    timers.now += 10 * balancer.SILENCE_S
+    assert found.forgotten() == ["a"]
+    found.drop("a")
+    assert not list(found.of("s"))
+
+
+def test_an_owner_that_has_told_nothing_is_known_by_its_record(subject):
+    _, found = subject
+    assert found.owner("known").incarnation == "known"
+    assert found.address("known") == "1.2.3.4:5"
+    assert found.address("nobody") == ""
