Calls under way at a daemon that leaves its lease are not taken for lost

Cause: a daemon that leaves, or loses its lease, goes on as another incarnation of the same process. Ruled out: the target, which went on; the link between the daemons. Change: a status names the process; a process that goes on under another name keeps its calls, load and failures. The path's new test failed before (502 among 12 calls), and so did the part's.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -133,6 +133,7 @@
             route's aim; 0 where it has served none.
         version: Version of the route table in force there.
         data_centre: Where the daemon stands.
+        process: Id of the process, the same for all its incarnations.
     """
 
     service: types.ServiceName
@@ -143,3 +144,4 @@
     slowness: float
     version: int
     data_centre: types.DataCentre
+    process: str
--- a/tamarackgap/processes/neighbours.py
+++ b/tamarackgap/processes/neighbours.py
@@ -55,6 +55,8 @@
         self._timers = timers
         self._table = table
         self._asked_table = float("-inf")
+        # The first incarnation names the process: each id is used only once.
+        self._process = core.incarnation
         # Daemons that were told of the target here, and up to which version
         # of the rows they were looked for.
         self._told: set[types.Incarnation] = set()
@@ -141,6 +143,7 @@
             queue.slowness,
             table.version if table is not None else 0,
             types.DataCentre(self._core.settings.data_centre),
+            self._process,
         )
 
     def _note_crash(self, news: calls.TargetCrash) -> None:
--- a/tamarackgap/traffic/balancer.py
+++ b/tamarackgap/traffic/balancer.py
@@ -34,6 +34,7 @@
             where it has served none.
         heard: When its daemon was last heard, seconds.
         data_centre: Where it stands.
+        process: Id of the daemon's process.
         failures: Recent failures, each weighed by its age.
         successes: Recent calls that it answered well, likewise.
         weighed_at: When both were right, seconds.
@@ -48,6 +49,7 @@
     slowness: float = 0.0
     heard: float = float("-inf")
     data_centre: str = ""
+    process: str = ""
     failures: float = 0.0
     successes: float = 0.0
     weighed_at: float = 0.0
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -37,16 +37,21 @@
         Returns:
             Incarnations that are gone: another process is at their address.
         """
-        candidate = self._candidates.get(sender)
-        if candidate is None:
-            candidate = balancer.Candidate(sender)
-            self._candidates[sender] = candidate
-            logs.event("daemon_heard", incarnation=sender, address=address)
-        gone = [
+        earlier = [
             name
             for name, known in self._addresses.items()
             if known == address and name != sender
         ]
+        candidate = self._candidates.get(sender)
+        for name in earlier:
+            same = self._candidates.get(name)
+            if candidate is None and same and same.process == status.process:
+                candidate = self._rename(same, sender)
+        if candidate is None:
+            candidate = balancer.Candidate(sender)
+            logs.event("daemon_heard", incarnation=sender, address=address)
+        self._candidates[sender] = candidate
+        gone = [name for name in earlier if name in self._candidates]
         self._addresses[sender] = address
         if candidate.accepting != status.accepting:
             logs.event(
@@ -58,6 +63,7 @@
         candidate.service = status.service
         candidate.accepting = status.accepting
         candidate.data_centre = status.data_centre
+        candidate.process = status.process
         candidate.capacity = status.capacity
         candidate.slowness = status.slowness
         self._loaded(candidate, status.running + status.waiting)
@@ -127,6 +133,24 @@
             address = record.peer_address if record is not None else ""
         return address
 
+    def _rename(
+        self, candidate: balancer.Candidate, incarnation: str
+    ) -> balancer.Candidate:
+        """Follows a process that goes on as another incarnation.
+
+        It still answers the calls that it had, after its lease was lost or
+        while it leaves.
+        """
+        logs.event(
+            "daemon_renamed",
+            incarnation=incarnation,
+            earlier=candidate.incarnation,
+        )
+        del self._candidates[candidate.incarnation]
+        del self._addresses[candidate.incarnation]
+        candidate.incarnation = incarnation
+        return candidate
+
     def _loaded(self, candidate: balancer.Candidate, busy: int) -> None:
         candidate.busy = busy
         candidate.sent = 0
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -353,6 +353,36 @@
     assert site_lib.wait(READY_S, site.works)
 
 
+def test_calls_under_way_at_a_daemon_that_leaves_are_answered(site):
+    assert site_lib.wait(READY_S, site.works)
+    place = site.places[1]
+    for each in site.places[:2]:
+        each.server.work_s = 1.2
+    try:
+        with concurrent.futures.ThreadPoolExecutor(12) as pool:
+            answers = [
+                pool.submit(
+                    site_lib.call,
+                    site.places[3],
+                    "seats.example",
+                    "/book/x",
+                    method="POST",
+                    timeout_ms=2000,
+                )
+                for _ in range(12)
+            ]
+            time.sleep(0.1)
+            place.process.send_signal(signal.SIGTERM)
+            statuses = [answer.result()[0] for answer in answers]
+    finally:
+        for each in site.places[:2]:
+            each.server.work_s = 0.005
+    assert statuses == [200] * 12
+    assert place.process.wait(timeout=6) == 0
+    place.start()
+    assert site_lib.wait(READY_S, site.works)
+
+
 def test_a_daemon_that_is_told_to_stop_cuts_nothing(site):
     place = site.places[0]
     place.process.send_signal(signal.SIGTERM)
--- a/tests/traffic/test_targets.py
+++ b/tests/traffic/test_targets.py
@@ -16,6 +16,7 @@
         "slowness": 0.3,
         "version": 1,
         "data_centre": "north",
+        "process": "p1",
         **changed,
     }
     return calls.Status(**values)
@@ -36,7 +37,24 @@
     _, found = subject
     assert found.heard("a", "x:1", status()) == []
     assert found.heard("b", "y:1", status()) == []
-    assert found.heard("c", "x:1", status()) == ["a"]
+    assert found.heard("c", "x:1", status(process="p2")) == ["a"]
+
+
+def test_a_process_that_goes_on_under_another_name_is_not_gone(subject):
+    # Calls in progress at a daemon that left its lease were taken for lost.
+    _, found = subject
+    found.heard("a", "x:1", status())
+    before = next(found.of("s"))
+    assert found.heard("b", "x:1", status(accepting=False)) == []
+    (after,) = found.of("s")
+    assert after is before
+    assert after.incarnation == "b"
+    assert not after.accepting
+    assert not found.is_heard("a")
+    # News of the earlier name that come late do not bring it back for good.
+    found.heard("a", "x:1", status())
+    assert found.heard("b", "x:1", status()) in ([], ["a"])
+    assert found.address("b") == "x:1"
 
 
 def test_only_targets_of_a_service_are_listed(subject):
