--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -7,8 +7,6 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from tamarackgap import types
 from tamarackgap.ownership import (
     changes,
@@ -17,6 +15,7 @@
     lease,
     loads,
     planner,
+    reconfiguring,
     renewal,
     silence,
     succession,
@@ -25,11 +24,12 @@
 )
 from tamarackgap.ownership import situation as situation_lib
 from tamarackgap.peers import messages
-from tamarackgap.placement import placement, records, routes, slots
+from tamarackgap.placement import records, routes, slots
 
 _SUSPECT_SHARE = 0.8
 _COMMIT_AGAIN_S = 0.2
-_PREPARE_LIMIT_S = 2.0
+# A write that has had no answer for so long is put again, seconds.
+_ANSWER_LIMIT_S = 2.0
 # A lease that ended is given up after this share of its length: renewals go
 # out each quarter, and witnesses that still grant have answered by then.
 _LAPSED_SHARE = 0.4
@@ -38,8 +38,6 @@
 _REJOIN_S = 3.0
 # After these the slots of a closed record wait for their claim.
 _CLAIMED_NEXT = frozenset({changes.Kind.VOUCH, changes.Kind.CONDEMN})
-# Longest time for a target to release slots that are to move, seconds.
-_HAND_OFF_LIMIT_S = 4.0
 
 
 class Ownership:
@@ -85,8 +83,9 @@
         # Up to when what the table says is known here, seconds.
         self._read_as_of = now
         self._witnessing: witnessing.Witnessing | None = None
-        self._moving: frozenset[int] = frozenset()
-        self._hand_off: planner.HandOff | None = None
+        self._reconfiguring = reconfiguring.Reconfiguring(
+            self._renewal, self._outbox, settings.ordered
+        )
         self._former = former.Former()
         self._silence = silence.Silence()
         self._rejoin_until = now
@@ -123,9 +122,10 @@
         self._owned: dict[int, effects.Owned] = {}
         self._pending: changes.Change | None = None
         self._commit_at = 0.0
-        self._intent: planner.Intent | None = None
-        self._prepare_until = 0.0
-        self._end_hand_off()
+        self._reconfiguring.end_hand_off()
+        self._reconfiguring = reconfiguring.Reconfiguring(
+            self._renewal, self._outbox, self._settings.ordered
+        )
         self._changed_at = now
         self._sharing = loads.Sharing(
             self._settings, self._view, self._outbox, self._rng, now
@@ -198,7 +198,7 @@
     @property
     def is_handing_off(self) -> bool:
         """Whether the target is releasing slots that are to move."""
-        return self._hand_off is not None
+        return self._reconfiguring.is_handing_off
 
     @property
     def read_as_of(self) -> float:
@@ -226,7 +226,7 @@
             return types.Reason.WRONG_OWNER
         if now >= self.lease_until():
             return types.Reason.LEASE_EXPIRED
-        if slot in self._moving:
+        if slot in self._reconfiguring.moving:
             return types.Reason.SLOT_MOVING
         return None
 
@@ -371,9 +371,8 @@
                 self._plan_at = now
             self._outbox.broadcast(messages.Rows(tuple(rows)))
         if change.kind is changes.Kind.RECONFIGURE:
-            self._renewal.own_lease.abandon()
-            self._intent = None
-        self._end_hand_off()
+            self._reconfiguring.give_up()
+        self._reconfiguring.end_hand_off()
 
     def receive(self, envelope: messages.Envelope, now: float) -> None:
         """Takes a message of another daemon in."""
@@ -529,14 +528,14 @@
     def _put(self, change: changes.Change, now: float) -> None:
         self._pending = change
         # Set again by `committed`; a lost call must not stop the protocol.
-        self._commit_at = now + _PREPARE_LIMIT_S
+        self._commit_at = now + _ANSWER_LIMIT_S
         self._outbox.put(effects.Commit(change))
 
     def _plan(self, now: float) -> None:
         if self._pending is not None:
             return
-        if self._intent is not None:
-            self._prepare(now)
+        if self._reconfiguring.is_under_way:
+            self._proceed(now)
             return
         if now < self._plan_at:
             return
@@ -554,7 +553,7 @@
         if isinstance(decided, changes.Change):
             self._put(decided, now)
         elif decided is not None:
-            self._intend(decided, now)
+            self._reconfiguring.begin(decided, now)
 
     def _situation(self, now: float) -> situation_lib.Situation:
         return situation_lib.Situation(
@@ -590,54 +589,13 @@
     def _change_id(self) -> str:
         return f"{self._incarnation}-{self._rng.getrandbits(48):012x}"
 
-    def _intend(self, intent: planner.Intent, now: float) -> None:
-        """Collects retirements and new grants before the epoch changes."""
-        self._intent = intent
-        self._prepare_until = now + _PREPARE_LIMIT_S
-        self._renewal.prepare(intent.witnesses, now)
-
-    def _prepare(self, now: float) -> None:
-        intent = self._intent
-        if not self._renewal.own_lease.is_prepared(now):
-            if now >= self._prepare_until:
-                self._give_up_intent()
-            return
-        if self._hand_off is not None and self._hand_off.handovers is None:
-            if now >= self._prepare_until:
-                self._give_up_intent()
-            return
-        change = planner.reconfiguration(
-            intent, self._situation(now), self._change_id(), self._hand_off
+    def _proceed(self, now: float) -> None:
+        found = self._reconfiguring.proceed(
+            self._situation, self._change_id, now
         )
-        if change is None:
-            self._give_up_intent()
-            return
-        self._moving = frozenset(move.slot for move in change.moves)
-        if self._settings.ordered and self._moving and self._hand_off is None:
-            self._hand_off = planner.HandOff(change.moves)
-            self._prepare_until = now + _HAND_OFF_LIMIT_S
-            self._outbox.put(effects.HandOff(self._moving))
-            return
-        self._sharing.budget.spend(len(change.moves))
-        self._log_moves(change.moves)
-        self._renewal.own_lease.begin_write()
-        self._put(change.change, now)
-
-    def _log_moves(self, moves: tuple[placement.Move, ...]) -> None:
-        """Logs one line for each run of slots that goes the same way."""
-        ways: dict[tuple[str, str], dict[int, slots.Holding]] = {}
-        for move in moves:
-            way = ways.setdefault((move.destination, move.reason), {})
-            way[move.slot] = slots.Holding(0)
-        for (destination, reason), moved in ways.items():
-            for run in slots.compress(moved):
-                self._outbox.log(
-                    "move",
-                    first=run.first,
-                    last=run.last,
-                    to=destination,
-                    reason=reason,
-                )
+        if found is not None:
+            self._sharing.budget.spend(len(found.moves))
+            self._put(found.change, now)
 
     def handed_off(self, handovers: dict[slots.Run, str]) -> None:
         """Notes that the target has released the slots that are to move.
@@ -645,22 +603,7 @@
         Args:
             handovers: What it said to tell each run's next target.
         """
-        if self._hand_off is not None:
-            self._hand_off = msgspec.structs.replace(
-                self._hand_off, handovers=handovers
-            )
-            self._moving = frozenset(move.slot for move in self._hand_off.moves)
-
-    def _give_up_intent(self) -> None:
-        self._renewal.own_lease.abandon()
-        self._intent = None
-        self._end_hand_off()
-
-    def _end_hand_off(self) -> None:
-        self._moving = frozenset()
-        if self._hand_off is not None:
-            self._hand_off = None
-            self._outbox.put(effects.HandOff(self._moving))
+        self._reconfiguring.handed_off(handovers)
 
     # Helpers.
 
