--- a/soak/faults.py
+++ b/soak/faults.py
@@ -136,7 +136,10 @@
     )
 
 
-ALL = (
+# Injects itself at a place, and ends once it has been taken back.
+Fault = Callable[[Scene, site_lib.Place], None]
+
+ALL: tuple[Fault, ...] = (
     kill,
     kill_all,
     pause,
--- a/soak/run.py
+++ b/soak/run.py
@@ -57,6 +57,8 @@
 
 
 class _Soak:
+    """A site with its proxies, callers and faults."""
+
     def __init__(self, folder: pathlib.Path, seed: int) -> None:
         self.rng = random.Random(seed)
         self.judge = judge.Judge()
@@ -141,7 +143,7 @@
             return self.site.works()
         return False
 
-    def _inject(self, fault: object, place: site_lib.Place) -> None:
+    def _inject(self, fault: faults.Fault, place: site_lib.Place) -> None:
         try:
             fault(self.scene, place)
         except Exception:  # noqa: BLE001
