Remove an attribute of the router that nothing reads

Found on reading the whole change once more: the moment of its start was kept and never read. Ruled out as not the same logic: what duplicates lists besides. No behaviour changed. Lint and five tests of the path and layout, on real processes, pass; the whole suite was not run again.

--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -105,7 +105,6 @@
         # When keys that were to move are given up instead, seconds.
         self._give_up_at = 0.0
         self._stopped = False
-        self._started = now()
 
     def begin(self, outside: boundary.Boundary) -> None:
         """Binds all addresses, and starts.
