Turns of the router's loop cost no event; one message to many is encoded once

Change: the poller goes on turning, with timers, until a circuits event waits; the link to the others has a callback like all sockets of the data path; addresses are indexed.

--- a/tamarackgap/network/scheduler.py
+++ b/tamarackgap/network/scheduler.py
@@ -67,15 +67,25 @@
         """Calls in each turn of the loop, before it waits for events."""
         self._each_turn.append(call)
 
-    @circuits.handler("generate_events", channel="*", priority=10)
-    def _on_turn(self, event: circuits.Event) -> None:
+    def turn(self) -> float:
+        """Makes all calls that are due.
+
+        Returns:
+            Seconds until the next one is due, or -1 where there is none.
+        """
         for call in self._each_turn:
             call()
-        while self._timers and self._timers[0][0] <= self._clock():
+        while self._timers:
+            left = self._timers[0][0] - self._clock()
+            if left > 0:
+                return left
             heapq.heappop(self._timers)[2].fire()
+        return -1.0
+
+    @circuits.handler("generate_events", channel="*", priority=10)
+    def _on_turn(self, event: circuits.Event) -> None:
+        left = self.turn()
         if len(self.root):
             # A call has fired events: the loop must not wait now.
-            event.reduce_time_left(0)
-        elif self._timers:
-            left = self._timers[0][0] - self._clock()
-            event.reduce_time_left(max(0.0, left))
+            left = 0.0
+        event.reduce_time_left(left)
--- a/tamarackgap/network/sockets.py
+++ b/tamarackgap/network/sockets.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable
 
+import circuits
 from circuits.core import pollers
 
 READABLE = select.EPOLLIN
@@ -21,12 +22,16 @@
     """The loop's poller, which also calls functions directly.
 
     A circuits event costs more processor time than the work behind most
-    readable sockets, so the sockets of the data path have callbacks.
+    readable sockets, so the sockets of the data path have callbacks, and the
+    loop's turns need no event while none is waiting.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self._callbacks: dict[int, Callback] = {}
+        # Does what is due, and returns the seconds until more is; negative
+        # where nothing is planned.
+        self.turn: Callable[[], float] | None = None
 
     def watch(self, descriptor: int, flags: int, callback: Callback) -> None:
         """Calls `callback` whenever one of `flags` is set."""
@@ -42,6 +47,17 @@
         if self._callbacks.pop(descriptor, None) is not None:
             self._poller.unregister(descriptor)
 
+    def _generate_events(self, event: circuits.Event) -> None:
+        left = event.time_left
+        while True:
+            for descriptor, flags in self._poller.poll(left):
+                self._process(descriptor, flags)
+            if self.turn is None or len(self.root):
+                return
+            left = self.turn()
+            if len(self.root):
+                return
+
     def _process(self, descriptor: int, flags: int) -> None:
         callback = self._callbacks.get(descriptor)
         if callback is None:
--- a/tamarackgap/peers/peers.py
+++ b/tamarackgap/peers/peers.py
@@ -5,15 +5,13 @@
 queue to be delivered to a later process at the same address.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-import circuits
 import msgspec
 import zmq
-from circuits.core import pollers
 
 from tamarackgap import logs
-from tamarackgap.network import scheduler
+from tamarackgap.network import scheduler, sockets
 from tamarackgap.peers import messages
 
 _HIGH_WATER_MESSAGES = 1000
@@ -22,18 +20,18 @@
 # A turn of the loop must stay short even if peers send without pause.
 _DRAIN_MESSAGES = 200
 _MISSED_EDGE_S = 0.05
+# A plain number: flags of an enumeration are slow to combine.
+_READABLE = int(zmq.POLLIN)
 
 Receive = Callable[[messages.Envelope], None]
 
 
-class Peers(circuits.Component):
+class Peers:
     """All links to other daemons."""
 
-    channel = "peers"
-
     def __init__(
         self,
-        poller: pollers.BasePoller,
+        poller: sockets.Poller,
         timers: scheduler.Scheduler,
         deployment: str,
         address: str,
@@ -53,7 +51,6 @@
         Raises:
             OSError: If the address can't be bound.
         """
-        super().__init__()
         self._deployment = deployment
         self._address = address
         self._receive = receive
@@ -72,7 +69,9 @@
         self.sent_bytes = 0
         self.dropped = 0
         self.malformed = 0
-        poller.addReader(self, self._inbox.getsockopt(zmq.FD))
+        poller.watch(
+            self._inbox.getsockopt(zmq.FD), sockets.READABLE, self._readable
+        )
         self._more = False
         timers.each_turn(self._drain_rest)
         # The descriptor is edge-triggered: a missed edge is made up here.
@@ -99,10 +98,28 @@
             Whether it was handed to a connection; it may be lost all the
             same. If not, it will never arrive.
         """
-        envelope = messages.Envelope(
-            self._deployment, sender, self._address, message
+        return self._send(address, self._frame(sender, message))
+
+    def send_all(
+        self, sender: str, addresses: Iterable[str], message: messages.Message
+    ) -> None:
+        """Sends a message to many, without waiting.
+
+        Args:
+            sender: The incarnation that sends.
+            addresses: The receivers' `ip:port`.
+            message: The message; it is encoded once.
+        """
+        frame = self._frame(sender, message)
+        for address in addresses:
+            self._send(address, frame)
+
+    def _frame(self, sender: str, message: messages.Message) -> bytes:
+        return messages.encode(
+            messages.Envelope(self._deployment, sender, self._address, message)
         )
-        frame = messages.encode(envelope)
+
+    def _send(self, address: str, frame: bytes) -> bool:
         try:
             self._outbox(address).send(frame, zmq.NOBLOCK)
         except zmq.Again:
@@ -132,9 +149,8 @@
             self._outboxes[address] = outbox
         return outbox
 
-    @circuits.handler("_read")
-    def _on_read(self, descriptor: int) -> None:
-        del descriptor
+    def _readable(self, flags: int) -> None:
+        del flags
         self._drain()
 
     def _drain_rest(self) -> None:
@@ -144,7 +160,7 @@
     def _drain(self) -> None:
         for _ in range(_DRAIN_MESSAGES):
             # Asking first is cheaper than an exception.
-            self._more = bool(self._inbox.getsockopt(zmq.EVENTS) & zmq.POLLIN)
+            self._more = bool(self._inbox.getsockopt(zmq.EVENTS) & _READABLE)
             if not self._more:
                 return
             self._take(self._inbox.recv(zmq.NOBLOCK))
--- a/tamarackgap/processes/daemon.py
+++ b/tamarackgap/processes/daemon.py
@@ -7,11 +7,10 @@
 import time
 
 import circuits
-from circuits.core import pollers
 from circuits.web import servers
 
 from tamarackgap import logs, metrics
-from tamarackgap.network import httpclient, scheduler
+from tamarackgap.network import httpclient, scheduler, sockets
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import messages, peers
 from tamarackgap.processes import protocol
@@ -55,7 +54,7 @@
         super().__init__()
         self._settings = settings
         self._rng = random.Random()
-        self._poller = pollers.EPoll().register(self)
+        self._poller = sockets.Poller().register(self)
         self._timers = scheduler.Scheduler().register(self)
         clock = time.monotonic
         self._http = httpclient.HttpClient(self._poller, self._timers)
@@ -82,7 +81,7 @@
             settings.daemon_peer_address,
             settings.requests_body + settings.requests_answer + _ENVELOPE_BYTES,
             self._receive,
-        ).register(self)
+        )
         self._table = tableclient.TableClient(
             self._http, settings.table_address, settings.table_timeout / 1000
         )
--- a/tamarackgap/processes/neighbours.py
+++ b/tamarackgap/processes/neighbours.py
@@ -165,9 +165,10 @@
 
     def _tell(self, message: messages.Message) -> None:
         own = self._core.settings.peer_address
-        for record in self._core.view.members():
-            if record.peer_address != own:
-                self._send(record.peer_address, message)
+        addresses = {
+            record.peer_address for record in self._core.view.members()
+        }
+        self._links.send_all(self._core.incarnation, addresses - {own}, message)
 
     def _send(self, address: str, message: messages.Message) -> None:
         self._links.send(self._core.incarnation, address, message)
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -97,6 +97,7 @@
         self._rng = random.Random()
         self.poller = sockets.Poller().register(self)
         self.timers = scheduler.Scheduler(now).register(self)
+        self.poller.turn = self.timers.turn
         self._table: routetable.RouteTable | None = None
         self._table_since = now()
         self._index: routetable.Index | None = None
@@ -151,7 +152,7 @@
             settings.daemon_peer_address,
             settings.requests_body + settings.requests_answer + _ENVELOPE_BYTES,
             self._receive,
-        ).register(self)
+        )
         self._crashes = crashes.Crashes()
         self._runner = runner.Runner(
             self._service,
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -28,6 +28,8 @@
         self._timers = timers
         self._candidates: dict[str, balancer.Candidate] = {}
         self._addresses: dict[str, str] = {}
+        # The incarnations at each address.
+        self._at: dict[str, set[str]] = {}
 
     def heard(
         self, sender: str, address: str, status: calls.Status
@@ -37,11 +39,7 @@
         Returns:
             Incarnations that are gone: another process is at their address.
         """
-        earlier = [
-            name
-            for name, known in self._addresses.items()
-            if known == address and name != sender
-        ]
+        earlier = [name for name in self._at.get(address, ()) if name != sender]
         candidate = self._candidates.get(sender)
         for name in earlier:
             same = self._candidates.get(name)
@@ -52,7 +50,7 @@
             logs.event("daemon_heard", incarnation=sender, address=address)
         self._candidates[sender] = candidate
         gone = [name for name in earlier if name in self._candidates]
-        self._addresses[sender] = address
+        self._place(sender, address)
         if candidate.accepting != status.accepting:
             logs.event(
                 "target_state_heard",
@@ -80,7 +78,7 @@
     def drop(self, incarnation: str) -> None:
         """Forgets a daemon that is gone."""
         self._candidates.pop(incarnation, None)
-        self._addresses.pop(incarnation, None)
+        self._displace(incarnation)
         logs.event("daemon_dropped", incarnation=incarnation)
 
     def is_heard(self, incarnation: str) -> bool:
@@ -121,7 +119,7 @@
 
         One that has left its lease still takes calls until it ends.
         """
-        return set(self._addresses.values())
+        return set(self._at)
 
     def has_room(self, service: str) -> bool:
         """Returns whether one more call would wait for no other."""
@@ -154,10 +152,26 @@
             earlier=candidate.incarnation,
         )
         del self._candidates[candidate.incarnation]
-        del self._addresses[candidate.incarnation]
+        self._displace(candidate.incarnation)
         candidate.incarnation = incarnation
         return candidate
 
+    def _place(self, incarnation: str, address: str) -> None:
+        known = self._addresses.get(incarnation)
+        if known != address:
+            self._displace(incarnation)
+            self._addresses[incarnation] = address
+            self._at.setdefault(address, set()).add(incarnation)
+
+    def _displace(self, incarnation: str) -> None:
+        address = self._addresses.pop(incarnation, None)
+        if address is None:
+            return
+        names = self._at[address]
+        names.discard(incarnation)
+        if not names:
+            del self._at[address]
+
     def _loaded(self, candidate: balancer.Candidate, busy: int) -> None:
         candidate.busy = busy
         candidate.sent = 0
