Changes of the table are gathered for longer where there are many daemons

Each change of the table wakes all long polls, so each daemon read once a second.

Change: the pause after a change grows with the daemons, 50 ms each, 1 to 4 s; a poll that follows a pause is shorter by it, so that an owner still reads every 9 s. Daemons tell each other of their writes at once, as before, and reads that slots wait for take no pause.

--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -23,8 +23,7 @@
 # nothing until it is over.
 _POLL_S = 8.0
 _POLL_MARGIN_S = 1.0
-# Changes that come together are read together: each call has a price, and
-# daemons tell each other at once of what they have written.
+# Pause after a change until the next poll, until another one is set, seconds.
 _PAUSE_S = 1.0
 _OPERATOR_PAUSE_S = 0.02
 _RETRY_S = 0.4
@@ -129,6 +128,16 @@
         if self._own_rows is not None:
             self._own_rows.hurry()
 
+    def pace(self, pause: float) -> None:
+        """Sets how long changes of the system's own rows are gathered.
+
+        Args:
+            pause: From reading some until the next poll, seconds; a poll that
+                follows a pause is shorter by it.
+        """
+        if self._own_rows is not None:
+            self._own_rows.pause = min(pause, _POLL_S)
+
     def watch_operators(
         self, changed: Callable[[routetable.RouteTable], None]
     ) -> None:
@@ -228,7 +237,10 @@
     ) -> None:
         self._store = store
         self._table = table
-        self._pause = pause
+        # Changes that come within it are read together, seconds.
+        self.pause = pause
+        # How much of it went by before the next poll.
+        self._gathered = 0.0
         self._rows = rows
         self._failed = failed
         # Up to here all changes have been read; None asks for a whole read.
@@ -247,6 +259,7 @@
             self._hurried = True
         elif not self._is_failing:
             self._paused.cancel()
+            self._gathered = 0.0
             self.begin()
 
     def begin(self) -> None:
@@ -255,12 +268,15 @@
         if self._revision is None:
             self._get("")
             return
-        wait_ms = round(_POLL_S * 1000)
+        # Owners rely on having read the table at least this often.
+        wait = _POLL_S - self._gathered
+        self._gathered = 0.0
+        wait_ms = round(wait * 1000)
         path = (
             f"{names.ROWS_FEED}?table={self._table}"
             f"&after={self._revision}&wait_ms={wait_ms}"
         )
-        self._call(path, _POLL_S + _POLL_MARGIN_S, self._fed)
+        self._call(path, wait + _POLL_MARGIN_S, self._fed)
 
     def _get(self, start: str) -> None:
         if not start:
@@ -341,7 +357,9 @@
         self._keys |= {row.key for row in found if row.value is not None}
         self._revision = max(self._revision or 0, page.ver)
         self._rows(found, page.ver, self._store.as_of(page.now_ms))
-        self._again(self._pause if found and not self._hurried else 0.0)
+        if found and not self._hurried:
+            self._gathered = self.pause
+        self._again(self._gathered)
         self._hurried = False
         return True
 
--- a/tamarackgap/processes/neighbours.py
+++ b/tamarackgap/processes/neighbours.py
@@ -14,6 +14,13 @@
 _STATUS_S = 0.25
 _STATUS_EACH_S = 0.01
 _STATUS_MOST_S = 0.5
+# Daemons tell each other at once of what they have written; what got lost is
+# read from the table after a pause. Each change wakes all who wait for one: the
+# pause grows with the daemons, so that their reads together do not. It stays
+# short beside the time for which an owner may go without reading, seconds.
+_READ_PAUSE_S = 1.0
+_READ_PAUSE_EACH_S = 0.05
+_READ_PAUSE_MOST_S = 4.0
 # Another daemon is asked for its newer table at most this often.
 _ASK_TABLE_S = 0.2
 
@@ -23,6 +30,13 @@
     return min(max(_STATUS_S, daemons * _STATUS_EACH_S), _STATUS_MOST_S)
 
 
+def read_pause(daemons: int) -> float:
+    """Returns how long changes of the table are gathered, seconds."""
+    return min(
+        max(_READ_PAUSE_S, daemons * _READ_PAUSE_EACH_S), _READ_PAUSE_MOST_S
+    )
+
+
 class Neighbours:
     """The other daemons, as far as targets and route tables go."""
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -371,6 +371,7 @@
         members = self._core.view.members()
         linked = {record.peer_address for record in members}
         self._peers.keep(linked | self._entry.addresses())
+        self._outside.store.pace(neighbours.read_pause(len(members)))
         self._budgets.share(len(members))
         self._carry_out()
 
--- a/tamarackgap/traffic/boundary.py
+++ b/tamarackgap/traffic/boundary.py
@@ -64,6 +64,9 @@
     def hurry(self) -> None:
         """Reads the next changes now, if a pause after the last is on."""
 
+    def pace(self, pause: float) -> None:
+        """Sets how long changes of the rows are gathered, seconds."""
+
     def commit(
         self,
         transaction: records.Transaction,
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,106 @@
+import json
+import types as module_types
+
+import pytest
+from returns import result
+
+from tamarackgap.network import exchanges, httplink
+from tamarackgap.platform import store
+
+# An owner must have read the table at least this often, seconds.
+LONGEST_S = 9.0
+
+
+class Timers:
+    """Timers that fire when they are told to."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.due = []
+
+    def after(self, seconds, call):
+        timer = module_types.SimpleNamespace(
+            at=self.now + seconds, call=call, cancel=lambda: None
+        )
+        timer.cancel = lambda: self.due.remove(timer)
+        self.due.append(timer)
+        return timer
+
+    def fire(self):
+        timer = min(self.due, key=lambda timer: timer.at)
+        self.due.remove(timer)
+        self.now = max(self.now, timer.at)
+        timer.call()
+
+
+class Client:
+    """A store's client whose calls are answered by the test."""
+
+    def __init__(self):
+        self.timers = Timers()
+        self.calls = []
+        self.read = []
+        self.store = store.Store(None, self.timers, "127.0.0.1:1")
+        self.store.call = self._call
+        self.store.watch(
+            lambda rows, revision, as_of: self.read.append(as_of),
+            lambda problem: None,
+        )
+        self.answer()
+        self.timers.fire()
+
+    def _call(self, method, path, body, timeout, done):
+        self.calls.append((path, timeout, done))
+
+    @property
+    def wait_s(self):
+        return int(self.calls[-1][0].rpartition("wait_ms=")[2]) / 1000
+
+    def answer(self, rows=0):
+        body = {
+            "ver": 1,
+            "now_ms": round(self.timers.now * 1000),
+            "rows": [
+                {"key": f"lease/{index}", "ver": 1, "value": ""}
+                for index in range(rows)
+            ],
+        }
+        data = json.dumps(body).encode("utf-8")
+        self.calls[-1][2](result.Success(httplink.Answer(200, [], data)))
+
+
+@pytest.fixture
+def client():
+    return Client()
+
+
+@pytest.mark.parametrize("pause", [0.5, 4.0, 20.0])
+def test_changes_are_gathered_and_the_table_is_still_read_in_time(
+    client, pause
+):
+    client.store.pace(pause)
+    client.answer(rows=1)
+    last = client.timers.now
+    client.timers.fire()
+    assert client.timers.now - last == pytest.approx(min(pause, 8.0))
+    assert client.timers.now + client.wait_s - last <= LONGEST_S
+    # Nothing has changed meanwhile: the next poll waits its whole time.
+    client.answer()
+    client.timers.fire()
+    assert client.wait_s == 8.0
+
+
+def test_a_hurried_poll_leaves_out_the_pause(client):
+    client.store.pace(4.0)
+    client.answer(rows=1)
+    client.store.hurry()
+    assert client.wait_s == 8.0
+    assert client.timers.now == 100.0
+
+
+def test_a_failed_poll_is_tried_again(client):
+    failure = exchanges.Failure(exchanges.Cause.CLOSED, True)
+    client.calls[-1][2](result.Failure(failure))
+    before = len(client.calls)
+    client.timers.fire()
+    assert len(client.calls) == before + 1
