--- a/tamarackgap/traffic/admission.py
+++ b/tamarackgap/traffic/admission.py
@@ -226,9 +226,17 @@
 
     def sweep(self, now: float) -> None:
         """Refuses all calls whose turn is not likely to come in time."""
+        # The work of all calls before one is summed up on the way.
+        ahead = 0.0
+        left: dict[int, float] = {}
         for waiting in sorted(self._queue, key=lambda w: self._order(w, now)):
-            wait = self._wait_for(waiting, now)
-            if not self._is_worth_it(waiting, wait, now):
+            if waiting.rank not in left:
+                left[waiting.rank] = self._left_for(waiting.rank, now)
+            work = self.work(waiting.aim)
+            wait = (ahead + work) / left[waiting.rank]
+            if self._is_worth_it(waiting, wait, now):
+                ahead += work
+            else:
                 self._turn_down(waiting, self._advice(waiting, now), wait)
 
     def withdraw(self, waiting: Waiting) -> bool:
