A router no longer imports circuits.web

Cause: its pages shared three functions with those of the product's own interface, whose module imports the HTTP server and client on circuits.web.

Change: who owns which keys, and why, has a module of its own in ownership/.

--- a/tamarackgap/commands/cmdline.py
+++ b/tamarackgap/commands/cmdline.py
@@ -11,9 +11,9 @@
 import tamarackgap
 from tamarackgap import exceptions
 from tamarackgap.commands import control, env, policy
+from tamarackgap.ownership import reports
 from tamarackgap.placement import records
 from tamarackgap.processes import daemon
-from tamarackgap.requests import pages
 from tamarackgap.settings import config
 
 _EXIT_FAILED = 1
@@ -149,7 +149,7 @@
     """Print how many slots each daemon owns."""
     query = f"?service={urllib.parse.quote(service)}" if service else ""
     body = _page(address, "/owners" + query)
-    rows = pages.decode_owners(body)
+    rows = reports.decode_owners(body)
     lines = [
         f"{'SERVICE':16} {'DAEMON':20} {'DATA CENTRE':14} {'SLOTS':>6}"
         f" {'WEIGHT':>6} {'EPOCH':>5} STATE"
@@ -171,7 +171,7 @@
     """Print who owns KEY, since which epoch, by which decision."""
     query = urllib.parse.urlencode({"service": service, "key": key})
     body = _page(address, "/explain?" + query)
-    found = msgspec.json.decode(body, type=pages.Explanation)
+    found = msgspec.json.decode(body, type=reports.Explanation)
     owner = found.daemon or "nobody that is known"
     text = (
         f"key {found.key} of {found.service} is in slot {found.slot},"
--- a/tamarackgap/processes/routerpages.py
+++ b/tamarackgap/processes/routerpages.py
@@ -7,9 +7,8 @@
 
 from tamarackgap import metrics
 from tamarackgap.network import door
-from tamarackgap.ownership import ownership
+from tamarackgap.ownership import ownership, reports
 from tamarackgap.placement import slots
-from tamarackgap.requests import pages
 from tamarackgap.traffic import (
     beside,
     boundary,
@@ -111,7 +110,7 @@
         "/metrics": lambda query: _metrics(parts),
         "/status": lambda query: _json(status(parts)),
         "/owners": lambda query: _json(
-            pages.owners(parts.core, query.get("service"))
+            reports.owners(parts.core, query.get("service"))
         ),
         "/explain": lambda query: _json(_explain(parts, query)),
     }
@@ -163,13 +162,13 @@
     )
 
 
-def _explain(parts: Parts, query: dict[str, str]) -> pages.Explanation:
+def _explain(parts: Parts, query: dict[str, str]) -> reports.Explanation:
     service = query["service"]
     position = int(query["key"])
     if not 0 <= position < slots.POSITIONS:
         raise ValueError(f"key {position} is not below {slots.POSITIONS}")
-    slot = slots.slot_at(position, pages.slot_count(parts.core, service))
-    found = pages.explanation(
+    slot = slots.slot_at(position, reports.slot_count(parts.core, service))
+    found = reports.explanation(
         parts.core, service, query["key"], slot, parts.clock()
     )
     if found.here and not parts.holds.held(slot, parts.clock()):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -9,7 +9,7 @@
 
 from demo import cluster, judge, load
 from tamarackgap.commands import control
-from tamarackgap.requests import pages
+from tamarackgap.ownership import reports
 from tests.support import processes
 
 SECONDS = 14.0
@@ -99,7 +99,7 @@
     found = {}
     for place in running.places:
         rows = cluster.call(place.http, "GET", "/owners?service=seats")[1]
-        for row in pages.decode_owners(rows):
+        for row in reports.decode_owners(rows):
             if row.data_centre == "north":
                 found[place.name] = {"policy/seats/north": row.weight}
     return found
