Of the two targets compared none is drawn twice, and failing ones seldom

Cause: with two draws of the same target there is nothing to compare, and one that fails a part of its calls was drawn as often as the others.

--- a/tamarackgap/traffic/balancer.py
+++ b/tamarackgap/traffic/balancer.py
@@ -142,7 +142,7 @@
     known = [candidate.slowness for candidate in usable if candidate.slowness]
     usual = sum(known) / len(known) if known else _FIRST_SLOWNESS
     if len(usable) > _COMPARED:
-        usable = _draw_two(usable, usual, rng, near)
+        usable = _draw_two(usable, now, usual, rng, near)
     estimates = [
         (candidate.estimate(now, usual), candidate) for candidate in usable
     ]
@@ -153,20 +153,28 @@
 
 
 def _draw_two(
-    usable: list[Candidate], usual: float, rng: random.Random, near: str
+    usable: list[Candidate],
+    now: float,
+    usual: float,
+    rng: random.Random,
+    near: str,
 ) -> list[Candidate]:
-    """Returns two targets, drawn by how many calls each can serve.
+    """Returns two targets, drawn by how many calls each can serve well.
 
     One of them stands in the entry's data centre, if any does.
     """
     weights = [
-        candidate.capacity / (candidate.slowness or usual)
+        candidate.capacity
+        / (candidate.slowness or usual)
+        / (1.0 + _FAILURE_COST * candidate.failing(now))
         for candidate in usable
     ]
     here = [
         weight if candidate.data_centre == near else 0.0
         for candidate, weight in zip(usable, weights, strict=True)
     ]
-    first = rng.choices(usable, here if any(here) else weights)[0]
-    second = rng.choices(usable, weights)[0]
-    return [first, second]
+    places = range(len(usable))
+    first = rng.choices(places, here if any(here) else weights)[0]
+    weights[first] = 0.0
+    second = rng.choices(places, weights)[0]
+    return [usable[first], usable[second]]
--- a/tests/traffic/test_balancer.py
+++ b/tests/traffic/test_balancer.py
@@ -74,3 +74,23 @@
         [there, here], frozenset(), 0.0, random.Random(1), "north"
     )
     assert found is here
+
+
+def test_one_of_many_that_fails_is_hardly_used():
+    many = [candidate(f"t{index}") for index in range(10)]
+    for _ in range(4):
+        many[0].failed(0.0)
+    rng = random.Random(1)
+    chosen = [balancer.choose(many, frozenset(), 0.0, rng) for _ in range(2000)]
+    # Less than a tenth of what the others get.
+    assert chosen.count(many[0]) < 0.1 * 2000 / len(many)
+
+
+def test_the_idle_one_of_many_does_not_get_all_calls():
+    many = [candidate(f"t{index}", busy=3) for index in range(10)]
+    many[0].busy = 0
+    rng = random.Random(1)
+    chosen = [balancer.choose(many, frozenset(), 0.0, rng) for _ in range(2000)]
+    # It is drawn as one of two.
+    assert chosen.count(many[0]) < 0.3 * 2000
+    assert all(chosen.count(each) for each in many)
