--- a/soak/faults.py
+++ b/soak/faults.py
@@ -102,26 +102,38 @@
     scene.site.store.forget_history()
 
 
-def harm_store_link(scene: Scene, place: site_lib.Place) -> None:
-    """Harms one place's way to the store."""
-    link = scene.stores[place.name]
-    link.delay_s = scene.rng.uniform(0.0, _STORE_DELAY_S)
+def _harm(
+    scene: Scene,
+    link: proxy.Proxy,
+    delay_s: float,
+    least_s: float,
+    most_s: float,
+) -> None:
+    """Harms a link for a while, in one of the ways there are.
+
+    Args:
+        scene: The run.
+        link: The link.
+        delay_s: Longest delay, seconds; it stays.
+        least_s: Least time for which it is harmed, seconds.
+        most_s: Longest such time, seconds.
+    """
+    link.delay_s = scene.rng.uniform(0.0, delay_s)
     link.mode = scene.rng.choice(
         [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
     )
-    time.sleep(scene.rng.uniform(0.3, 4.0))
+    time.sleep(scene.rng.uniform(least_s, most_s))
     link.mode = proxy.Mode.PASS
 
 
+def harm_store_link(scene: Scene, place: site_lib.Place) -> None:
+    """Harms one place's way to the store."""
+    _harm(scene, scene.stores[place.name], _STORE_DELAY_S, 0.3, 4.0)
+
+
 def harm_target_link(scene: Scene, place: site_lib.Place) -> None:
     """Harms a daemon's way to its own target."""
-    link = scene.targets[place.name]
-    link.delay_s = scene.rng.uniform(0.0, _TARGET_DELAY_S)
-    link.mode = scene.rng.choice(
-        [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
-    )
-    time.sleep(scene.rng.uniform(0.1, 1.5))
-    link.mode = proxy.Mode.PASS
+    _harm(scene, scene.targets[place.name], _TARGET_DELAY_S, 0.1, 1.5)
 
 
 def change(scene: Scene, place: site_lib.Place) -> None:
