Uploads are served, and a value in an unforeseen form spoils nothing else

An unknown kind is now one that must not be repeated. Values that the platform renders may be fractions, and one that can't be used is replaced by its default with one log line; settings that people write are as strict as before. The way of granting (call, heartbeat) is read from the settings and from a service's entry; nothing uses it yet.

--- a/tamarackgap/platform/operatorconfig.py
+++ b/tamarackgap/platform/operatorconfig.py
@@ -6,7 +6,12 @@
 from tamarackgap.network import httpserver
 from tamarackgap.traffic import routetable
 
-_IDEMPOTENT_BY_KIND = {"idempotent": True, "non_idempotent": False}
+# Requests of all other kinds, unknown ones too, must not be repeated.
+_IDEMPOTENT_KIND = "idempotent"
+_GRANT_CHANNELS = {
+    "call": routetable.GrantChannel.CALL,
+    "heartbeat": routetable.GrantChannel.HEARTBEAT,
+}
 _VERSION_BASE = 16
 
 
@@ -24,7 +29,7 @@
 class _Configuration(msgspec.Struct):
     # Eight hexadecimal digits.
     version: str
-    resources: list[_Resource]
+    resources: list[msgspec.Raw]
 
 
 class _Split(msgspec.Struct):
@@ -47,6 +52,8 @@
 class _Service(msgspec.Struct):
     max_connections: int = 0
     sharded: bool = False
+    # How servers of the service are granted keys.
+    grants: str = ""
 
 
 class _Limits(msgspec.Struct):
@@ -70,8 +77,10 @@
     routes: list[routetable.Route] = []
     services: dict[types.ServiceName, routetable.Service] = {}
     limits = httpserver.Limits()
-    for resource in configuration.resources:
+    for entry in configuration.resources:
+        resource = None
         try:
+            resource = msgspec.json.decode(entry, type=_Resource)
             match resource.type:
                 case "routes":
                     routes.append(_route(resource))
@@ -80,11 +89,11 @@
                     services[service.name] = service
                 case "limits":
                     limits = _limits(resource)
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             logs.event(
                 "resource_malformed",
-                kind=resource.type,
-                item=resource.metadata.name,
+                kind=resource.type if resource else "",
+                item=resource.metadata.name if resource else "",
                 error=str(error),
             )
     return routetable.RouteTable(
@@ -106,7 +115,7 @@
             for split in splits
             if split.weight > 0
         ),
-        idempotent=_IDEMPOTENT_BY_KIND[spec.kind],
+        idempotent=spec.kind == _IDEMPOTENT_KIND,
         timeout=spec.timeout_ms / 1000,
         latency_objective=spec.target_latency_ms / 1000,
         max_attempts=spec.max_attempts,
@@ -120,6 +129,7 @@
         types.ServiceName(resource.metadata.name),
         spec.sharded,
         spec.max_connections,
+        _GRANT_CHANNELS.get(spec.grants),
     )
 
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -233,6 +233,8 @@
             callers=settings.daemon_http_address,
             peers=settings.daemon_peer_address,
         )
+        for problem in settings.replaced:
+            logs.event("setting_replaced", problem=problem)
         signal.signal(signal.SIGHUP, self._signal_handler)
         platform_adapter.store.watch(
             self._apply_rows, self._handle_read_failure
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -12,6 +12,7 @@
     ADDRESS = "ip:port"
     INTEGER = "whole number"
     PATH = "file path"
+    CHOICE = "one of"
 
 
 class Option(msgspec.Struct, frozen=True):
@@ -26,6 +27,11 @@
         minimum: Smallest valid value of an integer.
         maximum: Largest valid value of an integer.
         unit: Unit of an integer.
+        choices: Valid values of a choice.
+        rendered: Whether a platform fills the value in. The default is then
+            used in place of a value that can't be, and fractions of integers
+            are rounded down: a field in an unforeseen form must not keep
+            daemons from starting.
     """
 
     section: str
@@ -36,6 +42,8 @@
     minimum: int = 0
     maximum: int = 0
     unit: str = ""
+    choices: tuple[str, ...] = ()
+    rendered: bool = False
 
     @property
     def field(self) -> str:
@@ -45,6 +53,8 @@
     @property
     def expected(self) -> str:
         """Description of the valid values, for error messages."""
+        if self.kind is Kind.CHOICE:
+            return f"{self.kind.value} {', '.join(self.choices)}"
         if self.kind is not Kind.INTEGER:
             return self.kind.value
         return (
@@ -60,6 +70,7 @@
     maximum: int,
     unit: str,
     help_text: str,
+    rendered: bool = False,
 ) -> Option:
     return Option(
         section,
@@ -70,6 +81,7 @@
         minimum,
         maximum,
         unit.strip(),
+        rendered=rendered,
     )
 
 
@@ -128,6 +140,17 @@
         60_000,
         "ms",
         "time between two announcements of a target",
+        rendered=True,
+    ),
+    Option(
+        "router",
+        "grants",
+        Kind.CHOICE,
+        "how targets are granted keys: by calls to them, or with the answers"
+        " to their heartbeats; the entry of a service may say otherwise",
+        "call",
+        choices=("call", "heartbeat"),
+        rendered=True,
     ),
     _integer_option(
         "router",
@@ -137,6 +160,7 @@
         600_000,
         "ms",
         "longest hold time of a grant that a target accepts",
+        rendered=True,
     ),
     _integer_option(
         "router",
@@ -165,6 +189,7 @@
         1_000_000,
         "requests",
         "number of such repeats that are allowed in addition",
+        rendered=True,
     ),
     Option("table", "address", Kind.ADDRESS, "the platform's table service"),
     _integer_option(
--- a/tamarackgap/traffic/routetable.py
+++ b/tamarackgap/traffic/routetable.py
@@ -1,5 +1,7 @@
 """Holds the operators' route table and finds the route of a request."""
 
+import enum
+
 import msgspec
 
 from tamarackgap import types
@@ -39,6 +41,15 @@
     rank: int
 
 
+class GrantChannel(enum.Enum):
+    """How targets are granted keys."""
+
+    # By calls to the target.
+    CALL = "call"
+    # With the answers to the target's heartbeats.
+    HEARTBEAT = "heartbeat"
+
+
 class Service(msgspec.Struct, frozen=True):
     """Holds the operators' settings of a service.
 
@@ -46,11 +57,13 @@
         name: The service's name.
         keyed: Whether each key has one owner among the service's targets.
         max_connections: Largest number of connections that a target accepts.
+        grant_channel: How its targets are granted keys; None if not given.
     """
 
     name: types.ServiceName
     keyed: bool
     max_connections: int
+    grant_channel: GrantChannel | None = None
 
 
 class RouteTable(msgspec.Struct, frozen=True):
