A lease lasts as long as the work of its service

Cause: a target ends work with 500 when the hold that was in force as the work began has expired, whatever renewals came after.

The length of a lease is now the setting plus the longest latency objective of the routes to the service, at most the longest hold. Each epoch's record says how long its grants are valid; successors, restarted processes and challenges go by the record, witnesses suspect an owner after 0.8 of it, and renewals are as frequent as before. Within an incarnation a lease only becomes longer, since holds granted under the longer one may still run. Ruled out: one larger constant, since a lost owner's keys wait for as long; a lease per slot, since renewals would grow with slots.

--- a/tamarackgap/ownership/effects.py
+++ b/tamarackgap/ownership/effects.py
@@ -19,7 +19,8 @@
         peer_address: `ip:port` for messages between daemons.
         http_address: `ip:port` for callers and operators.
         slot_count: Number of slots if this daemon creates the service.
-        lease: Time for which a grant is valid, seconds.
+        lease: Time for which a grant is valid unless a longer time is needed,
+            seconds. Renewals are sent at a quarter of it.
         linger: Longest time that a request may still execute after the
             lease's end, at a target that does not check grants, seconds.
         drift: Largest relative error between the clocks of two VMs.
@@ -60,17 +61,34 @@
     anchor: float = 0.0
 
 
-def challenge_timeout(settings: Settings) -> float:
+def challenge_timeout(settings: Settings, lease_length: float) -> float:
     """Returns the time limit for answering a challenge, seconds.
 
     By then the challenged owner has not read the table for the anchor time
     on its own clock, and the last request that it sent to its target has
     ended.
+
+    Args:
+        settings: The settings.
+        lease_length: Length of the challenged owner's lease, seconds.
     """
-    longest = settings.anchor + settings.lease + settings.linger
+    longest = settings.anchor + lease_length + settings.linger
     return longest * (1 + 2 * settings.drift)
 
 
+def lease_timeout(settings: Settings, record: records.LeaseRecord) -> float:
+    """Returns the time after which the lease of a gone process has ended.
+
+    By then the last request that it sent to its target has ended, too.
+
+    Args:
+        settings: The settings.
+        record: Record of the process that is gone.
+    """
+    length = record.lease_ms / 1000
+    return length * (1 + settings.drift) + settings.linger
+
+
 class OwnedSlot(msgspec.Struct, frozen=True):
     """A slot that this daemon owns.
 
--- a/tamarackgap/ownership/epochchange.py
+++ b/tamarackgap/ownership/epochchange.py
@@ -63,7 +63,7 @@
         """
         self._intent = intent
         self._cancel_at = now + _PREPARE_TIMEOUT_S
-        self._renewer.prepare(intent.witnesses, now)
+        self._renewer.prepare(intent.witnesses, intent.lease_length, now)
 
     def advance(
         self,
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -26,8 +26,6 @@
 from tamarackgap.peers import messages
 from tamarackgap.placement import records, slotowners, slots
 
-# A witness suspects an owner that has not renewed for this many lease lengths.
-_SUSPECT_AFTER_LEASES = 0.8
 # Pause before a transaction with an unknown outcome is sent again.
 _COMMIT_RETRY_S = 0.2
 # A transaction without any result is sent again after this time.
@@ -81,6 +79,8 @@
         self._table_ok = False
         # Whether the service's keys have owners.
         self.keyed = True
+        # Time for which a grant is valid in the next epoch, seconds.
+        self.lease_length = settings.lease
         # Whether the target has so little load that its slots need not move.
         self.has_low_load = False
         # Returns whether an incarnation has sent a message recently. A witness
@@ -115,7 +115,7 @@
         self._lapsed_since = now
         self._joined = False
         self._own_witness = witnesshandler.WitnessHandler(
-            self._settings.lease * _SUSPECT_AFTER_LEASES,
+            self._settings.lease,
             self._view,
             self._outbox,
         )
@@ -594,13 +594,14 @@
         if now < self._plan_at:
             return
         self._plan_at = now + planner.PLAN_INTERVAL_S
-        close_at = self._started_at + plannerinputs.earlier_lease_timeout(
-            self._settings
-        )
-        if now < close_at:
-            # From then on, records of earlier processes may be closed.
-            self._plan_at = min(self._plan_at, close_at)
         inputs = self._planner_inputs(now)
+        for record in plannerinputs.earlier_records(inputs):
+            close_at = self._started_at + effects.lease_timeout(
+                self._settings, record
+            )
+            if now < close_at:
+                # From then on, the earlier process's record may be closed.
+                self._plan_at = min(self._plan_at, close_at)
         signature = inputs.signature()
         if signature == self._idle_signature and now < self._idle_until:
             return
@@ -635,6 +636,7 @@
             age=now - self._started_at,
             now=now,
             keyed=self.keyed,
+            lease_length=self.lease_length,
             has_low_load=self.has_low_load,
             is_reachable=self.is_reachable,
             unreachable_for=self._liveness.unreachable_durations(
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -22,10 +22,13 @@
 
     Attributes:
         witnesses: The new epoch's witnesses.
+        lease_length: Time for which a grant is valid in the new epoch,
+            seconds.
         reason: The cause, for the log.
     """
 
     witnesses: tuple[str, ...]
+    lease_length: float
     reason: str
 
 
@@ -104,7 +107,7 @@
         data_centre=settings.data_centre,
         peer_address=settings.peer_address,
         http_address=settings.http_address,
-        lease_ms=round(settings.lease * 1000),
+        lease_ms=round(inputs.lease_length * 1000),
         linger_ms=round(linger * 1000),
         accepting=inputs.accepting,
     )
@@ -225,17 +228,11 @@
     after the lease length and the linger. If this process itself was the
     earlier incarnation, it knows that time exactly.
     """
-    settings = inputs.settings
-    earlier_lease_ended = inputs.age >= plannerinputs.earlier_lease_timeout(
-        settings
-    )
     earlier = [
         record
-        for record in inputs.view.leases()
-        if record.is_open
-        and record.peer_address == settings.peer_address
-        and record.incarnation != inputs.incarnation
-        and (earlier_lease_ended or record.incarnation in inputs.ended)
+        for record in plannerinputs.earlier_records(inputs)
+        if record.incarnation in inputs.ended
+        or inputs.age >= effects.lease_timeout(inputs.settings, record)
     ]
     if not earlier:
         return None
@@ -295,7 +292,6 @@
     already is ended as well.
     """
     view = inputs.view
-    limit = effects.challenge_timeout(inputs.settings)
     for name, challenge in view.challenges().items():
         if not _is_responsible(inputs, name):
             continue
@@ -307,6 +303,9 @@
                 changes.ChangeKind.CLOSE_UNANSWERED, "is-over-already"
             )
         waited = inputs.challenged_for.get(name, 0.0)
+        limit = effects.challenge_timeout(
+            inputs.settings, record.lease_ms / 1000
+        )
         if record.epoch == challenge.epoch and waited > limit:
             builder.close_record(record, slots.expand(record.runs))
             return builder.build(
@@ -412,11 +411,18 @@
     reason = None
     if witnesses != own_record.witnesses:
         reason = "witnesses"
+    elif own_record.lease_ms < round(inputs.lease_length * 1000):
+        reason = "lease-length"
     elif _has_stale_successors(inputs, own_record):
         reason = "successors"
     elif _plan_own_moves(inputs):
         reason = "moves"
-    return EpochIntent(witnesses, reason) if reason else None
+    if reason is None:
+        return None
+    # Holds of the target may last as long as the longest lease so far, so a
+    # shorter one has to wait for the next incarnation.
+    lease_length = max(inputs.lease_length, own_record.lease_ms / 1000)
+    return EpochIntent(witnesses, lease_length, reason)
 
 
 def _choose_witnesses(
@@ -552,7 +558,10 @@
     if intent.reason == "moves" and not moves:
         return None
     new_record = msgspec.structs.replace(
-        own_record, epoch=own_record.epoch + 1, witnesses=intent.witnesses
+        own_record,
+        epoch=own_record.epoch + 1,
+        witnesses=intent.witnesses,
+        lease_ms=round(intent.lease_length * 1000),
     )
     reason = intent.reason
     if moves and reason != "moves":
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -26,8 +26,9 @@
         unresponsive: Witnesses that do not answer or refuse to renew.
         has_low_load: Whether the target has little load.
         ended: Earlier incarnations of this process that have ended.
-        earlier_lease_ended: Whether the lease of an earlier process at this
-            address, and the requests that it sent to its target, have ended.
+        lease_length: Length of the lease in the next epoch, seconds.
+        earlier_ended: Earlier processes at this address whose lease, and whose
+            requests at the target, have ended.
     """
 
     view: int
@@ -39,7 +40,8 @@
     unresponsive: frozenset[str]
     has_low_load: bool
     ended: frozenset[str]
-    earlier_lease_ended: bool
+    lease_length: float
+    earlier_ended: frozenset[str]
 
 
 class PlannerInputs(msgspec.Struct, frozen=True):
@@ -73,6 +75,8 @@
         challenged_for: Time for which this daemon has seen each challenge,
             seconds.
         ended: Earlier incarnations of this process that have ended.
+        lease_length: Time for which a grant is valid in the next epoch,
+            seconds.
     """
 
     view: records.TableView
@@ -98,6 +102,7 @@
     unreachable_for: dict[str, float] = {}
     challenged_for: dict[str, float] = {}
     ended: frozenset[str] = frozenset()
+    lease_length: float = 0.6
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
@@ -112,7 +117,12 @@
             frozenset(unresponsive_witnesses(self)),
             self.has_low_load,
             self.ended,
-            self.age >= earlier_lease_timeout(self.settings),
+            self.lease_length,
+            frozenset(
+                record.incarnation
+                for record in earlier_records(self)
+                if self.age >= effects.lease_timeout(self.settings, record)
+            ),
         )
 
     @property
@@ -121,13 +131,15 @@
         return self.view.lease(self.incarnation)
 
 
-def earlier_lease_timeout(settings: effects.Settings) -> float:
-    """Returns the age from which a process may close earlier records, seconds.
-
-    By then the lease of an earlier process at its address has ended, and so
-    has the last request that it sent to its target.
-    """
-    return settings.lease * (1 + settings.drift) + settings.linger
+def earlier_records(inputs: PlannerInputs) -> list[records.LeaseRecord]:
+    """Returns the open records of earlier incarnations at the own address."""
+    return [
+        record
+        for record in inputs.view.leases()
+        if record.is_open
+        and record.peer_address == inputs.settings.peer_address
+        and record.incarnation != inputs.incarnation
+    ]
 
 
 def unresponsive_witnesses(inputs: PlannerInputs) -> set[str]:
--- a/tamarackgap/ownership/renewal.py
+++ b/tamarackgap/ownership/renewal.py
@@ -25,17 +25,17 @@
         """Creates a lease without witnesses, which is not valid.
 
         Args:
-            length: Time for which a grant is valid, seconds.
+            length: Base of the time between renewals, and the time for which
+                a grant of the epoch without witnesses would be valid, seconds.
             view: This daemon's copy of the table.
             outbox: Collects the messages to send.
             now: Monotonic time, seconds.
         """
-        self._length = length
         self._interval = length / _RENEWALS_PER_LEASE
         self._view = view
         self._outbox = outbox
         self._renew_at = now
-        self._lease = lease.Lease(self._new_grants(0, (), now))
+        self._lease = lease.Lease(_new_grants(0, (), length, now))
         # Largest delay of a renewal so far, seconds.
         self.lateness = 0.0
 
@@ -44,15 +44,19 @@
         """The lease that is kept renewed."""
         return self._lease
 
-    def prepare(self, witnesses: tuple[str, ...], now: float) -> None:
+    def prepare(
+        self, witnesses: tuple[str, ...], length: float, now: float
+    ) -> None:
         """Retires the current epoch and asks for grants of the next one.
 
         Args:
             witnesses: Incarnations of the next epoch's witnesses.
+            length: Time for which a grant of the next epoch is valid, seconds;
+                the record of that epoch has to say the same.
             now: Monotonic time, seconds.
         """
         current = self._lease.current
-        grants = self._new_grants(current.epoch + 1, witnesses, now)
+        grants = _new_grants(current.epoch + 1, witnesses, length, now)
         self._lease.prepare(grants)
         for name in current.witnesses:
             self._outbox.send(name, messages.Retire(name, current.epoch))
@@ -96,16 +100,6 @@
         """Returns whether a majority has stopped renewing the current epoch."""
         return self._lease.current.has_majority(*_STOPPED_STATES)
 
-    def _new_grants(
-        self, epoch: int, witnesses: tuple[str, ...], now: float
-    ) -> lease.EpochGrants:
-        return lease.EpochGrants(
-            types.Epoch(epoch),
-            witnesses,
-            types.Seconds(self._length),
-            types.Seconds(now),
-        )
-
     def _send_renewals(self, grants: lease.EpochGrants, now: float) -> None:
         # If the answers don't reach the owner, grants are of no use to it and
         # only make its successor wait longer. It then sends probes, which
@@ -123,3 +117,14 @@
         return grants.has_recent_majority(
             types.Seconds(now), types.Seconds(within)
         )
+
+
+def _new_grants(
+    epoch: int, witnesses: tuple[str, ...], length: float, now: float
+) -> lease.EpochGrants:
+    return lease.EpochGrants(
+        types.Epoch(epoch),
+        witnesses,
+        types.Seconds(length),
+        types.Seconds(now),
+    )
--- a/tamarackgap/ownership/witness.py
+++ b/tamarackgap/ownership/witness.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -52,12 +53,12 @@
 class Witness:
     """The grants, seals and retirements that one incarnation has given."""
 
-    def __init__(self, suspect_after: types.Seconds) -> None:
+    def __init__(self, suspect_after: Callable[[str], float]) -> None:
         """Creates a witness that has granted nothing.
 
         Args:
-            suspect_after: Age of the last grant from which on the owner is
-                suspected and the epoch may be sealed, seconds.
+            suspect_after: Returns the age of the last grant from which on an
+                owner is suspected and its epoch may be sealed, seconds.
         """
         self._suspect_after = suspect_after
         self._epoch_states: dict[str, dict[int, EpochState]] = {}
@@ -125,7 +126,7 @@
         if epoch_state is None:
             return types.WitnessState.SUPERSEDED, 0.0
         age = epoch_state.age(now)
-        if age >= self._suspect_after:
+        if age >= self._suspect_after(owner):
             if epoch_state.state is types.WitnessState.OPEN:
                 epoch_state.state = types.WitnessState.SEALED
             elif epoch_state.state is types.WitnessState.RETIRED:
@@ -165,7 +166,7 @@
             for owner, epochs in self._epoch_states.items()
             for epoch, epoch_state in epochs.items()
             if (epoch_state.granted_at is not None or epoch_state.released)
-            and epoch_state.age(now) >= self._suspect_after
+            and epoch_state.age(now) >= self._suspect_after(owner)
         ]
 
     def forget_suspicion(self, suspicion: Suspicion) -> None:
--- a/tamarackgap/ownership/witnesshandler.py
+++ b/tamarackgap/ownership/witnesshandler.py
@@ -8,6 +8,8 @@
 from tamarackgap.placement import records
 
 _NOTIFY_INTERVAL_S = 0.1
+# A witness suspects an owner that has not renewed for this many lease lengths.
+_SUSPECT_AFTER_LEASES = 0.8
 _GRANTING_STATES = (types.WitnessState.OPEN, types.WitnessState.RETIRED)
 
 
@@ -16,19 +18,20 @@
 
     def __init__(
         self,
-        suspect_after: float,
+        base_length: float,
         view: records.TableView,
         outbox: effects.Outbox,
     ) -> None:
         """Creates a witness that has granted nothing.
 
         Args:
-            suspect_after: Age of the last grant from which on an owner is
-                suspected, seconds.
+            base_length: Length of the lease of an owner whose record has not
+                been read yet, seconds.
             view: This daemon's copy of the table.
             outbox: Collects messages and log lines.
         """
-        self._witness = witness.Witness(types.Seconds(suspect_after))
+        self._witness = witness.Witness(self._suspect_after)
+        self._base_length = base_length
         self._view = view
         self._outbox = outbox
         # When successors were last notified of each owner, seconds.
@@ -119,6 +122,18 @@
         own = self._outbox.incarnation in successors
         return own or bool(lost) or not successors
 
+    def _suspect_after(self, owner: str) -> float:
+        """Returns the age of a grant from which on its owner is suspected.
+
+        A successor waits for the lease's end anyway, so an owner that is only
+        paused keeps its lease for as long as that costs its callers nothing.
+        """
+        record = self._view.lease(owner)
+        length = self._base_length
+        if record is not None:
+            length = max(length, record.lease_ms / 1000)
+        return length * _SUSPECT_AFTER_LEASES
+
     def _is_open(self, incarnation: str) -> bool:
         record = self._view.lease(incarnation)
         return record is not None and record.is_open
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -33,6 +33,7 @@
     adapter,
     crashes,
     dispatcher,
+    leaselength,
     localtarget,
     routetable,
     runner,
@@ -485,11 +486,20 @@
         keyed = service is not None and service.keyed
         self._core.keyed = keyed
         self._runner.keyed = keyed
+        if keyed:
+            self._core.lease_length = leaselength.needed_length(
+                table,
+                self._service,
+                self._core.settings.lease,
+                0.0,
+                self._settings.router_longest_hold / 1000,
+            )
         logs.event(
             "route_table_in_force",
             version=table.version,
             routes=len(table.routes),
             services=len(table.services),
+            lease_ms=round(self._core.lease_length * 1000),
         )
 
     # Other daemons.
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -414,7 +414,9 @@
         if daemon.core.incarnation in lost:
             cluster.kill(name)
     assert not cluster.all_slots_served()
-    limit = effects.challenge_timeout(owner.core.settings)
+    limit = effects.challenge_timeout(
+        owner.core.settings, owner.core.settings.lease
+    )
     recovery_s = cluster.run(limit + 8, cluster.all_slots_served)
     assert recovery_s is not None
     assert recovery_s > 5.0
@@ -450,7 +452,8 @@
     other = cluster.daemons["seats-1"]
     assert cluster.run(6, lambda: name in other.core.view.challenges())
     # The owner reads the challenge until shortly before its record is closed.
-    cluster.run(effects.challenge_timeout(victim.core.settings) - 0.5)
+    settings = victim.core.settings
+    cluster.run(effects.challenge_timeout(settings, settings.lease) - 0.5)
     victim.table_isolated = True
     cluster.run(4)
     kinds = [fields["kind"] for fields in cluster.events("commit")]
--- a/tests/ownership/test_witness.py
+++ b/tests/ownership/test_witness.py
@@ -7,7 +7,7 @@
 
 
 def make_witness():
-    return witness.Witness(types.Seconds(0.48))
+    return witness.Witness(lambda owner: 0.48)
 
 
 def test_a_renewed_epoch_is_not_sealed():
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -92,7 +92,7 @@
         super().__init__()
         self.spec = spec_lib.Spec()
         self.now = 100.0
-        self.real = [witness.Witness(0.0) for _ in range(3)]
+        self.real = [witness.Witness(lambda owner: 0.0) for _ in range(3)]
         self.model = [spec_lib.Witness() for _ in range(3)]
         self.grants = lease.EpochGrants(1, ("0", "1", "2"), 2.0, self.now)
         record = records.LeaseRecord(
