Targets may take their keys with the answers to their heartbeats

What a target is to hold is still decided by SlotGrants; HeartbeatOrders is a second way to tell it. An answer lists all ranges with one hold time; a range that is left out is to be released, and counts as released when a heartbeat that came after that answer no longer reports it. Slots that move are served until the heartbeat that tells the release. Ruled out: waiting for the next heartbeat to count a grant as taken, since that costs an interval of each new range; a target that has not taken it answers 421, which is safe to repeat.

--- a/tamarackgap/ownership/epochchange.py
+++ b/tamarackgap/ownership/epochchange.py
@@ -70,6 +70,7 @@
         get_inputs: Callable[[float], plannerinputs.PlannerInputs],
         new_change_id: Callable[[], str],
         now: float,
+        defers_release: bool,
     ) -> planner.EpochWrite | None:
         """Continues the change, or cancels it if a step takes too long.
 
@@ -77,6 +78,8 @@
             get_inputs: Returns the planner's inputs at a time.
             new_change_id: Returns a fresh id for the write.
             now: Monotonic time, seconds.
+            defers_release: Whether the target is told later of a release that
+                is asked for now, and the slots are served until then.
 
         Returns:
             The write that begins the epoch, or None until the witnesses and
@@ -95,12 +98,15 @@
         if write is None:
             self.finish()
             return None
-        self.moving_slots = frozenset(move.slot for move in write.moves)
-        if self._ordered_keys and self.moving_slots and self._release is None:
+        moving = frozenset(move.slot for move in write.moves)
+        if self._ordered_keys and moving and self._release is None:
             self._release = planner.SlotRelease(write.moves)
             self._cancel_at = now + _RELEASE_TIMEOUT_S
-            self._outbox.put(effects.ReleaseSlots(self.moving_slots))
+            self._outbox.put(effects.ReleaseSlots(moving))
+            if not defers_release:
+                self.moving_slots = moving
             return None
+        self.moving_slots = moving
         self._log_moves(write.moves)
         self._renewer.own_lease.begin_write()
         return write
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -81,6 +81,9 @@
         self.keyed = True
         # Time for which a grant is valid in the next epoch, seconds.
         self.lease_length = settings.lease
+        # Whether slots that are to move are served until the target has begun
+        # to release them; whoever sets this refuses their calls from then on.
+        self.defers_release = False
         # Whether the target has so little load that its slots need not move.
         self.has_low_load = False
         # Returns whether an incarnation has sent a message recently. A witness
@@ -651,7 +654,7 @@
 
     def _continue_epoch_change(self, now: float) -> None:
         write = self._epoch_change.advance(
-            self._planner_inputs, self._change_id, now
+            self._planner_inputs, self._change_id, now, self.defers_release
         )
         if write is not None:
             self._load_exchange.move_budget.spend(len(write.moves))
--- a/tamarackgap/platform/__main__.py
+++ b/tamarackgap/platform/__main__.py
@@ -48,6 +48,8 @@
             ),
             encode_order=servers.encode_order,
             decode_order_answer=servers.decode_order_answer,
+            encode_hold_list=servers.encode_hold_list,
+            max_hold_ranges=servers.MAX_HOLD_RANGES,
             decode_announcement=servers.decode_announcement,
             decode_table=operatorconfig.decode,
         )
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -5,10 +5,19 @@
 from tamarackgap import logs
 from tamarackgap.network import httppool, httpserver
 from tamarackgap.platform import names, requests
-from tamarackgap.traffic import localtarget, slotgrants
+from tamarackgap.traffic import (
+    adapter,
+    heartbeatorders,
+    localtarget,
+    orders,
+)
 
 _STATUS_OK = 200
 _STATUS_SUPERSEDED = 409
+# Largest body of an answer that a server accepts.
+_MAX_ANSWER_BYTES = 4096
+# Ranges that fit into such a body without handovers.
+MAX_HOLD_RANGES = 120
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -20,6 +29,17 @@
     cold_remaining_ms: float = 0.0
     # Start of the server process, Unix time in milliseconds.
     born: int = 0
+    # First and last key, and fence, of each range that the server holds or
+    # still works on.
+    holds: list[tuple[int, int, int]] = []
+    # First and last key, and handover, of each range that it has released.
+    freed: list[tuple[int, int, str]] = []
+
+
+class _HoldsBody(msgspec.Struct):
+    # First and last key, fence, and handover or "", of each range.
+    holds: list[tuple[int, int, int, str]]
+    hold_ms: int
 
 
 class _GrantBody(msgspec.Struct, rename={"first": "from", "last": "target"}):
@@ -70,13 +90,52 @@
         heartbeat.cold_remaining_ms / 1000,
         heartbeat.born,
         heartbeat.seq,
+        report=heartbeatorders.HoldReport(
+            tuple(heartbeatorders.HeldRange(*row) for row in heartbeat.holds),
+            tuple(
+                heartbeatorders.ReleasedRange(*row) for row in heartbeat.freed
+            ),
+        ),
+    )
+
+
+def encode_hold_list(
+    hold_list: heartbeatorders.HoldList | None,
+) -> adapter.Response:
+    """Returns the answer to a heartbeat.
+
+    Handovers are left out if the answer would become too large with them: they
+    only spare the server some slow seconds.
+    """
+    if hold_list is None:
+        return adapter.Response(_STATUS_OK, [], b"")
+    body = _encode_holds(hold_list, with_handovers=True)
+    if len(body) > _MAX_ANSWER_BYTES:
+        body = _encode_holds(hold_list, with_handovers=False)
+    return adapter.Response(
+        _STATUS_OK, [(b"content-type", b"application/json")], body
     )
 
 
-def encode_order(order: slotgrants.Grant | slotgrants.Release) -> bytes:
+def _encode_holds(
+    hold_list: heartbeatorders.HoldList, with_handovers: bool
+) -> bytes:
+    rows = [
+        (
+            grant.first,
+            grant.last,
+            grant.fence,
+            grant.handover if with_handovers else "",
+        )
+        for grant in hold_list.grants
+    ]
+    return msgspec.json.encode(_HoldsBody(rows, int(hold_list.hold_s * 1000)))
+
+
+def encode_order(order: orders.Grant | orders.Release) -> bytes:
     """Returns the bytes of a request that carries an order to the server."""
     match order:
-        case slotgrants.Grant():
+        case orders.Grant():
             path = names.GRANT
             body = msgspec.json.encode(
                 _GrantBody(
@@ -87,7 +146,7 @@
                     order.handover or msgspec.UNSET,
                 )
             )
-        case slotgrants.Release():
+        case orders.Release():
             path = names.RELEASE
             body = msgspec.json.encode(
                 _ReleaseBody(order.first, order.last, order.fence)
@@ -95,10 +154,10 @@
     return requests.encode_json("POST", path, "target", body)
 
 
-def decode_order_answer(answer: httppool.Answer) -> slotgrants.OrderResult:
+def decode_order_answer(answer: httppool.Answer) -> orders.OrderResult:
     """Returns the result of an order from the server's answer."""
     handover = answer.header(names.HANDOVER) or b""
-    return slotgrants.OrderResult(
+    return orders.OrderResult(
         answer.status == _STATUS_OK,
         answer.status == _STATUS_SUPERSEDED,
         handover.decode("latin-1"),
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -33,8 +33,10 @@
     adapter,
     crashes,
     dispatcher,
+    heartbeatorders,
     leaselength,
     localtarget,
+    orders,
     routetable,
     runner,
     slotgrants,
@@ -173,6 +175,11 @@
             + _ENVELOPE_OVERHEAD_BYTES,
             self._receive,
         )
+        self._heartbeat_orders = heartbeatorders.HeartbeatOrders(
+            self.timers,
+            settings.router_announce_interval / 1000,
+            platform_adapter.max_hold_ranges,
+        )
         self._crash_history = crashes.CrashHistory()
         self._runner = runner.Runner(
             self._service,
@@ -308,16 +315,37 @@
         if announcement is None:
             incoming.respond(_STATUS_BAD_REQUEST, [], b"")
             return
-        incoming.respond(_STATUS_OK, [], b"")
         self._apply_transition(
             self._local_target.handle_announcement(announcement, now())
         )
         if self._local_target.phase is localtarget.Phase.SERVING:
             self._slot_grants.resume()
+        response = self._adapter.encode_hold_list(
+            self._answer_hold_report(announcement)
+        )
+        incoming.respond(response.status, response.headers, response.body)
         if self._accepts_calls:
             self._runner.attach(
                 self._local_target.instance, self._local_target.capacity
             )
+        self._perform_effects()
+
+    def _answer_hold_report(
+        self, announcement: localtarget.Announcement
+    ) -> heartbeatorders.HoldList | None:
+        """Returns what the target is to hold; None for nothing to be said.
+
+        An announcement that is older than the latest one may come from a
+        process that has ended, and its report is out of date.
+        """
+        if not self._slot_grants.by_heartbeat or not (
+            self._local_target.is_latest(announcement)
+        ):
+            return None
+        self._slot_releaser.handle_heartbeat()
+        return self._heartbeat_orders.answer(
+            announcement.report, self._slot_grants.grant_all
+        )
 
     def _handle_connection_refused(self) -> None:
         self._apply_transition(self._local_target.handle_connection_refused())
@@ -363,6 +391,7 @@
         if (
             current_time < self._release_at
             or self._slot_grants.has_pending_releases
+            or self._slot_releaser.is_waiting
         ):
             return
         if self._core.owned:
@@ -382,6 +411,7 @@
         uncertain_s = self._slot_grants.stop()
         self._call_pool.close()
         self._order_pool.close()
+        self._heartbeat_orders.close()
         if not uncertain_s:
             self._release_lease("target-started-anew")
             return
@@ -419,10 +449,14 @@
 
     def _send_order(
         self,
-        order: slotgrants.Grant | slotgrants.Release,
+        order: orders.Grant | orders.Release,
         timeout: float,
-        done: Callable[[slotgrants.OrderResult], None],
+        done: Callable[[orders.OrderResult], None],
     ) -> None:
+        if self._slot_grants.by_heartbeat:
+            self._heartbeat_orders.send(order, timeout, done)
+            return
+
         def handle_outcome(
             outcome: result.Result[httppool.Answer, exchanges.Failure],
         ) -> None:
@@ -433,7 +467,7 @@
                     logs.event("order_unanswered", cause=cause.value)
                     if cause is exchanges.Cause.REFUSED:
                         self._handle_connection_refused()
-                    done(slotgrants.OrderResult(False))
+                    done(orders.OrderResult(False))
 
         def encode() -> bytes:
             current = self._slot_grants.with_remaining_hold(order)
@@ -487,13 +521,7 @@
         self._core.keyed = keyed
         self._runner.keyed = keyed
         if keyed:
-            self._core.lease_length = leaselength.needed_length(
-                table,
-                self._service,
-                self._core.settings.lease,
-                0.0,
-                self._settings.router_longest_hold / 1000,
-            )
+            self._configure_grants(table, service)
         logs.event(
             "route_table_in_force",
             version=table.version,
@@ -502,6 +530,25 @@
             lease_ms=round(self._core.lease_length * 1000),
         )
 
+    def _configure_grants(
+        self, table: routetable.RouteTable, service: routetable.Service
+    ) -> None:
+        channel = service.grant_channel or routetable.GrantChannel(
+            self._settings.router_grants
+        )
+        by_heartbeat = channel is routetable.GrantChannel.HEARTBEAT
+        self._slot_grants.by_heartbeat = by_heartbeat
+        self._core.defers_release = by_heartbeat
+        self._core.lease_length = leaselength.needed_length(
+            table,
+            self._service,
+            self._core.settings.lease,
+            self._settings.router_announce_interval / 1000
+            if by_heartbeat
+            else 0.0,
+            self._settings.router_longest_hold / 1000,
+        )
+
     # Other daemons.
 
     def _receive(self, envelope: messages.Envelope) -> None:
--- a/tamarackgap/traffic/adapter.py
+++ b/tamarackgap/traffic/adapter.py
@@ -15,7 +15,13 @@
 from tamarackgap.ownership import effects
 from tamarackgap.peers import calls
 from tamarackgap.placement import records
-from tamarackgap.traffic import localtarget, routetable, runner, slotgrants
+from tamarackgap.traffic import (
+    heartbeatorders,
+    localtarget,
+    orders,
+    routetable,
+    runner,
+)
 
 
 class DecodedRequest(msgspec.Struct, frozen=True):
@@ -113,6 +119,9 @@
         encode_order: Returns the bytes of an order to the target.
         decode_order_answer: Returns the outcome of an order from the target's
             answer.
+        encode_hold_list: Returns the answer to an announcement that tells the
+            target what it is to hold; takes None if nothing is said of it.
+        max_hold_ranges: Largest number of ranges in such an answer.
         decode_announcement: Decodes a target's announcement; returns None for
             any other request.
         decode_table: Decodes a route table that another daemon has passed on;
@@ -126,8 +135,10 @@
     ]
     encode_response: Callable[[calls.Completion], Response]
     codec: runner.Codec
-    encode_order: Callable[[slotgrants.Grant | slotgrants.Release], bytes]
-    decode_order_answer: Callable[[httppool.Answer], slotgrants.OrderResult]
+    encode_order: Callable[[orders.Grant | orders.Release], bytes]
+    decode_order_answer: Callable[[httppool.Answer], orders.OrderResult]
+    encode_hold_list: Callable[[heartbeatorders.HoldList | None], Response]
+    max_hold_ranges: int
     decode_announcement: Callable[
         [httpserver.IncomingRequest], localtarget.Announcement | None
     ]
--- a/tamarackgap/traffic/localtarget.py
+++ b/tamarackgap/traffic/localtarget.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from tamarackgap.traffic import heartbeatorders
+
 # A target is regarded as gone if it has sent no announcement for this many
 # announce intervals and has not answered a call within _RECENT_ANSWER_S either.
 _SILENCE_INTERVALS = 3.5
@@ -33,6 +35,7 @@
         born_ms: Start time of its process, milliseconds; 0 if not given.
         sequence: Number that rises with each announcement of one process.
         final: Whether this is its last announcement before it ends.
+        report: What it says about its keys.
     """
 
     instance: str
@@ -43,6 +46,7 @@
     born_ms: int = 0
     sequence: int = 0
     final: bool = False
+    report: heartbeatorders.HoldReport = heartbeatorders.HoldReport()
 
 
 class Transition(enum.Enum):
@@ -91,6 +95,10 @@
         """Number of calls that the target runs at once."""
         return self._latest.capacity
 
+    def is_latest(self, announcement: Announcement) -> bool:
+        """Returns whether an announcement is the one that is in force."""
+        return announcement is self._latest
+
     def handle_announcement(
         self, announcement: Announcement, now: float
     ) -> Transition:
--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -14,6 +14,7 @@
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.placement import slots
+from tamarackgap.traffic import orders
 
 # The target's clock may run slower than this daemon's by this share.
 _CLOCK_DRIFT = 0.02
@@ -35,62 +36,6 @@
 _RELEASE_TIMEOUT_S = 1.5
 
 
-class Grant(msgspec.Struct, frozen=True):
-    """Orders the target to hold a range of slots for some time.
-
-    Attributes:
-        first: First key position of the range.
-        last: Last key position of the range, inclusive.
-        fence: The fence that is sent to the target.
-        hold_s: Hold time from the arrival of the grant, seconds.
-        handover: Text that the previous holder returned with its release, or
-            "".
-        until: Monotonic time by which the target no longer holds the slots,
-            seconds.
-    """
-
-    first: int
-    last: int
-    fence: int
-    hold_s: float
-    handover: str
-    until: float
-
-
-class Release(msgspec.Struct, frozen=True):
-    """Orders the target to release a range of slots.
-
-    Attributes:
-        first: First key position of the range.
-        last: Last key position of the range, inclusive.
-        fence: The fence that was sent with the latest grant.
-    """
-
-    first: int
-    last: int
-    fence: int
-
-
-class OrderResult(msgspec.Struct, frozen=True):
-    """Holds the outcome of an order.
-
-    Attributes:
-        acknowledged: Whether the target answered that it executed the order.
-        superseded: Whether the target has seen a higher fence.
-        handover: Text that the next holder gets with its grant, or "".
-    """
-
-    acknowledged: bool
-    superseded: bool = False
-    handover: str = ""
-
-
-# Sends an order to the target. Takes the order, the longest time to wait for an
-# answer in seconds, and a callback.
-SendOrder = Callable[
-    [Grant | Release, float, Callable[[OrderResult], None]],
-    None,
-]
 # Called with the handover of each range that the target has released.
 OnReleased = Callable[[dict[slots.SlotRange, str]], None]
 
@@ -131,7 +76,7 @@
     def __init__(
         self,
         core: ownership.Ownership,
-        send_order: SendOrder,
+        send_order: orders.SendOrder,
         timers: scheduler.Scheduler,
         lease_s: float,
         longest_hold_s: float,
@@ -159,6 +104,8 @@
         self._releasing: frozenset[int] = frozenset()
         self._paused = False
         self._stopped = False
+        # Whether grants are given only with the answers to heartbeats.
+        self.by_heartbeat = False
         # Grants that wait until earlier ones have been answered.
         self._grant_queue: collections.deque[Callable[[], None]] = (
             collections.deque()
@@ -251,19 +198,44 @@
 
     def renew(self) -> None:
         """Sends the grants that are due for renewal."""
-        if self._paused or self._stopped or not self._slot_count():
+        if self.by_heartbeat or self._stopped:
             return
-        if self._version != self._core.slots_version:
-            self._update_ranges()
-        now = self._timers.now
-        until = min(self._core.lease_until(), now + self._longest_hold_s)
-        if self._hold_time(until) < _MIN_HOLD_S:
+        until = self._longest_hold_end()
+        if until is None:
             return
         for state in self._by_range.values():
             is_due = until - state.requested_until >= self._renewal_step
             if is_due and not state.is_pending and not state.superseded:
                 self._queue_grant(state, until)
 
+    def grant_all(self) -> bool:
+        """Sends a grant of each range, due or not.
+
+        Returns:
+            Whether the lease covers grants now.
+        """
+        until = self._longest_hold_end()
+        if until is None:
+            return False
+        if not self._stopped:
+            for state in self._by_range.values():
+                if not state.is_pending and not state.superseded:
+                    self._queue_grant(state, until)
+        return True
+
+    def _longest_hold_end(self) -> float | None:
+        """Returns until when ranges may be granted now, monotonic seconds.
+
+        Brings the ranges up to date. Returns None if nothing may be granted.
+        """
+        if self._paused or not self._slot_count():
+            return None
+        if self._version != self._core.slots_version:
+            self._update_ranges()
+        now = self._timers.now
+        until = min(self._core.lease_until(), now + self._longest_hold_s)
+        return until if self._hold_time(until) >= _MIN_HOLD_S else None
+
     def _hold_time(self, until: float) -> float:
         """Returns the hold time in seconds of a grant that is written now.
 
@@ -273,8 +245,8 @@
         return (until - self._timers.now) / (1 + _CLOCK_DRIFT) - _TRANSIT_S
 
     def with_remaining_hold(
-        self, order: Grant | Release
-    ) -> Grant | Release | None:
+        self, order: orders.Grant | orders.Release
+    ) -> orders.Grant | orders.Release | None:
         """Returns an order with the hold time that is left when it is written.
 
         A connection may take time to open, while the lease comes closer to its
@@ -283,7 +255,7 @@
         Returns:
             The order, or None if too little hold time is left.
         """
-        if isinstance(order, Release):
+        if isinstance(order, orders.Release):
             return order
         hold_s = min(order.hold_s, self._hold_time(order.until))
         if hold_s < _MIN_HOLD_S:
@@ -319,7 +291,7 @@
         handovers: dict[slots.SlotRange, str] = {}
         self._pending_releases += len(ranges)
         for slot_range in ranges:
-            order = Release(
+            order = orders.Release(
                 *slots.position_range(slot_range, self._slot_count()),
                 slot_range.fence,
             )
@@ -339,7 +311,7 @@
             )
 
         def handle_result(
-            slot_range: slots.SlotRange, result: OrderResult
+            slot_range: slots.SlotRange, result: orders.OrderResult
         ) -> None:
             if not result.acknowledged:
                 logs.event(
@@ -476,11 +448,11 @@
         state.requested_until = until
         state.ends_at = max(state.ends_at, until)
         first, last = slots.position_range(slot_range, self._slot_count())
-        grant = Grant(
+        grant = orders.Grant(
             first, last, state.fence, hold_s, slot_range.handover, until
         )
 
-        def handle_result(result: OrderResult) -> None:
+        def handle_result(result: orders.OrderResult) -> None:
             state.is_pending = False
             self._pending_grants -= 1
             self._send_queued()
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -4,7 +4,7 @@
 
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.placement import slots
-from tamarackgap.traffic import slotgrants
+from tamarackgap.traffic import orders, slotgrants
 
 
 class Timers:
@@ -69,11 +69,11 @@
         self.orders.append((order, done))
 
     def answer(self, acknowledged=True, **fields):
-        orders = self.orders
+        answered = self.orders
         self.orders = []
-        for _, done in orders:
-            done(slotgrants.OrderResult(acknowledged, **fields))
-        return [order for order, _ in orders]
+        for _, done in answered:
+            done(orders.OrderResult(acknowledged, **fields))
+        return [order for order, _ in answered]
 
 
 @pytest.fixture
@@ -292,7 +292,7 @@
     (grant,) = target.answer()
     assert grant.fence > late.fence
     assert grants.is_confirmed(3)
-    answer_late(slotgrants.OrderResult(False))
+    answer_late(orders.OrderResult(False))
     assert grants.is_confirmed(3)
 
 
@@ -385,7 +385,7 @@
     ((grant, done),) = target.orders
     unconfirmed_s = grants.stop()
     assert unconfirmed_s >= grant.hold_s
-    done(slotgrants.OrderResult(False))
+    done(orders.OrderResult(False))
     assert grants.stop() == pytest.approx(unconfirmed_s)
     assert not grants.is_held(0, timers.now)
     target.orders.clear()
