Slots that stay are granted on while others of their range are released

Cause: a range of slots with one fence was not renewed while any of its slots was being released. With calls the rest was not renewed for as long as the release took, up to 1.5 s of a lease of 1 s.

Ranges now leave out the slots being released; these keep their state for the release alone.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -11,6 +11,10 @@
 from standins import httpd
 
 _HEARTBEAT_INTERVAL_S = 0.2
+# Largest answer to a heartbeat that a server accepts.
+_MAX_ANSWER_BYTES = 4096
+# Interval while keys are being released.
+_RELEASING_INTERVAL_S = 0.05
 
 
 class _Hold(msgspec.Struct):
@@ -48,6 +52,8 @@
             key before each execution.
         crash_path: A request for a path with this prefix ends the server;
             empty for none.
+        ignores_answers: Whether it acts as if answers to its heartbeats were
+            lost.
     """
 
     def __init__(
@@ -58,6 +64,7 @@
         daemon: str,
         keyed: bool = False,
         work_s: float = 0.005,
+        grants: str = "call",
     ) -> None:
         """Creates a server that has not started.
 
@@ -68,6 +75,8 @@
             daemon: Address of the daemon to which it announces itself.
             keyed: Whether it executes requests only for keys that it holds.
             work_s: Duration of a request, seconds.
+            grants: How it takes its keys: by `call`, or with the answers to
+                its `heartbeat`.
         """
         self.instance = instance
         self.service = service
@@ -82,6 +91,14 @@
             _ignore_run
         )
         self.crash_path = ""
+        self.ignores_answers = False
+        self._grants = grants
+        # Ranges that are released as soon as no request works on them.
+        self._ending: list[_Hold] = []
+        # First and last key, and handover, of released ranges not reported yet.
+        self._freed: list[tuple[int, int, str]] = []
+        # Shard keys of the requests being executed.
+        self._running_keys: list[int | None] = []
         self._daemon = daemon
         self._keyed = keyed
         self._started_at_ms = int(time.time() * 1000)
@@ -124,15 +141,79 @@
             "seq": self._sequence,
             "born": self._started_at_ms,
         }
+        freed = []
+        if self._grants == "heartbeat":
+            body["holds"] = self._reported_holds()
+            freed = body["freed"] = list(self._freed)
+        sent_at = time.monotonic()
         path = f"/-/instances/{self.instance}/heartbeat"
         connection = http.client.HTTPConnection(self._daemon, timeout=1)
         try:
             connection.request("POST", path, json.dumps(body))
-            return connection.getresponse().status == 200
+            response = connection.getresponse()
+            answer = response.read()
         except OSError:
             return False
         finally:
             connection.close()
+        if response.status != 200 or self.ignores_answers:
+            return response.status == 200
+        assert len(answer) <= _MAX_ANSWER_BYTES
+        self._freed = [part for part in self._freed if part not in freed]
+        if answer and self._grants == "heartbeat":
+            self._apply_hold_list(json.loads(answer), sent_at)
+        return True
+
+    def _reported_holds(self) -> list[tuple[int, int, int]]:
+        """Returns the ranges that are held or still worked on."""
+        with self._lock:
+            self._end_releases()
+            now = time.monotonic()
+            return [
+                (hold.first, hold.last, hold.fence)
+                for hold in [*self._holds, *self._ending]
+                if hold.until > now or self._is_working_on(hold)
+            ]
+
+    def _is_working_on(self, hold: "_Hold") -> bool:
+        return any(
+            key is not None and hold.first <= key <= hold.last
+            for key in self._running_keys
+        )
+
+    def _apply_hold_list(self, answer: dict, sent_at: float) -> None:
+        """Takes the ranges listed, and releases all others."""
+        if "holds" not in answer:
+            return
+        until = sent_at + answer["hold_ms"] / 1000
+        listed = []
+        with self._lock:
+            self.grant_count += 1
+            for first, last, fence, _ in answer["holds"]:
+                seen = max(
+                    (
+                        hold.fence
+                        for hold in self._holds
+                        if hold.first <= last and hold.last >= first
+                    ),
+                    default=0,
+                )
+                if fence >= seen:
+                    listed.append(_Hold(first, last, fence, until))
+            for hold in listed:
+                self._remove_range(hold.first, hold.last)
+            self._ending += self._holds
+            self._holds = listed
+
+    def _end_releases(self) -> None:
+        """Releases the ranges that were left out and are not worked on."""
+        for hold in list(self._ending):
+            if self._is_working_on(hold):
+                continue
+            self._ending.remove(hold)
+            self._release_count += 1
+            handover = f"{self.instance}-{self._release_count}"
+            self._freed.append((hold.first, hold.last, handover))
 
     def holds(self, shard_key: int) -> bool:
         """Returns whether the server currently holds a shard key."""
@@ -146,7 +227,11 @@
     def _send_heartbeats(self) -> None:
         while not self._stopping.is_set():
             self.send_heartbeat()
-            self._stopping.wait(_HEARTBEAT_INTERVAL_S)
+            self._stopping.wait(
+                _RELEASING_INTERVAL_S
+                if self._ending or self._freed
+                else _HEARTBEAT_INTERVAL_S
+            )
 
     def _handle_request(self, request: httpd.Request) -> httpd.Response:
         if self._stopping.is_set():
@@ -218,8 +303,11 @@
                 503, headers={**id_header, "X-Tamarackgap-Not-Executed": "1"}
             )
         self.on_run_started(self, request_id, shard_key)
+        with self._lock:
+            self._running_keys.append(shard_key)
         time.sleep(self.work_s)
         with self._lock:
+            self._running_keys.remove(shard_key)
             self.executed_requests.append((request_id, shard_key))
         if self.crash_path and request.path.startswith(self.crash_path):
             threading.Thread(target=self.stop, daemon=True).start()
--- a/standins/platformcluster.py
+++ b/standins/platformcluster.py
@@ -46,7 +46,7 @@
     }
 
 
-def service(name, keyed=False):
+def service(name, keyed=False, **spec):
     """Returns a service resource of the operators' configuration."""
     return {
         "type": "services",
@@ -55,6 +55,7 @@
             "health_path": "/health",
             "max_connections": 60,
             "sharded": keyed,
+            **spec,
         },
     }
 
@@ -74,6 +75,11 @@
     service("seats"),
     service("money", keyed=True),
 )
+# The same, with servers that take their keys with heartbeats.
+HEARTBEAT_RESOURCES = (
+    *DEFAULT_RESOURCES[:-1],
+    service("money", keyed=True, grants="heartbeat"),
+)
 
 
 class VM:
@@ -133,6 +139,7 @@
             self.server_address,
             self.announce_address,
             self.keyed,
+            grants=self.cluster.grants,
         )
         self.server.start()
 
@@ -154,6 +161,7 @@
 metrics_address = {self.metrics_address}
 target_address = {self.target_address}
 announce_interval = 200
+grants = {self.cluster.grants}
 [table]
 address = {self.store_address}
 [ownership]
@@ -199,16 +207,20 @@
         store: The store.
         store_address: Where the store listens.
         vms: The VMs.
+        grants: How servers take their keys: by `call`, or with the answers to
+            their `heartbeat`.
     """
 
-    def __init__(self, folder, vms):
+    def __init__(self, folder, vms, grants="call"):
         """Starts the store only.
 
         Args:
             folder: Folder for settings and logs.
             vms: Name, service and whether that is keyed, for each VM.
+            grants: How servers take their keys.
         """
         self.folder = folder
+        self.grants = grants
         self._next_port = 25_000
         self.store = rowstore.RowStore()
         port = ports.find_free_ports(1, self.next_port())
@@ -249,7 +261,12 @@
 
     def start(self):
         """Writes the configuration, and starts all servers and daemons."""
-        self.store.put("op", "config", configuration(1, *DEFAULT_RESOURCES))
+        resources = (
+            HEARTBEAT_RESOURCES
+            if self.grants == "heartbeat"
+            else DEFAULT_RESOURCES
+        )
+        self.store.put("op", "config", configuration(1, *resources))
         for vm in self.vms:
             vm.start_server()
             vm.start()
@@ -266,13 +283,14 @@
 
 
 @contextlib.contextmanager
-def run_cluster(folder, vms, ready_s):
+def run_cluster(folder, vms, ready_s, grants="call"):
     """Runs a cluster for the duration of a `with` block.
 
     Args:
         folder: Folder for settings and logs.
         vms: Name, service and whether that is keyed, for each VM.
         ready_s: Time until all services must be served, seconds.
+        grants: How servers take their keys.
 
     Yields:
         The cluster, once it serves all services.
@@ -280,7 +298,7 @@
     Raises:
         TimeoutError: If that takes longer than `ready_s`.
     """
-    cluster = PlatformCluster(folder, vms)
+    cluster = PlatformCluster(folder, vms, grants)
     cluster.start()
     try:
         if not wait_until(ready_s, cluster.serves_all_routes):
--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -102,6 +102,8 @@
         self._unanswered_counts: dict[int, tuple[int, int]] = {}
         self._version = -1
         self._releasing: frozenset[int] = frozenset()
+        # Latest end of the grants of the slots being released.
+        self._releasing_until = float("-inf")
         self._paused = False
         self._stopped = False
         # Whether grants are given only with the answers to heartbeats.
@@ -152,7 +154,7 @@
         """
         self._paused = True
         ends = [state.ends_at for state in self._by_range.values()]
-        return max(0.0, max(ends, default=0.0) - self._timers.now)
+        return max(0.0, max([*ends, self._releasing_until]) - self._timers.now)
 
     def resume(self) -> None:
         """Starts renewals again."""
@@ -288,6 +290,9 @@
         # A grant whose release is not acknowledged expires on its own when its
         # hold time ends.
         latest_end = max(self._by_slot[slot].ends_at for slot in held)
+        self._releasing_until = max(self._releasing_until, latest_end)
+        # The other slots of these ranges are still granted.
+        self._version = -1
         handovers: dict[slots.SlotRange, str] = {}
         self._pending_releases += len(ranges)
         for slot_range in ranges:
@@ -352,11 +357,13 @@
         """Rebuilds the ranges after the slots owned have changed.
 
         A range keeps the state of its slots if their fence has not changed.
+        Slots that are being released keep their state, but are in no range.
         """
         self._version = self._core.slots_version
         assignments = {
             slot: slots.SlotAssignment(owned.fence, handover=owned.handover)
             for slot, owned in self._core.owned.items()
+            if slot not in self._releasing
         }
         previous_by_slot = self._by_slot
         for state in self._by_range.values():
@@ -365,7 +372,11 @@
                 # grant counts as unanswered.
                 self._record_unanswered(state)
         self._by_range = {}
-        self._by_slot = {}
+        self._by_slot = {
+            slot: previous_by_slot[slot]
+            for slot in self._releasing
+            if slot in previous_by_slot
+        }
         for slot_range in slots.compress(assignments):
             previous_states = [
                 previous_by_slot.get(slot)
@@ -435,9 +446,10 @@
             slot in self._releasing
             for slot in range(slot_range.first, slot_range.last + 1)
         )
-        is_blocked = self._paused or self._stopped or is_releasing
         if (
-            is_blocked
+            self._paused
+            or self._stopped
+            or is_releasing
             or self._by_range.get(slot_range) is not state
             or hold_s < _MIN_HOLD_S
         ):
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -140,6 +140,40 @@
     assert released == [{slots.SlotRange(8, 9, 1): "token"}]
 
 
+def test_other_slots_are_renewed_during_release(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    grants.release(frozenset({8, 9}), lambda handovers: None)
+    target.orders.clear()
+    timers.advance(0.5)
+    grants.renew()
+    (grant,) = target.answer()
+    assert (grant.first, grant.last) == (0, 8 * 256 - 1)
+    timers.advance(0.8)
+    assert grants.is_held(0, timers.now)
+    assert grants.pause() > 0
+
+
+def test_second_release_covers_slots_of_the_first(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    grants.release(frozenset({8, 9}), lambda handovers: None)
+    timers.advance(0.3)
+    grants.renew()
+    ended = []
+    target.orders.clear()
+    grants.release_all(lambda: ended.append(True))
+    assert [(order.first, order.last) for order, _ in target.orders] == [
+        (0, 10 * 256 - 1)
+    ]
+    target.answer()
+    assert ended
+
+
 def test_unanswered_release_waits_for_end_of_grant(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
