Some daemons follow the route table for all, and far ones get fewer messages

Among more than 30 daemons, three of each data centre wait for changes of the route table and tell all by their status; the others ask them, and read the store each 20 s. Daemons without keys read rows each 20 s; owners each 8 s as before, since an outage of 9 s must fit into the anchor time. Status goes to the own data centre each second and to the others each two seconds, in turns. Ruled out: longer polls for owners (anchor time); no status at all.

--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -14,18 +14,12 @@
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
 from tamarackgap.platform import names, operatorconfig, requests
-from tamarackgap.traffic import routetable
+from tamarackgap.traffic import routetable, storewatch
 
 _IDLE_TIMEOUT_S = 20.0
 _UNACKED_TIMEOUT_MS = 2500
 _CALL_TIMEOUT_S = 2.0
-# A longer poll costs fewer calls, but on a connection that has gone silent
-# changes are missed until the poll ends.
-_LONG_POLL_S = 8.0
 _LONG_POLL_MARGIN_S = 1.0
-# Pause between a change and the next poll, until `set_pause` sets another one.
-_INITIAL_PAUSE_S = 1.0
-_CONFIGURATION_PAUSE_S = 0.02
 _MIN_RETRY_PAUSE_S = 0.4
 _MAX_RETRY_PAUSE_S = 1.0
 _STATUS_OK = 200
@@ -104,6 +98,7 @@
         )
         self._call_counts: dict[str, int] = {}
         self._own_watch: _TableWatch | None = None
+        self._operator_watch: _TableWatch | None = None
         # Least value seen of this process's clock minus the store's, seconds.
         self._clock_offset_s = float("inf")
 
@@ -134,7 +129,7 @@
             failed: Called with the cause when a read has failed.
         """
         self._own_watch = _TableWatch(
-            self, names.OWN_TABLE, _INITIAL_PAUSE_S, rows, failed
+            self, names.OWN_TABLE, storewatch.row_plan(1, True), rows, failed
         )
         self._own_watch.read()
 
@@ -143,15 +138,15 @@
         if self._own_watch is not None:
             self._own_watch.skip_pause()
 
-    def set_pause(self, pause: float) -> None:
-        """Sets the pause in which changes of this system's rows are gathered.
-
-        Args:
-            pause: Time from reading changes until the next poll, seconds. The
-                poll after a pause is shorter by the length of the pause.
-        """
+    def set_row_plan(self, plan: storewatch.ReadPlan) -> None:
+        """Sets how this system's rows are followed from the next read on."""
         if self._own_watch is not None:
-            self._own_watch.pause = min(pause, _LONG_POLL_S)
+            self._own_watch.plan = plan
+
+    def set_route_table_plan(self, plan: storewatch.ReadPlan) -> None:
+        """Sets how the configuration is followed from the next read on."""
+        if self._operator_watch is not None:
+            self._operator_watch.plan = plan
 
     def watch_route_table(
         self, changed: Callable[[routetable.RouteTable], None]
@@ -173,14 +168,14 @@
                 if table is not None:
                     changed(table)
 
-        watch = _TableWatch(
+        self._operator_watch = _TableWatch(
             self,
             names.OPERATOR_TABLE,
-            _CONFIGURATION_PAUSE_S,
+            storewatch.route_table_plan(is_watcher=True),
             handle_rows,
             lambda problem: None,
         )
-        watch.read()
+        self._operator_watch.read()
 
     def commit(
         self,
@@ -265,20 +260,20 @@
 
 
 class _TableWatch:
-    """Reads a table whole, then follows its changes by long polls."""
+    """Reads a table whole, then follows its changes."""
 
     def __init__(
         self,
         store: Store,
         table: str,
-        pause: float,
+        plan: storewatch.ReadPlan,
         on_rows: OnRows,
         on_failure: Callable[[str], None],
     ) -> None:
         self._store = store
         self._table = table
-        # Changes within this time after a read are read together, seconds.
-        self.pause = pause
+        # How changes are followed from the next read on.
+        self.plan = plan
         # Length of the pause before the next poll, seconds.
         self._next_pause_s = 0.0
         self._on_rows = on_rows
@@ -310,15 +305,18 @@
             self._read_page("")
             return
         # A poll after a pause is shorter by the length of the pause: owners
-        # rely on having read the table at least once in each `_LONG_POLL_S`.
-        wait = _LONG_POLL_S - self._next_pause_s
+        # rely on having read the table at least once in each period.
+        wait = 0.0
+        if self.plan.waits:
+            wait = max(0.0, self.plan.period - self._next_pause_s)
         self._next_pause_s = 0.0
         wait_ms = round(wait * 1000)
         path = (
             f"{names.ROWS_FEED}?table={self._table}"
             f"&after={self._revision}&wait_ms={wait_ms}"
         )
-        self._call(path, wait + _LONG_POLL_MARGIN_S, self._handle_feed)
+        timeout = max(_CALL_TIMEOUT_S, wait + _LONG_POLL_MARGIN_S)
+        self._call(path, timeout, self._handle_feed)
 
     def _read_page(self, start: str) -> None:
         if not start:
@@ -406,8 +404,8 @@
         self._known_keys |= {row.key for row in rows if row.value is not None}
         self._revision = max(self._revision or 0, page.ver)
         self._on_rows(rows, page.ver, self._store.to_local_clock(page.now_ms))
-        if rows and not self._skip_next_pause:
-            self._next_pause_s = self.pause
+        if not self._skip_next_pause and (rows or not self.plan.waits):
+            self._next_pause_s = self.plan.pause
         self._schedule(self._next_pause_s)
         self._skip_next_pause = False
         return True
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -8,40 +8,40 @@
 from tamarackgap.peers import calls, messages, transport
 from tamarackgap.traffic import crashes, dispatcher, routetable, runner
 
-# The time between two status messages to all other daemons grows with their
-# number, so that among up to 100 daemons each sends at most a hundred of them a
-# second. Daemons learn the load of targets from completions as well: with 75
-# daemons, an interval of 1 s met the latency objective as often as one of 0.5 s
-# (`make bench`, loads).
+# The time between two status messages to the same daemon grows with the number
+# of daemons. Daemons learn the load of targets from completions as well, and
+# prefer targets in their own data centre; so daemons of other data centres are
+# sent fewer messages.
 _MIN_STATUS_INTERVAL_S = 0.25
 _STATUS_INTERVAL_PER_DAEMON_S = 0.01
-_MAX_STATUS_INTERVAL_S = 1.0
-# Daemons send their writes to each other at once. Only writes whose messages
-# were lost have to be read from the table, after this pause. Each change of the
-# table ends the long polls of all daemons, so the pause grows with their number
-# to bound the reads of all of them. It stays short compared to the time for
-# which an owner may go without reading the table.
-_MIN_READ_PAUSE_S = 1.0
-_READ_PAUSE_PER_DAEMON_S = 0.05
-_MAX_READ_PAUSE_S = 4.0
+_MAX_NEAR_INTERVAL_S = 1.0
+_MAX_FAR_INTERVAL_S = 2.0
 # Least time between two requests for a newer route table.
 _ROUTE_TABLE_REQUEST_INTERVAL_S = 0.2
 
 
-def status_interval(daemons: int) -> float:
-    """Returns the time between two status messages to all, seconds."""
+def near_interval(daemons: int) -> float:
+    """Returns the time between two status messages to a near daemon, seconds.
+
+    Args:
+        daemons: Number of daemons in all data centres.
+    """
     return min(
         max(_MIN_STATUS_INTERVAL_S, daemons * _STATUS_INTERVAL_PER_DAEMON_S),
-        _MAX_STATUS_INTERVAL_S,
+        _MAX_NEAR_INTERVAL_S,
     )
 
 
-def read_pause(daemons: int) -> float:
-    """Returns the pause between reads of a changing table, seconds."""
-    return min(
-        max(_MIN_READ_PAUSE_S, daemons * _READ_PAUSE_PER_DAEMON_S),
-        _MAX_READ_PAUSE_S,
+def rounds_per_far_status(daemons: int) -> int:
+    """Returns in how many near intervals each far daemon gets one status.
+
+    Args:
+        daemons: Number of daemons in all data centres.
+    """
+    far_interval = min(
+        daemons * _STATUS_INTERVAL_PER_DAEMON_S, _MAX_FAR_INTERVAL_S
     )
+    return max(1, round(far_interval / near_interval(daemons)))
 
 
 class PeerSync:
@@ -84,6 +84,8 @@
         # used only once.
         self._process = core.incarnation
         self._status_interval = _MIN_STATUS_INTERVAL_S
+        self._rounds_per_far_status = 1
+        self._round = 0
         # Daemons that were sent a status, and the version of the table's rows
         # in which new daemons were last looked for.
         self._informed: set[types.Incarnation] = set()
@@ -119,15 +121,38 @@
 
     def broadcast_status(self) -> None:
         """Sends the local target's status to all daemons."""
-        status = self._status()
-        own = self._core.incarnation
+        self._send_status(is_to_all=True)
+
+    def _send_status(self, is_to_all: bool) -> None:
+        """Sends the status to near daemons, and to all or some of the others.
+
+        Far daemons take turns, so that the messages are spread over time.
+        """
+        own = self._core.settings.peer_address
         self._dispatcher.update_status(
-            own, self._core.settings.peer_address, status
+            self._core.incarnation, own, self._status(self._status_interval)
         )
-        self._informed = {
-            record.incarnation for record in self._core.view.open_records()
+        records = self._core.view.open_records()
+        self._informed = {record.incarnation for record in records}
+        far = {
+            record.peer_address
+            for record in records
+            if record.data_centre != self._core.settings.data_centre
         }
-        self._broadcast(status)
+        near = self._peer_addresses() - far
+        if not is_to_all:
+            self._round = (self._round + 1) % self._rounds_per_far_status
+            turns = self._rounds_per_far_status
+            far = set(sorted(far)[self._round :: turns])
+        for addresses, rounds in (
+            (near, 1),
+            (far, self._rounds_per_far_status),
+        ):
+            self._transport.send_all(
+                self._core.incarnation,
+                addresses - {own},
+                self._status(self._status_interval * rounds),
+            )
 
     def update_new_daemons(self) -> None:
         """Sends the local target's status to daemons that have just joined.
@@ -138,7 +163,8 @@
         if self._core.view.version == self._informed_version:
             return
         self._informed_version = self._core.view.version
-        status = self._status()
+        interval = self._status_interval * self._rounds_per_far_status
+        status = self._status(interval)
         own = self._core.settings.peer_address
         for record in self._core.view.open_records():
             if record.incarnation in self._informed:
@@ -168,11 +194,18 @@
         self._broadcast(calls.FingerprintCleared(fingerprint))
 
     def _broadcast_periodically(self) -> None:
-        self._status_interval = status_interval(len(self._informed))
-        self.broadcast_status()
+        daemons = len(self._informed)
+        self._status_interval = near_interval(daemons)
+        self._rounds_per_far_status = rounds_per_far_status(daemons)
+        self._send_status(is_to_all=False)
         self._timers.after(self._status_interval, self._broadcast_periodically)
 
-    def _status(self) -> calls.TargetStatus:
+    def _status(self, interval: float) -> calls.TargetStatus:
+        """Returns the local target's status.
+
+        Args:
+            interval: Time until the receiver is sent the next one, seconds.
+        """
         queue = self._runner.queue
         table = self._route_table()
         return calls.TargetStatus(
@@ -185,7 +218,7 @@
             table.version if table is not None else 0,
             types.DataCentre(self._core.settings.data_centre),
             self._process,
-            self._status_interval,
+            interval,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
@@ -216,14 +249,17 @@
 
     def _broadcast(self, message: messages.Message) -> None:
         own = self._core.settings.peer_address
+        self._transport.send_all(
+            self._core.incarnation, self._peer_addresses() - {own}, message
+        )
+
+    def _peer_addresses(self) -> set[str]:
+        """Returns the addresses of all daemons, perhaps this one's, too."""
         addresses = {
             record.peer_address for record in self._core.view.open_records()
         }
         # Daemons without an open lease record may still have callers.
-        addresses |= self._dispatcher.addresses()
-        self._transport.send_all(
-            self._core.incarnation, addresses - {own}, message
-        )
+        return addresses | self._dispatcher.addresses()
 
     def _send(self, address: str, message: messages.Message) -> None:
         self._transport.send(self._core.incarnation, address, message)
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -41,6 +41,7 @@
     runner,
     slotgrants,
     slotrelease,
+    storewatch,
 )
 
 _TICK_INTERVAL_S = 0.05
@@ -124,6 +125,8 @@
         # When the slots still owned are released without the table, seconds.
         self._release_at = 0.0
         self._stopped = False
+        # Whether this daemon waits for changes of the route table.
+        self._is_watcher = True
 
     def begin(self, platform_adapter: adapter.Adapter) -> None:
         """Binds all addresses and starts the periodic work.
@@ -247,7 +250,7 @@
         platform_adapter.store.watch(
             self._apply_rows, self._handle_read_failure
         )
-        platform_adapter.store.watch_route_table(self._apply_route_table)
+        platform_adapter.store.watch_route_table(self._handle_route_table_read)
         self.timers.every(_TICK_INTERVAL_S, self._tick)
         self.timers.every(_REFUSE_LATE_INTERVAL_S, self._runner.refuse_late)
         self.timers.every(_LOAD_REPORT_INTERVAL_S, self._report_load)
@@ -488,10 +491,29 @@
         self._transport.set_peers(
             member_addresses | self._request_dispatcher.addresses()
         )
-        self._adapter.store.set_pause(peersync.read_pause(len(members)))
+        self._set_read_plans(members)
         self._retry_budgets.set_daemon_count(len(members))
         self._perform_effects()
 
+    def _set_read_plans(self, members: list[records.LeaseRecord]) -> None:
+        """Sets how this daemon follows the table among all members."""
+        is_owner = self._runner.keyed or bool(self._core.owned)
+        self._adapter.store.set_row_plan(
+            storewatch.row_plan(len(members), is_owner)
+        )
+        is_watcher = storewatch.watches_route_table(
+            self._settings.daemon_peer_address,
+            self._settings.daemon_data_centre,
+            members,
+            self._request_dispatcher.is_reachable,
+        )
+        if is_watcher is not self._is_watcher:
+            self._is_watcher = is_watcher
+            logs.event("route_table_watch", waits=is_watcher)
+        self._adapter.store.set_route_table_plan(
+            storewatch.route_table_plan(is_watcher)
+        )
+
     def _handle_read_failure(self, problem: str) -> None:
         del problem
         self._core.record_table_failure()
@@ -505,12 +527,18 @@
         self._core.handle_commit_result(change, state, _valid_rows(rows), now())
         self._perform_effects()
 
-    def _apply_route_table(self, table: routetable.RouteTable) -> None:
+    def _handle_route_table_read(self, table: routetable.RouteTable) -> None:
+        """Applies a table from the store, and tells all daemons of it."""
+        if self._apply_route_table(table):
+            self._peer_sync.broadcast_status()
+
+    def _apply_route_table(self, table: routetable.RouteTable) -> bool:
+        """Applies a route table; returns whether it is newer than before."""
         if (
             self._route_table is not None
             and table.version <= self._route_table.version
         ):
-            return
+            return False
         self._route_table = table
         self._route_table_since = now()
         self._route_index = routetable.RouteIndex(table)
@@ -529,6 +557,7 @@
             services=len(table.services),
             lease_ms=round(self._core.lease_length * 1000),
         )
+        return True
 
     def _configure_grants(
         self, table: routetable.RouteTable, service: routetable.Service
--- a/tamarackgap/traffic/adapter.py
+++ b/tamarackgap/traffic/adapter.py
@@ -21,6 +21,7 @@
     orders,
     routetable,
     runner,
+    storewatch,
 )
 
 
@@ -81,12 +82,11 @@
     def skip_pause(self) -> None:
         """Ends the pause after a read, if any, so that the next starts now."""
 
-    def set_pause(self, pause: float) -> None:
-        """Sets the pause between two reads, in which changes are collected.
+    def set_row_plan(self, plan: storewatch.ReadPlan) -> None:
+        """Sets how rows are followed from the next read on."""
 
-        Args:
-            pause: The pause, seconds.
-        """
+    def set_route_table_plan(self, plan: storewatch.ReadPlan) -> None:
+        """Sets how the route table is followed from the next read on."""
 
     def commit(
         self,
