A pause is at most as long as the period of reads

Cause: the plan of reads took the pause as given, so a pause longer than the period would have made owners read less often than their anchor time needs; the existing test of pauses showed it. Tests: a watch that does not wait reads once in each period.

--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -405,7 +405,7 @@
         self._revision = max(self._revision or 0, page.ver)
         self._on_rows(rows, page.ver, self._store.to_local_clock(page.now_ms))
         if not self._skip_next_pause and (rows or not self.plan.waits):
-            self._next_pause_s = self.plan.pause
+            self._next_pause_s = min(self.plan.pause, self.plan.period)
         self._schedule(self._next_pause_s)
         self._skip_next_pause = False
         return True
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 
 from tamarackgap.network import exchanges, httppool
 from tamarackgap.platform import store
+from tamarackgap.traffic import storewatch
 
 # An owner must read the table at least this often.
 MAX_READ_INTERVAL_S = 9.0
@@ -76,7 +77,7 @@
 
 @pytest.mark.parametrize("pause", [0.5, 4.0, 20.0])
 def test_a_pause_after_changes_shortens_the_next_poll(client, pause):
-    client.store.set_pause(pause)
+    client.store.set_row_plan(storewatch.ReadPlan(pause, 8.0))
     client.answer(rows=1)
     read_at = client.timers.now
     client.timers.fire()
@@ -89,13 +90,23 @@
 
 
 def test_skip_pause_polls_at_once(client):
-    client.store.set_pause(4.0)
+    client.store.set_row_plan(storewatch.ReadPlan(4.0, 8.0))
     client.answer(rows=1)
     client.store.skip_pause()
     assert client.wait_s == 8.0
     assert client.timers.now == 100.0
 
 
+def test_a_watch_that_does_not_wait_reads_once_in_each_period(client):
+    client.store.set_row_plan(storewatch.ReadPlan(20.0, 20.0, waits=False))
+    for rows in (1, 0, 2):
+        client.answer(rows=rows)
+        read_at = client.timers.now
+        client.timers.fire()
+        assert client.timers.now - read_at == pytest.approx(20.0)
+        assert client.wait_s == 0.0
+
+
 def test_a_failed_poll_is_repeated(client):
     failure = exchanges.Failure(exchanges.Cause.CLOSED, True)
     client.calls[-1][2](result.Failure(failure))
