A daemon beside an empty target closes the earlier lease at once

The earlier process at an address is gone, and a target that reports with its heartbeats that it holds nothing serves none of its keys. A daemon without slots tells its target to hold nothing, so that is known one heartbeat after its start, also beside a target that lived on. Targets that are granted keys by calls report nothing, so there the lease is waited for.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -81,6 +81,8 @@
         self.keyed = True
         # Time for which a grant is valid in the next epoch, seconds.
         self.lease_length = settings.lease
+        # Whether the target is known to hold no slot of any incarnation.
+        self.is_target_empty = False
         # Whether slots that are to move are served until the target has begun
         # to release them; whoever sets this refuses their calls from then on.
         self.defers_release = False
@@ -640,6 +642,7 @@
             now=now,
             keyed=self.keyed,
             lease_length=self.lease_length,
+            is_target_empty=self.is_target_empty,
             has_low_load=self.has_low_load,
             is_reachable=self.is_reachable,
             unreachable_for=self._liveness.unreachable_durations(
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -223,16 +223,13 @@
 
     These are the records with this daemon's own address.
 
-    Only one process can be bound to an address, so the earlier one is gone.
-    Its lease and the last request that it sent to the target have ended
-    after the lease length and the linger. If this process itself was the
-    earlier incarnation, it knows that time exactly.
+    Where this process itself was the earlier incarnation, it knows exactly
+    when that one has ended.
     """
     earlier = [
         record
         for record in plannerinputs.earlier_records(inputs)
-        if record.incarnation in inputs.ended
-        or inputs.age >= effects.lease_timeout(inputs.settings, record)
+        if plannerinputs.has_ended(inputs, record)
     ]
     if not earlier:
         return None
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -77,6 +77,8 @@
         ended: Earlier incarnations of this process that have ended.
         lease_length: Time for which a grant is valid in the next epoch,
             seconds.
+        is_target_empty: Whether the target is known to hold no slot, also of
+            earlier incarnations.
     """
 
     view: records.TableView
@@ -103,6 +105,7 @@
     challenged_for: dict[str, float] = {}
     ended: frozenset[str] = frozenset()
     lease_length: float = 0.6
+    is_target_empty: bool = False
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
@@ -121,7 +124,7 @@
             frozenset(
                 record.incarnation
                 for record in earlier_records(self)
-                if self.age >= effects.lease_timeout(self.settings, record)
+                if has_ended(self, record)
             ),
         )
 
@@ -142,6 +145,20 @@
     ]
 
 
+def has_ended(inputs: PlannerInputs, record: records.LeaseRecord) -> bool:
+    """Returns whether an earlier incarnation at the own address has ended.
+
+    Only one process can be bound to an address, so the earlier one is gone.
+    Its target serves its slots until the lease ends, unless it is known to hold
+    nothing any more.
+    """
+    return (
+        record.incarnation in inputs.ended
+        or inputs.is_target_empty
+        or inputs.age >= effects.lease_timeout(inputs.settings, record)
+    )
+
+
 def unresponsive_witnesses(inputs: PlannerInputs) -> set[str]:
     """Returns the witnesses that do not answer or refuse to renew."""
     grants = inputs.grants
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -346,9 +346,13 @@
         ):
             return None
         self._slot_releaser.handle_heartbeat()
-        return self._heartbeat_orders.answer(
-            announcement.report, self._slot_grants.grant_all
+        hold_list = self._heartbeat_orders.answer(
+            announcement.report,
+            self._slot_grants.grant_all,
+            bool(self._core.owned),
         )
+        self._core.is_target_empty = self._heartbeat_orders.is_target_empty
+        return hold_list
 
     def _handle_connection_refused(self) -> None:
         self._apply_transition(self._local_target.handle_connection_refused())
@@ -415,6 +419,7 @@
         self._call_pool.close()
         self._order_pool.close()
         self._heartbeat_orders.close()
+        self._core.is_target_empty = False
         if not uncertain_s:
             self._release_lease("target-started-anew")
             return
--- a/tamarackgap/traffic/heartbeatorders.py
+++ b/tamarackgap/traffic/heartbeatorders.py
@@ -17,6 +17,8 @@
 # A target that does not report a range in this many heartbeats after it was
 # told to hold it has refused it, or has lost the answers.
 _MAX_MISSES = 2
+# Hold time in an answer without ranges, seconds; any would do.
+_EMPTY_HOLD_S = 1.0
 
 
 class HeldRange(msgspec.Struct, frozen=True):
@@ -122,6 +124,9 @@
         # lacked each of them.
         self._misses: dict[HeldRange, int] = {}
         self._told: frozenset[HeldRange] = frozenset()
+        # Whether the target holds nothing: its latest report said so, and it
+        # has been told to hold nothing since.
+        self.is_target_empty = False
 
     def send(
         self,
@@ -150,7 +155,10 @@
                 )
 
     def answer(
-        self, report: HoldReport, grant_all: Callable[[], bool]
+        self,
+        report: HoldReport,
+        grant_all: Callable[[], bool],
+        owns_slots: bool = True,
     ) -> HoldList | None:
         """Returns the answer to a heartbeat.
 
@@ -158,6 +166,8 @@
             report: What the target reports.
             grant_all: Sends a grant of each range that the target is to hold;
                 returns False if no lease covers any grant.
+            owns_slots: Whether this daemon owns any slot. Otherwise the target
+                is told to release whatever an earlier process has granted.
 
         Returns:
             What the target is to hold, or None if nothing may be said of it
@@ -168,8 +178,10 @@
         self._collected = []
         may_grant = grant_all()
         collected, self._collected = self._collected, None
-        if not may_grant:
+        if not may_grant and owns_slots:
             return None
+        # Any earlier answer was taken before this report, or was lost.
+        self.is_target_empty = not (collected or report.held or self._told)
         for pending in self._releases:
             pending.told = True
         self._record_told(collected)
@@ -182,7 +194,7 @@
                 else grant
                 for grant in collected
             ),
-            min((grant.hold_s for grant in collected), default=0.0),
+            min((grant.hold_s for grant in collected), default=_EMPTY_HOLD_S),
         )
 
     def close(self) -> None:
@@ -190,6 +202,7 @@
         releases, self._releases = self._releases, []
         self._misses = {}
         self._told = frozenset()
+        self.is_target_empty = False
         for pending in releases:
             pending.done(orders.OrderResult(False))
 
--- a/tests/ownership/test_leaselength.py
+++ b/tests/ownership/test_leaselength.py
@@ -112,3 +112,18 @@
         assert record is None or record.is_open
     cluster.run(3, cluster.all_slots_served)
     assert cluster.all_slots_served()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_process_whose_target_is_empty_does_not_wait_for_earlier_lease(
+    make_cluster, seed
+):
+    cluster = make_cluster(seed)
+    set_lease_length(cluster, 6.0)
+    cluster.run(15, cluster.all_slots_served)
+    cluster.run(3)
+    for name in list(cluster.daemons):
+        cluster.restart(name)
+        cluster.daemons[name].core.is_target_empty = True
+    cluster.run(4, cluster.all_slots_served)
+    assert cluster.all_slots_served()
--- a/tests/traffic/test_heartbeatorders.py
+++ b/tests/traffic/test_heartbeatorders.py
@@ -201,6 +201,47 @@
     assert [(grant.first, grant.last) for grant in answer.grants] == [(0, 2559)]
 
 
+def test_holds_of_an_earlier_daemon_are_released_at_once(subject):
+    _, core, grants, target = subject
+    core.lease = -1.0
+    target.held = {(0, 2559, FENCE): ""}
+    target.expires_at = 1000.0
+
+    def heartbeat():
+        return target.channel.answer(
+            target.report(), grants.grant_all, owns_slots=False
+        )
+
+    assert heartbeat().grants == ()
+    assert not target.channel.is_target_empty
+    target.held = {}
+    heartbeat()
+    assert target.channel.is_target_empty
+
+
+def test_target_that_was_told_to_hold_a_range_is_not_empty(subject):
+    timers, core, grants, target = subject
+    core.own(0, 9, 1)
+    target.heartbeat(is_lost=True)
+    core.lose(0, 9)
+    # The answer may be on its way while this report is read.
+    target.channel.answer(heartbeatorders.HoldReport(), grants.grant_all)
+    assert not target.channel.is_target_empty
+    target.channel.answer(heartbeatorders.HoldReport(), grants.grant_all)
+    assert target.channel.is_target_empty
+    core.own(0, 9, 2)
+    target.heartbeat()
+    assert not target.channel.is_target_empty
+
+
+def test_target_of_another_process_is_not_known_to_be_empty(subject):
+    _, _, _, target = subject
+    target.heartbeat()
+    assert target.channel.is_target_empty
+    target.channel.close()
+    assert not target.channel.is_target_empty
+
+
 def test_release_all_leaves_everything_out(subject):
     timers, core, grants, target = subject
     core.own(0, 9, 1)
