Owners among many have more slots, and long calls count as less certain load

An ordered service is created with at least 12 slots a member, and the noise is that of the requests that make up the load.

--- a/tamarackgap/ownership/loads.py
+++ b/tamarackgap/ownership/loads.py
@@ -117,6 +117,8 @@
         self.move_budget = MoveBudget(records.Policy().moves, now)
         # Requests per second of each slot served here.
         self.slot_loads: dict[int, float] = {}
+        # Amount as which a typical request is counted in them.
+        self.request_amount = 1.0
 
     def report(
         self, rates: dict[int, float], now: float, changed_at: float
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -286,13 +286,20 @@
         self._accepting = accepting
         self._checks_grants = checks_grants
 
-    def report_load(self, rates: dict[int, float], now: float) -> None:
+    def report_load(
+        self,
+        rates: dict[int, float],
+        now: float,
+        request_amount: float = 1.0,
+    ) -> None:
         """Records this daemon's load, and reports it to members.
 
         Args:
             rates: Requests per second of each slot.
             now: Monotonic time, seconds.
+            request_amount: Amount as which a typical request is counted.
         """
+        self._load_exchange.request_amount = request_amount
         self._load_exchange.report(rates, now, self._slots_changed_at)
 
     def drain(self) -> None:
@@ -643,6 +650,7 @@
             keyed=self.keyed,
             lease_length=self.lease_length,
             is_target_empty=self.is_target_empty,
+            request_amount=self._load_exchange.request_amount,
             has_low_load=self.has_low_load,
             is_reachable=self.is_reachable,
             unreachable_for=self._liveness.unreachable_durations(
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -12,6 +12,10 @@
 # An owner that has been unreachable for this long, and whose epoch its
 # witnesses have not ended by then, is challenged.
 _CHALLENGE_AFTER_S = 3.0
+# An ordered service is created with at least this many slots for each member,
+# as far as the largest number allows.
+_MIN_SLOTS_PER_MEMBER = 12
+_MAX_SLOTS = 4096
 # After this many settle times a daemon creates the service even if members
 # can't own slots yet, or another member was to create it.
 _MAX_SETTLE_TIMES = 2.0
@@ -344,12 +348,27 @@
     return changes.create_service(
         inputs.view,
         own_record,
-        settings.slot_count,
+        _slot_count(inputs, own_record),
         change_id,
         settings.ordered_keys,
     )
 
 
+def _slot_count(
+    inputs: plannerinputs.PlannerInputs, own_record: records.LeaseRecord
+) -> int:
+    """Returns the number of slots that a service is created with.
+
+    A few busy keys can be spread over owners only as finely as slots are.
+    """
+    count = inputs.settings.slot_count
+    if inputs.settings.ordered_keys:
+        members = len(inputs.view.open_records(own_record.service))
+        while count < min(members * _MIN_SLOTS_PER_MEMBER, _MAX_SLOTS):
+            count *= 2
+    return count
+
+
 def _is_creator(
     inputs: plannerinputs.PlannerInputs, own_record: records.LeaseRecord
 ) -> bool:
@@ -514,6 +533,7 @@
         placement.plan_block_moves
         if inputs.settings.ordered_keys
         else placement.plan_slot_moves,
+        inputs.request_amount,
     )
     own_moves = [
         move
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -77,6 +77,8 @@
         ended: Earlier incarnations of this process that have ended.
         lease_length: Time for which a grant is valid in the next epoch,
             seconds.
+        request_amount: Amount as which a typical request is counted in the
+            rates.
         is_target_empty: Whether the target is known to hold no slot, also of
             earlier incarnations.
     """
@@ -106,6 +108,7 @@
     ended: frozenset[str] = frozenset()
     lease_length: float = 0.6
     is_target_empty: bool = False
+    request_amount: float = 1.0
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
--- a/tamarackgap/placement/loadstats.py
+++ b/tamarackgap/placement/loadstats.py
@@ -39,6 +39,9 @@
             half_life: Time in which the weight of a request halves, seconds.
         """
         self._weights: dict[int, float] = {}
+        # Decayed sums of the amounts counted and of their squares.
+        self._amounts = 0.0
+        self._squared_amounts = 0.0
         self._half_life = half_life
         self._rescaled_at = now
 
@@ -54,6 +57,19 @@
         # one, so that counting touches a single slot.
         weight = amount * 2.0 ** ((now - self._rescaled_at) / self._half_life)
         self._weights[slot] = self._weights.get(slot, 0.0) + weight
+        self._amounts += weight
+        self._squared_amounts += weight * amount
+
+    @property
+    def typical_amount(self) -> float:
+        """Amount of the requests that make up the load; 1 without any.
+
+        As many requests of this amount as make up a measured load would have
+        the same error by chance.
+        """
+        if not self._amounts:
+            return 1.0
+        return self._squared_amounts / self._amounts
 
     def rates(
         self, owned_since: dict[int, float], now: float
@@ -78,6 +94,8 @@
             for slot, weight in self._weights.items()
             if weight * factor > _MIN_WEIGHT
         }
+        self._amounts *= factor
+        self._squared_amounts *= factor
         self._rescaled_at = now
 
     def _unit_weight(self, age: float) -> float:
--- a/tamarackgap/placement/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -169,6 +169,7 @@
     tolerance: float = 0.08,
     half_life: float = loadstats.DEFAULT_HALF_LIFE_S,
     strategy: "MoveStrategy | None" = None,
+    request_amount: float = 1.0,
 ) -> list[Move]:
     """Returns the moves that bring every member close to its share.
 
@@ -186,6 +187,8 @@
             as a fraction of the share.
         half_life: Half-life of the rates, seconds.
         strategy: Chooses the moves of one source; `plan_slot_moves` if None.
+        request_amount: Amount as which a typical request is counted in the
+            rates. Fewer but larger requests make a rate less certain.
     """
     if not any(member.weight for member in members):
         return []
@@ -206,10 +209,10 @@
     moves: list[Move] = []
     for source in sorted(participants, key=lambda member: member.name):
         share = shares[source]
-        threshold = (
-            max(tolerance, _relative_noise(source.rate or 0.0, half_life))
-            * share
+        noise = _relative_noise(
+            (source.rate or 0.0) / request_amount, half_life
         )
+        threshold = max(tolerance, noise) * share
         if source.weight and -headroom[source.incarnation] <= threshold:
             continue
         moves += (strategy or plan_slot_moves)(
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -616,7 +616,9 @@
         self._core.has_low_load = (
             self._runner.utilisation < _LOW_LOAD_UTILISATION
         )
-        self._core.report_load(self._runner.slot_loads(), now())
+        self._core.report_load(
+            self._runner.slot_loads(), now(), self._runner.request_amount
+        )
         self._perform_effects()
 
     # Periodic work.
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -324,6 +324,11 @@
         since = {slot: owned.since for slot, owned in self._core.owned.items()}
         return self._meter.rates(since, self._timers.now)
 
+    @property
+    def request_amount(self) -> float:
+        """Amount as which a typical call is counted in `slot_loads`."""
+        return self._meter.typical_amount
+
     def _start(self, leg: Leg) -> None:
         """Sends a call to the target, unless it must be refused by now."""
         now = self._timers.now
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -494,6 +494,14 @@
     assert not cluster.violations
 
 
+@pytest.mark.parametrize(("members", "slots"), [(2, 32), (5, 64), (11, 256)])
+def test_ordered_service_of_many_members_has_more_slots(members, slots):
+    cluster = simulation.Simulation(seed=10, ordered_keys=True)
+    cluster.deploy(members)
+    assert cluster.run(20, cluster.is_balanced) is not None
+    assert cluster.slot_count() == slots
+
+
 def test_a_lost_lease_ends_the_release_of_slots():
     # If a target restarts before it has released the slots, they must not
     # stay out of use under the next lease.
--- a/tests/placement/test_loadstats.py
+++ b/tests/placement/test_loadstats.py
@@ -47,3 +47,14 @@
     sketch.count("old", 1.0)
     sketch.count("new", 62.0)
     assert [hot_key.key for hot_key in sketch.hottest(5)] == ["new"]
+
+
+def test_typical_amount_is_that_of_the_requests_that_make_up_the_load():
+    meter = loadstats.SlotMeter(0.0)
+    assert meter.typical_amount == 1.0
+    for index in range(10):
+        meter.count(0, index / 100, amount=1.0)
+    assert meter.typical_amount == pytest.approx(1.0)
+    meter.count(0, 0.1, amount=30.0)
+    # The one long request is three quarters of the load.
+    assert 20.0 < meter.typical_amount < 25.0
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -215,6 +215,19 @@
     assert placement.plan_moves(16, members, dict.fromkeys(range(8), 3.0)) == []
 
 
+def test_rates_of_few_large_requests_are_less_certain():
+    members = [
+        loaded_member("a", range(8), 260.0),
+        loaded_member("b", range(8, 16), 140.0),
+    ]
+    rates = dict.fromkeys(range(8), 32.5)
+    assert placement.plan_moves(16, members, rates, half_life=2.0)
+    # The same load by requests that each count as 28.
+    assert not placement.plan_moves(
+        16, members, rates, half_life=2.0, request_amount=28.0
+    )
+
+
 def test_loaded_member_of_weight_zero_gives_all_slots_away():
     members = [
         loaded_member("a", range(8), 80.0, weight=0),
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -200,8 +200,20 @@
             and daemon.core.refusal(slot, daemon.clock(self.now)) is None
         ]
 
-    def all_slots_served(self, service="seats", slot_count=32):
+    def slot_count(self, service="seats"):
+        """Returns the number of slots that a service was created with."""
+        return next(
+            (
+                daemon.core.view.service_record(service).slots
+                for daemon in self.daemons.values()
+                if daemon.core.view.service_record(service) is not None
+            ),
+            32,
+        )
+
+    def all_slots_served(self, service="seats", slot_count=None):
         """Returns whether each slot of a service has a serving daemon."""
+        slot_count = slot_count or self.slot_count(service)
         return all(
             self.serving_daemons(slot, service) for slot in range(slot_count)
         )
