A target's last free slot is left to urgent calls where others take long

Cause: with 5 slots and calls of 1.4 s a slot gets free each 0.29 s at best.

Load that it answers: lower ranks that fill few slots with calls so long that urgent ones would wait for more than half of their objective until a slot is free; then the last slot is left free. Elsewhere nothing changes (12 slots, 0.24 s: 20 ms). Ruled out: cutting running calls off, since their work is lost.

--- a/tamarackgap/traffic/admission.py
+++ b/tamarackgap/traffic/admission.py
@@ -42,6 +42,9 @@
 _USAGE_HALF_LIFE_S = 1.0
 # Share of the capacity that each rank is assumed to get at least.
 _MIN_RANK_SHARE = 0.05
+# A call leaves the last free slot to more urgent calls if these would wait for
+# more than this share of their latency objective until a slot is free again.
+_MAX_URGENT_WAIT_SHARE = 0.5
 # A call that is going to miss its soft deadline stays in the queue only if it
 # is expected to start within this share of the time left to its deadline:
 # calls that arrive later and can meet theirs will go before it.
@@ -105,6 +108,11 @@
         self._started *= factor
         self._updated_at = now
 
+    def is_offered(self, now: float) -> bool:
+        """Returns whether calls of this kind arrive all the time."""
+        factor = 0.5 ** ((now - self._updated_at) / _SERVED_HALF_LIFE_S)
+        return self._offered * factor >= _MIN_OFFERED_CALLS
+
     def record_start(self) -> None:
         """Counts a call that was started in time for its soft deadline."""
         self._started += 1
@@ -211,7 +219,11 @@
     def submit(self, call: QueuedCall, now: float) -> None:
         """Starts a call, queues it or refuses it at once."""
         self._served_share(call, now).record_offer(now)
-        if not self._queue and self._running < self.capacity:
+        if (
+            not self._queue
+            and self._running < self.capacity
+            and self._leaves_room(call, now)
+        ):
             self._start(call, now)
             return
         wait = self._expected_wait(call, now)
@@ -257,13 +269,37 @@
         Calls whose turn comes too late for their deadline are refused.
         """
         while self._queue and self._running < self.capacity:
-            call = min(self._queue, key=lambda c: self._sort_key(c, now))
+            startable = [
+                call for call in self._queue if self._leaves_room(call, now)
+            ]
+            if not startable:
+                return
+            call = min(startable, key=lambda c: self._sort_key(c, now))
             if not self._can_finish(call, now):
                 self._refuse(call, _MIN_RETRY_AFTER_S, 0.0)
                 continue
             self._queue.remove(call)
             self._start(call, now)
 
+    def _leaves_room(self, call: QueuedCall, now: float) -> bool:
+        """Returns whether urgent calls find room soon if a call starts now.
+
+        Where calls take long at a target of few slots, no slot may get free for
+        longer than a short call can wait.
+        """
+        capacity = self.capacity
+        if self._running + 1 < capacity or capacity == 1:
+            return True
+        time_to_free_slot = (
+            self.expected_duration(call.latency_objective) / capacity
+        )
+        return not any(
+            rank < call.rank
+            and time_to_free_slot > objective * _MAX_URGENT_WAIT_SHARE
+            and served.is_offered(now)
+            for (rank, objective), served in self._share_by_kind.items()
+        )
+
     def refuse_late(self, now: float) -> None:
         """Refuses the queued calls that are not likely to start in time."""
         # Expected duration of the calls that go before the present one.
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -200,3 +200,71 @@
     # The refused call counts as waiting.
     assert (refusal.running, refusal.waiting) == (1, 1)
     assert refusal.expected_wait > 0
+
+
+class MixedTarget(Target):
+    """A target whose calls take 0.3 of their latency objective."""
+
+    def submit(self, name, rank, latency_objective, deadline):
+        submitted_at = self.now
+
+        def start():
+            ends_at = self.now + 0.3 * latency_objective
+            self.started.append((name, self.now - submitted_at))
+            self.running.append((ends_at, latency_objective))
+
+        call = admission.QueuedCall(
+            rank,
+            latency_objective,
+            self.now + latency_objective,
+            self.now + deadline,
+            start,
+            lambda refusal: self.refused.append((name, refusal)),
+        )
+        self.queue.submit(call, self.now)
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.001
+            ended = [call for call in self.running if call[0] <= self.now]
+            for call in ended:
+                self.running.remove(call)
+                self.queue.finish(0.3 * call[1], call[1], self.now)
+            self.queue.refuse_late(self.now)
+
+
+def waits(target, name):
+    return [wait for started, wait in target.started if started == name]
+
+
+def test_urgent_calls_are_in_time_beside_too_many_long_calls():
+    target = MixedTarget(capacity=5)
+    for step in range(600):
+        if step % 2 == 0:
+            # Long calls are offered at 1.35 times the capacity.
+            target.submit("long", 2, latency_objective=4.5, deadline=15.0)
+        if step % 3 == 0:
+            target.submit("urgent", 0, latency_objective=0.33, deadline=1.0)
+        target.run(0.1)
+    in_time = [wait for wait in waits(target, "urgent") if wait < 0.7 * 0.33]
+    assert len(in_time) >= 0.95 * 200
+    # The slot that is left free costs long calls a fifth of the capacity.
+    assert len(waits(target, "long")) >= 0.9 * 60 * 4 / 1.35
+
+
+def test_long_calls_use_all_slots_if_no_urgent_calls_arrive():
+    target = MixedTarget(capacity=5)
+    for _ in range(8):
+        target.submit("long", 2, latency_objective=4.5, deadline=15.0)
+    assert target.queue.running == 5
+
+
+def test_short_calls_use_all_slots_beside_urgent_ones():
+    target = MixedTarget(capacity=5)
+    for _ in range(20):
+        target.submit("urgent", 0, latency_objective=0.5, deadline=1.0)
+        target.run(0.2)
+    for _ in range(8):
+        target.submit("short", 2, latency_objective=1.0, deadline=2.0)
+    assert target.queue.running == 5
