A draining daemon uses the whole grace time of its platform

The platform gives the time in seconds, so there is a setting in seconds. Ruled out: the wait for legs in progress, which ends at the exit deadline only.

Tests: the template with the platform's values gives 10 s; both settings.

--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -751,7 +751,7 @@
         current_time = now()
         self._listen_until = current_time + _DRAIN_LISTEN_S
         self._exit_deadline = (
-            current_time + self._settings.router_grace / 1000 - _EXIT_RESERVE_S
+            current_time + self._settings.grace - _EXIT_RESERVE_S
         )
         self._caller_server.draining = True
         self._core.drain()
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -37,6 +37,7 @@
     router_grants: str
     router_longest_hold: int
     router_grace: int
+    router_grace_s: int
     router_reruns: int
     router_extra_reruns: int
     table_address: str
@@ -62,6 +63,11 @@
     requests_retries: int
     replaced: tuple[str, ...] = ()
 
+    @property
+    def grace(self) -> float:
+        """Time from SIGTERM to SIGKILL, seconds."""
+        return self.router_grace_s or self.router_grace / 1000
+
 
 def load(path: pathlib.Path) -> result.Result[Config, str]:
     """Reads a settings file.
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -171,6 +171,16 @@
         "ms",
         "time from SIGTERM to SIGKILL",
     ),
+    _integer_option(
+        "router",
+        "grace_s",
+        0,
+        0,
+        600,
+        "s",
+        "the same in seconds; 0: `router.grace` is used",
+        rendered=True,
+    ),
     _integer_option(
         "router",
         "reruns",
--- a/tests/settings/test_config.py
+++ b/tests/settings/test_config.py
@@ -1,3 +1,6 @@
+import pathlib
+import re
+
 import msgspec
 import pytest
 from returns import result
@@ -105,3 +108,44 @@
     assert f"[router] {name} = " in problem
     assert f"{option.default} is used" in problem
     assert "\n" not in problem
+
+
+@pytest.mark.parametrize(
+    ("lines", "grace"),
+    [
+        ("", 6.0),
+        ("grace = 2500\n", 2.5),
+        ("grace_s = 10\n", 10.0),
+        ("grace_s = 7.5\ngrace = 2500\n", 7.0),
+        ("grace_s =\ngrace = 2500\n", 2.5),
+    ],
+)
+def test_grace_may_be_given_in_seconds(tmp_path, lines, grace):
+    settings = load(tmp_path, f"{VALID}[router]\n{lines}").unwrap()
+    assert settings.grace == grace
+
+
+def test_template_of_the_platform_renders_the_grace_time(tmp_path):
+    template = pathlib.Path("deploy/settings.ini").read_text()
+    values = {
+        "node": "sidecar-1",
+        "service": "seats",
+        "zone": "meseta-1",
+        "ip": "10.1.0.8",
+        "port_range.0": "7620",
+        "listen.outbound": "10.1.0.8:8304",
+        "listen.control": "10.1.0.8:8306",
+        "listen.ready": "10.1.0.8:8302",
+        "app_addr": "10.1.0.8:8301",
+        "platform.address": "10.200.1.7:8309",
+        "heartbeat_ms": "870",
+        "grants": "heartbeat",
+        "bounds.max_hold_ms": "10000",
+        "bounds.grace_s": "10",
+        "bounds.retry_budget_extra": "30.714285714285715",
+    }
+    text = re.sub(r"{{(.*?)}}", lambda match: values[match[1]], template)
+    settings = load(tmp_path, text).unwrap()
+    assert settings.replaced == ()
+    assert settings.grace == 10.0
+    assert settings.router_grants == "heartbeat"
