--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -573,6 +573,9 @@
         by_heartbeat = channel is routetable.GrantChannel.HEARTBEAT
         self._slot_grants.by_heartbeat = by_heartbeat
         self._core.defers_release = by_heartbeat
+        if not by_heartbeat:
+            # The target no longer reports what it holds.
+            self._core.is_target_empty = False
         self._core.lease_length = leaselength.needed_length(
             table,
             self._service,
