--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -221,7 +221,8 @@
         1,
         65_536,
         "slots",
-        "a power of two; used only when the service is created",
+        "a power of two; used only when the service is created. On the"
+        " users' platform a service gets at least 12 slots a daemon",
     ),
     _integer_option(
         "ownership",
