Operators' test counts the slots for the members known at creation

The owners had 6, 16 and 10: the first daemon created the service when it knew one other member, so two members got 16 slots each, and the third, which joined later, got its share by moves. The number of slots is right for what was known. The test took for granted that all three were known.

Ruled out: lost slots (the sum is 32, a service of two members; see test_ordered_service_of_many_members_has_more_slots).

The commit line of a creation now names slots and members, and the test takes both from it: number for the members known, and each slot owned. One assertion more than before.

--- a/tamarackgap/ownership/changes.py
+++ b/tamarackgap/ownership/changes.py
@@ -41,11 +41,13 @@
         kind: What it is for.
         transaction: Its checks and writes.
         reason: The cause, for the log.
+        inputs: The figures on which it was decided, for the log.
     """
 
     kind: ChangeKind
     transaction: records.Transaction
     reason: str
+    inputs: dict[str, int] = {}
 
 
 class SlotClaim(msgspec.Struct, frozen=True):
@@ -137,19 +139,20 @@
         self.check(key)
         self._writes[key] = records.Write(key, None)
 
-    def build(self, kind: ChangeKind, reason: str) -> Change:
+    def build(self, kind: ChangeKind, reason: str, **inputs: int) -> Change:
         """Returns the finished change.
 
         Args:
             kind: What it is for.
             reason: The cause, for the log.
+            **inputs: The figures on which it was decided, for the log.
         """
         transaction = records.Transaction(
             self._change_id,
             tuple(self._checks.values()),
             tuple(self._writes.values()),
         )
-        return Change(kind, transaction, reason)
+        return Change(kind, transaction, reason, inputs)
 
 
 def with_assignments(
@@ -187,17 +190,26 @@
     """
     builder = Builder(view, change_id)
     builder.put_service_record(own_record.service, slot_count)
+    members = view.open_records(own_record.service)
     if in_ranges:
         _allocate_ranges(builder, view, own_record, slot_count)
-        return builder.build(
-            ChangeKind.CREATE_SERVICE, "no-slots-given-out-yet"
-        )
+        return _build_creation(builder, slot_count, len(members))
     assignments = {
         types.Slot(slot): slots.SlotAssignment(1) for slot in range(slot_count)
     }
-    members = view.open_records(own_record.service)
     builder.put_record(with_assignments(own_record, assignments, members))
-    return builder.build(ChangeKind.CREATE_SERVICE, "no-slots-given-out-yet")
+    return _build_creation(builder, slot_count, len(members))
+
+
+def _build_creation(
+    builder: Builder, slot_count: int, member_count: int
+) -> Change:
+    return builder.build(
+        ChangeKind.CREATE_SERVICE,
+        "no-slots-given-out-yet",
+        slots=slot_count,
+        members=member_count,
+    )
 
 
 def _allocate_ranges(
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -422,6 +422,7 @@
             reason=change.reason,
             outcome=state.value,
             epoch=self.epoch,
+            **change.inputs,
         )
         if incarnation != self._incarnation:
             return
--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -146,8 +146,13 @@
     code, rows = _run_command("owners", "--daemon", other, "--service", "money")
     assert code == 0
     owned = {row["daemon"]: row["slots"] for row in rows if row["slots"]}
-    # Three owners with at least 12 slots each; a power of two.
-    assert sum(owned.values()) == 64
+    (creation,) = _lines(cluster, "commit", kind="found", outcome="committed")
+    slots = int(creation["slots"])
+    # At least 12 slots for each owner known at the creation; a power of two.
+    assert slots == max(
+        32, 1 << (12 * int(creation["members"]) - 1).bit_length()
+    )
+    assert sum(owned.values()) == slots
     assert vm.name in owned
 
 
