Changes of the table stay within one transaction of the store

Cause: the creation of an ordered service wrote the records of all members in one transaction, a check and a write each, and the store takes 100 entries. The same bound was missing for claims after many owners were lost, for moves to many destinations and for records of many earlier lives.

A change now holds at most 48 records. Members that get no slots at a creation get them by moves; claims are taken in several changes.

The simulated table and the stand-in of the store refuse larger transactions as the store does. The new test (80 members) fails on the code before: no slot was served after 20 s.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -12,6 +12,8 @@
 from standins import httpd
 
 _MAX_ROWS_PER_READ = 500
+_MAX_TRANSACTION_ENTRIES = 100
+_ENTRY_LISTS = ("expected_revision", "put", "remove")
 _UNRESPONSIVE_POLL_S = 0.02
 
 
@@ -101,6 +103,9 @@
         self._changes.append(self._row((table, part, key)))
 
     def _commit(self, body: dict) -> httpd.Response:
+        entries = sum(len(body.get(name, [])) for name in _ENTRY_LISTS)
+        if entries > _MAX_TRANSACTION_ENTRIES:
+            return httpd.Response(400)
         with self._changed:
             current_rows = []
             checks_hold = True
--- a/tamarackgap/ownership/changes.py
+++ b/tamarackgap/ownership/changes.py
@@ -8,6 +8,10 @@
 from tamarackgap import types
 from tamarackgap.placement import placement, records, slots
 
+# Largest number of records in a change: each is a check and a write, and the
+# platform's store takes 100 entries in a transaction.
+MAX_RECORDS = 48
+
 
 class ChangeKind(enum.Enum):
     """What a transaction is for."""
@@ -185,8 +189,9 @@
         own_record: The record of the daemon that creates the service.
         slot_count: Number of slots.
         change_id: The id of the write.
-        in_ranges: Whether each member gets an equal slot range; otherwise
-            this daemon gets all slots, and moves them to others later.
+        in_ranges: Whether each member gets an equal slot range, as far as one
+            transaction can hold their records; otherwise this daemon gets all
+            slots. Members without slots get theirs by moves.
     """
     builder = Builder(view, change_id)
     builder.put_service_record(own_record.service, slot_count)
@@ -220,6 +225,8 @@
 ) -> None:
     members = view.open_records(own_record.service)
     owners = [record for record in members if record.can_own] or [own_record]
+    # One record is the service's.
+    owners = owners[: MAX_RECORDS - 1]
     for index, owner in enumerate(owners):
         first = slot_count * index // len(owners)
         end = slot_count * (index + 1) // len(owners)
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -154,6 +154,8 @@
     ]
     if not claims:
         return None
+    # One record is this daemon's; the next change takes the remaining claims.
+    claims = claims[: changes.MAX_RECORDS - 1]
     return changes.claim(inputs.view, own_record, claims, change_id)
 
 
@@ -238,7 +240,7 @@
     if not earlier:
         return None
     builder = changes.Builder(inputs.view, change_id)
-    for record in earlier:
+    for record in earlier[: changes.MAX_RECORDS]:
         builder.close_record(record, slots.expand(record.runs))
     return builder.build(
         changes.ChangeKind.CLOSE_GONE, "earlier-incarnation-gone"
@@ -543,7 +545,17 @@
     limit = inputs.settings.batch
     if inputs.accepting:
         limit = min(limit, inputs.max_moves)
-    return tuple(own_moves[:limit])
+    return _within_one_change(own_moves[:limit])
+
+
+def _within_one_change(
+    moves: list[placement.Move],
+) -> tuple[placement.Move, ...]:
+    """Returns the moves to as many destinations as one change can hold."""
+    destinations = list(dict.fromkeys(move.destination for move in moves))
+    # One record is this daemon's.
+    within = frozenset(destinations[: changes.MAX_RECORDS - 1])
+    return tuple(move for move in moves if move.destination in within)
 
 
 def plan_epoch_write(
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -502,6 +502,17 @@
     assert cluster.slot_count() == slots
 
 
+def test_a_service_of_many_members_is_created_in_small_transactions():
+    # 160 entries, if all members got their slots with the creation.
+    cluster = simulation.Simulation(seed=10, ordered_keys=True)
+    cluster.deploy(80)
+    assert cluster.run(20, cluster.is_balanced) is not None
+    assert sum(cluster.slot_counts().values()) == cluster.slot_count()
+    assert min(cluster.slot_counts().values()) > 0
+    assert cluster.largest_transaction <= simulation.MAX_TRANSACTION_ENTRIES
+    assert not cluster.violations
+
+
 def test_a_lost_lease_ends_the_release_of_slots():
     # If a target restarts before it has released the slots, they must not
     # stay out of use under the next lease.
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -15,6 +15,8 @@
 from tamarackgap.peers import messages
 
 STEP_S = 0.005
+# The users' store takes no larger transactions.
+MAX_TRANSACTION_ENTRIES = 100
 
 
 class SimulatedDaemon:
@@ -97,6 +99,7 @@
         self.now = 0.0
         self.table = table_lib.Table()
         self.table_up = True
+        self.largest_transaction = 0
         self.answer_loss_rate = 0.0
         self.table_delay = 0.002
         self.message_loss_rate = 0.0
@@ -307,7 +310,14 @@
             core.handle_commit_result(transaction.change, state, rows, clock)
 
         def apply():
-            if not self.table_up or daemon.writes_lost or daemon.table_isolated:
+            entries = len(transaction.checks) + len(transaction.writes)
+            self.largest_transaction = max(self.largest_transaction, entries)
+            if (
+                not self.table_up
+                or daemon.writes_lost
+                or daemon.table_isolated
+                or entries > MAX_TRANSACTION_ENTRIES
+            ):
                 unknown = effects.CommitState.UNKNOWN
                 self.schedule(0.05, lambda: deliver_answer(unknown, []))
                 return
