Only daemons with keys hold leases and write more than their joining

Cause: each of 195 daemons wrote four or five changes at its start (join, flag, witnesses, lease length, witnesses again) and renewed a lease with three witnesses four times a second, also where its service has no keys: 115 of 195 daemons on one site, 116 on the other.

A daemon without keys now joins with one change, which also closes the record of its earlier process, and leaves with one. A daemon with keys writes its flags with its first epoch, which waits for candidates before the service exists, and keeps witnesses that have none of their own. A record that never had a lease can be closed at once.

Found by the test of restarts (1.0 s bound, 1.65 s seen): a table read that makes closed records claimable did not make the planner run again, which the flag's write had hidden.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -378,6 +378,15 @@
                 self._table_as_of, now if as_of is None else as_of
             )
         self._view.advance(types.Revision(revision))
+        if any(
+            record.runs
+            and not record.is_open
+            and record.service == self._settings.service
+            for record in self._view.leases()
+        ):
+            # The read may show that slots are free to claim.
+            self._idle_signature = None
+            self._plan_at = now
 
     def record_table_failure(self) -> None:
         """Records that a table read failed, so that no epoch change begins."""
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -16,6 +16,9 @@
 # as far as the largest number allows.
 _MIN_SLOTS_PER_MEMBER = 12
 _MAX_SLOTS = 4096
+# After this share of the settle time a daemon chooses witnesses even if few
+# daemons have any yet.
+_FIRST_EPOCH_SETTLE_SHARE = 0.5
 # After this many settle times a daemon creates the service even if members
 # can't own slots yet, or another member was to create it.
 _MAX_SETTLE_TIMES = 2.0
@@ -117,18 +120,52 @@
     )
     builder = changes.Builder(inputs.view, change_id)
     builder.put_record(record)
+    for earlier in _ended_earlier_records(inputs)[: changes.MAX_RECORDS - 1]:
+        builder.close_record(earlier, slots.expand(earlier.runs))
     return builder.build(changes.ChangeKind.JOIN, "started")
 
 
+def _needs_lease(
+    inputs: plannerinputs.PlannerInputs, own_record: records.LeaseRecord
+) -> bool:
+    """Returns whether this daemon has or may soon have slots.
+
+    Other daemons get along without a lease: they need no witnesses and write
+    nothing but their joining and leaving. Before the service is created, a
+    daemon waits for candidates, so that it need not replace its witnesses soon.
+    """
+    if own_record.witnesses:
+        return True
+    if not (inputs.keyed and inputs.accepting):
+        return False
+    started = sum(
+        bool(record.witnesses) for record in inputs.view.open_records()
+    )
+    return (
+        inputs.view.service_record(own_record.service) is not None
+        or started >= inputs.settings.witnesses
+        or inputs.age >= inputs.settings.settle * _FIRST_EPOCH_SETTLE_SHARE
+    )
+
+
+def _with_flags(
+    inputs: plannerinputs.PlannerInputs, record: records.LeaseRecord
+) -> records.LeaseRecord:
+    return msgspec.structs.replace(
+        record, accepting=inputs.accepting, leaving=inputs.draining
+    )
+
+
 def _update_flags(
     inputs: plannerinputs.PlannerInputs, change_id: str
 ) -> changes.Change | None:
     own_record = inputs.own_record
     if own_record is None:
         return None
-    updated = msgspec.structs.replace(
-        own_record, accepting=inputs.accepting, leaving=inputs.draining
-    )
+    if not own_record.witnesses and not _is_witness(inputs):
+        # Nobody depends on the flags yet. The first epoch's write sets them.
+        return None
+    updated = _with_flags(inputs, own_record)
     if updated == own_record:
         return None
     builder = changes.Builder(inputs.view, change_id)
@@ -232,11 +269,7 @@
     Where this process itself was the earlier incarnation, it knows exactly
     when that one has ended.
     """
-    earlier = [
-        record
-        for record in plannerinputs.earlier_records(inputs)
-        if plannerinputs.has_ended(inputs, record)
-    ]
+    earlier = _ended_earlier_records(inputs)
     if not earlier:
         return None
     builder = changes.Builder(inputs.view, change_id)
@@ -247,6 +280,16 @@
     )
 
 
+def _ended_earlier_records(
+    inputs: plannerinputs.PlannerInputs,
+) -> list[records.LeaseRecord]:
+    return [
+        record
+        for record in plannerinputs.earlier_records(inputs)
+        if plannerinputs.has_ended(inputs, record)
+    ]
+
+
 def _answer_challenge(
     inputs: plannerinputs.PlannerInputs, change_id: str
 ) -> changes.Change | None:
@@ -425,6 +468,8 @@
     own_record = inputs.own_record
     if own_record is None or not inputs.table_ok:
         return None
+    if not _needs_lease(inputs, own_record):
+        return None
     witnesses = _choose_witnesses(inputs, own_record)
     reason = None
     if witnesses != own_record.witnesses:
@@ -587,7 +632,7 @@
     if intent.reason == "moves" and not moves:
         return None
     new_record = msgspec.structs.replace(
-        own_record,
+        _with_flags(inputs, own_record),
         epoch=own_record.epoch + 1,
         witnesses=intent.witnesses,
         lease_ms=round(intent.lease_length * 1000),
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -153,10 +153,11 @@
 
     Only one process can be bound to an address, so the earlier one is gone.
     Its target serves its slots until the lease ends, unless it is known to hold
-    nothing any more.
+    nothing any more, or never had a lease.
     """
     return (
-        record.incarnation in inputs.ended
+        not (record.witnesses or record.runs)
+        or record.incarnation in inputs.ended
         or inputs.is_target_empty
         or inputs.age >= effects.lease_timeout(inputs.settings, record)
     )
--- a/tamarackgap/placement/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -487,14 +487,18 @@
         and not is_unresponsive(record.incarnation)
     ]
     # A daemon that has no witnesses of its own may never have started fully,
-    # so it is used only if there are too few others.
-    started = [record for record in usable if record.witnesses]
+    # so it is used only if it is one already or there are too few others.
+    current = set(owner.witnesses)
+    started = [
+        record
+        for record in usable
+        if record.witnesses or record.incarnation in current
+    ]
     if len(started) >= count:
         usable = started
     count = min(count, len(usable))
     count -= 1 - count % 2 if count else 0
     chosen: list[records.LeaseRecord] = []
-    current = set(owner.witnesses)
     while len(chosen) < count:
         data_centres = [record.data_centre for record in chosen]
         best = min(
