A large service is created by several changes, without moves

The service's record now tells which slots have been given out, and further changes, each on condition that this record is unchanged, give the others out. The member with the lowest id continues, so the creator may end in between. No slot moves until all are given out. Rows without the new field mean that all are.

Tests: 80 members, no slot moved; the creator is killed after its first change.

--- a/tamarackgap/ownership/changes.py
+++ b/tamarackgap/ownership/changes.py
@@ -115,11 +115,17 @@
         self.check(record.key)
         self._writes[record.key] = records.Write(record.key, None)
 
-    def put_service_record(self, service: str, slot_count: int) -> None:
+    def put_service_record(
+        self, service: str, slot_count: int, allocated: int
+    ) -> None:
         """Writes a service record, on condition that it has not changed."""
         key = records.service_key(service)
         self.check(key)
-        row = records.ServiceRecord(slot_count, self._change_id)
+        row = records.ServiceRecord(
+            slot_count,
+            self._change_id,
+            allocated if allocated < slot_count else None,
+        )
         self._writes[key] = records.Write(key, records.encode(row))
 
     def challenge(self, record: records.LeaseRecord, by: str) -> None:
@@ -182,7 +188,7 @@
     change_id: str,
     in_ranges: bool = False,
 ) -> Change:
-    """Returns the change that allocates all slots of a new service.
+    """Returns the change that gives the slots of a new service to owners.
 
     Args:
         view: This daemon's copy of the table.
@@ -190,30 +196,59 @@
         slot_count: Number of slots.
         change_id: The id of the write.
         in_ranges: Whether each member gets an equal slot range, as far as one
-            transaction can hold their records; otherwise this daemon gets all
-            slots. Members without slots get theirs by moves.
+            transaction can hold their records (`continue_creation` gives the
+            other members theirs); otherwise this daemon gets all slots, and
+            moves them to others later.
     """
     builder = Builder(view, change_id)
-    builder.put_service_record(own_record.service, slot_count)
     members = view.open_records(own_record.service)
+    allocated = slot_count
     if in_ranges:
-        _allocate_ranges(builder, view, own_record, slot_count)
-        return _build_creation(builder, slot_count, len(members))
-    assignments = {
-        types.Slot(slot): slots.SlotAssignment(1) for slot in range(slot_count)
-    }
-    builder.put_record(with_assignments(own_record, assignments, members))
-    return _build_creation(builder, slot_count, len(members))
-
-
-def _build_creation(
-    builder: Builder, slot_count: int, member_count: int
-) -> Change:
+        allocated = _allocate_ranges(builder, view, own_record, 0, slot_count)
+    else:
+        assignments = {
+            types.Slot(slot): slots.SlotAssignment(1)
+            for slot in range(slot_count)
+        }
+        builder.put_record(with_assignments(own_record, assignments, members))
+    builder.put_service_record(own_record.service, slot_count, allocated)
     return builder.build(
         ChangeKind.CREATE_SERVICE,
         "no-slots-given-out-yet",
         slots=slot_count,
-        members=member_count,
+        members=len(members),
+    )
+
+
+def continue_creation(
+    view: records.TableView,
+    own_record: records.LeaseRecord,
+    service_record: records.ServiceRecord,
+    change_id: str,
+) -> Change:
+    """Returns the change that gives further slots of a new service to owners.
+
+    The service's record tells which slots nobody has had yet. The change
+    depends on that record, so no slot can be given away twice.
+
+    Args:
+        view: This daemon's copy of the table.
+        own_record: This daemon's record.
+        service_record: The service's record.
+        change_id: The id of the write.
+    """
+    builder = Builder(view, change_id)
+    slot_count = service_record.slots
+    allocated = _allocate_ranges(
+        builder,
+        view,
+        own_record,
+        slot_count - service_record.unallocated,
+        slot_count,
+    )
+    builder.put_service_record(own_record.service, slot_count, allocated)
+    return builder.build(
+        ChangeKind.CREATE_SERVICE, "slots-not-given-out-yet", slots=slot_count
     )
 
 
@@ -221,20 +256,42 @@
     builder: Builder,
     view: records.TableView,
     own_record: records.LeaseRecord,
-    slot_count: int,
-) -> None:
+    start: int,
+    end: int,
+) -> int:
+    """Gives slots in ranges of equal length to members without slots.
+
+    Args:
+        builder: Gets the writes.
+        view: This daemon's copy of the table.
+        own_record: The record of this daemon, which gets the slots if no
+            member can own any.
+        start: The first slot.
+        end: The slot after the last one.
+
+    Returns:
+        The first slot that is left for another change, or `end`.
+    """
     members = view.open_records(own_record.service)
-    owners = [record for record in members if record.can_own] or [own_record]
+    able = [record for record in members if record.can_own] or [own_record]
+    owners = [record for record in able if not record.runs] or able
+    range_end = start
     # One record is the service's.
-    owners = owners[: MAX_RECORDS - 1]
-    for index, owner in enumerate(owners):
-        first = slot_count * index // len(owners)
-        end = slot_count * (index + 1) // len(owners)
-        assignments = {
-            types.Slot(slot): slots.SlotAssignment(1)
-            for slot in range(first, end)
-        }
-        builder.put_record(with_assignments(owner, assignments, members))
+    for index, owner in enumerate(owners[: MAX_RECORDS - 1]):
+        range_start = range_end
+        range_end = start + (end - start) * (index + 1) // len(owners)
+        with_successors = placement.choose_successors(
+            owner,
+            {
+                types.Slot(slot): slots.SlotAssignment(1)
+                for slot in range(range_start, range_end)
+            },
+            members,
+        )
+        # Successors of the slots owned before must not change within an epoch.
+        ranges = slots.compress({**slots.expand(owner.runs), **with_successors})
+        builder.put_record(msgspec.structs.replace(owner, runs=ranges))
+    return range_end
 
 
 def claim(
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -37,10 +37,14 @@
 # For this long after a lost lease, the planner runs right after each
 # committed change. Rejoining takes a few writes and the witnesses' answers.
 _REJOIN_S = 3.0
-# After these changes the planner runs at once: slots of closed records are
-# not served until they are claimed.
-_KINDS_BEFORE_CLAIM = frozenset(
-    {changes.ChangeKind.CLOSE_GONE, changes.ChangeKind.CLOSE_UNANSWERED}
+# After these changes the planner runs at once: slots of closed records are not
+# served until they are claimed, and a creation may have left some out.
+_KINDS_WITH_SLOTS_LEFT = frozenset(
+    {
+        changes.ChangeKind.CLOSE_GONE,
+        changes.ChangeKind.CLOSE_UNANSWERED,
+        changes.ChangeKind.CREATE_SERVICE,
+    }
 )
 
 
@@ -436,7 +440,10 @@
         if incarnation != self._incarnation:
             return
         if state is effects.CommitState.COMMITTED:
-            if now < self._rejoin_until or change.kind in _KINDS_BEFORE_CLAIM:
+            if (
+                now < self._rejoin_until
+                or change.kind in _KINDS_WITH_SLOTS_LEFT
+            ):
                 self._plan_at = now
             self._outbox.broadcast(messages.RowUpdates(tuple(rows)))
         if change.kind is changes.ChangeKind.RECONFIGURE:
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -89,6 +89,7 @@
         _claim,
         _close_earlier,
         _create_service,
+        _continue_creation,
         _leave,
         _close_unanswered,
         _challenge,
@@ -399,6 +400,40 @@
     )
 
 
+def _continue_creation(
+    inputs: plannerinputs.PlannerInputs, change_id: str
+) -> changes.Change | None:
+    """Returns the change that gives further slots to owners, or None.
+
+    A large service is created in several changes. The member with the lowest
+    incarnation id makes them, also if another one created the service.
+    """
+    own_record = inputs.own_record
+    service_record = inputs.view.service_record(inputs.settings.service)
+    if (
+        own_record is None
+        or service_record is None
+        or not service_record.unallocated
+        or not inputs.keyed
+        or not inputs.lease_valid
+    ):
+        return None
+    able = [
+        record.incarnation
+        for record in inputs.view.open_records(own_record.service)
+        if record.can_own
+        and (
+            record.incarnation == inputs.incarnation
+            or inputs.is_reachable(record.incarnation)
+        )
+    ]
+    if not able or min(able) != inputs.incarnation:
+        return None
+    return changes.continue_creation(
+        inputs.view, own_record, service_record, change_id
+    )
+
+
 def _slot_count(
     inputs: plannerinputs.PlannerInputs, own_record: records.LeaseRecord
 ) -> int:
@@ -552,6 +587,9 @@
     service_record = view.service_record(service)
     if not inputs.keyed or service_record is None or inputs.unrecorded:
         return ()
+    if service_record.unallocated:
+        # Members without slots get theirs without moves.
+        return ()
     has_unclaimed = any(
         record.runs and not record.is_open and record.service == service
         for record in view.leases()
--- a/tamarackgap/placement/records.py
+++ b/tamarackgap/placement/records.py
@@ -110,10 +110,18 @@
     Attributes:
         slots: Number of slots of the service; a power of two.
         change: Id of the write that made this row.
+        allocated: The slots below this number have been given to owners; None
+            for all slots.
     """
 
     slots: int
     change: str = ""
+    allocated: int | None = None
+
+    @property
+    def unallocated(self) -> int:
+        """Number of slots that no owner has had yet."""
+        return 0 if self.allocated is None else self.slots - self.allocated
 
 
 class Policy(msgspec.Struct, frozen=True):
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -505,14 +505,42 @@
     assert cluster.slot_count() == slots
 
 
-def test_a_service_of_many_members_is_created_in_small_transactions():
-    # 160 entries, if all members got their slots with the creation.
+def _create_large_service(members):
     cluster = simulation.Simulation(seed=10, ordered_keys=True)
-    cluster.deploy(80)
-    assert cluster.run(20, cluster.is_balanced) is not None
+    cluster.deploy(members)
+    return cluster
+
+
+def test_a_service_of_many_members_is_created_in_small_transactions():
+    # 160 entries, if all members got their slots with one transaction.
+    cluster = _create_large_service(80)
+    assert cluster.run(6, cluster.is_balanced) is not None
     assert sum(cluster.slot_counts().values()) == cluster.slot_count()
     assert min(cluster.slot_counts().values()) > 0
     assert cluster.largest_transaction <= simulation.MAX_TRANSACTION_ENTRIES
+    # No slot was moved: each was given to its owner once.
+    gained = [fields["gained"] for fields in cluster.events("slots_changed")]
+    assert sum(gained) == cluster.slot_count()
+    assert not cluster.violations
+
+
+def test_a_creation_is_continued_without_the_daemon_that_began_it():
+    cluster = _create_large_service(60)
+
+    def has_begun():
+        record = next(iter(cluster.daemons.values())).core.view.service_record(
+            "seats"
+        )
+        return record is not None and record.unallocated
+
+    assert cluster.run(6, has_begun) is not None
+    (creator,) = {
+        fields["at"]
+        for fields in cluster.events("commit")
+        if fields["kind"] == "found"
+    }
+    cluster.kill(creator)
+    assert cluster.run(12, cluster.all_slots_served) is not None
     assert not cluster.violations
 
 
