Relays pass the status of targets on between data centres

Cause: above 100 daemons each one still sent its status to all others; 195 daemons sent 15,000 messages a second between five data centres.

A digest of each relay to all far daemons would take as many bytes as now.

Two relays of each data centre now send a digest each two seconds to the relays of the others, which pass it on.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -159,3 +159,32 @@
     data_centre: types.DataCentre
     process: str
     interval: float
+
+
+class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
+    """A daemon's status that another daemon has heard.
+
+    Attributes:
+        incarnation: Incarnation that reported it.
+        address: `ip:port` of that daemon.
+        age: Time since it was heard, seconds.
+        status: The status.
+    """
+
+    incarnation: str
+    address: str
+    age: float
+    status: TargetStatus
+
+
+class StatusDigest(msgspec.Struct, tag="digest", array_like=True, frozen=True):
+    """Reports the states that the daemons of a data centre have reported.
+
+    Attributes:
+        statuses: The states.
+        passes_on: Whether the receiver passes the digest on to the daemons of
+            its own data centre.
+    """
+
+    statuses: tuple[HeardStatus, ...]
+    passes_on: bool
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -271,6 +271,7 @@
     | calls.TargetCrash
     | calls.FingerprintCleared
     | calls.TargetStatus
+    | calls.StatusDigest
     | calls.RouteTableRequest
     | calls.RouteTableUpdate
 )
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -2,11 +2,19 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from tamarackgap import logs, types
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls, messages, transport
-from tamarackgap.traffic import crashes, dispatcher, routetable, runner
+from tamarackgap.traffic import (
+    crashes,
+    dispatcher,
+    routetable,
+    runner,
+    statusrelay,
+)
 
 # The time between two status messages to the same daemon grows with the number
 # of daemons. Daemons learn the load of targets from completions as well, and
@@ -16,6 +24,7 @@
 _STATUS_INTERVAL_PER_DAEMON_S = 0.01
 _MAX_NEAR_INTERVAL_S = 1.0
 _MAX_FAR_INTERVAL_S = 2.0
+_MIN_RELAYED_AGE_S = 0.001
 # Least time between two requests for a newer route table.
 _ROUTE_TABLE_REQUEST_INTERVAL_S = 0.2
 
@@ -91,6 +100,7 @@
         self._informed: set[types.Incarnation] = set()
         self._informed_version = -1
         timers.after(_MIN_STATUS_INTERVAL_S, self._broadcast_periodically)
+        timers.after(statusrelay.DIGEST_INTERVAL_S, self._relay_periodically)
 
     def receive(self, envelope: messages.Envelope) -> bool:
         """Handles a message about targets or route tables.
@@ -106,6 +116,8 @@
                 self._request_table_if_newer(
                     status.route_table_version, envelope.address
                 )
+            case calls.StatusDigest() as digest:
+                self._apply_digest(digest)
             case calls.TargetCrash() as crash:
                 self._record_crash(crash)
             case calls.FingerprintCleared(fingerprint=fingerprint):
@@ -140,7 +152,9 @@
             if record.data_centre != self._core.settings.data_centre
         }
         near = self._peer_addresses() - far
-        if not is_to_all:
+        if not is_to_all and statusrelay.is_used(len(records)):
+            far = set()
+        elif not is_to_all:
             self._round = (self._round + 1) % self._rounds_per_far_status
             turns = self._rounds_per_far_status
             far = set(sorted(far)[self._round :: turns])
@@ -154,6 +168,65 @@
                 self._status(self._status_interval * rounds),
             )
 
+    def _apply_digest(self, digest: calls.StatusDigest) -> None:
+        own = self._core.settings.peer_address
+        for heard in digest.statuses:
+            if heard.address == own:
+                continue
+            # An age of 0 is kept for what a daemon sends by itself.
+            self._dispatcher.update_status(
+                heard.incarnation,
+                heard.address,
+                heard.status,
+                max(heard.age, _MIN_RELAYED_AGE_S),
+            )
+            self._request_table_if_newer(
+                heard.status.route_table_version, heard.address
+            )
+        if not digest.passes_on:
+            return
+        near = {
+            record.peer_address
+            for record in self._core.view.open_records()
+            if record.data_centre == self._core.settings.data_centre
+        }
+        self._transport.send_all(
+            self._core.incarnation,
+            near - {own},
+            calls.StatusDigest(digest.statuses, passes_on=False),
+        )
+
+    def _relay_periodically(self) -> None:
+        """Sends the states of this data centre's targets to far relays."""
+        self._timers.after(
+            statusrelay.DIGEST_INTERVAL_S, self._relay_periodically
+        )
+        records = self._core.view.open_records()
+        if not statusrelay.is_used(len(records)):
+            return
+        settings = self._core.settings
+        addresses = statusrelay.far_relays(
+            settings.peer_address,
+            settings.data_centre,
+            records,
+            self._dispatcher.is_reachable,
+        )
+        if not addresses:
+            return
+        digest = calls.StatusDigest(
+            tuple(
+                msgspec.structs.replace(
+                    heard,
+                    status=msgspec.structs.replace(
+                        heard.status, interval=statusrelay.DIGEST_INTERVAL_S
+                    ),
+                )
+                for heard in self._dispatcher.digest(settings.data_centre)
+            ),
+            passes_on=True,
+        )
+        self._transport.send_all(self._core.incarnation, addresses, digest)
+
     def update_new_daemons(self) -> None:
         """Sends the local target's status to daemons that have just joined.
 
@@ -163,10 +236,13 @@
         if self._core.view.version == self._informed_version:
             return
         self._informed_version = self._core.view.version
-        interval = self._status_interval * self._rounds_per_far_status
-        status = self._status(interval)
+        records = self._core.view.open_records()
+        daemons = len(records)
+        status = self._status(
+            near_interval(daemons) * rounds_per_far_status(daemons)
+        )
         own = self._core.settings.peer_address
-        for record in self._core.view.open_records():
+        for record in records:
             if record.incarnation in self._informed:
                 continue
             self._informed.add(record.incarnation)
--- a/tamarackgap/traffic/balancer.py
+++ b/tamarackgap/traffic/balancer.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from tamarackgap.peers import calls
+
 # A daemon that has not reported for this long gets no new calls. If its report
 # interval is long, the limit is _SILENCE_INTERVALS of these intervals instead,
 # since one report may be lost.
@@ -49,6 +51,9 @@
         data_centre: The data centre of its daemon.
         process: Id of its daemon's process.
         status_interval: Time between two statuses of its daemon, seconds.
+        status: The last status of its daemon, None before the first one.
+        status_at: Monotonic time when its daemon or a relay heard that status,
+            seconds.
         failures: Number of failed calls, decayed by age.
         successes: Number of successful calls, decayed by age.
         decayed_at: Monotonic time up to which both numbers are decayed,
@@ -66,6 +71,8 @@
     data_centre: str = ""
     process: str = ""
     status_interval: float = 0.0
+    status: calls.TargetStatus | None = None
+    status_at: float = float("-inf")
     failures: float = 0.0
     successes: float = 0.0
     decayed_at: float = 0.0
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -157,7 +157,11 @@
         return self._targets.addresses()
 
     def update_status(
-        self, sender: str, address: str, status: calls.TargetStatus
+        self,
+        sender: str,
+        address: str,
+        status: calls.TargetStatus,
+        age: float = 0.0,
     ) -> None:
         """Records the status that a daemon reports of itself.
 
@@ -165,10 +169,15 @@
             sender: The daemon's incarnation.
             address: The daemon's `ip:port`.
             status: The state of its target.
+            age: Time since a relay heard the status, seconds.
         """
-        for gone in self._targets.update_status(sender, address, status):
+        for gone in self._targets.update_status(sender, address, status, age):
             self._drop_daemon(gone)
 
+    def digest(self, data_centre: str) -> tuple[calls.HeardStatus, ...]:
+        """Returns the last states of a data centre's targets."""
+        return self._targets.digest(data_centre)
+
     def submit(
         self,
         call: calls.Call,
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -32,7 +32,11 @@
         self._incarnations_by_address: dict[str, set[str]] = {}
 
     def update_status(
-        self, sender: str, address: str, status: calls.TargetStatus
+        self,
+        sender: str,
+        address: str,
+        status: calls.TargetStatus,
+        age: float = 0.0,
     ) -> list[str]:
         """Records the status that a daemon reports.
 
@@ -40,6 +44,8 @@
             sender: The daemon's incarnation.
             address: The daemon's `ip:port`.
             status: The state of its target.
+            age: Time since a relay heard the status, seconds; 0 if the daemon
+                has sent it to this one.
 
         Returns:
             Incarnations that have ended, since another process has reported
@@ -51,6 +57,9 @@
             if name != sender
         ]
         candidate = self._candidates.get(sender)
+        heard_at = self._timers.now - age
+        if age and self._is_outdated(candidate, others, heard_at):
+            return []
         for name in others:
             other = self._candidates.get(name)
             if candidate is None and other and other.process == status.process:
@@ -75,10 +84,52 @@
         candidate.status_interval = status.interval
         candidate.capacity = status.capacity
         candidate.relative_latency = status.relative_latency
-        self._set_load(candidate, status.running + status.waiting)
-        candidate.last_heard = self._timers.now
+        candidate.status = status
+        candidate.status_at = heard_at
+        if heard_at >= candidate.last_heard:
+            # No completion has reported the load since.
+            self._set_load(candidate, status.running + status.waiting)
+            candidate.last_heard = heard_at
         return ended
 
+    def _is_outdated(
+        self,
+        candidate: balancer.Candidate | None,
+        others: list[str],
+        heard_at: float,
+    ) -> bool:
+        """Returns whether a later status of the daemon is known.
+
+        Args:
+            candidate: The target of the incarnation that reported, if known.
+            others: Other incarnations at the same address.
+            heard_at: When the status was heard, seconds.
+        """
+        known = [self._candidates.get(name) for name in others]
+        return any(
+            other is not None and other.status_at >= heard_at
+            for other in (candidate, *known)
+        )
+
+    def digest(self, data_centre: str) -> tuple[calls.HeardStatus, ...]:
+        """Returns the last states of a data centre's targets.
+
+        Daemons that have not reported for too long are left out.
+        """
+        now = self._timers.now
+        return tuple(
+            calls.HeardStatus(
+                candidate.incarnation,
+                self._addresses[candidate.incarnation],
+                now - candidate.status_at,
+                candidate.status,
+            )
+            for candidate in self._candidates.values()
+            if candidate.data_centre == data_centre
+            and candidate.status is not None
+            and not candidate.is_silent(now)
+        )
+
     def record_load(self, sender: str, completion: calls.Completion) -> None:
         """Records the load that a daemon reports with a completion."""
         candidate = self._candidates.get(sender)
--- a/tests/traffic/test_targets.py
+++ b/tests/traffic/test_targets.py
@@ -117,3 +117,59 @@
     assert directory.candidate_of_owner("known").incarnation == "known"
     assert directory.address("known") == "1.2.3.4:5"
     assert directory.address("nobody") == ""
+
+
+def test_a_relayed_status_counts_from_when_it_was_heard(subject):
+    timers, directory = subject
+    directory.update_status("a", "x:1", status(interval=2.0), age=1.5)
+    assert directory.is_reachable("a")
+    timers.now += 3.5
+    # Five seconds after the daemon was last heard.
+    assert not directory.is_reachable("a")
+
+
+def test_a_relayed_status_does_not_replace_a_later_one(subject):
+    timers, directory = subject
+    directory.update_status("a", "x:1", status(accepting=False, running=0))
+    timers.now += 0.5
+    directory.update_status("a", "x:1", status(running=3), age=1.0)
+    (candidate,) = directory.candidates_of_service("s")
+    assert not candidate.accepting
+    assert candidate.reported_load == 0
+    assert candidate.last_heard == 100.0
+
+
+def test_a_relayed_status_does_not_bring_back_an_ended_process(subject):
+    timers, directory = subject
+    directory.update_status("b", "x:1", status(process="p2"))
+    timers.now += 0.5
+    assert directory.update_status("a", "x:1", status(), age=1.0) == []
+    assert not directory.is_reachable("a")
+    assert directory.is_reachable("b")
+
+
+def test_a_relayed_status_does_not_replace_the_load_of_a_completion(subject):
+    timers, directory = subject
+    directory.update_status("a", "x:1", status())
+    timers.now += 1.0
+    completion = module_types.SimpleNamespace(running=4, waiting=2)
+    directory.record_load("a", completion)
+    directory.update_status(
+        "a", "x:1", status(running=0, accepting=False), age=0.5
+    )
+    (candidate,) = directory.candidates_of_service("s")
+    assert candidate.reported_load == 6
+    # The state of the target is newer than the one that was known.
+    assert not candidate.accepting
+
+
+def test_a_digest_leaves_out_other_data_centres_and_silent_daemons(subject):
+    timers, directory = subject
+    directory.update_status("old", "w:1", status())
+    timers.now += 2.0
+    directory.update_status("a", "x:1", status())
+    directory.update_status("b", "y:1", status(data_centre="south"))
+    timers.now += 0.25
+    (heard,) = directory.digest("north")
+    assert (heard.incarnation, heard.address) == ("a", "x:1")
+    assert heard.age == pytest.approx(0.25)
