--- a/tamarackgap/network/scheduler.py
+++ b/tamarackgap/network/scheduler.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import time
 from collections.abc import Callable
 
@@ -42,6 +43,7 @@
         """
         super().__init__()
         self._clock = clock
+        self._origin = clock()
         self._timers: list[tuple[float, int, Timer]] = []
         self._sequence = itertools.count()
         self._iteration_calls: list[Callable[[], None]] = []
@@ -59,13 +61,22 @@
         return timer
 
     def every(self, seconds: float, call: Callable[[], None]) -> None:
-        """Calls `call` repeatedly, with a pause in seconds after each call."""
+        """Calls `call` repeatedly, at multiples of a time in seconds.
+
+        Functions with the same time, or a multiple of it, share the loop's
+        wake-ups. Half of that time passes at least between two calls.
+        """
 
         def call_and_reschedule() -> None:
             call()
-            self.after(seconds, call_and_reschedule)
+            schedule()
+
+        def schedule() -> None:
+            elapsed = self._clock() - self._origin
+            due = math.floor(elapsed / seconds + 1.5) * seconds
+            self.after(due - elapsed, call_and_reschedule)
 
-        self.after(seconds, call_and_reschedule)
+        schedule()
 
     def each_iteration(self, call: Callable[[], None]) -> None:
         """Calls `call` in each loop iteration, before the loop waits."""
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -45,7 +45,6 @@
 )
 
 _TICK_INTERVAL_S = 0.05
-_REFUSE_LATE_INTERVAL_S = 0.02
 _LOAD_REPORT_INTERVAL_S = 0.5
 # Short, because the busiest keys change within seconds.
 _LOAD_HALF_LIFE_S = 2.0
@@ -252,7 +251,6 @@
         )
         platform_adapter.store.watch_route_table(self._handle_route_table_read)
         self.timers.every(_TICK_INTERVAL_S, self._tick)
-        self.timers.every(_REFUSE_LATE_INTERVAL_S, self._runner.refuse_late)
         self.timers.every(_LOAD_REPORT_INTERVAL_S, self._report_load)
 
     def _listen(
@@ -639,6 +637,7 @@
             and not draining,
             True,
         )
+        self._runner.sample_utilisation()
         self._core.tick(current_time)
         self._perform_effects()
         self._peer_sync.update_new_daemons()
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -32,8 +32,9 @@
 # An answer that was on its way when the target crashed may be read this much
 # later than the first connection broke.
 _LATE_ANSWER_S = 0.1
-# Weight of a new sample in the moving average of the utilisation.
-_UTILISATION_WEIGHT = 0.05
+# Time constant of the moving average of the utilisation.
+_UTILISATION_TIME_S = 0.4
+_REFUSE_LATE_INTERVAL_S = 0.02
 
 ReplyCallback = Callable[[calls.Completion], None]
 
@@ -135,6 +136,9 @@
         # Monotonic time of the target's last answer, seconds.
         self.last_answered_at = float("-inf")
         self._utilisation = 0.0
+        self._sampled_at = timers.now
+        # Whether a check of the queued calls is scheduled.
+        self._is_check_due = False
 
     @property
     def queue(self) -> admission.AdmissionQueue:
@@ -206,18 +210,32 @@
         return self._utilisation
 
     def refuse_late(self) -> None:
-        """Refuses queued calls that can no longer start in time.
-
-        Also samples the utilisation, so it must be called at a steady rate.
-        """
+        """Refuses queued calls that can no longer start in time."""
         now = self._timers.now
-        sample = len(self._legs) / max(1, self._admission.capacity)
-        self._utilisation += (sample - self._utilisation) * _UTILISATION_WEIGHT
         if self._draining and now >= self._drain_ends_at:
             self._admission.refuse_all()
         else:
             self._admission.refuse_late(now)
 
+    def sample_utilisation(self) -> None:
+        """Updates the recent utilisation; to be called regularly."""
+        now = self._timers.now
+        sample = len(self._legs) / max(1, self._admission.capacity)
+        weight = 1 - math.exp((self._sampled_at - now) / _UTILISATION_TIME_S)
+        self._utilisation += (sample - self._utilisation) * weight
+        self._sampled_at = now
+
+    def _refuse_late_soon(self) -> None:
+        """Checks queued calls regularly while there are any."""
+        if not self._is_check_due and self._admission.waiting:
+            self._is_check_due = True
+            self._timers.after(_REFUSE_LATE_INTERVAL_S, self._check_queue)
+
+    def _check_queue(self) -> None:
+        self._is_check_due = False
+        self.refuse_late()
+        self._refuse_late_soon()
+
     def submit(
         self, dispatch: calls.Dispatch, sender: str, reply: ReplyCallback
     ) -> None:
@@ -253,6 +271,7 @@
             functools.partial(self._refuse_queued, leg),
         )
         self._admission.submit(leg.queued_call, now)
+        self._refuse_late_soon()
 
     def withdraw(self, sender: str, leg_id: int) -> None:
         """Cancels a leg whose caller no longer waits.
--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -81,7 +81,10 @@
     def __init__(self):
         self.sent = []
         self.completions = []
-        self.timers = module_types.SimpleNamespace(now=1.0)
+        self.scheduled = []
+        self.timers = module_types.SimpleNamespace(
+            now=1.0, after=lambda s, call: self.scheduled.append((s, call))
+        )
         core = module_types.SimpleNamespace(
             is_own={"i", "earlier"}.__contains__,
             settings=module_types.SimpleNamespace(load_half_life=2),
@@ -118,6 +121,12 @@
             functools.partial(self.completions.__setitem__, leg - 1),
         )
 
+    def run_timers(self):
+        scheduled, self.scheduled = self.scheduled, []
+        for seconds, call in scheduled:
+            self.timers.now += seconds
+            call()
+
     def end(self, index, broken):
         self.timers.now += 0.01
         if broken:
@@ -169,3 +178,31 @@
     assert subject.completions[CAPACITY] is None
     subject.call("/x", owner="another")
     assert subject.completions[-1].reason is types.Reason.WRONG_OWNER
+
+
+def test_queued_calls_are_checked_while_there_are_any():
+    subject = ControlledTargetHarness()
+    subject.call("/runs")
+    assert subject.scheduled == []
+    for _ in range(CAPACITY + 1):
+        subject.call("/waits")
+    assert len(subject.scheduled) == 1
+    # The calls may wait for 9 s; none has ended by then.
+    for _ in range(1000):
+        subject.run_timers()
+    assert subject.scheduled == []
+    refused = [c for c in subject.completions if c is not None]
+    assert {c.verdict for c in refused} == {types.Verdict.NOT_RUN}
+    assert len(refused) == 2
+
+
+def test_utilisation_does_not_depend_on_how_often_it_is_sampled():
+    samples = []
+    for interval in (0.01, 0.1):
+        subject = ControlledTargetHarness()
+        subject.call("/runs")
+        for _ in range(round(1.0 / interval)):
+            subject.timers.now += interval
+            subject.runner.sample_utilisation()
+        samples.append(subject.runner.utilisation)
+    assert samples[0] == pytest.approx(samples[1])
