A request that meets a key about to move is sent again

Its logs: a call was sent 1 ms before the heartbeat's answer that took the key from the target, the target answered 421, and the request, with 1.49 s left, ended as not run. Ruled out: two holders (never seen), slow recovery (all keys had been served 1.7 s after the kill).

A 421 of the key's owner is now followed by another leg after the pause of moves, within max_attempts and the retry budget, as after a refusal that is not a lack of room. The new test in tests/platform/test_path.py gave 503 before.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -45,7 +45,8 @@
         state: State that it announces, `ready` or `draining`.
         executed_requests: Id and shard key of each executed request.
         grant_count: Number of grants received, including refused ones.
-        fault: Fault to inject: `full` refuses requests; `cut` closes the
+        fault: Fault to inject: `full` refuses requests; `misdirect-once`
+            refuses the next one as if its key had just moved; `cut` closes the
             connection, `error` answers 500 and `unsigned` answers without a
             signature, each after the execution. Empty for no fault.
         on_run_started: Called with this server, the request's id and its shard
@@ -292,8 +293,13 @@
         target_instance = request.headers.get("x-tamarackgap-target-instance")
         key_text = request.headers.get("x-tamarackgap-shard-key")
         shard_key = int(key_text) if key_text else None
-        if target_instance != self.instance or (
-            self._keyed and not self.holds(shard_key)
+        is_misdirected = self.fault == "misdirect-once"
+        if is_misdirected:
+            self.fault = ""
+        if (
+            is_misdirected
+            or target_instance != self.instance
+            or (self._keyed and not self.holds(shard_key))
         ):
             return httpd.Response(
                 421, headers={**id_header, "X-Tamarackgap-Not-Executed": "1"}
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -52,6 +52,11 @@
     }
 )
 
+# Those after which the owner of a key may run the request all the same.
+_MAY_SUCCEED_AT_OWNER = frozenset(
+    {types.Reason.TARGET_REFUSED, types.Reason.TARGET_MISDIRECTED}
+)
+
 DoneCallback = Callable[[calls.Completion], None]
 
 
@@ -416,7 +421,11 @@
                 self._await_owner(pending, reason)
                 return
             if self._may_retry_owner(pending, reason):
-                self._send_leg(pending)
+                # The daemons learn of a move within a few round trips.
+                self._timers.after(
+                    _MOVE_RETRY_PAUSE_S,
+                    functools.partial(self._send_leg, pending),
+                )
                 return
         elif self._may_try_other_target(pending, reason):
             self._send_leg(pending)
@@ -464,12 +473,13 @@
     ) -> bool:
         """Returns whether a request is sent to the owner of its key again.
 
-        It is sent again only after TARGET_REFUSED, which is not a lack of room,
-        so the next leg may succeed. A token is then taken from the service's
-        retry budget.
+        It is sent again only after a refusal by the target that is not a lack
+        of room, so the next leg may succeed: TARGET_REFUSED, or
+        TARGET_MISDIRECTED, where the leg met a key that was just about to move.
+        A token is then taken from the service's retry budget.
         """
         return (
-            reason is types.Reason.TARGET_REFUSED
+            reason in _MAY_SUCCEED_AT_OWNER
             and pending.runs < pending.route.max_attempts
             and self._budgets.for_service(pending.service).withdraw()
         )
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -216,6 +216,24 @@
     assert _runs(cluster, request) == []
 
 
+def test_a_request_that_meets_a_moving_key_is_sent_again(cluster):
+    # It was sent to the target just before the target gave the key up.
+    owner = next(vm for vm in cluster.vms if vm.keyed and vm.server.holds(5))
+    owner.server.fault = "misdirect-once"
+    response = platformcluster.send_caller_request(
+        cluster.vms[0], "money.example", "/pay", key=5, method="POST"
+    )
+    assert owner.server.fault == ""
+    assert response[0] == 200
+    runs = [
+        run
+        for vm in cluster.vms
+        for run in vm.server.executed_requests
+        if run[0] == response[3]
+    ]
+    assert len(runs) == 1
+
+
 def test_malformed_bytes_get_400_and_the_daemon_goes_on(cluster):
     host, port = cluster.vms[0].caller_address.split(":")
     with socket.create_connection((host, int(port)), timeout=5) as sock:
