The handling of the local target gets a module of its own

Statements are moved; a flag tells that calls are stopped, where the time of the call was compared before.

--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -17,8 +17,6 @@
 
 from tamarackgap import logs, metrics, types
 from tamarackgap.network import (
-    exchanges,
-    httppool,
     httpserver,
     scheduler,
     sockets,
@@ -26,21 +24,19 @@
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import calls, messages, transport
 from tamarackgap.placement import records
-from tamarackgap.processes import ownershipsettings, peersync, routerpages
+from tamarackgap.processes import (
+    ownershipsettings,
+    peersync,
+    routerpages,
+    targethandler,
+)
 from tamarackgap.requests import retries
 from tamarackgap.settings import config
 from tamarackgap.traffic import (
     adapter,
     crashes,
     dispatcher,
-    heartbeatorders,
-    leaselength,
-    localtarget,
-    orders,
     routetable,
-    runner,
-    slotgrants,
-    slotrelease,
     storewatch,
 )
 
@@ -60,17 +56,12 @@
 # closes its caller address. Within this time the other daemons learn of it
 # (after one status interval at most) and calls in progress end.
 _STOP_CALLS_BEFORE_CLOSE_S = 0.8
-# Slots that have not moved through the table this long after the target or
-# the process began to leave go to their successors without a handover.
-_MOVE_TIMEOUT_S = 0.8
 # The process exits this long before its grace time ends, whatever is still in
 # progress.
 _EXIT_RESERVE_S = 0.4
 # A process that still runs this long after it stopped its loop is ended by
 # force, with a traceback that shows where it hung.
 _EXIT_TIMEOUT_S = 2.0
-_TARGET_IDLE_TIMEOUT_S = 7.0
-_TARGET_UNACKED_TIMEOUT_MS = 3000
 _ENVELOPE_OVERHEAD_BYTES = 65_536
 _STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
@@ -121,8 +112,6 @@
         # When the caller address closes, seconds; None unless draining.
         self._listen_until: float | None = None
         self._exit_deadline = 0.0
-        # When the slots still owned are released without the table, seconds.
-        self._release_at = 0.0
         self._stopped = False
         # Whether this daemon waits for changes of the route table.
         self._is_watcher = True
@@ -140,33 +129,12 @@
         settings = self._settings
         self._adapter = platform_adapter
         self._core = ownership.Ownership(
-            _ownership_settings(settings), self._rng, self._is_pinned, now()
+            _ownership_settings(settings),
+            self._rng,
+            self._is_pinned,
+            now(),
         )
         self._core.keyed = False
-        self._call_pool = httppool.ConnectionPool(
-            self.poller,
-            self.timers,
-            settings.router_target_address,
-            _TARGET_IDLE_TIMEOUT_S,
-            _TARGET_UNACKED_TIMEOUT_MS,
-        )
-        # Orders have a pool of their own, so that they don't wait for calls.
-        # They need few of the target's connections.
-        self._order_pool = httppool.ConnectionPool(
-            self.poller,
-            self.timers,
-            settings.router_target_address,
-            _TARGET_IDLE_TIMEOUT_S,
-            _TARGET_UNACKED_TIMEOUT_MS,
-        )
-        lease = settings.ownership_lease / 1000
-        self._slot_grants = slotgrants.SlotGrants(
-            self._core,
-            self._send_order,
-            self.timers,
-            lease,
-            settings.router_longest_hold / 1000,
-        )
         self._transport = transport.PeerTransport(
             self.poller,
             self.timers,
@@ -177,25 +145,17 @@
             + _ENVELOPE_OVERHEAD_BYTES,
             self._receive,
         )
-        self._heartbeat_orders = heartbeatorders.HeartbeatOrders(
-            self.timers,
-            settings.router_announce_interval / 1000,
-            platform_adapter.max_hold_ranges,
-        )
         self._crash_history = crashes.CrashHistory()
-        self._runner = runner.Runner(
-            self._service,
+        self._target_handler = targethandler.TargetHandler(
+            settings,
+            platform_adapter,
             self._core,
-            self._slot_grants,
-            self._call_pool,
-            platform_adapter.codec,
+            self.poller,
             self.timers,
-            self._handle_connection_refused,
             self._crash_history,
+            self._perform_effects,
         )
-        self._slot_releaser = slotrelease.SlotReleaser(
-            self._slot_grants, self._core.record_release
-        )
+        self._runner = self._target_handler.runner
         self._retry_budgets = retries.ServiceRetryBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
         )
@@ -220,8 +180,9 @@
             lambda: self._route_table,
         )
         self._runner.on_fingerprint_cleared = self._peer_sync.broadcast_cleared
-        self._local_target = localtarget.LocalTarget(
-            self._service, settings.router_announce_interval / 1000, now()
+        self._target_handler.on_crash = self._peer_sync.broadcast_crash
+        self._target_handler.on_status_changed = (
+            self._peer_sync.broadcast_status
         )
         self._metrics = metrics.Metrics(settings.daemon_name, self._service)
         self._request_dispatcher.on_finished = self._observe_request
@@ -232,7 +193,8 @@
             settings.daemon_http_address, self._handle_request
         )
         self._listen(
-            settings.router_announce_address, self._handle_announcement
+            settings.router_announce_address,
+            self._target_handler.handle_announcement,
         )
         self._listen(settings.router_ready_address, self._handle_readiness)
         logs.event(
@@ -307,181 +269,8 @@
         response = self._adapter.encode_response(completion)
         incoming.respond(response.status, response.headers, response.body)
 
-    # The target.
-
-    def _handle_announcement(
-        self, incoming: httpserver.IncomingRequest
-    ) -> None:
-        announcement = self._adapter.decode_announcement(incoming)
-        if announcement is None:
-            incoming.respond(_STATUS_BAD_REQUEST, [], b"")
-            return
-        self._apply_transition(
-            self._local_target.handle_announcement(announcement, now())
-        )
-        if self._local_target.phase is localtarget.Phase.SERVING:
-            self._slot_grants.resume()
-        response = self._adapter.encode_hold_list(
-            self._answer_hold_report(announcement)
-        )
-        incoming.respond(response.status, response.headers, response.body)
-        if self._accepts_calls:
-            self._runner.attach(
-                self._local_target.instance, self._local_target.capacity
-            )
-        self._perform_effects()
-
-    def _answer_hold_report(
-        self, announcement: localtarget.Announcement
-    ) -> heartbeatorders.HoldList | None:
-        """Returns what the target is to hold; None for nothing to be said.
-
-        An announcement that is older than the latest one may come from a
-        process that has ended, and its report is out of date.
-        """
-        if not self._slot_grants.by_heartbeat or not (
-            self._local_target.is_latest(announcement)
-        ):
-            return None
-        self._slot_releaser.handle_heartbeat()
-        hold_list = self._heartbeat_orders.answer(
-            announcement.report,
-            self._slot_grants.grant_all,
-            bool(self._core.owned),
-        )
-        self._core.is_target_empty = self._heartbeat_orders.is_target_empty
-        return hold_list
-
-    def _handle_connection_refused(self) -> None:
-        self._apply_transition(self._local_target.handle_connection_refused())
-
-    def _apply_transition(self, transition: localtarget.Transition) -> None:
-        if transition is localtarget.Transition.NONE:
-            return
-        logs.event(
-            "target_changed",
-            change=transition.value,
-            instance=self._local_target.instance,
-            phase=self._local_target.phase.value,
-        )
-        if transition in (
-            localtarget.Transition.NEW_PROCESS,
-            localtarget.Transition.LOST,
-        ):
-            self._peer_sync.broadcast_crash()
-        match transition:
-            case localtarget.Transition.NEW_PROCESS:
-                self._handle_target_restart()
-                if self._local_target.phase is localtarget.Phase.LEAVING:
-                    self._runner.drain()
-            case localtarget.Transition.LEAVING:
-                self._runner.drain()
-            case localtarget.Transition.LOST:
-                self._runner.detach()
-                self._release_lease("target-gone")
-            case localtarget.Transition.SILENT:
-                self._runner.detach()
-                # The target may still run, and serve its slots until its
-                # holds expire.
-                self.timers.after(
-                    self._slot_grants.pause(), self._release_lease_if_absent
-                )
-        self._peer_sync.broadcast_status()
-
-    def _release_without_table(self, current_time: float) -> None:
-        """Releases the lease if slots have not moved through the table in time.
-
-        Successors then take over with the witnesses alone, without the table.
-        """
-        if (
-            current_time < self._release_at
-            or self._slot_grants.has_pending_releases
-            or self._slot_releaser.is_waiting
-        ):
-            return
-        if self._core.owned:
-            self._release_at = current_time + _MOVE_TIMEOUT_S
-            logs.event("keys_given_up", slots=len(self._core.owned))
-            self._slot_grants.release_all(
-                functools.partial(self._release_lease, "leaving")
-            )
-
-    def _handle_target_restart(self) -> None:
-        """Releases the lease, since the target process that held slots is gone.
-
-        Grants that were not acknowledged may have reached the new process,
-        which then serves their slots until the grants expire. The lease is
-        released only after that.
-        """
-        uncertain_s = self._slot_grants.stop()
-        self._call_pool.close()
-        self._order_pool.close()
-        self._heartbeat_orders.close()
-        self._core.is_target_empty = False
-        if not uncertain_s:
-            self._release_lease("target-started-anew")
-            return
-        logs.event("grants_in_doubt", ms=round(uncertain_s * 1000))
-        self.timers.after(
-            uncertain_s,
-            functools.partial(
-                self._end_grant_uncertainty, self._core.incarnation
-            ),
-        )
-
-    def _end_grant_uncertainty(self, incarnation: types.Incarnation) -> None:
-        if incarnation == self._core.incarnation:
-            self._release_lease("target-started-anew")
-        else:
-            self._slot_grants.reset()
-
     def _is_pinned(self, slot: int) -> bool:
-        return not self._slot_grants.is_confirmed(slot)
-
-    def _release_lease_if_absent(self) -> None:
-        if self._local_target.phase is localtarget.Phase.ABSENT:
-            self._release_lease("target-silent")
-
-    def _release_lease(self, reason: str) -> None:
-        """Releases the lease, so that successors take over at once.
-
-        The target must hold no slot any more.
-        """
-        if self._core.owned:
-            logs.event("keys_abandoned", reason=reason)
-            self._core.release_lease(now())
-        self._slot_grants.reset()
-        self._perform_effects()
-
-    def _send_order(
-        self,
-        order: orders.Grant | orders.Release,
-        timeout: float,
-        done: Callable[[orders.OrderResult], None],
-    ) -> None:
-        if self._slot_grants.by_heartbeat:
-            self._heartbeat_orders.send(order, timeout, done)
-            return
-
-        def handle_outcome(
-            outcome: result.Result[httppool.Answer, exchanges.Failure],
-        ) -> None:
-            match outcome:
-                case result.Success(httppool.Answer() as answer):
-                    done(self._adapter.decode_order_answer(answer))
-                case result.Failure(exchanges.Failure(cause=cause)):
-                    logs.event("order_unanswered", cause=cause.value)
-                    if cause is exchanges.Cause.REFUSED:
-                        self._handle_connection_refused()
-                    done(orders.OrderResult(False))
-
-        def encode() -> bytes:
-            current = self._slot_grants.with_remaining_hold(order)
-            if current is None:
-                return b""
-            return self._adapter.encode_order(current)
-
-        self._order_pool.send(encode, timeout, handle_outcome)
+        return self._target_handler.is_pinned(slot)
 
     # The store.
 
@@ -552,7 +341,7 @@
         self._core.keyed = keyed
         self._runner.keyed = keyed
         if keyed:
-            self._configure_grants(table, service)
+            self._target_handler.configure_grants(table, service)
         logs.event(
             "route_table_in_force",
             version=table.version,
@@ -562,28 +351,6 @@
         )
         return True
 
-    def _configure_grants(
-        self, table: routetable.RouteTable, service: routetable.Service
-    ) -> None:
-        channel = service.grant_channel or routetable.GrantChannel(
-            self._settings.router_grants
-        )
-        by_heartbeat = channel is routetable.GrantChannel.HEARTBEAT
-        self._slot_grants.by_heartbeat = by_heartbeat
-        self._core.defers_release = by_heartbeat
-        if not by_heartbeat:
-            # The target no longer reports what it holds.
-            self._core.is_target_empty = False
-        self._core.lease_length = leaselength.needed_length(
-            table,
-            self._service,
-            self._core.settings.lease,
-            self._settings.router_announce_interval / 1000
-            if by_heartbeat
-            else 0.0,
-            self._settings.router_longest_hold / 1000,
-        )
-
     # Other daemons.
 
     def _receive(self, envelope: messages.Envelope) -> None:
@@ -626,26 +393,16 @@
 
     def _tick(self) -> None:
         current_time = now()
-        self._apply_transition(
-            self._local_target.check_silence(
-                self._runner.last_answered_at, current_time
-            )
-        )
+        target = self._target_handler
+        target.check_silence()
         draining = self._listen_until is not None
-        self._core.set_target_state(
-            self._local_target.phase is localtarget.Phase.SERVING
-            and not draining,
-            True,
-        )
+        self._core.set_target_state(target.is_serving and not draining, True)
         self._runner.sample_utilisation()
         self._core.tick(current_time)
         self._perform_effects()
         self._peer_sync.update_new_daemons()
         self._request_dispatcher.fail_silent_legs()
-        if draining or self._local_target.phase is localtarget.Phase.LEAVING:
-            self._release_without_table(current_time)
-        else:
-            self._release_at = current_time + _MOVE_TIMEOUT_S
+        target.release_if_leaving(draining)
         if draining:
             self._stop_when_idle(current_time)
 
@@ -671,15 +428,15 @@
                     )
                 case effects.ReleaseSlots(slots=slots):
                     if slots:
-                        self._slot_releaser.begin(slots)
+                        self._target_handler.begin_release(slots)
                     else:
-                        self._slot_releaser.end()
+                        self._target_handler.end_release()
                 case effects.ReadTable(urgent=urgent):
                     # A read that is not urgent is left to the next long poll,
                     # which starts after the store's pause at most.
                     if urgent:
                         self._adapter.store.skip_pause()
-        self._slot_grants.renew()
+        self._target_handler.renew_grants()
 
     # Metrics.
 
@@ -710,10 +467,10 @@
         return routerpages.build(
             routerpages.PageSources(
                 core=self._core,
-                target=self._local_target,
+                target=self._target_handler.target,
                 runner=self._runner,
                 dispatcher=self._request_dispatcher,
-                slot_grants=self._slot_grants,
+                slot_grants=self._target_handler.slot_grants,
                 store=self._adapter.store,
                 metrics=self._metrics,
                 route_table=lambda: (
@@ -765,19 +522,8 @@
         )
         self._peer_sync.broadcast_status()
 
-    @property
-    def _accepts_calls(self) -> bool:
-        """Whether the local target may be sent new calls."""
-        is_closing = self._listen_until is not None and (
-            now() >= self._listen_until - _STOP_CALLS_BEFORE_CLOSE_S
-        )
-        return (
-            self._local_target.phase is localtarget.Phase.SERVING
-            and not is_closing
-        )
-
     def _stop_accepting_calls(self) -> None:
-        self._runner.drain()
+        self._target_handler.stop_calls()
         self._peer_sync.broadcast_status()
 
     def _reload_settings(self) -> None:
@@ -787,6 +533,7 @@
                 logs.event("settings_refused", problem=problem)
             case result.Success(config.Config() as settings):
                 self._settings = settings
+                self._target_handler.settings = settings
                 self._retry_budgets.resize(
                     settings.router_reruns / 100, settings.router_extra_reruns
                 )
--- /dev/null
+++ b/tamarackgap/processes/targethandler.py
@@ -0,0 +1,371 @@
+"""Handles the local target: announcements, grants, releases and its end."""
+
+import functools
+from collections.abc import Callable
+
+from returns import result
+
+from tamarackgap import logs, types
+from tamarackgap.network import (
+    exchanges,
+    httppool,
+    httpserver,
+    scheduler,
+    sockets,
+)
+from tamarackgap.ownership import ownership
+from tamarackgap.settings import config
+from tamarackgap.traffic import (
+    adapter,
+    crashes,
+    heartbeatorders,
+    leaselength,
+    localtarget,
+    orders,
+    routetable,
+    runner,
+    slotgrants,
+    slotrelease,
+)
+
+# Slots that have not moved through the table this long after the target or
+# the process began to leave go to their successors without a handover.
+_MOVE_TIMEOUT_S = 0.8
+_IDLE_TIMEOUT_S = 7.0
+_UNACKED_TIMEOUT_MS = 3000
+_STATUS_BAD_REQUEST = 400
+
+
+def _do_nothing() -> None:
+    """Is called where nobody is to be told."""
+
+
+class TargetHandler:
+    """Keeps the local target supplied with calls and grants.
+
+    Attributes:
+        settings: The daemon's settings; replaced when they are read again.
+        target: What the target has announced.
+        slot_grants: The grants that the target has.
+        runner: Runs calls at the target.
+        on_crash: Called when the target's process has ended, before other
+            daemons learn of its new state.
+        on_status_changed: Called when the target's state has changed.
+    """
+
+    def __init__(
+        self,
+        settings: config.Config,
+        platform_adapter: adapter.Adapter,
+        core: ownership.Ownership,
+        poller: sockets.Poller,
+        timers: scheduler.Scheduler,
+        crash_history: crashes.CrashHistory,
+        perform_effects: Callable[[], None],
+    ) -> None:
+        """Creates a handler whose target has not announced itself.
+
+        Args:
+            settings: The daemon's settings.
+            platform_adapter: Decodes announcements and encodes orders.
+            core: Tells which slots this daemon owns.
+            poller: The loop's poller.
+            timers: The loop's scheduler.
+            crash_history: Fingerprints of requests that targets ran when they
+                crashed.
+            perform_effects: Performs what the ownership logic has decided.
+        """
+        self.settings = settings
+        self.on_crash: Callable[[], None] = _do_nothing
+        self.on_status_changed: Callable[[], None] = _do_nothing
+        self._service = types.ServiceName(settings.daemon_service)
+        self._adapter = platform_adapter
+        self._core = core
+        self._timers = timers
+        self._perform_effects = perform_effects
+        self._calls_stopped = False
+        # When the slots still owned are released without the table, seconds.
+        self._release_at = 0.0
+        announce_interval = settings.router_announce_interval / 1000
+
+        def create_pool() -> httppool.ConnectionPool:
+            return httppool.ConnectionPool(
+                poller,
+                timers,
+                settings.router_target_address,
+                _IDLE_TIMEOUT_S,
+                _UNACKED_TIMEOUT_MS,
+            )
+
+        self._call_pool = create_pool()
+        # Orders have a pool of their own, so that they don't wait for calls.
+        # They need few of the target's connections.
+        self._order_pool = create_pool()
+        self.slot_grants = slotgrants.SlotGrants(
+            core,
+            self._send_order,
+            timers,
+            settings.ownership_lease / 1000,
+            settings.router_longest_hold / 1000,
+        )
+        self._heartbeat_orders = heartbeatorders.HeartbeatOrders(
+            timers, announce_interval, platform_adapter.max_hold_ranges
+        )
+        self.runner = runner.Runner(
+            self._service,
+            core,
+            self.slot_grants,
+            self._call_pool,
+            platform_adapter.codec,
+            timers,
+            self._handle_connection_refused,
+            crash_history,
+        )
+        self._slot_releaser = slotrelease.SlotReleaser(
+            self.slot_grants, core.record_release
+        )
+        self.target = localtarget.LocalTarget(
+            self._service, announce_interval, timers.now
+        )
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the target serves, and is not about to leave."""
+        return self.target.phase is localtarget.Phase.SERVING
+
+    def is_pinned(self, slot: int) -> bool:
+        """Returns whether a slot must not move, since its grant is open."""
+        return not self.slot_grants.is_confirmed(slot)
+
+    def renew_grants(self) -> None:
+        """Sends the grants that are due for renewal."""
+        self.slot_grants.renew()
+
+    def begin_release(self, slots: frozenset[int]) -> None:
+        """Makes the target release slots that are to move."""
+        self._slot_releaser.begin(slots)
+
+    def end_release(self) -> None:
+        """Ends a release: the slots have moved, or will not."""
+        self._slot_releaser.end()
+
+    def stop_calls(self) -> None:
+        """Refuses further calls, since the daemon is about to end."""
+        self._calls_stopped = True
+        self.runner.drain()
+
+    def check_silence(self) -> None:
+        """Notices a target that no longer announces itself."""
+        self._apply_transition(
+            self.target.check_silence(
+                self.runner.last_answered_at, self._timers.now
+            )
+        )
+
+    def release_if_leaving(self, draining: bool) -> None:
+        """Releases slots that could not move, where the target is leaving.
+
+        Args:
+            draining: Whether the daemon leaves.
+        """
+        if draining or self.target.phase is localtarget.Phase.LEAVING:
+            self._release_without_table()
+        else:
+            self._release_at = self._timers.now + _MOVE_TIMEOUT_S
+
+    def configure_grants(
+        self, table: routetable.RouteTable, service: routetable.Service
+    ) -> None:
+        """Sets how the target is granted slots, and for how long.
+
+        Args:
+            table: The route table in force.
+            service: The target's service in it.
+        """
+        channel = service.grant_channel or routetable.GrantChannel(
+            self.settings.router_grants
+        )
+        by_heartbeat = channel is routetable.GrantChannel.HEARTBEAT
+        self.slot_grants.by_heartbeat = by_heartbeat
+        self._core.defers_release = by_heartbeat
+        if not by_heartbeat:
+            # The target no longer reports what it holds.
+            self._core.is_target_empty = False
+        self._core.lease_length = leaselength.needed_length(
+            table,
+            self._service,
+            self._core.settings.lease,
+            self.settings.router_announce_interval / 1000
+            if by_heartbeat
+            else 0.0,
+            self.settings.router_longest_hold / 1000,
+        )
+
+    def handle_announcement(self, incoming: httpserver.IncomingRequest) -> None:
+        """Handles a request of the target that announces itself."""
+        announcement = self._adapter.decode_announcement(incoming)
+        if announcement is None:
+            incoming.respond(_STATUS_BAD_REQUEST, [], b"")
+            return
+        self._apply_transition(
+            self.target.handle_announcement(announcement, self._timers.now)
+        )
+        if self.is_serving:
+            self.slot_grants.resume()
+        response = self._adapter.encode_hold_list(
+            self._answer_hold_report(announcement)
+        )
+        incoming.respond(response.status, response.headers, response.body)
+        if self.is_serving and not self._calls_stopped:
+            self.runner.attach(self.target.instance, self.target.capacity)
+        self._perform_effects()
+
+    def _answer_hold_report(
+        self, announcement: localtarget.Announcement
+    ) -> heartbeatorders.HoldList | None:
+        """Returns what the target is to hold; None for nothing to be said.
+
+        An announcement that is older than the latest one may come from a
+        process that has ended, and its report is out of date.
+        """
+        if not self.slot_grants.by_heartbeat or not (
+            self.target.is_latest(announcement)
+        ):
+            return None
+        self._slot_releaser.handle_heartbeat()
+        hold_list = self._heartbeat_orders.answer(
+            announcement.report,
+            self.slot_grants.grant_all,
+            bool(self._core.owned),
+        )
+        self._core.is_target_empty = self._heartbeat_orders.is_target_empty
+        return hold_list
+
+    def _handle_connection_refused(self) -> None:
+        self._apply_transition(self.target.handle_connection_refused())
+
+    def _apply_transition(self, transition: localtarget.Transition) -> None:
+        if transition is localtarget.Transition.NONE:
+            return
+        logs.event(
+            "target_changed",
+            change=transition.value,
+            instance=self.target.instance,
+            phase=self.target.phase.value,
+        )
+        if transition in (
+            localtarget.Transition.NEW_PROCESS,
+            localtarget.Transition.LOST,
+        ):
+            self.on_crash()
+        match transition:
+            case localtarget.Transition.NEW_PROCESS:
+                self._handle_target_restart()
+                if self.target.phase is localtarget.Phase.LEAVING:
+                    self.runner.drain()
+            case localtarget.Transition.LEAVING:
+                self.runner.drain()
+            case localtarget.Transition.LOST:
+                self.runner.detach()
+                self._release_lease("target-gone")
+            case localtarget.Transition.SILENT:
+                self.runner.detach()
+                # The target may still run, and serve its slots until its
+                # holds expire.
+                self._timers.after(
+                    self.slot_grants.pause(), self._release_lease_if_absent
+                )
+        self.on_status_changed()
+
+    def _release_without_table(self) -> None:
+        """Releases the lease if slots have not moved through the table in time.
+
+        Successors then take over with the witnesses alone, without the table.
+        """
+        current_time = self._timers.now
+        if (
+            current_time < self._release_at
+            or self.slot_grants.has_pending_releases
+            or self._slot_releaser.is_waiting
+        ):
+            return
+        if self._core.owned:
+            self._release_at = current_time + _MOVE_TIMEOUT_S
+            logs.event("keys_given_up", slots=len(self._core.owned))
+            self.slot_grants.release_all(
+                functools.partial(self._release_lease, "leaving")
+            )
+
+    def _handle_target_restart(self) -> None:
+        """Releases the lease, since the target process that held slots is gone.
+
+        Grants that were not acknowledged may have reached the new process,
+        which then serves their slots until the grants expire. The lease is
+        released only after that.
+        """
+        uncertain_s = self.slot_grants.stop()
+        self._call_pool.close()
+        self._order_pool.close()
+        self._heartbeat_orders.close()
+        self._core.is_target_empty = False
+        if not uncertain_s:
+            self._release_lease("target-started-anew")
+            return
+        logs.event("grants_in_doubt", ms=round(uncertain_s * 1000))
+        self._timers.after(
+            uncertain_s,
+            functools.partial(
+                self._end_grant_uncertainty, self._core.incarnation
+            ),
+        )
+
+    def _end_grant_uncertainty(self, incarnation: types.Incarnation) -> None:
+        if incarnation == self._core.incarnation:
+            self._release_lease("target-started-anew")
+        else:
+            self.slot_grants.reset()
+
+    def _release_lease_if_absent(self) -> None:
+        if self.target.phase is localtarget.Phase.ABSENT:
+            self._release_lease("target-silent")
+
+    def _release_lease(self, reason: str) -> None:
+        """Releases the lease, so that successors take over at once.
+
+        The target must hold no slot any more.
+        """
+        if self._core.owned:
+            logs.event("keys_abandoned", reason=reason)
+            self._core.release_lease(self._timers.now)
+        self.slot_grants.reset()
+        self._perform_effects()
+
+    def _send_order(
+        self,
+        order: orders.Grant | orders.Release,
+        timeout: float,
+        done: Callable[[orders.OrderResult], None],
+    ) -> None:
+        if self.slot_grants.by_heartbeat:
+            self._heartbeat_orders.send(order, timeout, done)
+            return
+
+        def handle_outcome(
+            outcome: result.Result[httppool.Answer, exchanges.Failure],
+        ) -> None:
+            match outcome:
+                case result.Success(httppool.Answer() as answer):
+                    done(self._adapter.decode_order_answer(answer))
+                case result.Failure(exchanges.Failure(cause=cause)):
+                    logs.event("order_unanswered", cause=cause.value)
+                    if cause is exchanges.Cause.REFUSED:
+                        self._handle_connection_refused()
+                    done(orders.OrderResult(False))
+
+        def encode() -> bytes:
+            current = self.slot_grants.with_remaining_hold(order)
+            if current is None:
+                return b""
+            return self._adapter.encode_order(current)
+
+        self._order_pool.send(encode, timeout, handle_outcome)
