Rows just written go to other data centres by relays

The writer now sends rows to its data centre, to those they are about with their witnesses, and to two relays of each other data centre. The first passes them on at once, the second after 0.1 s unless the first has, so a relay that nobody has missed yet costs 0.1 s. The ownership logic asks for it with an effect of its own; small deployments send to all as before.

Tests: one row reaches 119 daemons with 5 messages between data centres; the first relays cut off.

--- a/tamarackgap/ownership/effects.py
+++ b/tamarackgap/ownership/effects.py
@@ -1,6 +1,7 @@
 """Settings of the ownership protocol, and the effects that it asks for."""
 
 import enum
+from collections.abc import Iterable
 
 import msgspec
 
@@ -119,6 +120,23 @@
     message: messages.Message
 
 
+class ShareRows(msgspec.Struct, frozen=True):
+    """Effect: send rows that were just written to all other daemons.
+
+    Attributes:
+        sender: The incarnation that sends them.
+        rows: The rows.
+        addresses: `ip:port` of all other daemons.
+        involved: Those of the daemons that the rows are about, and of their
+            witnesses.
+    """
+
+    sender: str
+    rows: tuple[records.Row, ...]
+    addresses: frozenset[str]
+    involved: frozenset[str]
+
+
 class Commit(msgspec.Struct, frozen=True):
     """Effect: commit a transaction, then report its result.
 
@@ -160,7 +178,7 @@
     slots: frozenset[int]
 
 
-Effect = Send | Commit | LogLine | ReadTable | ReleaseSlots
+Effect = Send | ShareRows | Commit | LogLine | ReadTable | ReleaseSlots
 
 
 class CommitState(enum.Enum):
@@ -211,6 +229,41 @@
             if record.incarnation != self.incarnation:
                 self.send_to(record.peer_address, message)
 
+    def share_rows(self, rows: Iterable[records.Row]) -> None:
+        """Sends rows that were just written to every other daemon."""
+        rows = tuple(rows)
+        written = [
+            record
+            for row in rows
+            if row.key.startswith(records.LEASE_PREFIX)
+            and (record := self._view.lease(_incarnation_of(row))) is not None
+        ]
+        names = {record.incarnation for record in written}.union(
+            *(record.witnesses for record in written)
+        )
+        others = [
+            record
+            for record in self._view.open_records()
+            if record.incarnation != self.incarnation
+        ]
+        self.put(
+            ShareRows(
+                self.incarnation,
+                rows,
+                frozenset(record.peer_address for record in others),
+                frozenset(
+                    record.peer_address
+                    for record in others
+                    if record.incarnation in names
+                ),
+            )
+        )
+
     def log(self, event: str, **fields: object) -> None:
         """Writes a log line."""
         self.put(LogLine(event, fields))
+
+
+def _incarnation_of(row: records.Row) -> str:
+    """Returns whose lease record a row is."""
+    return row.key[len(records.LEASE_PREFIX) :]
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -445,7 +445,7 @@
                 or change.kind in _KINDS_WITH_SLOTS_LEFT
             ):
                 self._plan_at = now
-            self._outbox.broadcast(messages.RowUpdates(tuple(rows)))
+            self._outbox.share_rows(rows)
         if change.kind is changes.ChangeKind.RECONFIGURE:
             self._epoch_change.finish()
         self._epoch_change.end_release()
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -134,9 +134,17 @@
 
 
 class RowUpdates(msgspec.Struct, tag="rows", array_like=True, frozen=True):
-    """Passes on rows that were just written to the table."""
+    """Passes on rows that were just written to the table.
+
+    Attributes:
+        rows: The rows.
+        pass_on_after: Time after which the receiver passes the rows on within
+            its data centre, unless another daemon has by then, seconds; None
+            if it does not.
+    """
 
     rows: tuple[records.Row, ...]
+    pass_on_after: float | None = None
 
 
 class Claim(msgspec.Struct, tag="claim", array_like=True, frozen=True):
--- a/tamarackgap/processes/daemon.py
+++ b/tamarackgap/processes/daemon.py
@@ -228,6 +228,12 @@
                     sender=sender, address=address, message=message
                 ):
                     self._transport.send(sender, address, message)
+                case effects.ShareRows(
+                    sender=sender, rows=rows, addresses=addresses
+                ):
+                    self._transport.send_all(
+                        sender, addresses, messages.RowUpdates(rows)
+                    )
                 case effects.Commit(change=change):
                     self._table_client.commit(
                         change.transaction,
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -1,13 +1,15 @@
 """Exchanges target status, crash reports and route tables between routers."""
 
+import collections
 from collections.abc import Callable
 
 import msgspec
 
 from tamarackgap import logs, types
 from tamarackgap.network import scheduler
-from tamarackgap.ownership import ownership
+from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import calls, messages, transport
+from tamarackgap.placement import records
 from tamarackgap.traffic import (
     crashes,
     dispatcher,
@@ -25,6 +27,7 @@
 _MAX_NEAR_INTERVAL_S = 1.0
 _MAX_FAR_INTERVAL_S = 2.0
 _MIN_RELAYED_AGE_S = 0.001
+_ROW_UPDATES_KEPT = 200
 # Least time between two requests for a newer route table.
 _ROUTE_TABLE_REQUEST_INTERVAL_S = 0.2
 
@@ -99,6 +102,10 @@
         # in which new daemons were last looked for.
         self._informed: set[types.Incarnation] = set()
         self._informed_version = -1
+        # First rows of the last updates that other daemons have passed on.
+        self._rows_heard: collections.deque[tuple[str, int]] = (
+            collections.deque(maxlen=_ROW_UPDATES_KEPT)
+        )
         timers.after(_MIN_STATUS_INTERVAL_S, self._broadcast_periodically)
         timers.after(statusrelay.DIGEST_INTERVAL_S, self._relay_periodically)
 
@@ -118,6 +125,10 @@
                 )
             case calls.StatusDigest() as digest:
                 self._apply_digest(digest)
+            case messages.RowUpdates() as update:
+                self._pass_on_rows(update)
+                # They are for the table's copy, too.
+                return False
             case calls.TargetCrash() as crash:
                 self._record_crash(crash)
             case calls.FingerprintCleared(fingerprint=fingerprint):
@@ -144,15 +155,15 @@
         self._dispatcher.update_status(
             self._core.incarnation, own, self._status(self._status_interval)
         )
-        records = self._core.view.open_records()
-        self._informed = {record.incarnation for record in records}
+        members = self._core.view.open_records()
+        self._informed = {record.incarnation for record in members}
         far = {
             record.peer_address
-            for record in records
+            for record in members
             if record.data_centre != self._core.settings.data_centre
         }
         near = self._peer_addresses() - far
-        if not is_to_all and statusrelay.is_used(len(records)):
+        if not is_to_all and statusrelay.is_used(len(members)):
             far = set()
         elif not is_to_all:
             self._round = (self._round + 1) % self._rounds_per_far_status
@@ -168,6 +179,63 @@
                 self._status(self._status_interval * rounds),
             )
 
+    def share_rows(self, effect: effects.ShareRows) -> None:
+        """Sends rows that were just written to all other daemons.
+
+        In a large deployment, relays pass them on in other data centres, except
+        to the daemons that the rows are about.
+        """
+        members = self._core.view.open_records()
+        own = self._core.settings
+        direct = effect.addresses
+        relay_delays = {}
+        if statusrelay.is_used(len(members)):
+            relay_delays = statusrelay.relay_delays(
+                own.data_centre, members, self._dispatcher.is_reachable
+            )
+            direct &= effect.involved | self._near_addresses(members)
+        self._transport.send_all(
+            effect.sender,
+            direct - relay_delays.keys() - {own.peer_address},
+            messages.RowUpdates(effect.rows),
+        )
+        for address, delay in relay_delays.items():
+            self._transport.send(
+                effect.sender, address, messages.RowUpdates(effect.rows, delay)
+            )
+
+    def _pass_on_rows(self, update: messages.RowUpdates) -> None:
+        """Passes rows on within the data centre, if they say so."""
+        if not update.rows:
+            return
+        first = (update.rows[0].key, update.rows[0].revision)
+        if update.pass_on_after is None:
+            self._rows_heard.append(first)
+            return
+
+        def pass_on() -> None:
+            if first in self._rows_heard:
+                return
+            members = self._core.view.open_records()
+            self._transport.send_all(
+                self._core.incarnation,
+                self._near_addresses(members)
+                - {self._core.settings.peer_address},
+                messages.RowUpdates(update.rows),
+            )
+
+        if update.pass_on_after:
+            self._timers.after(update.pass_on_after, pass_on)
+        else:
+            pass_on()
+
+    def _near_addresses(self, members: list[records.LeaseRecord]) -> set[str]:
+        return {
+            record.peer_address
+            for record in members
+            if record.data_centre == self._core.settings.data_centre
+        }
+
     def _apply_digest(self, digest: calls.StatusDigest) -> None:
         own = self._core.settings.peer_address
         for heard in digest.statuses:
@@ -185,11 +253,7 @@
             )
         if not digest.passes_on:
             return
-        near = {
-            record.peer_address
-            for record in self._core.view.open_records()
-            if record.data_centre == self._core.settings.data_centre
-        }
+        near = self._near_addresses(self._core.view.open_records())
         self._transport.send_all(
             self._core.incarnation,
             near - {own},
@@ -201,14 +265,14 @@
         self._timers.after(
             statusrelay.DIGEST_INTERVAL_S, self._relay_periodically
         )
-        records = self._core.view.open_records()
-        if not statusrelay.is_used(len(records)):
+        members = self._core.view.open_records()
+        if not statusrelay.is_used(len(members)):
             return
         settings = self._core.settings
         addresses = statusrelay.far_relays(
             settings.peer_address,
             settings.data_centre,
-            records,
+            members,
             self._dispatcher.is_reachable,
         )
         if not addresses:
@@ -236,13 +300,13 @@
         if self._core.view.version == self._informed_version:
             return
         self._informed_version = self._core.view.version
-        records = self._core.view.open_records()
-        daemons = len(records)
+        members = self._core.view.open_records()
+        daemons = len(members)
         status = self._status(
             near_interval(daemons) * rounds_per_far_status(daemons)
         )
         own = self._core.settings.peer_address
-        for record in records:
+        for record in members:
             if record.incarnation in self._informed:
                 continue
             self._informed.add(record.incarnation)
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -413,6 +413,8 @@
                     sender=sender, address=address, message=message
                 ):
                     self._transport.send(sender, address, message)
+                case effects.ShareRows():
+                    self._peer_sync.share_rows(effect)
                 case effects.Commit(change=change):
                     self._adapter.store.commit(
                         change.transaction,
--- a/tamarackgap/traffic/statusrelay.py
+++ b/tamarackgap/traffic/statusrelay.py
@@ -15,6 +15,8 @@
 _MAX_DAEMONS_WITHOUT_RELAYS = 100
 # Each relay sends digests of its own, so that one may fail unnoticed.
 _RELAYS_PER_DATA_CENTRE = 2
+# The second relay passes a message on if the first has not done so by then.
+_RELAY_DELAY_S = 0.1
 # Time between two digests of a relay, seconds.
 DIGEST_INTERVAL_S = 2.0
 
@@ -55,6 +57,36 @@
     )[:_RELAYS_PER_DATA_CENTRE]
 
 
+def relay_delays(
+    own_data_centre: str,
+    members: Sequence[records.LeaseRecord],
+    is_reachable: Callable[[str], bool],
+) -> dict[str, float]:
+    """Returns the relays of other data centres, for a message to all daemons.
+
+    Args:
+        own_data_centre: The sender's data centre.
+        members: Open records of all daemons.
+        is_reachable: Tells whether an incarnation has been heard from lately.
+
+    Returns:
+        By address, the time after which a relay passes the message on if the
+        one before it in rank has not, seconds.
+    """
+    return {
+        address: rank * _RELAY_DELAY_S
+        for data_centre in {member.data_centre for member in members}
+        if data_centre != own_data_centre
+        for rank, address in enumerate(
+            relays(
+                data_centre,
+                members,
+                lambda member: is_reachable(member.incarnation),
+            )
+        )
+    }
+
+
 def far_relays(
     own_address: str,
     own_data_centre: str,
--- a/tests/processes/test_statusrelay.py
+++ b/tests/processes/test_statusrelay.py
@@ -1,13 +1,15 @@
 """The messages that daemons of a large deployment exchange about targets."""
 
+import collections
 import types as module_types
 
 import pytest
 
+from tamarackgap.ownership import effects
 from tamarackgap.peers import messages
 from tamarackgap.placement import records
 from tamarackgap.processes import peersync
-from tamarackgap.traffic import targets
+from tamarackgap.traffic import statusrelay, targets
 
 COUNT = 120
 DATA_CENTRES = ["a", "b", "c"]
@@ -89,6 +91,7 @@
         self.address = record.peer_address
         self.data_centre = record.data_centre
         self.network = network
+        self.members = members
         view = module_types.SimpleNamespace(
             open_records=lambda: members,
             lease=lambda name: None,
@@ -178,3 +181,67 @@
     network.run(4)
     for daemon in network.daemons.values():
         assert len(daemon.known()) == COUNT
+
+
+def _share_rows(network, sender, revision, involved=()):
+    """Lets a daemon share a row; returns who gets it, and how often."""
+    received = collections.Counter()
+    for daemon in network.daemons.values():
+        daemon.sync.receive = _recorder(daemon, received, revision)
+    network.far = 0
+    row = records.Row("lease/x", "{}", revision)
+    network.daemons[sender].sync.share_rows(
+        effects.ShareRows(
+            network.daemons[sender].name,
+            (row,),
+            frozenset(network.daemons) - {sender},
+            frozenset(involved),
+        )
+    )
+    return received
+
+
+def _recorder(daemon, received, revision):
+    receive = type(daemon.sync).receive
+
+    def record(envelope):
+        message = envelope.message
+        if (
+            isinstance(message, messages.RowUpdates)
+            and message.rows[0].revision == revision
+        ):
+            received[daemon.address] += 1
+        return receive(daemon.sync, envelope)
+
+    return record
+
+
+def test_rows_reach_all_daemons_with_few_messages_between_data_centres(
+    network,
+):
+    received = _share_rows(network, "h:0", 11, involved={"h:1"})
+    assert network.far <= 2 * 2 + 1
+    network.run(0.3)
+    assert set(received) == set(network.daemons) - {"h:0"}
+    # One copy each, and those that relays get directly.
+    assert sum(received.values()) <= COUNT + 4
+
+
+def test_the_second_relay_passes_rows_on_if_the_first_is_gone():
+    network = Network(COUNT)
+    for daemon in network.daemons.values():
+        daemon.sync.update_new_daemons()
+    network.run(12)
+    sender = network.daemons["h:0"]
+    delays = statusrelay.relay_delays(
+        sender.data_centre,
+        list(sender.members),
+        sender.directory.is_reachable,
+    )
+    first = {address for address, delay in delays.items() if not delay}
+    assert len(first) == 2
+    # Nobody has noticed yet.
+    network.cut |= first
+    received = _share_rows(network, "h:0", 12)
+    network.run(0.3)
+    assert set(received) == set(network.daemons) - first - {"h:0"}
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -274,6 +274,13 @@
                         )
                     ),
                 )
+            case effects.ShareRows(
+                sender=sender, rows=rows, addresses=addresses
+            ):
+                for address in sorted(addresses):
+                    message = messages.RowUpdates(rows)
+                    send = effects.Send(sender, address, message)
+                    self._execute(daemon, send)
             case effects.Commit(change=change):
                 self._commit(daemon, change.transaction)
             case effects.LogLine(event=event, fields=fields):
