--- a/tests/network/test_sockets.py
+++ b/tests/network/test_sockets.py
@@ -33,14 +33,20 @@
     reader.setblocking(False)
     received = []
 
+    def send():
+        writer.send(b"x")
+
     def handle_readable(flags):
         received.append(reader.recv(10))
         if len(received) == 5:
             loop.fire(circuits.Event.create("all_received"))
+        else:
+            # Each byte follows the reading of the one before, so that none
+            # are read together if the process stalls.
+            loop.timers.after(0.01, send)
 
     loop.poller.watch(reader.fileno(), sockets.READABLE, handle_readable)
-    for index in range(5):
-        loop.timers.after(0.01 * index, lambda: writer.send(b"x"))
+    loop.timers.after(0, send)
     # Ends the loop if the socket does not.
     loop.timers.after(5, loop.stop)
     with reader, writer:
