The status tells a member's load, so that all members know it within seconds

Each of 104 members told its load to 8 drawn members each 0.5 s, so the others knew it 6 s later on average; loads older than 6 s count as unknown. So the members plan moves from different and old loads, and several choose the same idle one.

A load that took longer does not replace a later one.

--- a/tamarackgap/ownership/loads.py
+++ b/tamarackgap/ownership/loads.py
@@ -21,21 +21,20 @@
     """The latest load that each member has reported."""
 
     def __init__(self) -> None:
-        # Requests per second, and the time of the report.
-        self._reports: dict[str, tuple[float, float]] = {}
+        # Requests per second, or None, and the time of the report.
+        self._reports: dict[str, tuple[float | None, float]] = {}
 
     def record(self, incarnation: str, rate: float | None, now: float) -> None:
-        """Records a member's load.
+        """Records a member's load, unless a later one is known.
 
         Args:
             incarnation: The member.
             rate: Requests per second that it serves, or None if it can't
                 tell because its slots have just changed.
-            now: Monotonic time, seconds.
+            now: Monotonic time at which it was reported, seconds.
         """
-        if rate is None:
-            self._reports.pop(incarnation, None)
-        else:
+        known = self._reports.get(incarnation)
+        if known is None or known[1] <= now:
             self._reports[incarnation] = (rate, now)
 
     def recent(self, now: float) -> dict[str, float]:
@@ -49,7 +48,11 @@
             for name, (rate, at) in self._reports.items()
             if now - at <= _MAX_AGE_S
         }
-        return {name: rate for name, (rate, _) in self._reports.items()}
+        return {
+            name: rate
+            for name, (rate, _) in self._reports.items()
+            if rate is not None
+        }
 
 
 class MoveBudget:
@@ -117,6 +120,9 @@
         self.move_budget = MoveBudget(records.Policy().moves, now)
         # Requests per second of each slot served here.
         self.slot_loads: dict[int, float] = {}
+        # The sum of these, or None right after the slots have changed.
+        self.own_load: float | None = None
+        self.reported_at = now
         # Amount as which a typical request is counted in them.
         self.request_amount = 1.0
 
@@ -137,6 +143,8 @@
             # New slots have not been measured for long enough to base
             # further moves on their load.
             total = None
+        self.own_load = total
+        self.reported_at = now
         own = self._outbox.incarnation
         self.member_loads.record(own, total, now)
         service = self._settings.service
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -306,6 +306,25 @@
         self._load_exchange.request_amount = request_amount
         self._load_exchange.report(rates, now, self._slots_changed_at)
 
+    @property
+    def own_load(self) -> float | None:
+        """Requests per second here; None right after the slots have changed."""
+        if self._slots_changed_at > self._load_exchange.reported_at:
+            return None
+        return self._load_exchange.own_load
+
+    def record_member_load(
+        self, incarnation: str, load: float | None, reported_at: float
+    ) -> None:
+        """Records the load that a member of this daemon's service reports.
+
+        Args:
+            incarnation: The member.
+            load: Requests per second, or None if it can't tell.
+            reported_at: Monotonic time of the report, seconds.
+        """
+        self._load_exchange.member_loads.record(incarnation, load, reported_at)
+
     def drain(self) -> None:
         """Starts moving all slots away, in order to leave."""
         self._draining = True
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -147,6 +147,8 @@
         process: Id of the daemon's process; it is kept when the daemon
             starts a new incarnation.
         interval: Time between two reports, seconds.
+        load: Requests a second for the keys that the daemon owns; None if it
+            can't tell.
     """
 
     service: types.ServiceName
@@ -159,6 +161,7 @@
     data_centre: types.DataCentre
     process: str
     interval: float
+    load: float | None = None
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -120,6 +120,7 @@
                 self._dispatcher.update_status(
                     envelope.sender, envelope.address, status
                 )
+                self._record_load(envelope.sender, status, 0.0)
                 self._request_table_if_newer(
                     status.route_table_version, envelope.address
                 )
@@ -248,6 +249,7 @@
                 heard.status,
                 max(heard.age, _MIN_RELAYED_AGE_S),
             )
+            self._record_load(heard.incarnation, heard.status, heard.age)
             self._request_table_if_newer(
                 heard.status.route_table_version, heard.address
             )
@@ -260,6 +262,19 @@
             calls.StatusDigest(digest.statuses, passes_on=False),
         )
 
+    def _record_load(
+        self, incarnation: str, status: calls.TargetStatus, age: float
+    ) -> None:
+        """Records the load of a member of the service here.
+
+        Members send their load to some members as well; where there are many,
+        most would know it only seconds later.
+        """
+        if status.service == self._core.settings.service:
+            self._core.record_member_load(
+                incarnation, status.load, self._timers.now - age
+            )
+
     def _relay_periodically(self) -> None:
         """Sends the states of this data centre's targets to far relays."""
         self._timers.after(
@@ -359,6 +374,7 @@
             types.DataCentre(self._core.settings.data_centre),
             self._process,
             interval,
+            self._core.own_load,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tests/ownership/test_loads.py
+++ b/tests/ownership/test_loads.py
@@ -11,6 +11,16 @@
     assert member_loads.recent(8.0) == {}
 
 
+def test_a_load_that_took_longer_does_not_replace_a_later_one():
+    member_loads = loads.MemberLoads()
+    member_loads.record("a", None, 5.0)
+    member_loads.record("a", 7.0, 4.0)
+    assert member_loads.recent(5.0) == {}
+    member_loads.record("a", 8.0, 6.0)
+    member_loads.record("a", 7.0, 4.0)
+    assert member_loads.recent(6.0) == {"a": 8.0}
+
+
 def test_moves_per_minute_are_limited():
     budget = loads.MoveBudget(60, 0.0)
     budget.spend(60)
--- a/tests/processes/test_statusrelay.py
+++ b/tests/processes/test_statusrelay.py
@@ -105,7 +105,10 @@
                 data_centre=self.data_centre,
                 service="s",
             ),
+            own_load=float(len(self.name)),
+            record_member_load=self._record_load,
         )
+        self.loads = {}
         self.directory = targets.TargetDirectory(core, network)
         queue = module_types.SimpleNamespace(
             capacity=4, running=1, waiting=0, relative_latency=0.3
@@ -117,10 +120,13 @@
             self.runner,
             self.directory,
             None,
-            module_types.SimpleNamespace(after=network.after, now=network.now),
+            network,
             lambda: None,
         )
 
+    def _record_load(self, name, load, reported_at):
+        self.loads[name] = (load, reported_at)
+
     def send(self, sender, address, message):
         self.network.deliver(self, address, message)
 
@@ -153,6 +159,17 @@
             assert daemon.known() == everyone
 
 
+def test_all_members_know_all_loads_within_seconds(network):
+    network.run(4)
+    for daemon in network.daemons.values():
+        others = network.daemons.keys() - {daemon.address}
+        for address in others:
+            name = network.daemons[address].name
+            load, reported_at = daemon.loads[name]
+            assert load == len(name)
+            assert network.now - reported_at <= 4
+
+
 def test_few_messages_go_between_data_centres(network):
     network.far = 0
     network.run(10)
