--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from tamarackgap.ownership import changes, effects, plannerinputs
+from tamarackgap.ownership import changes, creation, effects, plannerinputs
 from tamarackgap.placement import placement, records, slots
 
 PLAN_INTERVAL_S = 0.2
@@ -12,16 +12,9 @@
 # An owner that has been unreachable for this long, and whose epoch its
 # witnesses have not ended by then, is challenged.
 _CHALLENGE_AFTER_S = 3.0
-# An ordered service is created with at least this many slots for each member,
-# as far as the largest number allows.
-_MIN_SLOTS_PER_MEMBER = 12
-_MAX_SLOTS = 4096
 # After this share of the settle time a daemon chooses witnesses even if few
 # daemons have any yet.
 _FIRST_EPOCH_SETTLE_SHARE = 0.5
-# After this many settle times a daemon creates the service even if members
-# can't own slots yet, or another member was to create it.
-_MAX_SETTLE_TIMES = 2.0
 
 
 class EpochIntent(msgspec.Struct, frozen=True):
@@ -88,8 +81,8 @@
         _answer_challenge,
         _claim,
         _close_earlier,
-        _create_service,
-        _continue_creation,
+        creation.create_service,
+        creation.continue_creation,
         _leave,
         _close_unanswered,
         _challenge,
@@ -374,99 +367,6 @@
     return placement.choose_by_rendezvous(item, reachable) == inputs.incarnation
 
 
-def _create_service(
-    inputs: plannerinputs.PlannerInputs, change_id: str
-) -> changes.Change | None:
-    """Returns the change that creates a service without a record, or None."""
-    own_record = inputs.own_record
-    settings = inputs.settings
-    if (
-        own_record is None
-        or not inputs.keyed
-        or inputs.age < settings.settle
-        or not inputs.lease_valid
-        or not inputs.accepting
-        or inputs.view.service_record(settings.service) is not None
-    ):
-        return None
-    if settings.ordered_keys and not _is_creator(inputs, own_record):
-        return None
-    return changes.create_service(
-        inputs.view,
-        own_record,
-        _slot_count(inputs, own_record),
-        change_id,
-        settings.ordered_keys,
-    )
-
-
-def _continue_creation(
-    inputs: plannerinputs.PlannerInputs, change_id: str
-) -> changes.Change | None:
-    """Returns the change that gives further slots to owners, or None.
-
-    A large service is created in several changes. The member with the lowest
-    incarnation id makes them, also if another one created the service.
-    """
-    own_record = inputs.own_record
-    service_record = inputs.view.service_record(inputs.settings.service)
-    if (
-        own_record is None
-        or service_record is None
-        or not service_record.unallocated
-        or not inputs.keyed
-        or not inputs.lease_valid
-    ):
-        return None
-    able = [
-        record.incarnation
-        for record in inputs.view.open_records(own_record.service)
-        if record.can_own
-        and (
-            record.incarnation == inputs.incarnation
-            or inputs.is_reachable(record.incarnation)
-        )
-    ]
-    if not able or min(able) != inputs.incarnation:
-        return None
-    return changes.continue_creation(
-        inputs.view, own_record, service_record, change_id
-    )
-
-
-def _slot_count(
-    inputs: plannerinputs.PlannerInputs, own_record: records.LeaseRecord
-) -> int:
-    """Returns the number of slots that a service is created with.
-
-    A few busy keys can be spread over owners only as finely as slots are.
-    """
-    count = inputs.settings.slot_count
-    if inputs.settings.ordered_keys:
-        members = len(inputs.view.open_records(own_record.service))
-        while count < min(members * _MIN_SLOTS_PER_MEMBER, _MAX_SLOTS):
-            count *= 2
-    return count
-
-
-def _is_creator(
-    inputs: plannerinputs.PlannerInputs, own_record: records.LeaseRecord
-) -> bool:
-    """Returns whether this member should create the service now.
-
-    All members wait for those that can't own slots yet. Then the one with
-    the lowest incarnation id goes first, so that not all write at once.
-    """
-    members = inputs.view.open_records(own_record.service)
-    if any(not record.can_own for record in members):
-        return inputs.age > _MAX_SETTLE_TIMES * inputs.settings.settle
-    first = min(record.incarnation for record in members)
-    return (
-        first == own_record.incarnation
-        or inputs.age > _MAX_SETTLE_TIMES * inputs.settings.settle
-    )
-
-
 def _leave(
     inputs: plannerinputs.PlannerInputs, change_id: str
 ) -> changes.Change | None:
