--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -18,44 +18,12 @@
     statusrelay,
 )
 
-# The time between two status messages to the same daemon grows with the number
-# of daemons. Daemons learn the load of targets from completions as well, and
-# prefer targets in their own data centre; so daemons of other data centres are
-# sent fewer messages.
-_MIN_STATUS_INTERVAL_S = 0.25
-_STATUS_INTERVAL_PER_DAEMON_S = 0.01
-_MAX_NEAR_INTERVAL_S = 1.0
-_MAX_FAR_INTERVAL_S = 2.0
 _MIN_RELAYED_AGE_S = 0.001
 _ROW_UPDATES_KEPT = 200
 # Least time between two requests for a newer route table.
 _ROUTE_TABLE_REQUEST_INTERVAL_S = 0.2
 
 
-def near_interval(daemons: int) -> float:
-    """Returns the time between two status messages to a near daemon, seconds.
-
-    Args:
-        daemons: Number of daemons in all data centres.
-    """
-    return min(
-        max(_MIN_STATUS_INTERVAL_S, daemons * _STATUS_INTERVAL_PER_DAEMON_S),
-        _MAX_NEAR_INTERVAL_S,
-    )
-
-
-def rounds_per_far_status(daemons: int) -> int:
-    """Returns in how many near intervals each far daemon gets one status.
-
-    Args:
-        daemons: Number of daemons in all data centres.
-    """
-    far_interval = min(
-        daemons * _STATUS_INTERVAL_PER_DAEMON_S, _MAX_FAR_INTERVAL_S
-    )
-    return max(1, round(far_interval / near_interval(daemons)))
-
-
 class PeerSync:
     """Sends the other daemons the state of the target and route table here.
 
@@ -95,7 +63,7 @@
         # The incarnation at the start identifies the process, since each id is
         # used only once.
         self._process = core.incarnation
-        self._status_interval = _MIN_STATUS_INTERVAL_S
+        self._status_interval = statusrelay.MIN_INTERVAL_S
         self._rounds_per_far_status = 1
         self._round = 0
         # Daemons that were sent a status, and the version of the table's rows
@@ -106,7 +74,7 @@
         self._rows_heard: collections.deque[tuple[str, int]] = (
             collections.deque(maxlen=_ROW_UPDATES_KEPT)
         )
-        timers.after(_MIN_STATUS_INTERVAL_S, self._broadcast_periodically)
+        timers.after(statusrelay.MIN_INTERVAL_S, self._broadcast_periodically)
         timers.after(statusrelay.DIGEST_INTERVAL_S, self._relay_periodically)
 
     def receive(self, envelope: messages.Envelope) -> bool:
@@ -318,7 +286,8 @@
         members = self._core.view.open_records()
         daemons = len(members)
         status = self._status(
-            near_interval(daemons) * rounds_per_far_status(daemons)
+            statusrelay.near_interval(daemons)
+            * statusrelay.rounds_per_far_status(daemons)
         )
         own = self._core.settings.peer_address
         for record in members:
@@ -350,8 +319,8 @@
 
     def _broadcast_periodically(self) -> None:
         daemons = len(self._informed)
-        self._status_interval = near_interval(daemons)
-        self._rounds_per_far_status = rounds_per_far_status(daemons)
+        self._status_interval = statusrelay.near_interval(daemons)
+        self._rounds_per_far_status = statusrelay.rounds_per_far_status(daemons)
         self._send_status(is_to_all=False)
         self._timers.after(self._status_interval, self._broadcast_periodically)
 
--- a/tamarackgap/traffic/statusrelay.py
+++ b/tamarackgap/traffic/statusrelay.py
@@ -1,4 +1,4 @@
-"""Decides which daemons pass the status of targets on between data centres.
+"""Decides how often status is sent, and who passes it on between data centres.
 
 Status messages of all daemons to all grow with the square of their number, and
 traffic between data centres is costly. So in a large deployment a daemon sends
@@ -11,6 +11,14 @@
 
 from tamarackgap.placement import placement, records
 
+# The time between two status messages to the same daemon grows with the number
+# of daemons. Daemons learn the load of targets from completions as well, and
+# prefer targets in their own data centre; so daemons of other data centres are
+# sent fewer messages.
+MIN_INTERVAL_S = 0.25
+_STATUS_INTERVAL_PER_DAEMON_S = 0.01
+_MAX_NEAR_INTERVAL_S = 1.0
+_MAX_FAR_INTERVAL_S = 2.0
 # Up to this number of daemons each one sends its status to all.
 _MAX_DAEMONS_WITHOUT_RELAYS = 100
 # Each relay sends digests of its own, so that one may fail unnoticed.
@@ -21,6 +29,30 @@
 DIGEST_INTERVAL_S = 2.0
 
 
+def near_interval(daemons: int) -> float:
+    """Returns the time between two status messages to a near daemon, seconds.
+
+    Args:
+        daemons: Number of daemons in all data centres.
+    """
+    return min(
+        max(MIN_INTERVAL_S, daemons * _STATUS_INTERVAL_PER_DAEMON_S),
+        _MAX_NEAR_INTERVAL_S,
+    )
+
+
+def rounds_per_far_status(daemons: int) -> int:
+    """Returns in how many near intervals each far daemon gets one status.
+
+    Args:
+        daemons: Number of daemons in all data centres.
+    """
+    far_interval = min(
+        daemons * _STATUS_INTERVAL_PER_DAEMON_S, _MAX_FAR_INTERVAL_S
+    )
+    return max(1, round(far_interval / near_interval(daemons)))
+
+
 def is_used(daemons: int) -> bool:
     """Returns whether a deployment of this many daemons uses relays."""
     return daemons > _MAX_DAEMONS_WITHOUT_RELAYS
--- a/tests/traffic/test_statusrelay.py
+++ b/tests/traffic/test_statusrelay.py
@@ -5,7 +5,6 @@
 import pytest
 
 from tamarackgap.placement import records
-from tamarackgap.processes import peersync
 from tamarackgap.traffic import statusrelay
 
 DATA_CENTRES = ["a", "b", "c", "d", "e"]
@@ -87,5 +86,5 @@
     # seconds, and of the near ones each second: 117 and 180 a second.
     near = count / len(DATA_CENTRES)
     digests = 2 * (len(DATA_CENTRES) - 1) / statusrelay.DIGEST_INTERVAL_S
-    received = near / peersync.near_interval(count) + digests
+    received = near / statusrelay.near_interval(count) + digests
     assert received <= most_messages
