A far daemon that joins is sent the status before the next broadcast

Cause, found while reading: a periodic broadcast counted all members as informed, also far ones that it is not sent to. A far daemon that joined just before one got the status of targets only with the next digests, and refused its callers' requests until then. The broadcast now informs new daemons first.

--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -318,6 +318,9 @@
         self._broadcast(calls.FingerprintCleared(fingerprint))
 
     def _broadcast_periodically(self) -> None:
+        # The broadcast counts all daemons as informed, and far ones may not be
+        # sent it.
+        self.update_new_daemons()
         daemons = len(self._informed)
         self._status_interval = statusrelay.near_interval(daemons)
         self._rounds_per_far_status = statusrelay.rounds_per_far_status(daemons)
--- a/tests/processes/test_statusrelay.py
+++ b/tests/processes/test_statusrelay.py
@@ -92,7 +92,7 @@
         self.data_centre = record.data_centre
         self.network = network
         self.members = members
-        view = module_types.SimpleNamespace(
+        self.view = view = module_types.SimpleNamespace(
             open_records=lambda: members,
             lease=lambda name: None,
             version=1,
@@ -170,6 +170,25 @@
             assert network.now - reported_at <= 4
 
 
+def test_a_far_daemon_that_joins_is_sent_the_status_at_once():
+    network = Network(COUNT)
+    sender = network.daemons["h:0"]
+    joining = sender.members.pop()
+    assert joining.data_centre != sender.data_centre
+    newcomer = network.daemons[joining.peer_address]
+    network.run(12.2)
+    sender.members.append(joining)
+    newcomer.directory.remove(sender.name)
+    sender.view.version += 1
+    # The next broadcast to near daemons comes before the next tick.
+    before = network.far
+    while network.far == before:
+        network.run(0.05)
+        assert network.now < 114
+    network.run(0.8)
+    assert sender.name in newcomer.known()
+
+
 def test_few_messages_go_between_data_centres(network):
     network.far = 0
     network.run(10)
