--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -70,6 +70,8 @@
         # in which new daemons were last looked for.
         self._informed: set[types.Incarnation] = set()
         self._informed_version = -1
+        # Whether this daemon sends digests to other data centres.
+        self._is_relay = False
         # First rows of the last updates that other daemons have passed on.
         self._rows_heard: collections.deque[tuple[str, int]] = (
             collections.deque(maxlen=_ROW_UPDATES_KEPT)
@@ -258,6 +260,9 @@
             members,
             self._dispatcher.is_reachable,
         )
+        if bool(addresses) is not self._is_relay:
+            self._is_relay = bool(addresses)
+            logs.event("status_relay", sends=self._is_relay)
         if not addresses:
             return
         digest = calls.StatusDigest(
