Names and order that stopped a reader: first lease, seen revision, properties

planner._needs_lease also decided when to begin and is _may_take_lease, asked only without a lease; control's expected_revision was the platform's word and is seen_revision; Ownership.own_load stands among the properties; the set of the daemons that rows involve is named so. No statement changes its effect.

--- a/tamarackgap/commands/control.py
+++ b/tamarackgap/commands/control.py
@@ -96,7 +96,7 @@
     key: str,
     values: dict[str, int],
     who: str,
-    expected_revision: int | None,
+    seen_revision: int | None,
 ) -> int:
     """Edits a policy and returns the table revision of the committed edit.
 
@@ -108,7 +108,7 @@
         key: The row's key.
         values: New values of the columns to change.
         who: Name of the operator, for the history.
-        expected_revision: Revision of the row that the operator saw, 0 for no
+        seen_revision: Revision of the row that the operator saw, 0 for no
             row, or None to edit any revision.
 
     Raises:
@@ -117,9 +117,9 @@
     """
     row = find_row(read_rows(address).rows, key)
     current = row.revision if row is not None and row.value else 0
-    if expected_revision is not None and current != expected_revision:
+    if seen_revision is not None and current != seen_revision:
         raise exceptions.ConflictError(
-            f"{key} is at version {current}, not {expected_revision}:"
+            f"{key} is at version {current}, not {seen_revision}:"
             " somebody else edited it"
         )
     edit = policy.build_edit(row, key, values, who, int(time.time() * 1000))
--- a/tamarackgap/ownership/effects.py
+++ b/tamarackgap/ownership/effects.py
@@ -238,7 +238,7 @@
             if row.key.startswith(records.LEASE_PREFIX)
             and (record := self._view.lease(_incarnation_of(row))) is not None
         ]
-        names = {record.incarnation for record in written}.union(
+        involved = {record.incarnation for record in written}.union(
             *(record.witnesses for record in written)
         )
         others = [
@@ -254,7 +254,7 @@
                 frozenset(
                     record.peer_address
                     for record in others
-                    if record.incarnation in names
+                    if record.incarnation in involved
                 ),
             )
         )
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -234,6 +234,13 @@
         """Time up to which the copy of the table is current, seconds."""
         return self._table_as_of
 
+    @property
+    def own_load(self) -> float | None:
+        """Requests per second here; None right after the slots have changed."""
+        if self._slots_changed_at > self._load_exchange.reported_at:
+            return None
+        return self._load_exchange.own_load
+
     def lease_until(self) -> float:
         """Returns the end of the lease on this daemon's clock, seconds.
 
@@ -306,13 +313,6 @@
         self._load_exchange.request_amount = request_amount
         self._load_exchange.report(rates, now, self._slots_changed_at)
 
-    @property
-    def own_load(self) -> float | None:
-        """Requests per second here; None right after the slots have changed."""
-        if self._slots_changed_at > self._load_exchange.reported_at:
-            return None
-        return self._load_exchange.own_load
-
     def record_member_load(
         self, incarnation: str, load: float | None, reported_at: float
     ) -> None:
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -119,17 +119,15 @@
     return builder.build(changes.ChangeKind.JOIN, "started")
 
 
-def _needs_lease(
+def _may_take_lease(
     inputs: plannerinputs.PlannerInputs, own_record: records.LeaseRecord
 ) -> bool:
-    """Returns whether this daemon has or may soon have slots.
+    """Returns whether a daemon without a lease should begin its first epoch.
 
-    Other daemons get along without a lease: they need no witnesses and write
-    nothing but their joining and leaving. Before the service is created, a
-    daemon waits for candidates, so that it need not replace its witnesses soon.
+    A daemon that can get no slots takes none: it needs no witnesses and writes
+    nothing but its joining and leaving. Before the service is created, a daemon
+    waits for candidates, so that it need not replace its witnesses soon.
     """
-    if own_record.witnesses:
-        return True
     if not (inputs.keyed and inputs.accepting):
         return False
     started = sum(
@@ -403,7 +401,7 @@
     own_record = inputs.own_record
     if own_record is None or not inputs.table_ok:
         return None
-    if not _needs_lease(inputs, own_record):
+    if not own_record.witnesses and not _may_take_lease(inputs, own_record):
         return None
     witnesses = _choose_witnesses(inputs, own_record)
     reason = None
