Relays, intervals of status and sharing of rows are modules of their own

traffic/statusrelay.py decided three things under one name: how often status is sent (now statusintervals.py) and who relays what (relays.py: are_used, relays_of, pass_on_delays, digest_receivers). processes/peersync.py also shared rows and returned False for them although it had handled them; that is processes/rowsharing.py now, and the router hands rows to it. An age of 0 stood for a status that the daemon itself sent, so relayed ages were raised to 1 ms; now None stands for it.

Behaviour as before but for the 1 ms.

--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -1,25 +1,22 @@
 """Exchanges target status, crash reports and route tables between routers."""
 
-import collections
 from collections.abc import Callable
 
 import msgspec
 
 from tamarackgap import logs, types
 from tamarackgap.network import scheduler
-from tamarackgap.ownership import effects, ownership
+from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls, messages, transport
-from tamarackgap.placement import records
 from tamarackgap.traffic import (
     crashes,
     dispatcher,
+    relays,
     routetable,
     runner,
-    statusrelay,
+    statusintervals,
 )
 
-_MIN_RELAYED_AGE_S = 0.001
-_ROW_UPDATES_KEPT = 200
 # Least time between two requests for a newer route table.
 _ROUTE_TABLE_REQUEST_INTERVAL_S = 0.2
 
@@ -27,7 +24,8 @@
 class PeerSync:
     """Sends the other daemons the state of the target and route table here.
 
-    It also applies what they send about theirs.
+    It also applies what they send about theirs, and passes on what it has heard
+    if this daemon is a relay of its data centre.
     """
 
     def __init__(
@@ -63,7 +61,7 @@
         # The incarnation at the start identifies the process, since each id is
         # used only once.
         self._process = core.incarnation
-        self._status_interval = statusrelay.MIN_INTERVAL_S
+        self._status_interval = statusintervals.MIN_INTERVAL_S
         self._rounds_per_far_status = 1
         self._round = 0
         # Daemons that were sent a status, and the version of the table's rows
@@ -72,12 +70,8 @@
         self._informed_version = -1
         # Whether this daemon sends digests to other data centres.
         self._is_relay = False
-        # First rows of the last updates that other daemons have passed on.
-        self._rows_heard: collections.deque[tuple[str, int]] = (
-            collections.deque(maxlen=_ROW_UPDATES_KEPT)
-        )
-        timers.after(statusrelay.MIN_INTERVAL_S, self._broadcast_periodically)
-        timers.after(statusrelay.DIGEST_INTERVAL_S, self._relay_periodically)
+        timers.after(self._status_interval, self._broadcast_periodically)
+        timers.after(relays.DIGEST_INTERVAL_S, self._relay_periodically)
 
     def receive(self, envelope: messages.Envelope) -> bool:
         """Handles a message about targets or route tables.
@@ -96,10 +90,6 @@
                 )
             case calls.StatusDigest() as digest:
                 self._apply_digest(digest)
-            case messages.RowUpdates() as update:
-                self._pass_on_rows(update)
-                # They are for the table's copy, too.
-                return False
             case calls.TargetCrash() as crash:
                 self._record_crash(crash)
             case calls.FingerprintCleared(fingerprint=fingerprint):
@@ -120,7 +110,8 @@
     def _send_status(self, is_to_all: bool) -> None:
         """Sends the status to near daemons, and to all or some of the others.
 
-        Far daemons take turns, so that the messages are spread over time.
+        Unless it is for all, far daemons take turns, so that the messages are
+        spread over time; where there are relays, far daemons get it from them.
         """
         own = self._core.settings.peer_address
         self._dispatcher.update_status(
@@ -134,7 +125,7 @@
             if record.data_centre != self._core.settings.data_centre
         }
         near = self._peer_addresses() - far
-        if not is_to_all and statusrelay.is_used(len(members)):
+        if not is_to_all and relays.are_used(len(members)):
             far = set()
         elif not is_to_all:
             self._round = (self._round + 1) % self._rounds_per_far_status
@@ -150,74 +141,13 @@
                 self._status(self._status_interval * rounds),
             )
 
-    def share_rows(self, effect: effects.ShareRows) -> None:
-        """Sends rows that were just written to all other daemons.
-
-        In a large deployment, relays pass them on in other data centres, except
-        to the daemons that the rows are about.
-        """
-        members = self._core.view.open_records()
-        own = self._core.settings
-        direct = effect.addresses
-        relay_delays = {}
-        if statusrelay.is_used(len(members)):
-            relay_delays = statusrelay.relay_delays(
-                own.data_centre, members, self._dispatcher.is_reachable
-            )
-            direct &= effect.involved | self._near_addresses(members)
-        self._transport.send_all(
-            effect.sender,
-            direct - relay_delays.keys() - {own.peer_address},
-            messages.RowUpdates(effect.rows),
-        )
-        for address, delay in relay_delays.items():
-            self._transport.send(
-                effect.sender, address, messages.RowUpdates(effect.rows, delay)
-            )
-
-    def _pass_on_rows(self, update: messages.RowUpdates) -> None:
-        """Passes rows on within the data centre, if they say so."""
-        if not update.rows:
-            return
-        first = (update.rows[0].key, update.rows[0].revision)
-        if update.pass_on_after is None:
-            self._rows_heard.append(first)
-            return
-
-        def pass_on() -> None:
-            if first in self._rows_heard:
-                return
-            members = self._core.view.open_records()
-            self._transport.send_all(
-                self._core.incarnation,
-                self._near_addresses(members)
-                - {self._core.settings.peer_address},
-                messages.RowUpdates(update.rows),
-            )
-
-        if update.pass_on_after:
-            self._timers.after(update.pass_on_after, pass_on)
-        else:
-            pass_on()
-
-    def _near_addresses(self, members: list[records.LeaseRecord]) -> set[str]:
-        return {
-            record.peer_address
-            for record in members
-            if record.data_centre == self._core.settings.data_centre
-        }
-
     def _apply_digest(self, digest: calls.StatusDigest) -> None:
         own = self._core.settings.peer_address
         for heard in digest.statuses:
             if heard.address == own:
                 continue
-            # An age of 0 is kept for what a daemon sends by itself.
             self._dispatcher.update_status(
-                heard.incarnation,
-                heard.address,
-                heard.status,
-                max(heard.age, _MIN_RELAYED_AGE_S),
+                heard.incarnation, heard.address, heard.status, heard.age
             )
             self._record_load(heard.incarnation, heard.status, heard.age)
             self._request_table_if_newer(
@@ -225,7 +155,11 @@
             )
         if not digest.passes_on:
             return
-        near = self._near_addresses(self._core.view.open_records())
+        near = {
+            record.peer_address
+            for record in self._core.view.open_records()
+            if record.data_centre == self._core.settings.data_centre
+        }
         self._transport.send_all(
             self._core.incarnation,
             near - {own},
@@ -246,38 +180,36 @@
             )
 
     def _relay_periodically(self) -> None:
-        """Sends the states of this data centre's targets to far relays."""
-        self._timers.after(
-            statusrelay.DIGEST_INTERVAL_S, self._relay_periodically
-        )
+        """Sends a digest of this data centre's targets, if this is a relay."""
+        self._timers.after(relays.DIGEST_INTERVAL_S, self._relay_periodically)
         members = self._core.view.open_records()
-        if not statusrelay.is_used(len(members)):
+        if not relays.are_used(len(members)):
             return
         settings = self._core.settings
-        addresses = statusrelay.far_relays(
+        receivers = relays.digest_receivers(
             settings.peer_address,
             settings.data_centre,
             members,
             self._dispatcher.is_reachable,
         )
-        if bool(addresses) is not self._is_relay:
-            self._is_relay = bool(addresses)
+        if bool(receivers) is not self._is_relay:
+            self._is_relay = bool(receivers)
             logs.event("status_relay", sends=self._is_relay)
-        if not addresses:
+        if not receivers:
             return
         digest = calls.StatusDigest(
             tuple(
                 msgspec.structs.replace(
                     heard,
                     status=msgspec.structs.replace(
-                        heard.status, interval=statusrelay.DIGEST_INTERVAL_S
+                        heard.status, interval=relays.DIGEST_INTERVAL_S
                     ),
                 )
                 for heard in self._dispatcher.digest(settings.data_centre)
             ),
             passes_on=True,
         )
-        self._transport.send_all(self._core.incarnation, addresses, digest)
+        self._transport.send_all(self._core.incarnation, receivers, digest)
 
     def update_new_daemons(self) -> None:
         """Sends the local target's status to daemons that have just joined.
@@ -291,8 +223,8 @@
         members = self._core.view.open_records()
         daemons = len(members)
         status = self._status(
-            statusrelay.near_interval(daemons)
-            * statusrelay.rounds_per_far_status(daemons)
+            statusintervals.near_interval(daemons)
+            * statusintervals.rounds_per_far_status(daemons)
         )
         own = self._core.settings.peer_address
         for record in members:
@@ -327,8 +259,10 @@
         # sent it.
         self.update_new_daemons()
         daemons = len(self._informed)
-        self._status_interval = statusrelay.near_interval(daemons)
-        self._rounds_per_far_status = statusrelay.rounds_per_far_status(daemons)
+        self._status_interval = statusintervals.near_interval(daemons)
+        self._rounds_per_far_status = statusintervals.rounds_per_far_status(
+            daemons
+        )
         self._send_status(is_to_all=False)
         self._timers.after(self._status_interval, self._broadcast_periodically)
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -28,6 +28,7 @@
     ownershipsettings,
     peersync,
     routerpages,
+    rowsharing,
     targethandler,
 )
 from tamarackgap.requests import retries
@@ -179,6 +180,9 @@
             self.timers,
             lambda: self._route_table,
         )
+        self._row_sharer = rowsharing.RowSharer(
+            self._core, self._transport, self._request_dispatcher, self.timers
+        )
         self._runner.on_fingerprint_cleared = self._peer_sync.broadcast_cleared
         self._target_handler.on_crash = self._peer_sync.broadcast_crash
         self._target_handler.on_status_changed = (
@@ -371,6 +375,8 @@
                 if table is not None:
                     self._apply_route_table(table)
             case _:
+                if isinstance(envelope.message, messages.RowUpdates):
+                    self._row_sharer.pass_on(envelope.message)
                 if not self._peer_sync.receive(envelope):
                     self._core.receive(envelope, now())
                     self._perform_effects()
@@ -414,7 +420,7 @@
                 ):
                     self._transport.send(sender, address, message)
                 case effects.ShareRows():
-                    self._peer_sync.share_rows(effect)
+                    self._row_sharer.share(effect)
                 case effects.Commit(change=change):
                     self._adapter.store.commit(
                         change.transaction,
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -166,7 +166,7 @@
         sender: str,
         address: str,
         status: calls.TargetStatus,
-        age: float = 0.0,
+        age: float | None = None,
     ) -> None:
         """Records the status that a daemon reports of itself.
 
@@ -174,7 +174,8 @@
             sender: The daemon's incarnation.
             address: The daemon's `ip:port`.
             status: The state of its target.
-            age: Time since a relay heard the status, seconds.
+            age: Time since a relay heard the status, seconds; None if the
+                daemon itself has sent it to this one.
         """
         for gone in self._targets.update_status(sender, address, status, age):
             self._drop_daemon(gone)
--- a/tamarackgap/traffic/storewatch.py
+++ b/tamarackgap/traffic/storewatch.py
@@ -1,11 +1,11 @@
 """Decides which daemons follow the table closely, and which seldom read it.
 
 Each call of the store is costly, and a change of the table ends the long polls
-of all who wait for it. Writers send their rows to all daemons anyway, and the
-version of the route table travels with each status. So in a large deployment
-some daemons of each data centre wait for changes of the route table, and the
-others get them from these; they read the table now and then, in case messages
-were lost.
+of all who wait for it. Rows that were just written reach all daemons as
+messages anyway (processes/rowsharing.py), and the version of the route table
+travels with each status. So in a large deployment some daemons of each data
+centre wait for changes of the route table, and the others get them from these;
+they read the table now and then, in case messages were lost.
 """
 
 from collections.abc import Callable, Iterable
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -36,7 +36,7 @@
         sender: str,
         address: str,
         status: calls.TargetStatus,
-        age: float = 0.0,
+        age: float | None = None,
     ) -> list[str]:
         """Records the status that a daemon reports.
 
@@ -44,8 +44,8 @@
             sender: The daemon's incarnation.
             address: The daemon's `ip:port`.
             status: The state of its target.
-            age: Time since a relay heard the status, seconds; 0 if the daemon
-                has sent it to this one.
+            age: Time since a relay heard the status, seconds; None if the
+                daemon itself has sent it to this one.
 
         Returns:
             Incarnations that have ended, since another process has reported
@@ -57,8 +57,8 @@
             if name != sender
         ]
         candidate = self._candidates.get(sender)
-        heard_at = self._timers.now - age
-        if age and self._is_outdated(candidate, others, heard_at):
+        heard_at = self._timers.now - (age or 0.0)
+        if age is not None and self._is_outdated(candidate, others, heard_at):
             return []
         for name in others:
             other = self._candidates.get(name)
--- a/tests/traffic/test_relays.py
+++ b/tests/traffic/test_relays.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tamarackgap.placement import records
-from tamarackgap.traffic import statusrelay
+from tamarackgap.traffic import relays, statusintervals
 
 DATA_CENTRES = ["a", "b", "c", "d", "e"]
 
@@ -27,9 +27,9 @@
     ]
 
 
-def _far_relays(members, index, unreachable=()):
+def _digest_receivers(members, index, unreachable=()):
     member = members[index]
-    return statusrelay.far_relays(
+    return relays.digest_receivers(
         member.peer_address,
         member.data_centre,
         members,
@@ -38,35 +38,35 @@
 
 
 def _relays_by_data_centre(members, unreachable=()):
-    relays = collections.defaultdict(list)
+    found = collections.defaultdict(list)
     for index, member in enumerate(members):
         if member.incarnation in unreachable:
             continue
-        if _far_relays(members, index, unreachable):
-            relays[member.data_centre].append(member.incarnation)
-    return relays
+        if _digest_receivers(members, index, unreachable):
+            found[member.data_centre].append(member.incarnation)
+    return found
 
 
 def test_small_deployments_use_no_relays():
-    assert not statusrelay.is_used(75)
-    assert statusrelay.is_used(195)
+    assert not relays.are_used(75)
+    assert relays.are_used(195)
 
 
 @pytest.mark.parametrize("count", [195, 300])
 def test_each_data_centre_has_two_relays_that_reach_all_others(count):
     members = _members(count)
-    relays = _relays_by_data_centre(members)
-    assert {name: len(found) for name, found in relays.items()} == (
+    by_name = _relays_by_data_centre(members)
+    assert {name: len(found) for name, found in by_name.items()} == (
         dict.fromkeys(DATA_CENTRES, 2)
     )
     reached = collections.defaultdict(set)
     by_address = {member.peer_address: member for member in members}
     for index, member in enumerate(members):
-        for address in _far_relays(members, index):
+        for address in _digest_receivers(members, index):
             reached[member.data_centre].add(by_address[address].data_centre)
             assert (
                 by_address[address].incarnation
-                in relays[by_address[address].data_centre]
+                in by_name[by_address[address].data_centre]
             )
     for name in DATA_CENTRES:
         assert reached[name] == set(DATA_CENTRES) - {name}
@@ -75,9 +75,9 @@
 def test_a_silent_relay_is_replaced():
     members = _members(195)
     first = _relays_by_data_centre(members)["a"][0]
-    relays = _relays_by_data_centre(members, unreachable={first})
-    assert len(relays["a"]) == 2
-    assert first not in relays["a"]
+    by_name = _relays_by_data_centre(members, unreachable={first})
+    assert len(by_name["a"]) == 2
+    assert first not in by_name["a"]
 
 
 @pytest.mark.parametrize(("count", "most_messages"), [(195, 50), (300, 80)])
@@ -85,6 +85,6 @@
     # Without relays each daemon gets a status of each other one in two
     # seconds, and of the near ones each second: 117 and 180 a second.
     near = count / len(DATA_CENTRES)
-    digests = 2 * (len(DATA_CENTRES) - 1) / statusrelay.DIGEST_INTERVAL_S
-    received = near / statusrelay.near_interval(count) + digests
+    digests = 2 * (len(DATA_CENTRES) - 1) / relays.DIGEST_INTERVAL_S
+    received = near / statusintervals.near_interval(count) + digests
     assert received <= most_messages
