Logs tell which target process a grant went to and what its hold still was

The first acknowledgement of a range under a fence is logged with the target's process, releases and abandoned leases with the time that the target may still hold the slots, and the write of an epoch with what is left of the lease in the current and the next epoch. One line for each change, none for each renewal.

--- a/tamarackgap/ownership/epochchange.py
+++ b/tamarackgap/ownership/epochchange.py
@@ -108,7 +108,14 @@
             return None
         self.moving_slots = moving
         self._log_moves(write.moves)
-        self._renewer.own_lease.begin_write()
+        own_lease = self._renewer.own_lease
+        self._outbox.log(
+            "epoch_write",
+            epoch=own_lease.next.epoch,
+            lease_left_ms=_left_ms(own_lease.valid_until(), now),
+            next_left_ms=_left_ms(own_lease.next.valid_until(), now),
+        )
+        own_lease.begin_write()
         return write
 
     def record_release(self, handovers: dict[slots.SlotRange, str]) -> None:
@@ -154,3 +161,8 @@
                     to=destination,
                     reason=reason,
                 )
+
+
+def _left_ms(until: float, now: float) -> int:
+    """Returns the time that is left, 0 if none, milliseconds."""
+    return round(max(0.0, until - now) * 1000)
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -210,6 +210,7 @@
         self._apply_transition(
             self.target.handle_announcement(announcement, self._timers.now)
         )
+        self.slot_grants.target_instance = self.target.instance
         if self.is_serving:
             self.slot_grants.resume()
         response = self._adapter.encode_hold_list(
@@ -335,7 +336,12 @@
         The target must hold no slot any more.
         """
         if self._core.owned:
-            logs.event("keys_abandoned", reason=reason)
+            logs.event(
+                "keys_abandoned",
+                reason=reason,
+                instance=self.target.instance,
+                held_ms=round(self.slot_grants.remaining_hold * 1000),
+            )
             self._core.release_lease(self._timers.now)
         self.slot_grants.reset()
         self._perform_effects()
--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -53,6 +53,7 @@
         superseded: Whether the target has seen a higher fence.
         unanswered: Number of grants under this fence that had no answer.
         confirmed: Whether a grant sent after those was acknowledged.
+        logged_fence: Fence of the latest acknowledgement that was logged.
     """
 
     slot_range: slots.SlotRange
@@ -63,6 +64,7 @@
     superseded: bool = False
     unanswered: int = 0
     confirmed: bool = False
+    logged_fence: int = 0
 
     @property
     def fence(self) -> int:
@@ -108,6 +110,8 @@
         self._stopped = False
         # Whether grants are given only with the answers to heartbeats.
         self.by_heartbeat = False
+        # Id of the target's process as last announced, for the log.
+        self.target_instance = ""
         # Grants that wait until earlier ones have been answered.
         self._grant_queue: collections.deque[Callable[[], None]] = (
             collections.deque()
@@ -120,6 +124,12 @@
         """Number of slot ranges that are granted."""
         return len(self._by_range)
 
+    @property
+    def remaining_hold(self) -> float:
+        """Longest time for which the target may still hold a slot, seconds."""
+        ends = [state.ends_at for state in self._by_slot.values()]
+        return max(0.0, max([*ends, self._releasing_until]) - self._timers.now)
+
     def is_held(self, slot: int, now: float) -> bool:
         """Returns whether the target holds a slot under its current fence."""
         state = self._by_slot.get(slot)
@@ -330,6 +340,14 @@
                 finish(slot_range, result.handover)
 
         def finish(slot_range: slots.SlotRange, handover: str) -> None:
+            logs.event(
+                "slots_released",
+                first=slot_range.first,
+                last=slot_range.last,
+                fence=slot_range.fence,
+                instance=self.target_instance,
+                held_ms=round((latest_end - self._timers.now) * 1000),
+            )
             handovers[slot_range] = handover
             self._pending_releases -= 1
             if len(handovers) == len(ranges):
@@ -473,6 +491,7 @@
                 # before `until`.
                 state.held_until = until
                 state.confirmed = True
+                self._log_acknowledged(state, grant)
                 return
             if self._by_range.get(slot_range) is state:
                 self._record_unanswered(state)
@@ -484,6 +503,23 @@
                 last=slot_range.last,
                 fence=grant.fence,
                 superseded=result.superseded,
+                instance=self.target_instance,
             )
 
         self._send_order(grant, _GRANT_TIMEOUT_S, handle_result)
+
+    def _log_acknowledged(
+        self, state: _RangeState, grant: orders.Grant
+    ) -> None:
+        """Logs the first acknowledgement of a range under a fence."""
+        if state.logged_fence == grant.fence:
+            return
+        state.logged_fence = grant.fence
+        logs.event(
+            "grant_acknowledged",
+            first=state.slot_range.first,
+            last=state.slot_range.last,
+            fence=grant.fence,
+            instance=self.target_instance,
+            hold_ms=round(grant.hold_s * 1000),
+        )
