The fence of an order does not fall back when a joined range is split

Cause: the lower part of an order's fence counts the grants without an answer, kept for each slot. A range that is joined from slots with different counts is granted under the highest of them, which was not recorded for the slots with lower ones. Once the range is split, those were granted under their own lower fence again. The target had seen the higher one and refused; a new process of the target would have taken it, below the fence that the earlier process had.

With the count recorded for all slots of a range, a fence can only rise within one owner.

--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -426,6 +426,9 @@
                     for previous in previous_states
                 )
             self._by_range[slot_range] = state
+            # All slots are granted under the range's fence from now on, and
+            # must not fall below it when the range is split.
+            self._set_unanswered_count(state)
             for slot in range(slot_range.first, slot_range.last + 1):
                 self._by_slot[slot] = state
 
@@ -442,6 +445,9 @@
     def _record_unanswered(self, state: _RangeState) -> None:
         state.confirmed = False
         state.unanswered = min(state.unanswered + 1, FENCE_STEP - 1)
+        self._set_unanswered_count(state)
+
+    def _set_unanswered_count(self, state: _RangeState) -> None:
         slot_range = state.slot_range
         for slot in range(slot_range.first, slot_range.last + 1):
             self._unanswered_counts[slot] = (slot_range.fence, state.unanswered)
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -345,6 +345,22 @@
     assert min(fences) >= last.fence
 
 
+def test_fence_does_not_fall_back_when_a_joined_range_is_split(subject):
+    # The target refused the lower fence for good, and its slots had no holder.
+    timers, core, target, grants = subject
+    core.own(0, 4, 4)
+    grants.renew()
+    target.answer(acknowledged=False)
+    core.own(5, 9, 4)
+    grants.renew()
+    (joined,) = target.answer()
+    core.lose(0, 4)
+    timers.advance(0.5)
+    grants.renew()
+    (split,) = target.answer()
+    assert split.fence >= joined.fence
+
+
 def test_superseded_range_is_not_granted_again(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
