The end of a lease never moves back when the next epoch begins

What callers could see: two targets with the same keys after an owner was lost right after an epoch change. Whether the users' report was this is not known.

Cause: holds are granted to the target until the end of the current epoch's lease. The next epoch was written as soon as a majority of its witnesses granted it at all, also with grants that ended earlier, by up to a lease. A successor waits for the end that the new epoch's witnesses tell, and the target of the lost owner still held the slots.

Ruled out: that renewals of both epochs are sent together; their answers are not received together.

The next epoch is now written once its grants last as long as the lease had been promised when the witnesses were ready, and the lease is not prolonged ahead of them meanwhile. A change whose next grants have expired is cancelled, so the owner goes on serving.

--- a/tamarackgap/ownership/epochchange.py
+++ b/tamarackgap/ownership/epochchange.py
@@ -88,8 +88,9 @@
         awaits_release = self._release is not None and (
             self._release.handovers is None
         )
-        if awaits_release or not self._renewer.own_lease.is_prepared(now):
-            if now >= self._cancel_at:
+        own_lease = self._renewer.own_lease
+        if awaits_release or not own_lease.is_prepared(now):
+            if now >= self._cancel_at or own_lease.has_next_expired(now):
                 self.finish()
             return None
         write = planner.plan_epoch_write(
@@ -108,7 +109,6 @@
             return None
         self.moving_slots = moving
         self._log_moves(write.moves)
-        own_lease = self._renewer.own_lease
         self._outbox.log(
             "epoch_write",
             epoch=own_lease.next.epoch,
--- a/tamarackgap/ownership/lease.py
+++ b/tamarackgap/ownership/lease.py
@@ -146,6 +146,10 @@
     committed, the lease is valid only while the grants of both epochs are. So
     it never outlasts the lease that a successor computes, whichever epoch that
     successor reads from the table.
+
+    The end of the lease never moves back, since the target may hold slots until
+    then. So the next epoch is not written before its grants last as long as the
+    lease has been promised to last.
     """
 
     def __init__(self, grants: EpochGrants) -> None:
@@ -153,6 +157,9 @@
         self._current = grants
         self._next: EpochGrants | None = None
         self._undecided = False
+        # End of the lease when the next epoch could have been written but for
+        # its grants' end; None before that.
+        self._promised_until: float | None = None
 
     @property
     def current(self) -> EpochGrants:
@@ -178,12 +185,21 @@
     def valid_until(self) -> float:
         """Returns the end of the lease on the owner's clock, seconds."""
         until = self._current.valid_until()
-        if self._undecided and self._next is not None:
-            until = min(until, self._next.valid_until())
+        if self._next is None:
+            return until
+        if self._undecided:
+            return min(until, self._next.valid_until())
+        if self._promised_until is not None:
+            # Not prolonged ahead of the next epoch's grants, which could
+            # otherwise never catch up.
+            return min(
+                until, max(self._promised_until, self._next.valid_until())
+            )
         return until
 
     def prepare(self, grants: EpochGrants) -> None:
         """Starts collecting grants of the next epoch."""
+        self.abandon()
         self._next = grants
 
     def is_prepared(self, now: types.Seconds) -> bool:
@@ -191,12 +207,23 @@
 
         A majority of witnesses has to retire the current epoch first. From
         then on a successor can end it only by a write to the table, which
-        conflicts with this one.
+        conflicts with this one. The next epoch's grants have to last at least
+        as long as the lease has been promised to.
         """
         if self._next is None or self._next.valid_until() <= now:
             return False
-        return not self._current.witnesses or self._current.has_majority(
+        if self._current.witnesses and not self._current.has_majority(
             types.WitnessState.RETIRED
+        ):
+            return False
+        if self._promised_until is None:
+            self._promised_until = self._current.valid_until()
+        return self._next.valid_until() >= self._promised_until
+
+    def has_next_expired(self, now: types.Seconds) -> bool:
+        """Returns whether the next epoch was granted, but no longer is."""
+        return self._next is not None and (
+            -math.inf < self._next.valid_until() <= now
         )
 
     def begin_write(self) -> None:
@@ -213,3 +240,4 @@
         """Drops the next epoch, once it can't be committed any more."""
         self._next = None
         self._undecided = False
+        self._promised_until = None
