Targets, their holds and the orders to them on the stepped clock

The simulation checked which daemon serves a slot, and had neither targets nor orders to them. Now each daemon may have a target handler with its real grants, orders and connection pool; only sockets and targets are simulated. After each step no two target processes may hold a slot, and no grant that is carried out may have a fence that another process had.

A restart that is announced at once breaks no rule.

--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -35,6 +35,7 @@
         table_isolated: Whether its reads and writes of the table fail, and
             rows that other daemons send to it are lost.
         busy_slots: Slots with requests in progress, which cannot be moved.
+        is_pinned: Tells of any other slot that it cannot be moved.
         inbox: Encoded messages to be processed in its next step.
         reading: Whether a read of the table is under way.
         next_read_at: Time of its next read, seconds of the simulation.
@@ -55,6 +56,7 @@
         self.writes_lost = False
         self.table_isolated = False
         self.busy_slots = set()
+        self.is_pinned = lambda slot: False
         self.inbox = []
         self.reading = False
         self.next_read_at = 0.0
@@ -62,7 +64,7 @@
         self.core = ownership.Ownership(
             settings,
             random.Random(rng.getrandbits(64)),
-            lambda slot: slot in self.busy_slots,
+            lambda slot: slot in self.busy_slots or self.is_pinned(slot),
             self.clock(start),
         )
         self.core.set_target_state(True)
--- /dev/null
+++ b/tests/traffic/test_grantsafety.py
@@ -0,0 +1,73 @@
+"""Plays faults of targets and their orders on the stepped clock."""
+
+import contextlib
+
+from tests.support import targetsimulation
+
+VICTIM = "seats-1"
+# A target announces itself again within this time, seconds.
+ANNOUNCED_S = targetsimulation.ANNOUNCE_INTERVAL_S + 0.1
+
+
+@contextlib.contextmanager
+def settled_cluster(seed=1, count=5, **settings):
+    with targetsimulation.TargetSimulation(seed, **settings) as cluster:
+        cluster.deploy(count)
+        assert cluster.run(20, cluster.is_settled) is not None
+        assert cluster.slot_count() == targetsimulation.SLOT_COUNT
+        cluster.run(2)
+        yield cluster
+
+
+def broken_rules(cluster, kind):
+    """Returns what was seen of targets that broke a rule."""
+    assert cluster.violations == []
+    return [
+        text for _, found, text in cluster.ledger.violations if found == kind
+    ]
+
+
+def restart_target_unnoticed(cluster):
+    """Starts a target again; its first announcement is lost."""
+    faults = cluster.hosts[VICTIM].faults
+    faults.announcement_loss = 1.0
+    cluster.restart_target(VICTIM)
+    cluster.run(ANNOUNCED_S)
+    faults.announcement_loss = 0.0
+    cluster.run(3)
+
+
+def test_slots_of_a_target_that_announces_its_restart_at_once_are_held_again():
+    with settled_cluster() as cluster:
+        cluster.restart_target(VICTIM)
+        cluster.run(3)
+        assert cluster.is_settled()
+        assert cluster.violations == cluster.ledger.violations == []
+
+
+def test_new_target_process_is_not_granted_slots_under_fence_of_earlier_one():
+    with settled_cluster() as cluster:
+        restart_target_unnoticed(cluster)
+        assert broken_rules(cluster, "fence") == []
+
+
+def test_lease_is_not_released_while_unnoticed_new_process_holds_slots():
+    with settled_cluster() as cluster:
+        restart_target_unnoticed(cluster)
+        assert broken_rules(cluster, "holders") == []
+
+
+def test_process_born_before_earlier_one_by_its_clock_has_a_higher_fence():
+    with settled_cluster() as cluster:
+        cluster.restart_target(VICTIM, clock_step_s=-100.0)
+        cluster.run(3)
+        assert broken_rules(cluster, "fence") == []
+
+
+def test_lease_is_not_released_while_target_that_refuses_connections_holds():
+    with settled_cluster() as cluster:
+        host = cluster.hosts[VICTIM]
+        host.faults.refuses = True
+        host.close_connections()
+        cluster.run(3)
+        assert broken_rules(cluster, "holders") == []
