A lease is not given up while its target may still execute a grant

Cause: a move through the table waits until the latest grant is confirmed. A daemon whose target leaves while the table does not answer released all slots and gave its lease up as soon as the releases were answered, also with grants that were pending or had no answer. In the trace a grant had been sent 63 ms before; the target executed it 0.9 s later, when the successor's target held the slots. Slots of a release that had just been given up were forgotten altogether.

What the target may hold was kept in the state of ranges, which are rebuilt whenever slots change, and asked for in five places in five ways. It is now kept for each slot in one place, traffic/holds.py, until the target has released the slot or its hold has ended; each release waits for grants that may still be executed, and a grant that waits for its connection is not written once its slots are released.

Evidence: the three tests of release_all and the one of waiting grants failed before. test_second_release_covers_slots_of_the_first left a renewal without an answer by clearing it from the list; release_all now has to wait for that one, so the test answers it. Its assertions are unchanged.

--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -14,7 +14,7 @@
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.placement import slots
-from tamarackgap.traffic import orders
+from tamarackgap.traffic import holds, orders
 
 # The target's clock may run slower than this daemon's by this share.
 _CLOCK_DRIFT = 0.02
@@ -24,10 +24,7 @@
 # A grant is renewed when it can be prolonged by this share of the lease.
 _RENEWAL_SHARE = 0.2
 _MIN_HOLD_S = 0.1
-# The fence in an order is the slot's fence times this, plus the number of
-# grants under that fence that had no answer. So the target refuses such a grant
-# if it arrives after a later one, also after the slot has moved.
-FENCE_STEP = 1024
+FENCE_STEP = holds.FENCE_STEP
 # A target accepts few connections, and each order takes one.
 _MAX_PENDING_GRANTS = 2
 # A grant without an answer may still be executed; it is sent again.
@@ -47,30 +44,21 @@
         slot_range: The range.
         requested_until: End of the latest grant that was sent, monotonic
             seconds; -inf makes the next one due at once.
-        ends_at: Latest end of all grants that were sent, answered or not.
-        held_until: End of the latest acknowledged grant.
+        order: The grant that is queued or waits for its answer, or None.
+        order_fence: The fence with which it was written.
         is_pending: Whether a grant is queued or waits for its answer.
         superseded: Whether the target has seen a higher fence.
-        unanswered: Number of grants under this fence that had no answer.
-        confirmed: Whether a grant sent after those was acknowledged.
         logged_fence: Fence of the latest acknowledgement that was logged.
     """
 
     slot_range: slots.SlotRange
     requested_until: float = float("-inf")
-    ends_at: float = float("-inf")
-    held_until: float = float("-inf")
+    order: orders.Grant | None = None
+    order_fence: int = 0
     is_pending: bool = False
     superseded: bool = False
-    unanswered: int = 0
-    confirmed: bool = False
     logged_fence: int = 0
 
-    @property
-    def fence(self) -> int:
-        """The fence that is sent to the target."""
-        return self.slot_range.fence * FENCE_STEP + self.unanswered
-
 
 class SlotGrants:
     """Keeps the local target's grants in line with the slots owned."""
@@ -99,13 +87,9 @@
         self._renewal_step = lease_s * _RENEWAL_SHARE
         self._by_range: dict[slots.SlotRange, _RangeState] = {}
         self._by_slot: dict[int, _RangeState] = {}
-        # Fence of each slot, and the number of grants under it without an
-        # answer.
-        self._unanswered_counts: dict[int, tuple[int, int]] = {}
+        self._ledger = holds.HoldLedger()
         self._version = -1
         self._releasing: frozenset[int] = frozenset()
-        # Latest end of the grants of the slots being released.
-        self._releasing_until = float("-inf")
         self._paused = False
         self._stopped = False
         # Whether grants are given only with the answers to heartbeats.
@@ -127,16 +111,16 @@
     @property
     def remaining_hold(self) -> float:
         """Longest time for which the target may still hold a slot, seconds."""
-        ends = [state.ends_at for state in self._by_slot.values()]
-        return max(0.0, max([*ends, self._releasing_until]) - self._timers.now)
+        return max(0.0, self._ledger.ends_at() - self._timers.now)
 
     def is_held(self, slot: int, now: float) -> bool:
         """Returns whether the target holds a slot under its current fence."""
         state = self._by_slot.get(slot)
         return (
             state is not None
-            and state.held_until > now
+            and not self._stopped
             and slot not in self._releasing
+            and self._ledger.is_held(slot, state.slot_range.fence, now)
         )
 
     def is_confirmed(self, slot: int) -> bool:
@@ -148,10 +132,28 @@
         unanswered one has a higher fence.
         """
         state = self._by_slot.get(slot)
-        return state is not None and state.confirmed and not state.is_pending
+        return (
+            state is not None
+            and not state.is_pending
+            and self._ledger.is_confirmed(slot, state.slot_range.fence)
+        )
+
+    def handle_new_connection(self) -> None:
+        """Records that orders are sent over a connection just established.
+
+        A connection ends with the process that it leads to, so only orders
+        over a connection that is open reach the process that has acknowledged
+        earlier ones. A new process must not take slots under the fence that
+        the earlier one had.
+        """
+        self._ledger.raise_fences()
 
     def clear(self) -> None:
-        """Forgets all grants; the next renewal grants each range again."""
+        """Forgets all grants, since the target holds nothing any more.
+
+        The next renewal grants each range again.
+        """
+        self._ledger.clear()
         self._by_range.clear()
         self._by_slot.clear()
         self._version = -1
@@ -163,8 +165,7 @@
             Seconds until all grants have expired.
         """
         self._paused = True
-        ends = [state.ends_at for state in self._by_range.values()]
-        return max(0.0, max([*ends, self._releasing_until]) - self._timers.now)
+        return self.remaining_hold
 
     def resume(self) -> None:
         """Starts renewals again."""
@@ -178,14 +179,7 @@
             process may have executed them.
         """
         self._stopped = True
-        unconfirmed = [
-            state.ends_at
-            for state in self._by_range.values()
-            if state.is_pending or not state.confirmed
-        ]
-        for state in self._by_range.values():
-            state.held_until = float("-inf")
-        return max(0.0, max(unconfirmed, default=0.0) - self._timers.now)
+        return max(0.0, self._ledger.late_until() - self._timers.now)
 
     def release_all(self, done: Callable[[], None]) -> None:
         """Takes all slots back from the target and stops granting.
@@ -194,8 +188,7 @@
             done: Called when the target no longer holds any of them.
         """
         self._stopped = True
-        owned = frozenset(self._core.owned)
-        self.release(owned, lambda handovers: done())
+        self.release(self._ledger.granted_slots, lambda handovers: done())
 
     def reset(self) -> None:
         """Starts granting again after the lease of the released slots ended."""
@@ -259,20 +252,43 @@
     def with_remaining_hold(
         self, order: orders.Grant | orders.Release
     ) -> orders.Grant | orders.Release | None:
-        """Returns an order with the hold time that is left when it is written.
+        """Returns an order as it is to be written now.
 
-        A connection may take time to open, while the lease comes closer to its
-        end.
+        A connection may take time to open. Meanwhile the lease comes closer to
+        its end, and the slots may be released.
 
         Returns:
-            The order, or None if too little hold time is left.
+            The order, or None if it must not be sent any more.
         """
         if isinstance(order, orders.Release):
             return order
+        state = next(
+            (
+                state
+                for state in self._by_range.values()
+                if state.order is order
+            ),
+            None,
+        )
         hold_s = min(order.hold_s, self._hold_time(order.until))
-        if hold_s < _MIN_HOLD_S:
+        if (
+            state is None
+            or not self._may_grant(state.slot_range)
+            or hold_s < _MIN_HOLD_S
+        ):
             return None
-        return msgspec.structs.replace(order, hold_s=hold_s)
+        state.order_fence = self._ledger.order_fence(state.slot_range)
+        return msgspec.structs.replace(
+            order, fence=state.order_fence, hold_s=hold_s
+        )
+
+    def _may_grant(self, slot_range: slots.SlotRange) -> bool:
+        """Returns whether grants of a range may be sent now."""
+        is_releasing = any(
+            slot in self._releasing
+            for slot in range(slot_range.first, slot_range.last + 1)
+        )
+        return not (self._paused or self._stopped or is_releasing)
 
     @property
     def has_pending_releases(self) -> bool:
@@ -288,39 +304,25 @@
                 of the slots.
         """
         self._releasing = moving
-        held = {
-            slot: slots.SlotAssignment(state.fence)
-            for slot, state in self._by_slot.items()
-            if slot in moving
-        }
-        ranges = list(slots.compress(held))
+        # The other slots of these ranges are still granted.
+        self._version = -1
+        ranges = self._ledger.granted_ranges(moving, self._timers.now)
         if not ranges:
             done({})
             return
-        # A grant whose release is not acknowledged expires on its own when its
-        # hold time ends.
-        latest_end = max(self._by_slot[slot].ends_at for slot in held)
-        self._releasing_until = max(self._releasing_until, latest_end)
-        # The other slots of these ranges are still granted.
-        self._version = -1
         handovers: dict[slots.SlotRange, str] = {}
         self._pending_releases += len(ranges)
         for slot_range in ranges:
             order = orders.Release(
                 *slots.position_range(slot_range, self._slot_count()),
-                slot_range.fence,
-            )
-            released = slots.SlotRange(
-                slot_range.first,
-                slot_range.last,
-                slot_range.fence // FENCE_STEP,
+                self._ledger.order_fence(slot_range),
             )
             # The target answers only when its running calls have ended, so
             # releases don't wait in one queue with the grants.
             self._send_order(
                 order,
                 _RELEASE_TIMEOUT_S,
-                lambda result, slot_range=released: handle_result(
+                lambda result, slot_range=slot_range: handle_result(
                     slot_range, result
                 ),
             )
@@ -328,14 +330,22 @@
         def handle_result(
             slot_range: slots.SlotRange, result: orders.OrderResult
         ) -> None:
-            if not result.acknowledged:
+            released = range(slot_range.first, slot_range.last + 1)
+            if result.acknowledged:
+                # A grant without an answer may be executed after the release.
+                ends_at = self._ledger.late_until(released)
+            else:
+                ends_at = self._ledger.ends_at(released)
                 logs.event(
                     "release_unanswered",
                     first=slot_range.first,
                     last=slot_range.last,
                 )
-                wait = max(0.0, latest_end - self._timers.now)
-                self._timers.after(wait, lambda: finish(slot_range, ""))
+            wait = ends_at - self._timers.now
+            if wait > 0:
+                self._timers.after(
+                    wait, lambda: finish(slot_range, result.handover)
+                )
             else:
                 finish(slot_range, result.handover)
 
@@ -346,7 +356,9 @@
                 last=slot_range.last,
                 fence=slot_range.fence,
                 instance=self.target_instance,
-                held_ms=round((latest_end - self._timers.now) * 1000),
+            )
+            self._ledger.record_released(
+                range(slot_range.first, slot_range.last + 1)
             )
             handovers[slot_range] = handover
             self._pending_releases -= 1
@@ -385,73 +397,33 @@
         }
         previous_by_slot = self._by_slot
         for state in self._by_range.values():
-            if state.is_pending:
+            if state.is_pending and state.requested_until > float("-inf"):
                 # The pending answer is not counted for the new ranges, so the
                 # grant counts as unanswered.
-                self._record_unanswered(state)
+                self._ledger.record_unanswered(state.slot_range)
         self._by_range = {}
-        self._by_slot = {
-            slot: previous_by_slot[slot]
-            for slot in self._releasing
-            if slot in previous_by_slot
-        }
+        self._by_slot = {}
         for slot_range in slots.compress(assignments):
+            state = _RangeState(slot_range)
             previous_states = [
                 previous_by_slot.get(slot)
                 for slot in range(slot_range.first, slot_range.last + 1)
             ]
-            state = _RangeState(
-                slot_range, unanswered=self._unanswered_count(slot_range)
-            )
             if all(
                 previous is not None
                 and previous.slot_range.fence == slot_range.fence
                 for previous in previous_states
             ):
-                state.held_until = min(
-                    previous.held_until for previous in previous_states
-                )
                 state.requested_until = min(
                     previous.requested_until for previous in previous_states
                 )
-                state.ends_at = max(
-                    previous.ends_at for previous in previous_states
-                )
                 state.superseded = any(
                     previous.superseded for previous in previous_states
                 )
-                state.confirmed = all(
-                    previous.confirmed
-                    and previous.unanswered == state.unanswered
-                    for previous in previous_states
-                )
             self._by_range[slot_range] = state
-            # All slots are granted under the range's fence from now on, and
-            # must not fall below it when the range is split.
-            self._set_unanswered_count(state)
             for slot in range(slot_range.first, slot_range.last + 1):
                 self._by_slot[slot] = state
 
-    def _unanswered_count(self, slot_range: slots.SlotRange) -> int:
-        counts = (
-            self._unanswered_counts.get(slot, (0, 0))
-            for slot in range(slot_range.first, slot_range.last + 1)
-        )
-        counts_of_fence = (
-            count for fence, count in counts if fence == slot_range.fence
-        )
-        return max(counts_of_fence, default=0)
-
-    def _record_unanswered(self, state: _RangeState) -> None:
-        state.confirmed = False
-        state.unanswered = min(state.unanswered + 1, FENCE_STEP - 1)
-        self._set_unanswered_count(state)
-
-    def _set_unanswered_count(self, state: _RangeState) -> None:
-        slot_range = state.slot_range
-        for slot in range(slot_range.first, slot_range.last + 1):
-            self._unanswered_counts[slot] = (slot_range.fence, state.unanswered)
-
     def _queue_grant(self, state: _RangeState, until: float) -> None:
         state.is_pending = True
         self._grant_queue.append(lambda: self._send_grant(state, until))
@@ -466,14 +438,8 @@
         # The grant has waited in the queue, so less of the lease is left.
         hold_s = self._hold_time(until)
         slot_range = state.slot_range
-        is_releasing = any(
-            slot in self._releasing
-            for slot in range(slot_range.first, slot_range.last + 1)
-        )
         if (
-            self._paused
-            or self._stopped
-            or is_releasing
+            not self._may_grant(slot_range)
             or self._by_range.get(slot_range) is not state
             or hold_s < _MIN_HOLD_S
         ):
@@ -482,50 +448,56 @@
             self._send_queued()
             return
         state.requested_until = until
-        state.ends_at = max(state.ends_at, until)
+        self._ledger.record_sent(slot_range, until)
         first, last = slots.position_range(slot_range, self._slot_count())
-        grant = orders.Grant(
-            first, last, state.fence, hold_s, slot_range.handover, until
+        state.order_fence = self._ledger.order_fence(slot_range)
+        state.order = orders.Grant(
+            first,
+            last,
+            state.order_fence,
+            hold_s,
+            slot_range.handover,
+            until,
         )
 
         def handle_result(result: orders.OrderResult) -> None:
             state.is_pending = False
+            state.order = None
             self._pending_grants -= 1
             self._send_queued()
             if result.acknowledged:
                 # The hold time counts from the arrival of the grant and ends
                 # before `until`.
-                state.held_until = until
-                state.confirmed = True
-                self._log_acknowledged(state, grant)
+                self._ledger.record_acknowledged(
+                    slot_range, state.order_fence, until
+                )
+                self._log_acknowledged(state, hold_s)
                 return
-            if self._by_range.get(slot_range) is state:
-                self._record_unanswered(state)
             state.requested_until = float("-inf")
             state.superseded = result.superseded
+            if self._by_range.get(slot_range) is state:
+                self._ledger.record_unanswered(slot_range)
             logs.event(
                 "grant_failed",
                 first=slot_range.first,
                 last=slot_range.last,
-                fence=grant.fence,
+                fence=state.order_fence,
                 superseded=result.superseded,
                 instance=self.target_instance,
             )
 
-        self._send_order(grant, _GRANT_TIMEOUT_S, handle_result)
+        self._send_order(state.order, _GRANT_TIMEOUT_S, handle_result)
 
-    def _log_acknowledged(
-        self, state: _RangeState, grant: orders.Grant
-    ) -> None:
+    def _log_acknowledged(self, state: _RangeState, hold_s: float) -> None:
         """Logs the first acknowledgement of a range under a fence."""
-        if state.logged_fence == grant.fence:
+        if state.logged_fence == state.order_fence:
             return
-        state.logged_fence = grant.fence
+        state.logged_fence = state.order_fence
         logs.event(
             "grant_acknowledged",
             first=state.slot_range.first,
             last=state.slot_range.last,
-            fence=grant.fence,
+            fence=state.order_fence,
             instance=self.target_instance,
-            hold_ms=round(grant.hold_s * 1000),
+            hold_ms=round(hold_s * 1000),
         )
--- /dev/null
+++ b/tests/traffic/test_holds.py
@@ -0,0 +1,83 @@
+from tamarackgap.placement import slots
+from tamarackgap.traffic import holds
+
+RANGE = slots.SlotRange(0, 9, 3)
+FENCE = 3 * holds.FENCE_STEP
+
+
+def granted_ledger(until=101.0):
+    ledger = holds.HoldLedger()
+    ledger.record_sent(RANGE, until)
+    ledger.record_acknowledged(RANGE, ledger.order_fence(RANGE), until)
+    return ledger
+
+
+def test_a_slot_is_held_until_the_end_of_its_acknowledged_grant():
+    ledger = holds.HoldLedger()
+    ledger.record_sent(RANGE, 101.0)
+    assert not ledger.is_held(4, 3, 100.0)
+    ledger.record_acknowledged(RANGE, FENCE, 101.0)
+    assert ledger.is_held(4, 3, 100.0)
+    assert not ledger.is_held(4, 3, 101.0)
+    assert not ledger.is_held(4, 4, 100.0)
+    assert not ledger.is_held(10, 3, 100.0)
+
+
+def test_an_unanswered_grant_is_late_until_a_higher_fence_is_answered():
+    ledger = granted_ledger()
+    ledger.record_sent(RANGE, 102.0)
+    assert ledger.late_until() == 102.0
+    ledger.record_unanswered(RANGE)
+    assert ledger.late_until() == 102.0
+    assert not ledger.is_confirmed(4, 3)
+    ledger.record_acknowledged(RANGE, FENCE, 102.5)
+    assert ledger.late_until() == 102.0
+    ledger.record_acknowledged(RANGE, ledger.order_fence(RANGE), 103.0)
+    assert ledger.late_until() < 100.0
+    assert ledger.is_confirmed(4, 3)
+
+
+def test_the_fence_of_each_slot_never_falls_when_ranges_change():
+    ledger = granted_ledger()
+    ledger.record_unanswered(slots.SlotRange(0, 4, 3))
+    joined = ledger.order_fence(RANGE)
+    assert joined == FENCE + 1
+    assert ledger.order_fence(slots.SlotRange(5, 9, 3)) == joined
+
+
+def test_a_new_fence_keeps_the_end_of_earlier_grants():
+    ledger = granted_ledger(until=101.0)
+    assert ledger.order_fence(slots.SlotRange(0, 9, 5)) == 5 * holds.FENCE_STEP
+    assert not ledger.is_confirmed(4, 5)
+    assert ledger.ends_at() == 101.0
+
+
+def test_fences_of_acknowledged_slots_rise_with_a_new_connection():
+    ledger = granted_ledger()
+    other = slots.SlotRange(20, 29, 3)
+    ledger.record_sent(other, 101.0)
+    ledger.raise_fences()
+    assert ledger.order_fence(RANGE) == FENCE + 1
+    assert ledger.order_fence(other) == FENCE
+    assert not ledger.is_confirmed(4, 3)
+
+
+def test_the_last_fence_of_an_owner_confirms_nothing(monkeypatch):
+    monkeypatch.setattr(holds, "_LAST_ATTEMPT", 2)
+    ledger = granted_ledger()
+    ledger.record_sent(RANGE, 102.0)
+    for _ in range(3):
+        ledger.record_unanswered(RANGE)
+    assert ledger.order_fence(RANGE) == FENCE + 2
+    ledger.record_acknowledged(RANGE, FENCE + 2, 103.0)
+    assert not ledger.is_confirmed(4, 3)
+    assert ledger.late_until() == 102.0
+
+
+def test_released_slots_are_held_no_more():
+    ledger = granted_ledger(until=101.0)
+    ledger.record_released(range(0, 5))
+    assert not ledger.is_held(4, 3, 100.0)
+    assert ledger.is_held(5, 3, 100.0)
+    assert ledger.granted_ranges(range(20), 100.0) == [slots.SlotRange(5, 9, 3)]
+    assert ledger.granted_ranges(range(20), 101.0) == []
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -162,10 +162,11 @@
     grants.renew()
     target.answer()
     grants.release(frozenset({8, 9}), lambda handovers: None)
+    target.orders.clear()
     timers.advance(0.3)
     grants.renew()
+    target.answer()
     ended = []
-    target.orders.clear()
     grants.release_all(lambda: ended.append(True))
     assert [(order.first, order.last) for order, _ in target.orders] == [
         (0, 10 * 256 - 1)
@@ -228,6 +229,71 @@
     assert fences == [9 * slotgrants.FENCE_STEP]
 
 
+def test_release_all_waits_for_unanswered_grants(subject):
+    # A target that was leaving executed a grant after its release, while the
+    # successor's target held the slots.
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    target.answer(acknowledged=False)
+    ended = []
+    grants.release_all(lambda: ended.append(True))
+    target.answer()
+    assert not ended
+    timers.advance(1.01)
+    assert ended
+
+
+def test_release_all_waits_for_a_grant_that_is_still_pending(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    ((_, answer_grant),) = target.orders
+    target.orders = []
+    ended = []
+    grants.release_all(lambda: ended.append(True))
+    target.answer()
+    assert not ended
+    answer_grant(orders.OrderResult(False))
+    timers.advance(1.01)
+    assert ended
+
+
+def test_release_all_covers_slots_of_a_release_that_was_given_up(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    grants.release(frozenset({8, 9}), lambda handovers: None)
+    target.answer(acknowledged=False)
+    grants.end_release()
+    ended = []
+    grants.release_all(lambda: ended.append(True))
+    assert [(order.first, order.last) for order, _ in target.orders] == [
+        (0, 10 * 256 - 1)
+    ]
+    target.answer(acknowledged=False)
+    assert not ended
+    timers.advance(1.01)
+    assert ended
+
+
+def test_a_grant_is_not_written_once_its_slots_are_released(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    ((waiting, _),) = target.orders
+    assert grants.with_remaining_hold(waiting) is not None
+    grants.release(frozenset({9}), lambda handovers: None)
+    assert grants.with_remaining_hold(waiting) is None
+
+
 def test_slots_of_next_lease_are_granted_after_release_all(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
