A new process of a target is not granted slots as if it were its predecessor

Cause: a daemon learns of a new process of its target from an announcement or a refused connection. A process that ends and starts between two connections is not noticed until its first announcement, up to an interval later, and gets renewals under the fence that the earlier process had. Once announced, the daemon waited only for grants without an answer: one that the new process had acknowledged let the lease go at once, and the successor's target held the slots beside it. Stepping the time of day back hides the announcements altogether.

A connection ends with the process that it leads to. The fence now rises when the pool of orders has established a new connection, before the order is written, so a process that may be a new one takes slots only above its predecessor. After a restart the new process is ordered to release all slots before the lease is given up; grants without an answer are waited for as before. Where grants go with the answers to announcements, the new process has taken none before its first one.

--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -70,8 +70,17 @@
         self.connection: _Connection | None = None
 
 
+def _do_nothing() -> None:
+    """Is called where nobody is to be told."""
+
+
 class ConnectionPool:
-    """Holds the connections to one address."""
+    """Holds the connections to one address.
+
+    Attributes:
+        on_connected: Called when a new connection is established, before a
+            request is written to it.
+    """
 
     def __init__(
         self,
@@ -98,6 +107,7 @@
         self._unacked_timeout_ms = unacked_timeout_ms
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
+        self.on_connected: Callable[[], None] = _do_nothing
 
     def send(
         self,
@@ -249,8 +259,10 @@
             if not self._writer.handle_writable():
                 self.fail(self._failure_cause())
                 return
-            if not was_connected and self._exchange is not None:
-                self._write()
+            if not was_connected:
+                self._pool.on_connected()
+                if self._exchange is not None:
+                    self._write()
         if self._closed:
             return
         if flags & (sockets.READABLE | sockets.ERROR_OR_HANGUP):
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -108,6 +108,7 @@
             settings.ownership_lease / 1000,
             settings.router_longest_hold / 1000,
         )
+        self._order_pool.on_connected = self.slot_grants.handle_new_connection
         self._heartbeat_orders = heartbeatorders.HeartbeatOrders(
             timers, announce_interval, platform_adapter.max_hold_ranges
         )
@@ -300,24 +301,25 @@
     def _handle_target_restart(self) -> None:
         """Releases the lease, since the target process that held slots is gone.
 
-        Grants that were not acknowledged may have reached the new process,
-        which then serves their slots until the grants expire. The lease is
-        released only after that.
+        The new process may have taken grants that were meant for the earlier
+        one, so it has to release all slots first. Grants without an answer are
+        waited for.
         """
         uncertain_s = self.slot_grants.stop()
         self._call_pool.close()
         self._order_pool.close()
         self._heartbeat_orders.close()
         self._core.is_target_empty = False
-        if not uncertain_s:
-            self._release_lease("target-started-anew")
-            return
-        logs.event("grants_in_doubt", ms=round(uncertain_s * 1000))
-        self._timers.after(
-            uncertain_s,
+        if self.slot_grants.by_heartbeat:
+            # The new process gets its first grants with the answer to its
+            # first announcement.
+            self.slot_grants.clear()
+        elif uncertain_s:
+            logs.event("grants_in_doubt", ms=round(uncertain_s * 1000))
+        self.slot_grants.release_all(
             functools.partial(
                 self._end_grant_uncertainty, self._core.incarnation
-            ),
+            )
         )
 
     def _end_grant_uncertainty(self, incarnation: types.Incarnation) -> None:
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -90,6 +90,20 @@
     ]
 
 
+def test_a_new_connection_is_told_before_its_request_is_built(poller_and_pool):
+    poller, pool = poller_and_pool
+    calls = []
+    pool.on_connected = lambda: calls.append("connected")
+
+    def build():
+        calls.append("built")
+        return b"GET / HTTP/1.1\r\n\r\n"
+
+    pool.send(build, 1.0, lambda outcome: None)
+    _connect(poller)
+    assert calls == ["connected", "built"]
+
+
 def test_request_is_built_at_once_for_idle_connection(poller_and_pool, target):
     poller, pool = poller_and_pool
     outcomes = []
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -396,6 +396,36 @@
     assert grants.is_confirmed(3)
 
 
+def test_a_grant_over_a_new_connection_has_a_higher_fence(subject):
+    # A new process of the target took the slots under its predecessor's fence.
+    timers, core, target, grants = subject
+    core.own(0, 9, 5)
+    grants.renew()
+    (first,) = target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    ((waiting, done),) = target.orders
+    target.orders = []
+    grants.handle_new_connection()
+    assert not grants.is_confirmed(3)
+    written = grants.with_remaining_hold(waiting)
+    assert written.fence > first.fence
+    done(orders.OrderResult(True))
+    assert grants.is_confirmed(3)
+
+
+def test_a_grant_written_before_a_new_connection_confirms_nothing(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 5)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    grants.handle_new_connection()
+    target.answer()
+    assert not grants.is_confirmed(3)
+
+
 def test_fences_do_not_decrease_after_failed_move(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
