Holds that outlast a lease, and grants carried out after a release, have tests

A grant that was written before the release is carried out after it, and the slots of that target are held twice, since the lease goes with the release.

--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from tamarackgap.peers import messages
 from tests.support import targetsimulation
 
 VICTIM = "seats-1"
@@ -71,3 +72,33 @@
         host.close_connections()
         cluster.run(3)
         assert broken_rules(cluster, "holders") == []
+
+
+def test_holds_do_not_outlast_lease_that_ends_earlier_in_the_next_epoch():
+    with settled_cluster(count=4) as cluster:
+        core = cluster.daemons[VICTIM].core
+        cluster.hosts[VICTIM].faults.max_work_s = 0.8
+        cluster.add_daemon("seats-4", "a")
+        assert cluster.run(3, lambda: core.is_releasing_slots) is not None
+        next_epoch = core.epoch + 1
+        cluster.is_lost = lambda message: (
+            isinstance(message, messages.Renew) and message.epoch == next_epoch
+        )
+        assert cluster.run(3, lambda: core.epoch == next_epoch) is not None
+        cluster.kill(VICTIM)
+        cluster.is_lost = lambda message: False
+        cluster.run(3)
+        assert broken_rules(cluster, "holders") == []
+
+
+def test_grant_carried_out_after_release_of_leaving_daemon_makes_no_holder():
+    for seed in range(5):
+        with settled_cluster(seed) as cluster:
+            cluster.table_up = False
+            faults = cluster.hosts[VICTIM].faults
+            faults.late_share = 1.0
+            faults.max_lateness_s = 0.8
+            cluster.daemons[VICTIM].core.drain()
+            cluster.run(3)
+            assert broken_rules(cluster, "holders") == [], seed
+            assert broken_rules(cluster, "fence") == [], seed
