A refused connection does not end a target whose other connections are open

Cause: the daemon took a refused connection for the end of the target's process and gave its lease up at once. A target that has no room for another connection, or that has stopped listening while it ends its work, refuses connections too, and holds its slots until its holds end.

A process's connections end with it, so as long as one is open the refusal is not taken for its end; announcements that stay out end it later, as before.

--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -109,6 +109,11 @@
         self._open: set[_Connection] = set()
         self.on_connected: Callable[[], None] = _do_nothing
 
+    @property
+    def has_established_connection(self) -> bool:
+        """Whether the other side has accepted a connection still open."""
+        return any(connection.established for connection in self._open)
+
     def send(
         self,
         build: RequestBuilder,
@@ -215,6 +220,11 @@
         )
         self._writer = sockets.Writer(pool.poller, sock, False)
 
+    @property
+    def established(self) -> bool:
+        """Whether the other side has accepted the connection."""
+        return self._writer.connected
+
     def send(self, exchange: Exchange) -> None:
         """Sends a request on this idle connection, once it is established."""
         self._exchange = exchange
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -244,6 +244,16 @@
         return hold_list
 
     def _handle_connection_refused(self) -> None:
+        """Notices the end of the target's process.
+
+        The process still runs as long as any of its connections is open: it
+        may only have stopped listening, or have no room for more connections.
+        """
+        if (
+            self._call_pool.has_established_connection
+            or self._order_pool.has_established_connection
+        ):
+            return
         self._apply_transition(self.target.handle_connection_refused())
 
     def _apply_transition(self, transition: localtarget.Transition) -> None:
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -113,7 +113,7 @@
         self._pool = pool
         self._codec = codec
         self._timers = timers
-        self._on_connection_refused = on_connection_refused
+        self.on_connection_refused = on_connection_refused
         self._crash_history = crash_history
         # Runs whose connection broke: fingerprint, begin and end, seconds.
         self._broken_runs: list[tuple[str, float, float]] = []
@@ -412,7 +412,7 @@
         if failure.cause is exchanges.Cause.CLOSED and failure.sent:
             self._record_broken_run(leg)
         if failure.cause is exchanges.Cause.REFUSED:
-            self._on_connection_refused()
+            self.on_connection_refused()
         if not failure.sent:
             # An exchange is cancelled before it is sent if `_encode` finds that
             # its time has run out.
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -104,6 +104,20 @@
     assert calls == ["connected", "built"]
 
 
+def test_a_pool_tells_whether_a_connection_is_established(
+    poller_and_pool, target
+):
+    poller, pool = poller_and_pool
+    pool.send(lambda: b"GET / HTTP/1.1\r\n\r\n", 1.0, lambda outcome: None)
+    assert not pool.has_established_connection
+    _connect(poller)
+    assert pool.has_established_connection
+    target.accept()[0].close()
+    time.sleep(0.05)
+    poller.fire(sockets.READABLE)
+    assert not pool.has_established_connection
+
+
 def test_request_is_built_at_once_for_idle_connection(poller_and_pool, target):
     poller, pool = poller_and_pool
     outcomes = []
--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -65,6 +65,17 @@
         assert broken_rules(cluster, "fence") == []
 
 
+def test_lease_is_not_released_while_target_keeps_connections_open():
+    # A target without room for another connection was taken for an ended one.
+    with settled_cluster() as cluster:
+        cluster.hosts[VICTIM].faults.refuses = True
+        handler = cluster.sidecars[cluster.daemons[VICTIM]].handler
+        handler.runner.on_connection_refused()
+        cluster.run(3)
+        assert broken_rules(cluster, "holders") == []
+        assert handler.is_serving
+
+
 def test_lease_is_not_released_while_target_that_refuses_connections_holds():
     with settled_cluster() as cluster:
         host = cluster.hosts[VICTIM]
