Slots stay with their owner if the destination ends during the release

Cause: an owner chooses its moves, lets the target release the slots, and then writes the move. If the destination's record had been deleted meanwhile, the slots were taken out of the owner's record and put into none, so that no daemon could claim them. A record that was only closed would have got slots that nobody expects there.

The moves are checked again at the write; slots without a destination stay and are granted again.

--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -564,7 +564,13 @@
         return None
     if release is None:
         release = SlotRelease(_plan_own_moves(inputs))
-    moves = release.moves
+    # A destination may have ended while the target released the slots.
+    moves = tuple(
+        move
+        for move in release.moves
+        if (record := inputs.view.lease(move.destination)) is not None
+        and record.is_open
+    )
     if intent.reason == "moves" and not moves:
         return None
     new_record = msgspec.structs.replace(
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -561,6 +561,42 @@
     assert effects.ReleaseSlots(frozenset()) in daemon.core.take_effects()
 
 
+def test_slots_stay_if_their_destination_ends_during_the_release():
+    # The slots were in no record any more, and nobody could claim them.
+    cluster = simulation.Simulation(seed=10, ordered_keys=True)
+    cluster.deploy(3)
+    assert cluster.run(20, cluster.is_balanced) is not None
+    cluster.run(8)
+    slot_count = cluster.slot_count()
+    cluster.targets_release = False
+    joined = cluster.add_daemon("seats-9", "a")
+
+    def releasing():
+        return [
+            daemon
+            for daemon in cluster.daemons.values()
+            if daemon.core.is_releasing_slots
+        ]
+
+    assert cluster.run(10, releasing) is not None
+    owner = releasing()[0]
+    destination = joined.core.incarnation
+    cluster.restart("seats-9")
+
+    def is_gone():
+        record = owner.core.view.lease(destination)
+        return record is None or not record.is_open
+
+    assert cluster.run(3, is_gone) is not None
+    assert owner.core.is_releasing_slots
+    cluster.targets_release = True
+    owner.core.record_release({})
+    cluster.run(5)
+    assert sum(cluster.slot_counts().values()) == slot_count
+    assert cluster.all_slots_served()
+    assert cluster.violations == []
+
+
 def test_pinned_slots_are_not_moved():
     cluster = simulation.Simulation(seed=9, ordered_keys=True)
     cluster.deploy(4)
