A lost target's lease is kept until its announcements have stopped too

The daemon gave its lease up at once; the target held its slots for up to a lease more.

A target that runs announces itself at intervals over connections of its own. After a refusal the lease is now kept for one and a quarter intervals, or until the holds have ended, and given up only if the target has not announced itself. Nothing is granted meanwhile. A new process that announces itself ends the wait at once. Each absence is waited for on its own, so an earlier wait does not end a later absence.

What stays: a target whose announcements are lost as well.

--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -31,6 +31,9 @@
 # Slots that have not moved through the table this long after the target or
 # the process began to leave go to their successors without a handover.
 _MOVE_TIMEOUT_S = 0.8
+# A target whose connections are refused is regarded as ended if it has not
+# announced itself for this many announce intervals.
+_ANNOUNCED_INTERVALS = 1.25
 _IDLE_TIMEOUT_S = 7.0
 _UNACKED_TIMEOUT_MS = 3000
 _STATUS_BAD_REQUEST = 400
@@ -86,7 +89,9 @@
         self._calls_stopped = False
         # When the slots still owned are released without the table, seconds.
         self._release_at = 0.0
-        announce_interval = settings.router_announce_interval / 1000
+        # Number of times that the target was lost or silent.
+        self._absences = 0
+        self._announce_interval = settings.router_announce_interval / 1000
 
         def create_pool() -> httppool.ConnectionPool:
             return httppool.ConnectionPool(
@@ -110,7 +115,7 @@
         )
         self._order_pool.on_connected = self.slot_grants.handle_new_connection
         self._heartbeat_orders = heartbeatorders.HeartbeatOrders(
-            timers, announce_interval, platform_adapter.max_hold_ranges
+            timers, self._announce_interval, platform_adapter.max_hold_ranges
         )
         self.runner = runner.Runner(
             self._service,
@@ -126,7 +131,7 @@
             self.slot_grants, core.record_release
         )
         self.target = localtarget.LocalTarget(
-            self._service, announce_interval, timers.now
+            self._service, self._announce_interval, timers.now
         )
 
     @property
@@ -279,13 +284,17 @@
                 self.runner.drain()
             case localtarget.Transition.LOST:
                 self.runner.detach()
-                self._release_lease("target-gone")
+                # A target that still runs announces itself by then.
+                announced_s = self._announce_interval * _ANNOUNCED_INTERVALS
+                self._release_lease_later(
+                    min(self.slot_grants.pause(), announced_s), "target-gone"
+                )
             case localtarget.Transition.SILENT:
                 self.runner.detach()
                 # The target may still run, and serve its slots until its
                 # holds expire.
-                self._timers.after(
-                    self.slot_grants.pause(), self._release_lease_if_absent
+                self._release_lease_later(
+                    self.slot_grants.pause(), "target-silent"
                 )
         self.on_status_changed()
 
@@ -338,9 +347,25 @@
         else:
             self.slot_grants.reset()
 
-    def _release_lease_if_absent(self) -> None:
-        if self.target.phase is localtarget.Phase.ABSENT:
-            self._release_lease("target-silent")
+    def _release_lease_later(self, wait: float, reason: str) -> None:
+        """Releases the lease after a time, unless the target returns.
+
+        Args:
+            wait: Time to wait, seconds.
+            reason: The cause, for the log.
+        """
+        self._absences += 1
+        absence = self._absences
+
+        def release_if_absent() -> None:
+            is_same = absence == self._absences
+            if is_same and self.target.phase is localtarget.Phase.ABSENT:
+                self._release_lease(reason)
+
+        if wait:
+            self._timers.after(wait, release_if_absent)
+        else:
+            release_if_absent()
 
     def _release_lease(self, reason: str) -> None:
         """Releases the lease, so that successors take over at once.
