--- /dev/null
+++ b/tamarackgap/network/answerparser.py
@@ -0,0 +1,78 @@
+"""Parses the answers that are received on a connection."""
+
+from collections.abc import Callable
+
+import httptools
+
+Headers = list[tuple[bytes, bytes]]
+
+# Called with the status, headers and body of each complete answer.
+AnswerCallback = Callable[[int, Headers, bytes], None]
+
+
+class AnswerParser:
+    """Parses the answers of one connection, one after another."""
+
+    def __init__(self, on_answer: AnswerCallback) -> None:
+        """Creates a parser that has received nothing.
+
+        Args:
+            on_answer: Called with each complete answer: its status, its headers
+                with names in lower case and in the order received, its body.
+        """
+        self._on_answer = on_answer
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._has_framing = False
+        self._is_receiving = False
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether an answer has begun and is not complete."""
+        return self._is_receiving
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether the last answer leaves the connection open."""
+        return self._parser.should_keep_alive()
+
+    def feed(self, data: bytes) -> bool:
+        """Parses received bytes; returns False if they are no answer."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return False
+        return True
+
+    def end(self) -> None:
+        """Completes an answer whose body ends with the connection."""
+        if not self._has_framing and self._headers:
+            self.on_message_complete()
+
+    # Callbacks of the HTTP parser.
+
+    def on_message_begin(self) -> None:
+        """Starts an answer."""
+        self._is_receiving = True
+        self._headers = []
+        self._body = []
+        self._has_framing = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header field."""
+        name = name.lower()
+        if name in (b"content-length", b"transfer-encoding"):
+            self._has_framing = True
+        self._headers.append((name, value))
+
+    def on_body(self, body: bytes) -> None:
+        """Adds a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Passes on the answer."""
+        self._is_receiving = False
+        self._on_answer(
+            self._parser.get_status_code(), self._headers, b"".join(self._body)
+        )
--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -6,14 +6,11 @@
 import socket
 from collections.abc import Callable
 
-import httptools
 import msgspec
 from returns import result
 
 from tamarackgap import logs
-from tamarackgap.network import exchanges, scheduler, sockets
-
-Headers = list[tuple[bytes, bytes]]
+from tamarackgap.network import answerparser, exchanges, scheduler, sockets
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -26,7 +23,7 @@
     """
 
     status: int
-    headers: Headers
+    headers: answerparser.Headers
     body: bytes
 
     def header(self, name: bytes) -> bytes | None:
@@ -190,10 +187,7 @@
         self._closed = False
         self._must_close = False
         self._received = False
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._has_framing = False
+        self._parser = answerparser.AnswerParser(self._accept_answer)
         # An exchange and its accepted answer, until the bytes received with
         # the answer have been parsed.
         self._accepted: tuple[Exchange, Answer] | None = None
@@ -220,27 +214,6 @@
         elif not self._writer.write(data):
             self.fail(exchanges.Cause.CLOSED)
 
-    # Callbacks of the HTTP parser.
-
-    def on_message_begin(self) -> None:
-        if self._exchange is None:
-            self._must_close = True
-        self._headers = []
-        self._body = []
-        self._has_framing = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
-        if name in (b"content-length", b"transfer-encoding"):
-            self._has_framing = True
-        self._headers.append((name, value))
-
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        self._accept_answer()
-
     # Events of the socket.
 
     def _on_ready(self, flags: int) -> None:
@@ -287,9 +260,7 @@
 
     def _feed(self, data: bytes) -> None:
         self._received = True
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        if not self._parser.feed(data):
             self._must_close = True
             if self._exchange is not None:
                 self.fail(exchanges.Cause.MALFORMED)
@@ -297,33 +268,32 @@
         self._complete()
 
     def _handle_eof(self) -> None:
-        if self._received and not self._has_framing and self._headers:
-            # Without framing headers, the body ends with the connection.
-            self._must_close = True
-            self._accept_answer()
-            if self._exchange is None:
-                self._complete()
-                return
+        self._must_close = True
+        if self._received:
+            self._parser.end()
+        if self._exchange is None:
+            self._complete()
+            return
         self.fail(
             exchanges.Cause.TRUNCATED
             if self._received
             else exchanges.Cause.CLOSED
         )
 
-    def _accept_answer(self) -> None:
+    def _accept_answer(
+        self, status: int, headers: answerparser.Headers, body: bytes
+    ) -> None:
         """Accepts a complete answer if it is the one to the current request."""
         exchange = self._exchange
         if exchange is None:
             self._must_close = True
             return
-        answer = Answer(
-            self._parser.get_status_code(), self._headers, b"".join(self._body)
-        )
+        answer = Answer(status, headers, body)
         if not exchange.is_answer(answer):
             logs.event("late_answer_skipped", address=self._pool.address)
             self._must_close = True
             return
-        if self._writer.unsent or not self._parser.should_keep_alive():
+        if self._writer.unsent or not self._parser.keeps_connection:
             self._must_close = True
         self._exchange = None
         self.reusable_until = self._pool.timers.now + self._idle_timeout_s(
@@ -348,7 +318,7 @@
         """Keeps or closes the connection, and reports an accepted answer."""
         if self._exchange is not None:
             return
-        if self._must_close:
+        if self._must_close or self._parser.is_receiving:
             self.close()
         elif not self._closed:
             self._pool.add_idle(self)
