An answer that ends in its head is not complete

Callers got a 200 with an empty body, framed as whole, for a request whose server had stopped in the middle of its answer's head and closed.

Cause: a connection that closed while an answer without length was received completed it as soon as one header had been parsed, whether the head had ended or not. A cut head with a refusal's headers counted as a refusal.

Evidence: test_an_answer_that_ends_in_its_head_is_not_complete (four cut heads) and the end-to-end case cut-head of test_a_request_that_may_have_run_is_not_repeated failed before (200 instead of 502), and pass now. The other ways to break off were tried and did not fail before: a short body, chunks cut before or within the last one, an unknown coding, only an interim answer, another request's answer, a reset, contradictory lengths.

Fix: the end of a connection completes an answer only after the empty line that ends its head; anything else is a truncated answer, after which the request may have run.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -47,8 +47,9 @@
         grant_count: Number of grants received, including refused ones.
         fault: Fault to inject: `full` refuses requests; `misdirect-once`
             refuses the next one as if its key had just moved; `cut` closes the
-            connection, `error` answers 500 and `unsigned` answers without a
-            signature, each after the execution. Empty for no fault.
+            connection, `cut-head` closes it within the head of the answer,
+            `error` answers 500 and `unsigned` answers without a signature,
+            each after the execution. Empty for no fault.
         on_run_started: Called with this server, the request's id and its shard
             key before each execution.
         crash_path: A request for a path with this prefix ends the server;
@@ -339,6 +340,7 @@
             status,
             json.dumps(answer).encode("utf-8"),
             {**id_header, "X-Tamarackgap-Response-Signature": "signed"},
+            ends_in_head=self.fault == "cut-head",
         )
 
 
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -38,12 +38,15 @@
         headers: Further headers; `_` in a name is sent as `-`.
         length: Content-Length to send if it is to differ from the body's, as
             a fault.
+        ends_in_head: Whether the connection is closed before the head is
+            complete, as a fault.
     """
 
     status: int | None
     body: bytes = b""
     headers: dict[str, str] = {}
     length: int | None = None
+    ends_in_head: bool = False
 
 
 def json_response(value: object, status: int = 200, **headers: str) -> Response:
@@ -100,6 +103,11 @@
                 else response.length
             )
             self.send_header("Content-Type", "application/json")
+            if response.ends_in_head:
+                self.flush_headers()
+                self.wfile.flush()
+                self.close_connection = True
+                return
             self.send_header("Content-Length", str(length))
             self.end_headers()
             self.wfile.write(response.body)
--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -25,6 +25,7 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._has_framing = False
+        self._is_head_complete = False
         self._is_receiving = False
 
     @property
@@ -47,7 +48,11 @@
 
     def end(self) -> None:
         """Completes an answer whose body ends with the connection."""
-        if not self._has_framing and self._headers:
+        if (
+            self._is_receiving
+            and self._is_head_complete
+            and not self._has_framing
+        ):
             self.on_message_complete()
 
     # Callbacks of the HTTP parser.
@@ -58,6 +63,7 @@
         self._headers = []
         self._body = []
         self._has_framing = False
+        self._is_head_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
@@ -66,6 +72,10 @@
             self._has_framing = True
         self._headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        """Ends the head."""
+        self._is_head_complete = True
+
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
         self._body.append(body)
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -1,4 +1,5 @@
 import socket
+import struct
 import time
 
 import pytest
@@ -104,3 +105,139 @@
         assert len(outcomes) == 1
         pool.send(lambda: b"GET /2 HTTP/1.1\r\n\r\n", 1.0, outcomes.append)
         assert accepted.recv(100).startswith(b"GET /2")
+
+
+class Exchanges:
+    """Sends requests over a pool, to a target whose bytes the test writes."""
+
+    def __init__(self, poller, pool, target):
+        self._poller = poller
+        self._pool = pool
+        self._target = target
+        self.outcomes = []
+        self.accepted = None
+
+    def send(self, request_id, **options):
+        self._pool.send(
+            lambda: b"GET / HTTP/1.1\r\nx-id: %b\r\n\r\n" % request_id,
+            1.0,
+            self.outcomes.append,
+            lambda answer: answer.header(b"x-id") == request_id,
+            **options,
+        )
+
+    def connect(self):
+        _connect(self._poller)
+        self.accepted, _ = self._target.accept()
+
+    def receive(self, data):
+        """Lets the pool read bytes of the target."""
+        self.accepted.sendall(data)
+        self._fire()
+
+    def end(self, reset=False):
+        """Closes the target's side of the connection."""
+        self.accepted.recv(1000)
+        if reset:
+            no_linger = struct.pack("ii", 1, 0)
+            self.accepted.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+            )
+        self.accepted.close()
+        self._fire()
+
+    def _fire(self):
+        time.sleep(0.02)
+        self._poller.fire(sockets.READABLE)
+
+    @property
+    def statuses(self):
+        """Status of each answer; the cause of each failure."""
+        return [
+            outcome.unwrap().status
+            if isinstance(outcome, result.Success)
+            else outcome.failure().cause
+            for outcome in self.outcomes
+        ]
+
+
+@pytest.fixture
+def sender(poller_and_pool, target):
+    exchanges_of_pool = Exchanges(*poller_and_pool, target)
+    yield exchanges_of_pool
+    if exchanges_of_pool.accepted is not None:
+        exchanges_of_pool.accepted.close()
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"HTTP/1.1 200 OK\r\nx-id: a\r\nx-signature: s\r\n",
+        b"HTTP/1.1 200 OK\r\nx-id: a\r\nx-signature: s\r\n\r",
+        b"HTTP/1.1 503 Busy\r\nx-id: a\r\nx-not-run: 1\r\nretry",
+        b"HTTP/1.1 200 OK\r\nx-id: a\r\nx-signature: s\r\ncontent-leng",
+    ],
+)
+def test_an_answer_that_ends_in_its_head_is_not_complete(sender, part):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(part)
+    sender.end()
+    assert sender.outcomes == [
+        result.Failure(exchanges.Failure(exchanges.Cause.TRUNCATED, sent=True))
+    ]
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 5\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n",
+        b"HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n0\r\n",
+        b"HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: gzip\r\n\r\nabc",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nx-id: b\r\ncontent-length: 0\r\n\r\n",
+    ],
+)
+def test_an_answer_that_ends_before_its_framing_is_not_complete(sender, part):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(part)
+    sender.end()
+    assert [type(outcome) for outcome in sender.outcomes] == [result.Failure]
+
+
+@pytest.mark.parametrize(
+    ("reset", "outcome"), [(False, 200), (True, exchanges.Cause.TRUNCATED)]
+)
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_an_answer_without_length_is_complete_unless_reset(
+    sender, version, reset, outcome
+):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(b"HTTP/%b 200 OK\r\nx-id: a\r\n\r\nab" % version)
+    sender.receive(b"c")
+    assert sender.outcomes == []
+    sender.end(reset)
+    assert sender.statuses == [outcome]
+    if not reset:
+        assert sender.outcomes[0].unwrap().body == b"abc"
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"content-length: 1\r\ncontent-length: 3\r\n",
+        b"content-length: 1, 3\r\n",
+        b"content-length: -1\r\n",
+        b"content-length: 1\r\ntransfer-encoding: chunked\r\n",
+    ],
+)
+def test_an_answer_with_contradictory_lengths_is_malformed(sender, framing):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(b"HTTP/1.1 200 OK\r\nx-id: a\r\n%b\r\nabc" % framing)
+    assert sender.statuses == [exchanges.Cause.MALFORMED]
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -186,7 +186,7 @@
     assert answers.count(200) >= 9
 
 
-@pytest.mark.parametrize("fault", ["cut", "unsigned"])
+@pytest.mark.parametrize("fault", ["cut", "cut-head", "unsigned"])
 def test_a_request_that_may_have_run_is_not_repeated(cluster, fault):
     for vm in cluster.vms[:2]:
         vm.server.fault = fault
