Trailers of an answer are not taken for its headers

A refusal's or a signature's header behind the last chunk counted as if it stood in the head, so a request that had run could be reported as not run.

Cause: the HTTP parser reports trailers as headers, and all were kept. Evidence: test_trailers_are_not_taken_for_headers failed before. No run shows that a server sends such trailers. Fix: headers are kept only until the head is complete.

--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -66,7 +66,9 @@
         self._is_head_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header field."""
+        """Adds a header field; those of a trailer are ignored."""
+        if self._is_head_complete:
+            return
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
             self._has_framing = True
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -241,3 +241,13 @@
     sender.connect()
     sender.receive(b"HTTP/1.1 200 OK\r\nx-id: a\r\n%b\r\nabc" % framing)
     assert sender.statuses == [exchanges.Cause.MALFORMED]
+
+
+def test_trailers_are_not_taken_for_headers(sender):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(
+        b"HTTP/1.1 503 Busy\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"0\r\nx-not-run: 1\r\n\r\n"
+    )
+    assert sender.outcomes[0].unwrap().header(b"x-not-run") is None
