An interim answer is not the answer

A server that sent 100 or 103 first, with the request's id or without one, had its real answer dropped: the interim one was taken as the answer, and the request counted as one that may have run; one with a refusal's header counted as not run while the server ran it.

Cause: the HTTP parser reports an interim answer as a message of its own. Evidence: test_an_interim_answer_is_not_the_answer and test_a_switch_of_protocol_is_malformed failed before. Fix: answers below 200 are dropped; the connection waits for the final one.

--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -6,7 +6,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-# Called with the status, headers and body of each complete answer.
+_FIRST_FINAL_STATUS = 200
+
+# Called with the status, headers and body of each complete final answer.
 AnswerCallback = Callable[[int, Headers, bytes], None]
 
 
@@ -83,8 +85,8 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Passes on the answer."""
+        """Passes on the answer, unless it is an interim one."""
         self._is_receiving = False
-        self._on_answer(
-            self._parser.get_status_code(), self._headers, b"".join(self._body)
-        )
+        status = self._parser.get_status_code()
+        if status >= _FIRST_FINAL_STATUS:
+            self._on_answer(status, self._headers, b"".join(self._body))
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -251,3 +251,23 @@
         b"0\r\nx-not-run: 1\r\n\r\n"
     )
     assert sender.outcomes[0].unwrap().header(b"x-not-run") is None
+
+
+@pytest.mark.parametrize("interim", [b"100 Continue", b"103 Early Hints"])
+def test_an_interim_answer_is_not_the_answer(sender, interim):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(b"HTTP/1.1 %b\r\nx-id: a\r\nx-not-run: 1\r\n\r\n" % interim)
+    assert sender.outcomes == []
+    sender.receive(b"HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 0\r\n\r\n")
+    assert sender.statuses == [200]
+
+
+def test_a_switch_of_protocol_is_malformed(sender):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(
+        b"HTTP/1.1 101 Switching\r\nx-id: a\r\nconnection: upgrade\r\n"
+        b"upgrade: x\r\n\r\n"
+    )
+    assert sender.statuses == [exchanges.Cause.MALFORMED]
