Answers without end are given up instead of kept in memory

A server in trouble that sent bytes without end, in a head, a body, chunks or trailers, filled the daemon's memory until the request's timeout: the pool kept all that it received. At the end the process is killed, with all its requests.

Cause: only the product's own client bounded an answer's size. Fix: an answer of a target may have requests.answer bytes, as with the product's own interface, with at most 64 KiB of head.

--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -7,6 +7,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 _FIRST_FINAL_STATUS = 200
+_MAX_HEAD_BYTES = 65_536
 
 # Called with the status, headers and body of each complete final answer.
 AnswerCallback = Callable[[int, Headers, bytes], None]
@@ -15,13 +16,15 @@
 class AnswerParser:
     """Parses the answers of one connection, one after another."""
 
-    def __init__(self, on_answer: AnswerCallback) -> None:
+    def __init__(self, max_bytes: int, on_answer: AnswerCallback) -> None:
         """Creates a parser that has received nothing.
 
         Args:
+            max_bytes: Largest size of an answer with its head.
             on_answer: Called with each complete answer: its status, its headers
                 with names in lower case and in the order received, its body.
         """
+        self._max_bytes = max_bytes
         self._on_answer = on_answer
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
@@ -29,12 +32,21 @@
         self._has_framing = False
         self._is_head_complete = False
         self._is_receiving = False
+        # Bytes of the answer being received, with those read together with its
+        # begin.
+        self._received_bytes = 0
 
     @property
     def is_receiving(self) -> bool:
         """Whether an answer has begun and is not complete."""
         return self._is_receiving
 
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the answer being received exceeds the limits."""
+        limit = self._max_bytes if self._is_head_complete else _MAX_HEAD_BYTES
+        return self._received_bytes > limit
+
     @property
     def keeps_connection(self) -> bool:
         """Whether the last answer leaves the connection open."""
@@ -46,6 +58,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
+        self._received_bytes += len(data)
         return True
 
     def end(self) -> None:
@@ -66,6 +79,7 @@
         self._body = []
         self._has_framing = False
         self._is_head_complete = False
+        self._received_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field; those of a trailer are ignored."""
--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -77,6 +77,7 @@
         address: str,
         idle_timeout_s: float,
         unacked_timeout_ms: int,
+        max_answer_bytes: int,
     ) -> None:
         """Creates a pool without connections.
 
@@ -87,11 +88,13 @@
             idle_timeout_s: Longest idle time of a connection that is reused.
             unacked_timeout_ms: Time after which a connection is closed if
                 sent bytes are not acknowledged (TCP_USER_TIMEOUT).
+            max_answer_bytes: Largest size of an answer with its head.
         """
         self.poller = poller
         self.timers = timers
         self.address = address
         self.idle_timeout_s = idle_timeout_s
+        self.max_answer_bytes = max_answer_bytes
         self._unacked_timeout_ms = unacked_timeout_ms
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
@@ -187,7 +190,9 @@
         self._closed = False
         self._must_close = False
         self._received = False
-        self._parser = answerparser.AnswerParser(self._accept_answer)
+        self._parser = answerparser.AnswerParser(
+            pool.max_answer_bytes, self._accept_answer
+        )
         # An exchange and its accepted answer, until the bytes received with
         # the answer have been parsed.
         self._accepted: tuple[Exchange, Answer] | None = None
@@ -265,6 +270,9 @@
             if self._exchange is not None:
                 self.fail(exchanges.Cause.MALFORMED)
                 return
+        if self._exchange is not None and self._parser.is_too_large:
+            self.fail(exchanges.Cause.TOO_LARGE)
+            return
         self._complete()
 
     def _handle_eof(self) -> None:
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -22,6 +22,8 @@
 _IDLE_TIMEOUT_S = 20.0
 _UNACKED_TIMEOUT_MS = 2500
 _CALL_TIMEOUT_S = 2.0
+# A page of rows has up to 1 MB; one of changes has no stated limit.
+_MAX_ANSWER_BYTES = 16_777_216
 _STATUS_OK = 200
 _STATUS_CONDITION_FAILED = 412
 
@@ -71,7 +73,12 @@
         self._timers = timers
         self._address = address
         self._pool = httppool.ConnectionPool(
-            poller, timers, address, _IDLE_TIMEOUT_S, _UNACKED_TIMEOUT_MS
+            poller,
+            timers,
+            address,
+            _IDLE_TIMEOUT_S,
+            _UNACKED_TIMEOUT_MS,
+            _MAX_ANSWER_BYTES,
         )
         self._call_counts: dict[str, int] = {}
         self._own_watch: tablewatch.TableWatch | None = None
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -33,6 +33,7 @@
 _MOVE_TIMEOUT_S = 0.8
 _IDLE_TIMEOUT_S = 7.0
 _UNACKED_TIMEOUT_MS = 3000
+_MAX_ORDER_ANSWER_BYTES = 65_536
 _STATUS_BAD_REQUEST = 400
 
 
@@ -88,19 +89,20 @@
         self._release_at = 0.0
         announce_interval = settings.router_announce_interval / 1000
 
-        def create_pool() -> httppool.ConnectionPool:
+        def create_pool(max_answer_bytes: int) -> httppool.ConnectionPool:
             return httppool.ConnectionPool(
                 poller,
                 timers,
                 settings.router_target_address,
                 _IDLE_TIMEOUT_S,
                 _UNACKED_TIMEOUT_MS,
+                max_answer_bytes,
             )
 
-        self._call_pool = create_pool()
+        self._call_pool = create_pool(settings.requests_answer)
         # Orders have a pool of their own, so that they don't wait for calls.
         # They need few of the target's connections.
-        self._order_pool = create_pool()
+        self._order_pool = create_pool(_MAX_ORDER_ANSWER_BYTES)
         self.slot_grants = slotgrants.SlotGrants(
             core,
             self._send_order,
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -525,6 +525,7 @@
     exchanges.Cause.TIMEOUT: types.Reason.NO_ANSWER,
     exchanges.Cause.TRUNCATED: types.Reason.ANSWER_TRUNCATED,
     exchanges.Cause.MALFORMED: types.Reason.TARGET_FAILED,
+    exchanges.Cause.TOO_LARGE: types.Reason.ANSWER_TOO_LARGE,
     exchanges.Cause.CANCELLED: types.Reason.NO_ANSWER,
 }
 
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -7,6 +7,8 @@
 
 from tamarackgap.network import exchanges, httppool, sockets
 
+MAX_ANSWER_BYTES = 100_000
+
 
 class Poller:
     """A poller whose callbacks are called by the test."""
@@ -51,7 +53,7 @@
     poller = Poller()
     host, port = target.getsockname()
     pool = httppool.ConnectionPool(
-        poller, Timers(), f"{host}:{port}", 5.0, 3000
+        poller, Timers(), f"{host}:{port}", 5.0, 3000, MAX_ANSWER_BYTES
     )
     yield poller, pool
     pool.close()
@@ -129,6 +131,7 @@
     def connect(self):
         _connect(self._poller)
         self.accepted, _ = self._target.accept()
+        self.accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def receive(self, data):
         """Lets the pool read bytes of the target."""
@@ -271,3 +274,49 @@
         b"upgrade: x\r\n\r\n"
     )
     assert sender.statuses == [exchanges.Cause.MALFORMED]
+
+
+@pytest.mark.parametrize(
+    ("begin", "endless"),
+    [
+        (b"", b"\r\n"),
+        (b"HTTP/1.1 200 ", b"O"),
+        (b"HTTP/1.1 200 OK\r\nx-id: ", b"a"),
+        (b"HTTP/1.1 200 OK\r\n", b"x-a: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n", b"a"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n", b"a"),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            b"1\r\na\r\n",
+        ),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", b"a"),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            b"x-a: b\r\n",
+        ),
+    ],
+)
+def test_bytes_without_end_are_given_up(sender, begin, endless):
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(begin)
+    block = endless * (4096 // len(endless))
+    for _ in range(2 * MAX_ANSWER_BYTES // len(block)):
+        if not sender.outcomes:
+            sender.receive(block)
+    assert sender.statuses == [exchanges.Cause.TOO_LARGE]
+
+
+def test_answers_up_to_the_limit_are_accepted_one_after_another(sender):
+    body = b"a" * (MAX_ANSWER_BYTES - 1000)
+    for count in (1, 2, 3):
+        sender.send(b"a")
+        if sender.accepted is None:
+            sender.connect()
+        sender.receive(
+            b"HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: %d\r\n\r\n"
+            % len(body)
+        )
+        for start in range(0, len(body), 4096):
+            sender.receive(body[start : start + 4096])
+        assert sender.statuses == [200] * count
--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -206,3 +206,11 @@
             subject.runner.sample_utilisation()
         samples.append(subject.runner.utilisation)
     assert samples[0] == pytest.approx(samples[1])
+
+
+@pytest.mark.parametrize("cause", exchanges.Cause)
+def test_a_call_without_usable_answer_may_have_run(cause):
+    subject = ControlledTargetHarness()
+    subject.call("/runs")
+    subject.sent[0](result.Failure(exchanges.Failure(cause, True)))
+    assert subject.completions[0].verdict is types.Verdict.MAY_HAVE_RUN
