A refusal without the request's id is not believed

Callers were told that a request had not run, which its server was running, or it was sent to a second server and ran there too, after a server had written an earlier refusal once more on a kept connection, without an id.

Cause: an answer without an id was taken as the answer to whatever request the connection carried, successes too. Evidence: test_only_an_answer_with_the_id_of_a_request_is_its_own and the end-to-end test_a_surplus_refusal_does_not_send_a_request_to_a_second_server failed before.

Fix: an answer belongs to a request only if it has its id; others are skipped, and the connection is closed after the request's own answer. On a connection that has answered nothing before there is no earlier answer to copy, so one without the id is spoilt: the connection is closed at once and the request may have run, and so after the fourth answer to no request on any connection.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -15,6 +15,10 @@
 _MAX_ANSWER_BYTES = 4096
 # Interval while keys are being released.
 _RELEASING_INTERVAL_S = 0.05
+_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Tamarackgap-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 
 
 class _Hold(msgspec.Struct):
@@ -48,8 +52,9 @@
         fault: Fault to inject: `full` refuses requests; `misdirect-once`
             refuses the next one as if its key had just moved; `cut` closes the
             connection, `cut-head` closes it within the head of the answer,
-            `error` answers 500 and `unsigned` answers without a signature,
-            each after the execution. Empty for no fault.
+            `error` answers 500, `unsigned` answers without a signature and
+            `refusal-again` sends a refusal without an id first, each after the
+            execution. Empty for no fault.
         on_run_started: Called with this server, the request's id and its shard
             key before each execution.
         crash_path: A request for a path with this prefix ends the server;
@@ -341,6 +346,7 @@
             json.dumps(answer).encode("utf-8"),
             {**id_header, "X-Tamarackgap-Response-Signature": "signed"},
             ends_in_head=self.fault == "cut-head",
+            surplus=_REFUSAL if self.fault == "refusal-again" else b"",
         )
 
 
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -40,6 +40,7 @@
             a fault.
         ends_in_head: Whether the connection is closed before the head is
             complete, as a fault.
+        surplus: Bytes sent before the response, as a fault.
     """
 
     status: int | None
@@ -47,6 +48,7 @@
     headers: dict[str, str] = {}
     length: int | None = None
     ends_in_head: bool = False
+    surplus: bytes = b""
 
 
 def json_response(value: object, status: int = 200, **headers: str) -> Response:
@@ -94,6 +96,9 @@
             if response.status is None:
                 self.close_connection = True
                 return
+            if response.surplus:
+                self.wfile.write(response.surplus)
+                self.wfile.flush()
             self.send_response(response.status)
             for name, value in response.headers.items():
                 self.send_header(name.replace("_", "-"), value)
--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -12,6 +12,9 @@
 from tamarackgap import logs
 from tamarackgap.network import answerparser, exchanges, scheduler, sockets
 
+# Answers to no request that are skipped on a connection before it is given up.
+_MAX_SKIPPED_ANSWERS = 3
+
 
 class Answer(msgspec.Struct, frozen=True):
     """A complete answer.
@@ -115,7 +118,7 @@
             done: Called once with the answer or the failure, possibly before
                 this method returns.
             is_answer: Returns whether an answer is the one to this request;
-                other answers are skipped.
+                a few others are skipped on a connection that was used before.
 
         Returns:
             The exchange, to be passed to `cancel`.
@@ -190,6 +193,9 @@
         self._closed = False
         self._must_close = False
         self._received = False
+        # Whether an earlier request was answered on this connection.
+        self._is_reused = False
+        self._skipped_answers = 0
         self._parser = answerparser.AnswerParser(
             pool.max_answer_bytes, self._accept_answer
         )
@@ -298,9 +304,9 @@
             return
         answer = Answer(status, headers, body)
         if not exchange.is_answer(answer):
-            logs.event("late_answer_skipped", address=self._pool.address)
-            self._must_close = True
+            self._skip_answer()
             return
+        self._is_reused = True
         if self._writer.unsent or not self._parser.keeps_connection:
             self._must_close = True
         self._exchange = None
@@ -309,6 +315,18 @@
         )
         self._accepted = (exchange, answer)
 
+    def _skip_answer(self) -> None:
+        """Waits for a further answer, or fails the exchange.
+
+        An answer that is not to the current request may be a copy of one to an
+        earlier request on this connection.
+        """
+        logs.event("late_answer_skipped", address=self._pool.address)
+        self._must_close = True
+        self._skipped_answers += 1
+        if not self._is_reused or self._skipped_answers > _MAX_SKIPPED_ANSWERS:
+            self.fail(exchanges.Cause.MALFORMED)
+
     def _idle_timeout_s(self, answer: Answer) -> float:
         keep_alive = answer.header(b"keep-alive")
         if keep_alive is not None:
--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -132,12 +132,13 @@
 def is_answer_to(request_id: str, answer: httppool.Answer) -> bool:
     """Returns whether an answer belongs to a request.
 
-    Servers echo the request id, except in some refusals.
+    Servers echo the request id in all answers, refusals included. One without
+    an id may be a copy of the answer to an earlier request.
     """
-    echoed = answer.header(names.ATTEMPT_ID)
-    if echoed is None:
-        return True
-    return echoed == request_id.encode("latin-1")
+    echoed = {
+        value for name, value in answer.headers if name == names.ATTEMPT_ID
+    }
+    return echoed == {request_id.encode("latin-1")}
 
 
 def decode_answer(leg: int, answer: httppool.Answer) -> calls.Completion:
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -153,6 +153,11 @@
         time.sleep(0.02)
         self._poller.fire(sockets.READABLE)
 
+    @property
+    def connection_count(self):
+        """Number of open connections, used or idle."""
+        return len(self._poller.callbacks)
+
     @property
     def statuses(self):
         """Status of each answer; the cause of each failure."""
@@ -256,6 +261,100 @@
     assert sender.outcomes[0].unwrap().header(b"x-not-run") is None
 
 
+OWN_ANSWER = b"HTTP/1.1 200 OK\r\nx-id: b\r\ncontent-length: 2\r\n\r\nok"
+SURPLUS_REFUSALS = [
+    b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+    b"HTTP/1.1 503 Busy\r\nx-id: a\r\nx-not-run: 1\r\ncontent-length: 1\r\n"
+    b"\r\nx",
+]
+
+
+@pytest.fixture(params=SURPLUS_REFUSALS)
+def surplus(request):
+    return request.param
+
+
+def _receive_refusal(sender):
+    """Has a request answered by a refusal, on a connection that is kept."""
+    sender.send(b"a")
+    sender.connect()
+    sender.receive(SURPLUS_REFUSALS[1])
+    assert sender.statuses == [503]
+
+
+@pytest.mark.parametrize("reads", [1, 2, 5])
+def test_a_surplus_refusal_before_the_answer_is_skipped(sender, surplus, reads):
+    _receive_refusal(sender)
+    sender.send(b"b")
+    size = -(-len(surplus) // reads)
+    for start in range(0, len(surplus), size):
+        sender.receive(surplus[start : start + size])
+    assert sender.statuses == [503]
+    sender.receive(OWN_ANSWER)
+    assert sender.statuses == [503, 200]
+    assert sender.connection_count == 0
+
+
+def test_a_surplus_refusal_read_with_the_answer_is_dropped(sender, surplus):
+    _receive_refusal(sender)
+    sender.send(b"b")
+    sender.receive(surplus + OWN_ANSWER + surplus)
+    assert sender.statuses == [503, 200]
+    assert sender.outcomes[1].unwrap().body == b"ok"
+    assert sender.connection_count == 0
+
+
+@pytest.mark.parametrize("part", [1, 10, 1000])
+def test_a_connection_with_surplus_bytes_is_not_used_again(
+    sender, surplus, part
+):
+    _receive_refusal(sender)
+    sender.receive(surplus[:part])
+    assert sender.connection_count == 0
+
+
+@pytest.mark.parametrize("part", [1, 10, 1000])
+def test_a_surplus_refusal_that_waits_unread_is_skipped(sender, surplus, part):
+    _receive_refusal(sender)
+    sender.accepted.sendall(surplus[:part])
+    time.sleep(0.02)
+    sender.send(b"b")
+    sender.receive(surplus[part:] + OWN_ANSWER)
+    assert sender.statuses == [503, 200]
+
+
+def test_a_request_whose_connection_ends_after_a_surplus_refusal_may_have_run(
+    sender, surplus
+):
+    _receive_refusal(sender)
+    sender.send(b"b")
+    sender.receive(surplus)
+    sender.end()
+    assert sender.outcomes[1:] == [
+        result.Failure(exchanges.Failure(exchanges.Cause.TRUNCATED, sent=True))
+    ]
+
+
+def test_an_answer_to_no_request_ends_a_fresh_connection(sender, surplus):
+    # No earlier request was sent on it, so the answer to this one is spoilt.
+    sender.send(b"b")
+    sender.connect()
+    sender.receive(surplus)
+    assert sender.outcomes == [
+        result.Failure(exchanges.Failure(exchanges.Cause.MALFORMED, sent=True))
+    ]
+    assert sender.connection_count == 0
+
+
+def test_answers_to_no_request_without_end_are_given_up(sender, surplus):
+    _receive_refusal(sender)
+    sender.send(b"b")
+    for _ in range(10):
+        if len(sender.outcomes) == 1:
+            sender.receive(surplus)
+    assert sender.statuses == [503, exchanges.Cause.MALFORMED]
+
+
 @pytest.mark.parametrize("interim", [b"100 Continue", b"103 Early Hints"])
 def test_an_interim_answer_is_not_the_answer(sender, interim):
     sender.send(b"a")
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -201,6 +201,24 @@
     assert len(_runs(cluster, request)) == 1
 
 
+def test_a_surplus_refusal_does_not_send_a_request_to_a_second_server(cluster):
+    # The first request leaves a kept connection to each server.
+    for fault in ("", "refusal-again"):
+        for vm in cluster.vms[:2]:
+            vm.server.fault = fault
+        responses = [
+            platformcluster.send_caller_request(
+                vm, "seats.example", "/book/x", method="POST"
+            )
+            for vm in cluster.vms[:2]
+        ]
+    for vm in cluster.vms[:2]:
+        vm.server.fault = ""
+    for status, _, _, request in responses:
+        assert status in (200, 502)
+        assert len(_runs(cluster, request)) == 1
+
+
 def test_a_refusal_has_a_retry_after_header(cluster):
     for vm in cluster.vms[:2]:
         vm.server.fault = "full"
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -33,6 +33,19 @@
     assert completion.reason is reason
 
 
+@pytest.mark.parametrize(
+    ("echoed", "is_answer"),
+    [([b"r1"], True), ([b"r2"], False), ([], False), ([b"r1", b"r2"], False)],
+)
+@pytest.mark.parametrize("status", [200, 400, 421, 503])
+def test_only_an_answer_with_the_id_of_a_request_is_its_own(
+    status, echoed, is_answer
+):
+    headers = [(b"x-tamarackgap-attempt-id", value) for value in echoed]
+    answer = httppool.Answer(status, headers, b"")
+    assert requests.is_answer_to("r1", answer) is is_answer
+
+
 def test_a_misdirected_request_has_not_run():
     completion = _decode(421)
     assert completion.verdict is types.Verdict.NOT_RUN
