--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -38,12 +38,17 @@
         headers: Further headers; `_` in a name is sent as `-`.
         length: Content-Length to send if it is to differ from the body's, as
             a fault.
+        ends_in_head: Whether the connection is closed before the head is
+            complete, as a fault.
+        surplus: Bytes sent before the response, as a fault.
     """
 
     status: int | None
     body: bytes = b""
     headers: dict[str, str] = {}
     length: int | None = None
+    ends_in_head: bool = False
+    surplus: bytes = b""
 
 
 def json_response(value: object, status: int = 200, **headers: str) -> Response:
@@ -91,6 +96,9 @@
             if response.status is None:
                 self.close_connection = True
                 return
+            if response.surplus:
+                self.wfile.write(response.surplus)
+                self.wfile.flush()
             self.send_response(response.status)
             for name, value in response.headers.items():
                 self.send_header(name.replace("_", "-"), value)
@@ -100,6 +108,11 @@
                 else response.length
             )
             self.send_header("Content-Type", "application/json")
+            if response.ends_in_head:
+                self.flush_headers()
+                self.wfile.flush()
+                self.close_connection = True
+                return
             self.send_header("Content-Length", str(length))
             self.end_headers()
             self.wfile.write(response.body)
