A heartbeat that can't be read or used is refused, once logged

Callers saw: after a deeply nested heartbeat the announce connection got no answer any more; after one with a number beyond 64 bit for `slots` or `born` the status messages could not be encoded, so the periodic work of the daemon ended, or the real server counted as an earlier process of the odd one.

Cause: only MsgspecError was caught where a heartbeat is decoded, and deep nesting raises RecursionError. Numbers had no range, `address`, `zone` and `version` were not read at all, a range's first key could come after its last, and a handover could be longer than a row.

Fix: a heartbeat is checked once, where it is decoded: all fields that PROTOCOL.md names must be there, of their type and in range. `decoding` has the one function that turns all failures to read JSON into one kind of error. The same unreadable bytes are logged once, at most 20 lines a second, and values in log lines are cut at 1,000 characters.

--- a/tamarackgap/logs.py
+++ b/tamarackgap/logs.py
@@ -1,5 +1,6 @@
 """Writes log events through eliot, each as a line of key=value pairs."""
 
+import collections
 import datetime
 import json
 import os
@@ -17,12 +18,19 @@
 STANDARD_OUTPUT = "stdout"
 _MAX_SUCCESSES_PER_S = 40
 _MAX_FAILURES_PER_S = 200
+_MAX_UNREADABLE_PER_S = 20
+# Longer values are cut: other programs may have chosen them.
+_MAX_VALUE_CHARACTERS = 1000
+# Number of the last events that `unreadable_event` remembers.
+_MAX_EVENTS_KNOWN = 1000
 
 
 def _format_value(value: object) -> str:
     if isinstance(value, bool):
         return "true" if value else "false"
     text = value if isinstance(value, str) else str(value)
+    if len(text) > _MAX_VALUE_CHARACTERS:
+        text = text[:_MAX_VALUE_CHARACTERS] + "..."
     return text if _UNQUOTED.fullmatch(text) else json.dumps(text)
 
 
@@ -101,13 +109,17 @@
 class RateLimiter:
     """Limits the log lines per second, and counts those left out."""
 
-    def __init__(self, lines_per_s: int) -> None:
+    def __init__(
+        self, lines_per_s: int, left_out_event: str = "request_lines_left_out"
+    ) -> None:
         """Creates a limiter.
 
         Args:
             lines_per_s: Largest number of lines in a second.
+            left_out_event: Name of the event that counts the lines left out.
         """
         self._lines_per_s = lines_per_s
+        self._left_out_event = left_out_event
         self._second = 0
         self._written = 0
         self._left_out = 0
@@ -124,7 +136,7 @@
         second = int(now)
         if second != self._second:
             if self._left_out:
-                event("request_lines_left_out", count=self._left_out)
+                event(self._left_out_event, count=self._left_out)
             self._second = second
             self._written = 0
             self._left_out = 0
@@ -137,6 +149,12 @@
 
 _success_limiter = RateLimiter(_MAX_SUCCESSES_PER_S)
 _failure_limiter = RateLimiter(_MAX_FAILURES_PER_S)
+_unreadable_limiter = RateLimiter(
+    _MAX_UNREADABLE_PER_S, "unreadable_lines_left_out"
+)
+_known_events: collections.OrderedDict[tuple[str, ...], None] = (
+    collections.OrderedDict()
+)
 
 
 def request_event(name: str, failed: bool, **fields: object) -> None:
@@ -151,3 +169,23 @@
     limiter = _failure_limiter if failed else _success_limiter
     if limiter.admit(time.monotonic()):
         event(name, **fields)
+
+
+def unreadable_event(name: str, **fields: object) -> None:
+    """Writes an event about unreadable bytes, unless it has been written.
+
+    Bytes that another program has left may be read again and again.
+
+    Args:
+        name: Name of the event.
+        **fields: Values that describe it.
+    """
+    texts = [_format_value(value) for value in fields.values()]
+    known = (name, *fields, *texts)
+    is_new = known not in _known_events
+    _known_events[known] = None
+    _known_events.move_to_end(known)
+    if len(_known_events) > _MAX_EVENTS_KNOWN:
+        _known_events.popitem(last=False)
+    if is_new and _unreadable_limiter.admit(time.monotonic()):
+        event(name, **fields)
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -1,10 +1,15 @@
 """Decodes announcements of the local server, and encodes orders to it."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
-from tamarackgap import logs
+from tamarackgap import decoding, logs
 from tamarackgap.network import httppool, httpserver
+from tamarackgap.placement import slots
 from tamarackgap.platform import names, requests
+from tamarackgap.settings import config
 from tamarackgap.traffic import (
     adapter,
     heartbeatorders,
@@ -19,21 +24,31 @@
 # Ranges that fit into such a body without handovers.
 MAX_HOLD_RANGES = 120
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
+# Each running request has a connection, and so a port, of its own.
+_MAX_SLOTS = 65_535
+_INSTANCE_PATTERN = re.compile(r"[!-~]{1,200}")
+# Handovers are stored in rows, whose size is limited.
+_MAX_HANDOVER_CHARACTERS = 200
+
+_Key = Annotated[int, msgspec.Meta(ge=0, lt=slots.POSITION_COUNT)]
 
 
 class _Heartbeat(msgspec.Struct):
     service: str
-    slots: int
+    address: str
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: str
-    seq: int
-    cold_remaining_ms: float = 0.0
+    seq: decoding.Count
+    cold_remaining_ms: decoding.Amount
     # Start of the server process, Unix time in milliseconds.
-    born: int = 0
+    born: decoding.Count = 0
     # First and last key, and fence, of each range that the server holds or
     # still works on.
-    holds: list[tuple[int, int, int]] = []
+    holds: list[tuple[_Key, _Key, decoding.Count]] = []
     # First and last key, and handover, of each range that it has released.
-    freed: list[tuple[int, int, str]] = []
+    freed: list[tuple[_Key, _Key, str]] = []
 
 
 class _HoldsBody(msgspec.Struct):
@@ -66,20 +81,18 @@
         return None
     name_and_action = path[len(names.INSTANCES) :]
     instance, slash, action = name_and_action.rpartition("/")
-    if not instance or not slash:
+    if not slash or not _INSTANCE_PATTERN.fullmatch(instance):
         return None
     if "/" + action == names.DEREGISTER:
         return localtarget.Announcement(instance, final=True)
     if "/" + action != names.HEARTBEAT:
         return None
     try:
-        heartbeat = msgspec.json.decode(incoming.body, type=_Heartbeat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        logs.event("announcement_malformed", error=str(error))
-        return None
-    if heartbeat.state not in _LEAVING_BY_STATE:
-        logs.event(
-            "announcement_malformed", error=f"unknown state {heartbeat.state}"
+        heartbeat = decoding.decode(incoming.body, _Heartbeat)
+        _check(heartbeat)
+    except msgspec.MsgspecError as error:
+        logs.unreadable_event(
+            "announcement_malformed", instance=instance, error=str(error)
         )
         return None
     return localtarget.Announcement(
@@ -93,12 +106,34 @@
         report=heartbeatorders.HoldReport(
             tuple(heartbeatorders.HeldRange(*row) for row in heartbeat.holds),
             tuple(
-                heartbeatorders.ReleasedRange(*row) for row in heartbeat.freed
+                heartbeatorders.ReleasedRange(
+                    first, last, _usable_handover(handover)
+                )
+                for first, last, handover in heartbeat.freed
             ),
         ),
     )
 
 
+def _check(heartbeat: _Heartbeat) -> None:
+    """Raises msgspec.ValidationError if a heartbeat names no usable server."""
+    if heartbeat.state not in _LEAVING_BY_STATE:
+        raise msgspec.ValidationError(f"unknown state {heartbeat.state}")
+    if not config.is_address(heartbeat.address):
+        raise msgspec.ValidationError(f"no address: {heartbeat.address}")
+    for first, last, _ in (*heartbeat.holds, *heartbeat.freed):
+        if first > last:
+            raise msgspec.ValidationError(f"no range: {first} to {last}")
+
+
+def _usable_handover(handover: str) -> str:
+    """Returns a handover, or "" if it is too long to be stored."""
+    if len(handover) <= _MAX_HANDOVER_CHARACTERS:
+        return handover
+    logs.unreadable_event("handover_dropped", characters=len(handover))
+    return ""
+
+
 def encode_hold_list(
     hold_list: heartbeatorders.HoldList | None,
 ) -> adapter.Response:
@@ -160,5 +195,5 @@
     return orders.OrderResult(
         answer.status == _STATUS_OK,
         answer.status == _STATUS_SUPERSEDED,
-        handover.decode("latin-1"),
+        _usable_handover(handover.decode("latin-1")),
     )
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -12,6 +12,7 @@
 from tamarackgap.settings import options
 
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 class Config(msgspec.Struct, frozen=True):
@@ -154,7 +155,7 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isdecimal() and 0 < int(port) < 65536
+    return bool(_PORT_PATTERN.fullmatch(port)) and 0 < int(port) < 65536
 
 
 def _check_constraints(config: Config, path: str) -> result.Result[Config, str]:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tamarackgap import logs
+from tests.support import loglines
 
 # Long enough for 20,000 lines; a process that waits for its reader never ends.
 TIMEOUT_S = 30.0
@@ -99,3 +100,19 @@
     failed = [line for line in written if "broken" in line]
     assert len(failed) == 20
     assert len(well) < 1000 - len(failed)
+
+
+def test_a_long_value_is_cut():
+    line = format_request_event(key="x" * 10**6)
+    assert line.endswith("xxx...")
+    assert len(line) < 1100
+
+
+def test_lines_about_unreadable_bytes_are_limited_and_not_repeated():
+    with loglines.collect("odd") as events:
+        for number in range(5000):
+            logs.unreadable_event("odd", number=number)
+            logs.unreadable_event("odd", number=number)
+    assert 0 < len(events) < 500
+    numbers = [event["number"] for event in events]
+    assert sorted(set(numbers)) == numbers
