A row of the table that can't be read or used leaves the others in force

Callers saw: after one row whose value was deeply nested, the daemons stopped following the table, so a lost owner's keys were never taken over. A row with an address that can't be connected to, or with a number beyond 64 bit, did the same once it was used; a range of 10**9 slots was expanded slot by slot, and a negative `lease_ms` ended another daemon's lease at once.

Cause: `_valid_rows` caught MsgspecError only, and deep nesting raises RecursionError: the exception left the handler of the answer, and no further read was scheduled. Rows that a peer passes on (RowUpdates) were not checked at all. Fields had types but no ranges.

Fix: a row is checked where it is decoded: integers in range, addresses that can be connected to, sorted and disjoint ranges, the key that belongs to the record, a number of slots that is a power of two. All rows, from reads, commits and peers, go through `rowmerge.merge_readable`, which logs an unreadable one once and skips it. The last readable revision of such a row keeps its number, so no write that relies on it can be committed.

HistoryEntry moves to the commands, its only users.

--- a/tamarackgap/commands/cmdline.py
+++ b/tamarackgap/commands/cmdline.py
@@ -277,9 +277,9 @@
 def table_history(address: str, as_json: bool) -> None:
     """Print the history of accepted edits, oldest first."""
     entries = [
-        msgspec.json.decode(row.value, type=records.HistoryEntry)
+        msgspec.json.decode(row.value, type=policy.HistoryEntry)
         for row in sorted(_read_rows(address), key=lambda row: row.key)
-        if row.key.startswith(records.HISTORY_PREFIX) and row.value
+        if row.key.startswith(policy.HISTORY_PREFIX) and row.value
     ]
     lines = [
         f"{entry.when_ms} {entry.who} {entry.row}:"
--- a/tamarackgap/commands/control.py
+++ b/tamarackgap/commands/control.py
@@ -9,7 +9,7 @@
 from tamarackgap import exceptions
 from tamarackgap.commands import policy
 from tamarackgap.ownership import changes
-from tamarackgap.placement import records, slots
+from tamarackgap.placement import records, rowmerge, slots
 from tamarackgap.requests import pages
 from tamarackgap.table import tableclient
 
@@ -250,7 +250,7 @@
     """
     table = read_rows(address)
     view = records.TableView()
-    view.merge(table.rows)
+    rowmerge.merge_readable(view, table.rows)
     lease_records = [
         record for record in view.open_records() if record.daemon == daemon
     ]
--- a/tamarackgap/commands/policy.py
+++ b/tamarackgap/commands/policy.py
@@ -8,6 +8,8 @@
 from tamarackgap.placement import records
 
 ANY_DATA_CENTRE = "*"
+# Keys of history entries begin with it, so it must not change.
+HISTORY_PREFIX = "history/"
 
 
 class Column(msgspec.Struct, frozen=True):
@@ -45,6 +47,24 @@
 }
 
 
+class HistoryEntry(msgspec.Struct, frozen=True):
+    """One accepted edit of a policy.
+
+    Attributes:
+        who: The operator.
+        when_ms: Wall-clock time, milliseconds since 1970.
+        row: Key of the edited row.
+        before: The policy before, or None.
+        after: The policy after.
+    """
+
+    who: str
+    when_ms: int
+    row: str
+    before: records.Policy | None
+    after: records.Policy
+
+
 class Edit(msgspec.Struct, frozen=True):
     """An operator's edit of one policy and the transaction that makes it.
 
@@ -109,8 +129,8 @@
     after = msgspec.structs.replace(
         before or records.Policy(), **values, change=change
     )
-    history = records.HistoryEntry(who, now_ms, key, before, after)
-    history_key = f"{records.HISTORY_PREFIX}{now_ms:015d}-{change}"
+    history = HistoryEntry(who, now_ms, key, before, after)
+    history_key = f"{HISTORY_PREFIX}{now_ms:015d}-{change}"
     revision = row.revision if before is not None else 0
     transaction = records.Transaction(
         change,
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -24,7 +24,7 @@
     witnesshandler,
 )
 from tamarackgap.peers import messages
-from tamarackgap.placement import records, slotowners, slots
+from tamarackgap.placement import records, rowmerge, slotowners, slots
 
 # Pause before a transaction with an unknown outcome is sent again.
 _COMMIT_RETRY_S = 0.2
@@ -343,8 +343,11 @@
         self._start_incarnation(now)
 
     def merge(self, rows: list[records.Row], now: float) -> None:
-        """Applies rows that were read from the table or sent by a daemon."""
-        changed = self._view.merge(rows)
+        """Applies rows that were read from the table or sent by a daemon.
+
+        Rows that can't be read are logged and left out.
+        """
+        changed = rowmerge.merge_readable(self._view, rows)
         for key in changed:
             if not key.startswith(records.LEASE_PREFIX):
                 continue
--- a/tamarackgap/placement/records.py
+++ b/tamarackgap/placement/records.py
@@ -1,17 +1,20 @@
 """Defines the rows of the table, and keeps this process's view of them."""
 
 from collections.abc import Iterable, Iterator
+from typing import Annotated
 
 import msgspec
 
-from tamarackgap import types
-from tamarackgap.placement import slots
+from tamarackgap import decoding, types
+from tamarackgap.placement import rowchecks, slots
+
+# A time of at most an hour.
+_Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
 
 # Stored keys begin with these prefixes, so their texts must not change.
 LEASE_PREFIX = "lease/"
 SERVICE_PREFIX = "founded/"
 POLICY_PREFIX = "policy/"
-HISTORY_PREFIX = "history/"
 CHALLENGE_PREFIX = "challenge/"
 
 
@@ -47,11 +50,11 @@
     data_centre: types.DataCentre
     peer_address: str
     http_address: str
-    epoch: types.Epoch = types.Epoch(0)
+    epoch: decoding.Count = types.Epoch(0)
     witnesses: tuple[str, ...] = ()
     runs: tuple[slots.SlotRange, ...] = ()
-    lease_ms: int = 600
-    linger_ms: int = 0
+    lease_ms: _Milliseconds = 600
+    linger_ms: _Milliseconds = 0
     accepting: bool = False
     leaving: bool = False
     state: types.RecordState = types.RecordState.OPEN
@@ -99,7 +102,7 @@
         change: Id of the write that made this row.
     """
 
-    epoch: types.Epoch
+    epoch: decoding.Count
     by: types.Incarnation
     change: str = ""
 
@@ -114,9 +117,9 @@
             for all slots.
     """
 
-    slots: int
+    slots: decoding.Count
     change: str = ""
-    allocated: int | None = None
+    allocated: decoding.Count | None = None
 
     @property
     def unallocated(self) -> int:
@@ -140,32 +143,14 @@
         change: Id of the write that made this row.
     """
 
-    weight: int = 100
-    in_progress: int = 0
-    queue: int = 256
-    tolerance: int = 8
-    moves: int = 600
+    weight: decoding.Count = 100
+    in_progress: decoding.Count = 0
+    queue: decoding.Count = 256
+    tolerance: decoding.Count = 8
+    moves: decoding.Count = 600
     change: str = ""
 
 
-class HistoryEntry(msgspec.Struct, frozen=True):
-    """One accepted edit of a policy.
-
-    Attributes:
-        who: The operator.
-        when_ms: Wall-clock time, milliseconds since 1970.
-        row: Key of the edited row.
-        before: The policy before, or None.
-        after: The policy after.
-    """
-
-    who: str
-    when_ms: int
-    row: str
-    before: Policy | None
-    after: Policy
-
-
 class Row(msgspec.Struct, frozen=True):
     """A row as the table returns it.
 
@@ -251,7 +236,17 @@
 def _decode(key: str, value: str) -> msgspec.Struct | None:
     for prefix, row_type in _ROW_TYPES:
         if key.startswith(prefix):
-            return msgspec.json.decode(value, type=row_type)
+            row = decoding.decode(value, row_type)
+            match row:
+                case LeaseRecord():
+                    rowchecks.check_key(key, row.key)
+                    rowchecks.check_addresses(
+                        row.peer_address, row.http_address
+                    )
+                    rowchecks.check_ranges(row.runs)
+                case ServiceRecord():
+                    rowchecks.check_slot_count(row.slots, row.allocated)
+            return row
     return None
 
 
@@ -304,9 +299,9 @@
             Keys of the rows that were added or replaced.
 
         Raises:
-            msgspec.DecodeError: If a row is not valid JSON.
-            msgspec.ValidationError: If a row lacks a field or has one of the
-                wrong type.
+            msgspec.DecodeError: If a row is not JSON that can be read.
+            msgspec.ValidationError: If a row lacks a field, or has one of the
+                wrong type or out of range.
         """
         changed = []
         for row in rows:
--- a/tamarackgap/placement/slots.py
+++ b/tamarackgap/placement/slots.py
@@ -1,6 +1,7 @@
 """Maps keys to slots, by hash or by order, and stores slots as ranges."""
 
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 import xxhash
@@ -11,6 +12,11 @@
 # positions share a slot.
 POSITION_COUNT = 65_536
 
+_SlotNumber = Annotated[int, msgspec.Meta(ge=0, lt=POSITION_COUNT)]
+# Orders to targets multiply fences by up to 1,024, and must not exceed the
+# integers of JSON.
+_Fence = Annotated[int, msgspec.Meta(ge=0, le=2**43 - 1)]
+
 
 class SlotRange(msgspec.Struct, array_like=True, frozen=True, order=True):
     """A range of slots with the same fence, successor and handover.
@@ -25,9 +31,9 @@
             the target that holds them next; may be empty.
     """
 
-    first: int
-    last: int
-    fence: int
+    first: _SlotNumber
+    last: _SlotNumber
+    fence: _Fence
     successor: str = types.NO_INCARNATION
     handover: str = ""
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -281,7 +281,7 @@
     def _apply_rows(
         self, rows: list[records.Row], revision: int, as_of: float
     ) -> None:
-        self._core.apply_table_read(_valid_rows(rows), revision, now(), as_of)
+        self._core.apply_table_read(rows, revision, now(), as_of)
         members = self._core.view.open_records()
         member_addresses = {record.peer_address for record in members}
         self._transport.set_peers(
@@ -320,7 +320,7 @@
         state: effects.CommitState,
         rows: list[records.Row],
     ) -> None:
-        self._core.handle_commit_result(change, state, _valid_rows(rows), now())
+        self._core.handle_commit_result(change, state, rows, now())
         self._perform_effects()
 
     def _handle_route_table_read(self, table: routetable.RouteTable) -> None:
@@ -577,19 +577,6 @@
         self._transport.close()
 
 
-def _valid_rows(rows: list[records.Row]) -> list[records.Row]:
-    """Returns the well-formed rows, and logs the others."""
-    valid = []
-    for row in rows:
-        try:
-            records.TableView().merge([row])
-        except msgspec.MsgspecError as error:
-            logs.event("row_malformed", key=row.key, error=str(error))
-        else:
-            valid.append(row)
-    return valid
-
-
 def _ownership_settings(settings: config.Config) -> effects.Settings:
     return msgspec.structs.replace(
         ownershipsettings.from_config(settings),
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -658,3 +658,19 @@
     core.merge([row], clock)
     assert len(core.owned) == 4
     assert effects.ReadTable(urgent=True) in core.take_effects()
+
+
+def test_an_unreadable_row_from_a_peer_leaves_the_others_of_its_message():
+    daemon = settled_cluster().daemons["seats-0"]
+    core = daemon.core
+    revision = core.view.cursor + 1
+    rows = (
+        records.Row("lease/odd", "[" * 100_000, revision),
+        records.Row("policy/seats/odd", '{"weight": 7}', revision),
+    )
+    core.receive(
+        messages.Envelope("d", "peer", "10.0.0.1:1", messages.RowUpdates(rows)),
+        0.0,
+    )
+    assert core.view.policy("seats", "odd").weight == 7
+    assert core.view.lease("odd") is None
--- a/tests/placement/test_records.py
+++ b/tests/placement/test_records.py
@@ -1,3 +1,5 @@
+import json
+
 import msgspec
 import pytest
 
@@ -62,3 +64,94 @@
     assert [record.incarnation for record in view.open_records()] == ["b"]
     view.merge([records.Row("lease/b", None, 4)])
     assert view.open_records("s") == []
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+LEASE = {
+    "service": "s",
+    "daemon": "d",
+    "incarnation": "i",
+    "data_centre": "a",
+    "peer_address": "127.0.0.1:1",
+    "http_address": "127.0.0.1:2",
+    "epoch": 3,
+    "runs": [[0, 7, 2], [9, 9, 1, "j", "5c0e"]],
+}
+
+
+def merge(key, text):
+    view = records.TableView()
+    view.merge([records.Row(key, text, 1)])
+    return view
+
+
+def test_a_lease_record_is_read_as_it_was_written():
+    assert merge("lease/i", json.dumps(LEASE)).lease("i").runs[0].last == 7
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        *(
+            {name: address}
+            for name in ("peer_address", "http_address")
+            for address in ("127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1", "")
+        ),
+        *(
+            {name: value}
+            for name in ("epoch", "lease_ms", "linger_ms")
+            for value in (-1, 2**63, 2**64, 10**30, 1e300, None)
+        ),
+        {"runs": [[0, 10**9, 1]]},
+        {"runs": [[-5, 1, 1]]},
+        {"runs": [[0, 1, 2**63]]},
+        {"runs": [[0, 1, -1]]},
+        {"runs": [[4, 3, 1]]},
+        {"runs": [[0, 65_535, 1]] * 100},
+        {"incarnation": "another"},
+        {"state": "unknown"},
+    ],
+)
+def test_a_lease_record_with_a_value_out_of_range_is_rejected(fields):
+    with pytest.raises(msgspec.MsgspecError):
+        merge("lease/i", json.dumps({**LEASE, **fields}))
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        DEEP,
+        json.dumps(LEASE)[:-1] + f', "x": {DEEP}}}',
+        '{"service": "\ud800"}',
+        json.dumps(LEASE).replace("3", "NaN"),
+        json.dumps(LEASE).replace("3", "9" * 5000),
+        "",
+    ],
+)
+def test_a_row_that_cannot_be_read_raises_one_kind_of_error(text):
+    with pytest.raises(msgspec.MsgspecError):
+        merge("lease/i", text)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"slots": 0},
+        {"slots": -4},
+        {"slots": 12},
+        {"slots": 2**17},
+        {"slots": 10**30},
+        {"slots": 8, "allocated": 9},
+        {"slots": 8, "allocated": -1},
+    ],
+)
+def test_a_service_record_with_an_unusable_number_of_slots_is_rejected(fields):
+    with pytest.raises(msgspec.MsgspecError):
+        merge("founded/s", json.dumps(fields))
+
+
+@pytest.mark.parametrize("name", ["weight", "queue", "tolerance", "moves"])
+@pytest.mark.parametrize("value", [-1, 10**30, 1e300])
+def test_a_policy_with_a_value_out_of_range_is_rejected(name, value):
+    with pytest.raises(msgspec.MsgspecError):
+        merge("policy/s/*", json.dumps({name: value}))
