One unreadable row of an answer no longer stops the reading of the table

Callers saw: the daemons stopped following the table once an answer had a row that was deeply nested or had a lone surrogate, and read the same answer again and again. A row whose value is not text counted as removed at the next whole read, or after a conflict as absent; a page of unreadable rows ended a whole read early, so all rows behind it counted as removed.

Cause: an answer was decoded as one piece; keys of rows whose value can't be decoded were dropped with them; the next page started behind the last readable row; `ver` had no range, and an infinite one was followed from.

Fix: where an answer can't be read as one piece, the entries of its list that can't be are replaced by null and skipped with a log line. Keys of rows are decoded apart from their values. A page without any readable key is asked for again after the pause of a failure, and so is an answer whose `ver` or `now_ms` is negative or beyond the integers of JSON.

--- a/tamarackgap/decoding.py
+++ b/tamarackgap/decoding.py
@@ -13,12 +13,8 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
-# Deepest nesting of an entry in a list; no entry of a known form reaches it.
-_MAX_ENTRY_DEPTH = 64
-# The depth of an entry in a list that is a field of the whole text.
-_LIST_DEPTH = 2
-_STRING_OR_BRACKET = re.compile(
-    rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL
+_STRING_OR_SEPARATOR = re.compile(
+    rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL
 )
 
 _Value = TypeVar("_Value")
@@ -44,42 +40,52 @@
 def decode_with_list(data: bytes, value_type: type[_Value]) -> _Value:
     """Returns the value of a JSON object that has a list of `msgspec.Raw`.
 
-    Entries of the list that are too deeply nested become null.
+    Entries of the list that can't be read become null.
 
     Args:
         data: The text.
         value_type: Type of the object.
 
     Raises:
-        msgspec.MsgspecError: If the text is not JSON, can't be read, or is of
-            another type.
+        msgspec.MsgspecError: If the rest of the text is not JSON, can't be
+            read, or is of another type.
     """
     try:
-        return msgspec.json.decode(data, type=value_type)
-    except RecursionError:
-        return decode(_without_deep_entries(data), value_type)
-    except UnicodeError as error:
-        raise msgspec.DecodeError(str(error)) from error
+        return decode(data, value_type)
+    except msgspec.MsgspecError:
+        return decode(_without_unreadable_entries(data), value_type)
 
 
-def _without_deep_entries(data: bytes) -> bytes:
-    """Replaces the too deeply nested entries of lists by null."""
+def _without_unreadable_entries(data: bytes) -> bytes:
+    """Replaces the unreadable entries of an object's lists by null."""
     parts = []
     copied_to = 0
+    # Number of brackets that are open: within an object's list, 2.
     depth = 0
-    deepest = 0
+    is_list = False
     entry_start = 0
-    for match in _STRING_OR_BRACKET.finditer(data):
+    for match in _STRING_OR_SEPARATOR.finditer(data):
         symbol = match[0]
         if symbol in (b"[", b"{"):
-            if depth == _LIST_DEPTH:
-                entry_start = match.start()
-                deepest = 0
             depth += 1
-            deepest = max(deepest, depth - _LIST_DEPTH)
-        elif symbol in (b"]", b"}"):
-            depth -= 1
-            if depth == _LIST_DEPTH and deepest > _MAX_ENTRY_DEPTH:
-                parts += (data[copied_to:entry_start], b"null")
-                copied_to = match.end()
+            if depth == 2:
+                is_list = symbol == b"["
+                entry_start = match.end()
+        elif symbol in (b",", b"]", b"}"):
+            if depth == 2 and is_list:
+                entry = data[entry_start : match.start()]
+                if entry.strip() and not _is_readable(entry):
+                    parts += (data[copied_to:entry_start], b"null")
+                    copied_to = match.start()
+                entry_start = match.end()
+            if symbol != b",":
+                depth -= 1
     return b"".join((*parts, data[copied_to:]))
+
+
+def _is_readable(entry: bytes) -> bool:
+    try:
+        decode(entry, msgspec.Raw)
+    except msgspec.MsgspecError:
+        return False
+    return True
--- a/tamarackgap/platform/rowcodec.py
+++ b/tamarackgap/platform/rowcodec.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from tamarackgap import logs
+from tamarackgap import decoding, logs
 from tamarackgap.network import httppool
 from tamarackgap.placement import records
 
@@ -15,11 +15,15 @@
 class _Row(msgspec.Struct):
     key: str
     # The row's revision.
-    ver: int
+    ver: decoding.Count
     value: str = ""
     removed: bool = False
 
 
+class _RowKey(msgspec.Struct):
+    key: str
+
+
 class RowsAnswer(msgspec.Struct):
     """A page of rows.
 
@@ -30,34 +34,60 @@
         has_more: Whether there are more rows.
     """
 
-    ver: int = 0
-    now_ms: int = 0
+    ver: decoding.Count = 0
+    now_ms: decoding.Count = 0
     rows: list[msgspec.Raw] = []
     has_more: bool = False
 
 
-def decode_answer(answer: httppool.Answer) -> RowsAnswer | None:
-    """Returns the page of an answer, or None if it is not one."""
-    if answer.status != _STATUS_OK:
+class Rows(msgspec.Struct, frozen=True):
+    """The rows of a page.
+
+    Attributes:
+        readable: The rows that can be decoded.
+        keys: Keys of all rows whose key can be decoded, in the page's order,
+            except those of removed rows.
+    """
+
+    readable: list[records.Row]
+    keys: list[str]
+
+
+def decode_answer(answer: httppool.Answer, *statuses: int) -> RowsAnswer | None:
+    """Returns the page of an answer, or None if it is not one.
+
+    Args:
+        answer: The answer.
+        *statuses: Statuses of answers with a page; 200 if there are none.
+    """
+    if answer.status not in (statuses or (_STATUS_OK,)):
         return None
     try:
-        return msgspec.json.decode(answer.body, type=RowsAnswer)
+        return decoding.decode_with_list(answer.body, RowsAnswer)
     except msgspec.MsgspecError as error:
-        logs.event("store_answer_malformed", error=str(error))
+        logs.unreadable_event("store_answer_malformed", error=str(error))
         return None
 
 
-def decode_rows(page: RowsAnswer) -> list[records.Row]:
+def decode_rows(page: RowsAnswer) -> Rows:
     """Returns the rows that can be decoded, and logs the others."""
-    rows = []
+    rows = Rows([], [])
     for raw in page.rows:
+        key = None
         try:
-            row = msgspec.json.decode(raw, type=_Row)
+            key = decoding.decode(raw, _RowKey).key
+            row = decoding.decode(raw, _Row)
             value = None if row.removed else _decode_value(row.value)
         except (msgspec.MsgspecError, ValueError) as error:
-            logs.event("row_malformed", error=str(error))
-            continue
-        rows.append(records.Row(row.key, value, row.ver))
+            logs.unreadable_event(
+                "row_malformed", key=key or "", error=str(error)
+            )
+        else:
+            rows.readable.append(records.Row(key, value, row.ver))
+            if row.removed:
+                continue
+        if key is not None:
+            rows.keys.append(key)
     return rows
 
 
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -248,7 +248,9 @@
 ) -> None:
     match outcome:
         case result.Success(httppool.Answer(status=status) as answer):
-            page = _decode_commit_answer(answer)
+            page = rowcodec.decode_answer(
+                answer, _STATUS_OK, _STATUS_CONDITION_FAILED
+            )
             if page is not None and status == _STATUS_OK:
                 rows = [
                     records.Row(write.key, write.value, page.ver)
@@ -268,25 +270,13 @@
     done(effects.CommitState.UNKNOWN, [])
 
 
-def _decode_commit_answer(
-    answer: httppool.Answer,
-) -> rowcodec.RowsAnswer | None:
-    if answer.status not in (_STATUS_OK, _STATUS_CONDITION_FAILED):
-        return None
-    try:
-        return msgspec.json.decode(answer.body, type=rowcodec.RowsAnswer)
-    except msgspec.MsgspecError as error:
-        logs.event("store_answer_malformed", error=str(error))
-        return None
-
-
 def _current_rows(
     transaction: records.Transaction, page: rowcodec.RowsAnswer
 ) -> list[records.Row]:
     """Returns the checked rows as they are now; absent ones have no value."""
     rows = rowcodec.decode_rows(page)
-    present_keys = {row.key for row in rows}
-    return rows + [
+    present_keys = set(rows.keys)
+    return rows.readable + [
         records.Row(check.key, None, page.ver)
         for check in transaction.checks
         if check.key not in present_keys and page.ver
--- a/tamarackgap/platform/tablewatch.py
+++ b/tamarackgap/platform/tablewatch.py
@@ -68,6 +68,7 @@
         self._revision: int | None = None
         self._known_keys: set[str] = set()
         self._rows_so_far: list[records.Row] = []
+        self._keys_so_far: list[str] = []
         self._retry_pause_s = _MIN_RETRY_PAUSE_S
         self._is_failing = False
         # Makes the next call when the pause ends; None outside of pauses.
@@ -106,6 +107,7 @@
     def _read_page(self, start: str) -> None:
         if not start:
             self._rows_so_far = []
+            self._keys_so_far = []
         query = urllib.parse.urlencode(
             {"table": self._table, "part": "", "from": start, "limit": 500}
         )
@@ -154,15 +156,21 @@
         page = rowcodec.decode_answer(answer)
         if page is None:
             return False
-        self._rows_so_far += rowcodec.decode_rows(page)
-        if page.has_more and self._rows_so_far:
+        decoded = rowcodec.decode_rows(page)
+        self._rows_so_far += decoded.readable
+        self._keys_so_far += decoded.keys
+        if page.has_more:
+            if not decoded.keys:
+                # Where the next page starts is not known.
+                return False
             # `from` is inclusive: the next page starts just after the last key.
-            self._read_page(self._rows_so_far[-1].key + "\0")
+            self._read_page(decoded.keys[-1] + "\0")
             return True
         self._handle_success()
         rows = self._rows_so_far
+        present_keys = set(self._keys_so_far)
         self._rows_so_far = []
-        present_keys = {row.key for row in rows}
+        self._keys_so_far = []
         removed = [
             records.Row(key, None, page.ver)
             for key in self._known_keys - present_keys
@@ -185,8 +193,9 @@
         if page is None:
             return False
         self._handle_success()
-        rows = rowcodec.decode_rows(page)
-        self._known_keys |= {row.key for row in rows if row.value is not None}
+        decoded = rowcodec.decode_rows(page)
+        rows = decoded.readable
+        self._known_keys |= set(decoded.keys)
         self._revision = max(self._revision or 0, page.ver)
         self._on_rows(rows, page.ver, self._store.to_local_clock(page.now_ms))
         if not self._skip_next_pause and (rows or not self.plan.waits):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,8 @@
 from returns import result
 
 from tamarackgap.network import exchanges, httppool
+from tamarackgap.ownership import effects
+from tamarackgap.placement import records
 from tamarackgap.platform import store
 from tamarackgap.traffic import storewatch
 
@@ -113,3 +115,28 @@
     calls_before = len(client.calls)
     client.timers.fire()
     assert len(client.calls) == calls_before + 1
+
+
+def test_an_unreadable_row_after_a_conflict_is_not_taken_for_absent():
+    client = Client()
+    outcomes = []
+    transaction = records.Transaction(
+        "c", (records.Check("a", 1), records.Check("b", 1)), ()
+    )
+    client.store.commit(transaction, lambda *outcome: outcomes.append(outcome))
+    rows = [{"key": "a", "ver": 2, "value": "/w=="}]
+    body = json.dumps({"ver": 2, "rows": rows}).encode()
+    client.calls[-1][2](result.Success(httppool.Answer(412, [], body)))
+    assert outcomes == [
+        (effects.CommitState.CONFLICT, [records.Row("b", None, 2)])
+    ]
+
+
+def test_a_commit_with_an_odd_answer_has_an_unknown_outcome():
+    client = Client()
+    outcomes = []
+    transaction = records.Transaction("c", (), (records.Write("a", "{}"),))
+    client.store.commit(transaction, lambda *outcome: outcomes.append(outcome))
+    for body in (b'{"ver": 1e300}', b"[" * 100_000, b'{"ver": -1}', b"\xff"):
+        client.calls[-1][2](result.Success(httppool.Answer(200, [], body)))
+    assert outcomes == [(effects.CommitState.UNKNOWN, [])] * 4
--- /dev/null
+++ b/tests/platform/test_tablewatch.py
@@ -0,0 +1,165 @@
+import json
+import types as module_types
+import urllib.parse
+
+import pytest
+from returns import result
+
+from tamarackgap.network import exchanges, httppool
+from tamarackgap.platform import tablewatch
+from tamarackgap.traffic import storewatch
+
+DEEP = "[" * 100_000 + "]" * 100_000
+LOST_HISTORY = 410
+
+
+def row(key, version=1, value="e30=", **fields):
+    return json.dumps({"key": key, "ver": version, "value": value, **fields})
+
+
+UNREADABLE = [
+    DEEP,
+    row("odd")[:-1] + f', "x": {DEEP}}}',
+    row("odd", value="/w=="),
+    row("odd", value="e30"),
+    row("odd", value="\u0661"),
+    row("odd", value=None),
+    row("odd", version=-1),
+    row("odd", version=2**64),
+    row("odd", version=10**30),
+    row("odd", version=1e300),
+    row(7),
+    '{"key": "\\ud800", "ver": 1}',
+    "null",
+    "7",
+]
+
+
+class Watch:
+    """Holds a watch whose calls the test answers."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.due = []
+        self.calls = []
+        self.rows = {}
+        self.timers = self
+        self.watch = tablewatch.TableWatch(
+            self,
+            "t",
+            storewatch.ReadPlan(0.0, 8.0),
+            self._apply,
+            lambda problem: None,
+        )
+        self.watch.read()
+
+    def after(self, seconds, call):
+        self.due.append((seconds, call))
+        return module_types.SimpleNamespace(cancel=lambda: None)
+
+    def to_local_clock(self, store_ms):
+        return store_ms / 1000
+
+    def call(self, method, path, body, timeout, done):
+        query = urllib.parse.parse_qs(path.partition("?")[2], True)
+        self.calls.append((path, query, done))
+
+    def _apply(self, rows, revision, as_of):
+        for each in rows:
+            self.rows[each.key] = each.value
+
+    def answer(self, *rows, status=200, version=9, **fields):
+        head = json.dumps({"ver": version, "now_ms": 5, **fields})[1:-1]
+        body = f'{{"rows": [{", ".join(rows)}], {head}}}'.encode()
+        self.calls[-1][2](result.Success(httppool.Answer(status, [], body)))
+
+    def fire(self):
+        self.due.pop(0)[1]()
+
+    @property
+    def query(self):
+        return {name: value[0] for name, value in self.calls[-1][1].items()}
+
+
+@pytest.fixture
+def watch():
+    return Watch()
+
+
+@pytest.mark.parametrize("odd", UNREADABLE)
+def test_an_unreadable_row_leaves_the_others_of_a_page(watch, odd):
+    watch.answer(row("a"), odd, row("b"))
+    assert watch.rows == {"a": "{}", "b": "{}"}
+    watch.fire()
+    assert watch.query["after"] == "9"
+
+
+@pytest.mark.parametrize("odd", UNREADABLE)
+def test_an_unreadable_row_leaves_the_changes_followed(watch, odd):
+    watch.answer()
+    watch.fire()
+    watch.answer(odd, row("c"), version=12)
+    assert watch.rows == {"c": "{}"}
+    watch.fire()
+    assert watch.query["after"] == "12"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"version": -1},
+        {"version": 2**64},
+        {"version": 10**30},
+        {"version": "9"},
+        {"now_ms": -1},
+        {"now_ms": 10**400},
+        {"has_more": 3},
+    ],
+)
+def test_an_answer_with_an_odd_number_is_asked_for_again(watch, fields):
+    watch.answer()
+    watch.fire()
+    watch.answer(row("c"), **fields)
+    assert watch.rows == {}
+    watch.fire()
+    assert watch.query["after"] == "9"
+
+
+def test_rows_behind_a_page_whose_last_rows_are_unreadable_are_read(watch):
+    watch.answer(row("a"), row("b", value="/w=="), has_more=True)
+    assert watch.query["from"] == "b\0"
+    watch.answer(row("c"))
+    assert watch.rows == {"a": "{}", "c": "{}"}
+
+
+def test_a_first_page_of_unreadable_rows_is_not_taken_for_the_table(watch):
+    watch.answer(row("a", value="/w=="), row("b", version=-1), has_more=True)
+    assert watch.query["from"] == "b\0"
+    assert watch.rows == {}
+
+
+def test_a_page_without_readable_keys_is_asked_for_again_after_a_pause(watch):
+    watch.answer("7", has_more=True)
+    assert len(watch.calls) == 1
+    assert watch.due[0][0] > 0
+    assert watch.rows == {}
+
+
+def test_a_row_that_has_become_unreadable_is_not_taken_for_removed(watch):
+    watch.answer(row("a"), row("b"))
+    watch.fire()
+    watch.answer(status=LOST_HISTORY)
+    watch.fire()
+    watch.answer(row("a", value="/w=="))
+    assert watch.rows == {"a": "{}", "b": None}
+
+
+def test_a_table_is_followed_after_answers_that_are_none(watch):
+    for body in (b"\xff", DEEP.encode(), b"", b"[]", b'{"rows": 7}'):
+        watch.calls[-1][2](result.Success(httppool.Answer(200, [], body)))
+        watch.fire()
+    failure = exchanges.Failure(exchanges.Cause.CLOSED, True)
+    watch.calls[-1][2](result.Failure(failure))
+    watch.fire()
+    watch.answer(row("a"))
+    assert watch.rows == {"a": "{}"}
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -37,12 +37,21 @@
 
 
 @pytest.mark.parametrize(
-    "deep", [DEEP, f'{{"]": {DEEP}}}', f'{{"a\\"[": [{DEEP}, "]"]}}']
+    "odd",
+    [
+        DEEP,
+        f'{{"]": {DEEP}}}',
+        f'{{"a\\"[": [{DEEP}, "]"]}}',
+        '{"a": "\\ud800"}',
+        '{"a": [NaN, -Infinity]}',
+        "{]",
+        "nothing",
+    ],
 )
-def test_a_deeply_nested_entry_leaves_the_others_of_a_list(deep):
+def test_an_unreadable_entry_leaves_the_others_of_a_list(odd):
     entries = [{"a": [1, {"b\\": "]}"}]}, None, "[[", 2]
     texts = [json.dumps(entry) for entry in entries]
-    texts.insert(2, deep)
+    texts.insert(2, odd)
     text = f'{{"version": 7, "rows": [{", ".join(texts)}]}}'
     page = decoding.decode_with_list(text.encode(), Page)
     assert page.version == 7
