An odd entry or number in the configuration leaves the rest in force

Callers saw: after a version with one deeply nested entry, or with a lone surrogate in one, no daemon followed the configuration any more: routes that were added later got 404. A route with a `priority` beyond 64 bit could not be sent to other daemons; one with a `target_latency_ms` of 0 divided by it; a version of more than 64 bit could not be sent in a status message.

Cause: the configuration was decoded as one piece, RecursionError was not caught, so no further read was scheduled; numbers had no range, and a version could be any text that int() takes.

Fix: the entries of the list that can't be read are replaced by null, as with rows; numbers have ranges, and a version has eight hexadecimal digits.

--- a/tamarackgap/platform/operatorconfig.py
+++ b/tamarackgap/platform/operatorconfig.py
@@ -1,8 +1,11 @@
 """Decodes the operator's configuration into a route table."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
-from tamarackgap import logs, types
+from tamarackgap import decoding, logs, types
 from tamarackgap.network import httpserver
 from tamarackgap.traffic import routetable
 
@@ -13,6 +16,13 @@
     "heartbeat": routetable.GrantChannel.HEARTBEAT,
 }
 _VERSION_BASE = 16
+_VERSION_PATTERN = re.compile(r"[0-9a-fA-F]{8}")
+
+# The largest number of 32 bits, with which sums stay exact.
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=2**31 - 1)]
+# Latencies are divided by it.
+_Objective = Annotated[float, msgspec.Meta(ge=1, le=2**31 - 1)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
 
 
 class _Metadata(msgspec.Struct):
@@ -34,33 +44,33 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: decoding.Amount
 
 
 class _Route(msgspec.Struct):
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
-    max_attempts: int
-    priority: int
+    timeout_ms: _Milliseconds
+    target_latency_ms: _Objective
+    max_attempts: _Number
+    priority: _Number
     service: str = ""
     traffic_split: list[_Split] = []
 
 
 class _Service(msgspec.Struct):
-    max_connections: int = 0
+    max_connections: _Number = 0
     sharded: bool = False
     # How servers of the service are granted keys.
     grants: str = ""
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _Number
+    max_body_bytes: _Number
+    header_timeout_ms: _Milliseconds
+    idle_timeout_ms: _Milliseconds
 
 
 def decode(value: bytes) -> routetable.RouteTable | None:
@@ -69,10 +79,10 @@
     Resources that can't be decoded are logged and left out.
     """
     try:
-        configuration = msgspec.json.decode(value, type=_Configuration)
-        version = int(configuration.version, _VERSION_BASE)
-    except (msgspec.MsgspecError, ValueError) as error:
-        logs.event("configuration_malformed", error=str(error))
+        configuration = decoding.decode_with_list(value, _Configuration)
+        version = _version(configuration.version)
+    except msgspec.MsgspecError as error:
+        logs.unreadable_event("configuration_malformed", error=str(error))
         return None
     routes: list[routetable.Route] = []
     services: dict[types.ServiceName, routetable.Service] = {}
@@ -80,7 +90,7 @@
     for entry in configuration.resources:
         resource = None
         try:
-            resource = msgspec.json.decode(entry, type=_Resource)
+            resource = decoding.decode(entry, _Resource)
             match resource.type:
                 case "routes":
                     routes.append(_route(resource))
@@ -89,8 +99,8 @@
                     services[service.name] = service
                 case "limits":
                     limits = _limits(resource)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            logs.event(
+        except msgspec.MsgspecError as error:
+            logs.unreadable_event(
                 "resource_malformed",
                 kind=resource.type if resource else "",
                 item=resource.metadata.name if resource else "",
@@ -101,8 +111,14 @@
     )
 
 
+def _version(text: str) -> int:
+    if not _VERSION_PATTERN.fullmatch(text):
+        raise msgspec.ValidationError(f"no version: {text}")
+    return int(text, _VERSION_BASE)
+
+
 def _route(resource: _Resource) -> routetable.Route:
-    spec = msgspec.json.decode(resource.spec, type=_Route)
+    spec = decoding.decode(resource.spec, _Route)
     splits = spec.traffic_split or [_Split(spec.service, 1.0)]
     return routetable.Route(
         name=resource.metadata.name,
@@ -124,7 +140,7 @@
 
 
 def _service(resource: _Resource) -> routetable.Service:
-    spec = msgspec.json.decode(resource.spec, type=_Service)
+    spec = decoding.decode(resource.spec, _Service)
     return routetable.Service(
         types.ServiceName(resource.metadata.name),
         spec.sharded,
@@ -134,7 +150,7 @@
 
 
 def _limits(resource: _Resource) -> httpserver.Limits:
-    spec = msgspec.json.decode(resource.spec, type=_Limits)
+    spec = decoding.decode(resource.spec, _Limits)
     return httpserver.Limits(
         spec.max_header_bytes,
         spec.max_body_bytes,
--- /dev/null
+++ b/tests/platform/test_oddentries.py
@@ -0,0 +1,172 @@
+"""Tests that routers go on beside entries that other programs have written."""
+
+import json
+
+import pytest
+
+from standins import platformcluster
+
+READY_S = 20
+# A lease, the wait until it has expired, and the successor's first grant.
+TAKEOVER_S = 6
+FOLLOW_S = 3
+DEEP = "[" * 100_000 + "]" * 100_000
+LEASE = {
+    "service": "money",
+    "daemon": "odd",
+    "incarnation": "odd",
+    "data_centre": "north",
+    "peer_address": "127.0.0.1:1",
+    "http_address": "127.0.0.1:2",
+    "epoch": 1,
+    "witnesses": ["odd"],
+    "accepting": True,
+}
+HEARTBEAT = {
+    "service": "money",
+    "address": "127.0.0.1:3",
+    "zone": "north",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "seq": 1,
+    # Later than that of the real server.
+    "born": 2**52,
+}
+ODD_ADDRESSES = ("127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1", ":::", "")
+ODD_LEASES = (
+    *({"peer_address": address} for address in ODD_ADDRESSES),
+    {"epoch": 10**40},
+    {"lease_ms": -1},
+    {"lease_ms": 10**30},
+    {"runs": [[0, 10**9, 1]]},
+    {"runs": [[0, 1, 10**30]]},
+    {"incarnation": "another"},
+)
+ODD_HEARTBEATS = (
+    *({"address": address} for address in ODD_ADDRESSES),
+    {"slots": 10**30},
+    {"slots": 10**9},
+    {"born": 10**30},
+    {"seq": 10**30},
+    {"cold_remaining_ms": -1},
+    {"holds": [[0, 10**30, 1]]},
+)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    with platformcluster.run_cluster(
+        tmp_path_factory.mktemp("cluster"),
+        [
+            ("north", "seats", False),
+            ("east", "money", True),
+            ("west", "money", True),
+        ],
+        READY_S,
+    ) as started:
+        yield started
+
+
+def _with_deep_field(fields):
+    return (json.dumps(fields)[:-1] + f', "x": {DEEP}}}').encode()
+
+
+def _odd_rows():
+    yield "lease/deep", _with_deep_field({**LEASE, "incarnation": "deep"})
+    yield "lease/bytes", b"\xff\xfe"
+    yield "lease/surrogate", b'"\\ud800"'
+    for number, fields in enumerate(ODD_LEASES):
+        name = f"odd{number}"
+        row = {**LEASE, "incarnation": name, **fields}
+        yield f"lease/{name}", json.dumps(row).encode()
+    yield "founded/odd", b'{"slots": 0}'
+    yield "policy/money/*", _with_deep_field({"weight": 10**30})
+    yield "", b"{}"
+
+
+def _odd_heartbeats():
+    yield DEEP.encode()
+    yield _with_deep_field(HEARTBEAT)
+    yield b"\xff"
+    for fields in ODD_HEARTBEATS:
+        yield json.dumps({**HEARTBEAT, **fields}).encode()
+
+
+def _configuration(version, *resources):
+    return platformcluster.configuration(
+        version, *platformcluster.DEFAULT_RESOURCES, *resources
+    )
+
+
+def assert_daemons_go_on(cluster):
+    """Asserts that no daemon has ended or failed to handle anything."""
+    for vm in cluster.vms:
+        assert vm.process.poll() is None
+        assert "Traceback" not in vm.log.read_text()
+
+
+def _is_route_in_force(cluster, path):
+    return all(
+        platformcluster.send_caller_request(vm, "seats.example", path)[0] == 200
+        for vm in cluster.vms
+    )
+
+
+def test_odd_heartbeats_leave_the_server_in_use(cluster):
+    for vm in cluster.vms[1:]:
+        for number, body in enumerate(_odd_heartbeats()):
+            status = platformcluster.send_request(
+                vm.announce_address,
+                "POST",
+                f"/-/instances/i-odd{number}/heartbeat",
+                body=body,
+            )[0]
+            assert status == 400
+    assert cluster.serves_all_routes()
+    assert_daemons_go_on(cluster)
+
+
+def test_odd_rows_leave_the_table_followed(cluster):
+    for key, value in _odd_rows():
+        cluster.store.put("tamarackgap", key, value)
+    # The rows are read once more as a whole.
+    cluster.store.forget_history()
+    vm, survivor = cluster.vms[1:]
+    keys = [key for key in range(0, 65_536, 1000) if vm.server.holds(key)]
+    assert keys
+    assert_daemons_go_on(cluster)
+    vm.kill()
+    assert platformcluster.wait_until(
+        TAKEOVER_S, lambda: all(survivor.server.holds(key) for key in keys)
+    )
+    vm.start()
+    assert platformcluster.wait_until(READY_S, cluster.serves_all_routes)
+    assert_daemons_go_on(cluster)
+
+
+def test_an_odd_resource_leaves_the_configuration_followed(cluster):
+    routes = [
+        platformcluster.route(f"r{number}", "seats.example", path, "seats")
+        for number, path in enumerate(("/new/", "/later/"))
+    ]
+    first = json.loads(_configuration(8, routes[0]))
+    deep = json.dumps(first)[:-2] + f', {{"type": {DEEP}}}]}}'
+    cluster.store.put("op", "config", deep.encode())
+    assert platformcluster.wait_until(
+        FOLLOW_S, lambda: _is_route_in_force(cluster, "/new/x")
+    )
+    odd_priority = platformcluster.route(
+        "odd", "seats.example", "/odd/", "seats", priority=10**30
+    )
+    cluster.store.put("op", "config", _configuration(9, *routes, odd_priority))
+    assert platformcluster.wait_until(
+        FOLLOW_S, lambda: _is_route_in_force(cluster, "/later/x")
+    )
+    for vm in cluster.vms:
+        status = platformcluster.send_caller_request(
+            vm, "seats.example", "/odd/x"
+        )[0]
+        assert status == 404
+    assert_daemons_go_on(cluster)
--- a/tests/platform/test_operatorconfig.py
+++ b/tests/platform/test_operatorconfig.py
@@ -3,8 +3,10 @@
 import pytest
 
 from standins import platformcluster
+from tamarackgap.network import httpserver
 from tamarackgap.platform import operatorconfig
 from tamarackgap.traffic import routetable
+from tests.support import loglines
 
 
 def test_a_configuration_is_decoded():
@@ -77,3 +79,80 @@
     assert (
         operatorconfig.decode(json.dumps({"version": "xyz"}).encode()) is None
     )
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+
+
+def decode_texts(*resources, version='"00000005"'):
+    text = f'{{"version": {version}, "resources": [{", ".join(resources)}]}}'
+    return operatorconfig.decode(text.encode())
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        DEEP,
+        f'{{"type": "routes", "spec": {DEEP}}}',
+        f'{{"type": {DEEP}, "spec": {{}}}}',
+        '{"type": "\\ud800", "spec": {}}',
+        '{"type": "routes", "spec": {"host": "\\ud800"}}',
+        '{"type": "routes", "spec": NaN}',
+        '{"type": "limits", "spec": {"max_header_bytes": 1e400}}',
+        "null",
+    ],
+)
+def test_an_unreadable_entry_leaves_the_routes_beside_it(odd):
+    good = json.dumps(platformcluster.route("good", "h", "/", "a"))
+    table = decode_texts(good, odd, good)
+    assert [route.name for route in table.routes] == ["good", "good"]
+    assert table.limits == httpserver.Limits()
+
+
+@pytest.mark.parametrize(
+    "name", ["timeout_ms", "target_latency_ms", "max_attempts", "priority"]
+)
+@pytest.mark.parametrize("value", [-1, 2**64, 10**30, 1e300, "1", None])
+def test_a_route_with_a_number_out_of_range_is_left_out(name, value):
+    odd = platformcluster.route("odd", "h", "/odd/", "a", **{name: value})
+    good = platformcluster.route("good", "h", "/", "a")
+    table = operatorconfig.decode(platformcluster.configuration(1, odd, good))
+    assert [route.name for route in table.routes] == ["good"]
+
+
+def test_a_route_without_a_latency_objective_is_left_out():
+    odd = platformcluster.route("odd", "h", "/", "a", target_latency_ms=0)
+    table = operatorconfig.decode(platformcluster.configuration(1, odd))
+    assert table.routes == ()
+
+
+@pytest.mark.parametrize("weight", [-1, 1e300, 10**30])
+def test_a_split_with_a_weight_out_of_range_is_left_out(weight):
+    split = [{"service": "a", "weight": weight}, {"service": "b", "weight": 1}]
+    odd = platformcluster.route("odd", "h", "/", "", traffic_split=split)
+    table = operatorconfig.decode(platformcluster.configuration(1, odd))
+    assert table.routes == ()
+
+
+@pytest.mark.parametrize(
+    "version",
+    [
+        '"-0000001"',
+        '"0x00000c"',
+        '"0000_00c"',
+        '"\u0661\u0661\u0661\u0661\u0661\u0661\u0661\u0661"',
+        f'"{"f" * 5000}"',
+        '"ffffffffffffffffff"',
+        "12",
+        DEEP,
+    ],
+)
+def test_a_configuration_without_a_usable_version_is_ignored(version):
+    assert decode_texts(version=version) is None
+
+
+def test_an_unreadable_entry_that_is_read_again_is_logged_once():
+    with loglines.collect("resource_malformed") as events:
+        for _ in range(3):
+            decode_texts('{"type": "routes", "spec": {"host": "again"}}')
+    assert len(events) == 1
