A frame of a peer with an odd address, depth or number is dropped

Callers saw nothing yet. A frame whose sender has an address such as "127.0.0.1" raised ZMQError once a reply was sent to it, and in a status it ended the periodic broadcast of the daemon; a surplus field that is deeply nested raised RecursionError out of the receiving; NaN as an interval, age or load got into timers and sums, where it stays.

Cause: the frame's form was checked, but not its addresses, its floats, or how deep fields that are skipped are nested. Integers are bounded by MessagePack.

Fix: `decode` raises one kind of error, floats must be finite, and the transport drops a frame with an address that can't be connected to. The same dropped frame is logged once; the metric counts all of them.

--- a/tamarackgap/decoding.py
+++ b/tamarackgap/decoding.py
@@ -12,6 +12,8 @@
 # A whole number, or a time or weight, that is not negative.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# A number that is neither infinite nor NaN.
+Finite = Annotated[float, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 _STRING_OR_SEPARATOR = re.compile(
     rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tamarackgap import types
+from tamarackgap import decoding, types
 
 
 class Call(msgspec.Struct, array_like=True, frozen=True):
@@ -53,11 +53,11 @@
     leg: int
     service: types.ServiceName
     call: Call
-    remaining: float
+    remaining: decoding.Finite
     rank: int
     idempotent: bool
-    latency_objective: float
-    objective_remaining: float
+    latency_objective: decoding.Finite
+    objective_remaining: decoding.Finite
 
 
 class Completion(
@@ -83,7 +83,7 @@
     status: int = 0
     head: bytes = b""
     body: bytes = b""
-    retry_after: float = 0.0
+    retry_after: decoding.Finite = 0.0
     running: int = 0
     waiting: int = 0
 
@@ -106,7 +106,7 @@
             by one.
     """
 
-    fingerprints: dict[str, tuple[float, float]]
+    fingerprints: dict[str, tuple[decoding.Finite, decoding.Finite]]
 
 
 class FingerprintCleared(
@@ -156,12 +156,12 @@
     capacity: int
     running: int
     waiting: int
-    relative_latency: float
+    relative_latency: decoding.Finite
     route_table_version: int
     data_centre: types.DataCentre
     process: str
-    interval: float
-    load: float | None = None
+    interval: decoding.Finite
+    load: decoding.Finite | None = None
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
@@ -176,7 +176,7 @@
 
     incarnation: str
     address: str
-    age: float
+    age: decoding.Finite
     status: TargetStatus
 
 
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -4,11 +4,14 @@
 matched by order: each carries the ids of the message that it replies to.
 """
 
+import functools
+
 import msgspec
 
-from tamarackgap import types
+from tamarackgap import decoding, types
 from tamarackgap.peers import calls
 from tamarackgap.placement import records, slots
+from tamarackgap.settings import config
 
 
 class Renew(msgspec.Struct, tag="renew", array_like=True, frozen=True):
@@ -25,7 +28,7 @@
 
     witness: str
     epoch: int
-    sent: float
+    sent: decoding.Finite
     revision: int
     probe: bool = False
 
@@ -46,7 +49,7 @@
 
     owner: str
     epoch: int
-    sent: float
+    sent: decoding.Finite
     granted: bool
     state: types.WitnessState
     revision: int
@@ -92,7 +95,7 @@
     owner: str
     epoch: int
     state: types.WitnessState
-    age: float
+    age: decoding.Finite
 
 
 class Retire(msgspec.Struct, tag="retire", array_like=True, frozen=True):
@@ -144,7 +147,7 @@
     """
 
     rows: tuple[records.Row, ...]
-    pass_on_after: float | None = None
+    pass_on_after: decoding.Finite | None = None
 
 
 class Claim(msgspec.Struct, tag="claim", array_like=True, frozen=True):
@@ -197,7 +200,7 @@
     method: str
     path: str
     body: bytes
-    remaining: float
+    remaining: decoding.Finite
     idempotent: bool
     attempt: int
     first_sent_ms: int
@@ -254,7 +257,7 @@
         rate: Requests a second, or None right after its slots have changed.
     """
 
-    rate: float | None
+    rate: decoding.Finite | None
 
 
 Message = (
@@ -304,6 +307,7 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Envelope)
+_is_address = functools.lru_cache(maxsize=10_000)(config.is_address)
 
 
 def encode(envelope: Envelope) -> bytes:
@@ -316,6 +320,22 @@
 
     Raises:
         msgspec.MsgspecError: If the frame is malformed.
-        UnicodeDecodeError: If a text in the frame is not UTF-8.
     """
-    return _DECODER.decode(frame)
+    try:
+        return _DECODER.decode(frame)
+    except (RecursionError, UnicodeError) as error:
+        raise msgspec.DecodeError(str(error)) from error
+
+
+def check_addresses(envelope: Envelope) -> None:
+    """Checks the addresses to which messages would be sent.
+
+    Raises:
+        msgspec.ValidationError: If an address can't be connected to.
+    """
+    addresses = [envelope.address]
+    if isinstance(envelope.message, calls.StatusDigest):
+        addresses += [heard.address for heard in envelope.message.statuses]
+    for address in addresses:
+        if not _is_address(address):
+            raise msgspec.ValidationError(f"no address: {address}")
--- a/tamarackgap/peers/transport.py
+++ b/tamarackgap/peers/transport.py
@@ -189,15 +189,16 @@
     def _handle_frame(self, frame: bytes) -> None:
         try:
             envelope = messages.decode(frame)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            messages.check_addresses(envelope)
+        except msgspec.MsgspecError as error:
             self.malformed_frames += 1
-            logs.event(
+            logs.unreadable_event(
                 "peer_frame_malformed", bytes=len(frame), error=str(error)
             )
             return
         if envelope.deployment != self._deployment:
             self.malformed_frames += 1
-            logs.event(
+            logs.unreadable_event(
                 "peer_of_other_deployment",
                 deployment=envelope.deployment,
                 address=envelope.address,
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -2,7 +2,7 @@
 import pytest
 
 from tamarackgap import types
-from tamarackgap.peers import messages
+from tamarackgap.peers import calls, messages
 from tamarackgap.placement import slots
 
 EXAMPLES = [
@@ -42,3 +42,62 @@
 def test_malformed_frame_is_rejected(frame):
     with pytest.raises((msgspec.MsgspecError, UnicodeDecodeError)):
         messages.decode(frame)
+
+
+NAN = float("nan")
+INFINITE = float("inf")
+STATUS = calls.TargetStatus("s", True, 4, 0, 0, 0.5, 7, "a", "p", 0.1)
+
+
+def encode(message, address="127.0.0.1:1"):
+    return messages.encode(messages.Envelope("d", "s", address, message))
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["a", "", "127.0.0.1", "127.0.0.1:70000", "127.0.0.1:-1", "::", "*:5"],
+)
+def test_a_frame_with_an_address_that_cannot_be_connected_to_is_rejected(
+    address,
+):
+    heard = calls.HeardStatus("i", address, 0.1, STATUS)
+    for frame in (
+        encode(STATUS, address),
+        encode(calls.StatusDigest((heard,), True)),
+    ):
+        envelope = messages.decode(frame)
+        with pytest.raises(msgspec.ValidationError):
+            messages.check_addresses(envelope)
+
+
+def test_a_frame_with_a_deeply_nested_surplus_is_rejected():
+    frame = encode(STATUS)
+    assert frame[:1] == b"\x94"
+    deep = b"\x91" * 100_000 + b"\x00"
+    with pytest.raises(msgspec.MsgspecError):
+        messages.decode(b"\x95" + frame[1:] + deep)
+
+
+def test_a_frame_with_a_text_that_is_not_utf8_is_rejected():
+    frame = encode(messages.Renew("witness", 3, 1.5, 7))
+    with pytest.raises(msgspec.MsgspecError):
+        messages.decode(frame.replace(b"witness", b"witnes\xff"))
+
+
+@pytest.mark.parametrize("number", [NAN, INFINITE, -INFINITE])
+def test_a_frame_with_a_number_that_is_not_finite_is_rejected(number):
+    replaced = msgspec.structs.replace
+    for message in (
+        messages.Renew("w", 3, number, 7),
+        messages.RowUpdates((), number),
+        messages.LoadReport(number),
+        replaced(STATUS, relative_latency=number),
+        replaced(STATUS, interval=number),
+        replaced(STATUS, load=number),
+        calls.StatusDigest(
+            (calls.HeardStatus("i", "127.0.0.1:1", number, STATUS),), True
+        ),
+        calls.TargetCrash({"f": (0.5, number)}),
+    ):
+        with pytest.raises(msgspec.MsgspecError):
+            messages.decode(encode(message))
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -2,6 +2,7 @@
 import types as module_types
 
 import pytest
+import zmq
 
 from standins import ports
 from tamarackgap.network import sockets
@@ -71,3 +72,27 @@
     for _, _, received in others:
         assert received[0].message == messages.LoadReport(1.0)
         assert received[0].sender == "me"
+
+
+def test_odd_frames_leave_the_others_received(three_peers):
+    (_, address, received), (sender, own, _), _ = three_peers
+    status = messages.Cancel("leg")
+    odd = [
+        messages.Envelope("test", "s", "127.0.0.1:70000", status),
+        messages.Envelope("test", "s", "127.0.0.1", status),
+        messages.Envelope("other", "s", own, status),
+    ]
+    frames = [messages.encode(envelope) for envelope in odd]
+    good = messages.encode(messages.Envelope("test", "s", own, status))
+    # A surplus field that is deeply nested.
+    frames.append(b"\x95" + good[1:] + b"\x91" * 9000 + b"\x00")
+    with zmq.Context() as context, context.socket(zmq.PUSH) as push:
+        push.connect(f"tcp://{address}")
+        for frame in (*frames, good):
+            push.send(frame)
+        peer_transport = three_peers[0][0]
+        end = time.monotonic() + CONNECT_TIMEOUT_S
+        while not received and time.monotonic() < end:
+            peer_transport._receive_frames()
+    assert [envelope.address for envelope in received] == [own]
+    assert peer_transport.malformed_frames == len(frames)
