A number of many digits in a header is handled as a large one

Callers saw no answer to a request whose timeout or shard key had more than 4,300 digits (or a timeout more than 308), and a server's answer with such a number in Keep-Alive or in its load was lost, with its connection.

Cause: int() refuses more than 4,300 digits with ValueError, and dividing an integer beyond the floats raises OverflowError; both left the handler of the socket.

Evidence: five of the new tests failed before.

Fix: such a number counts as 10**15, so a shard key is refused, a timeout is long, and a load is compared as before; a Keep-Alive time of more than nine digits is ignored in favour of the pool's own.

--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -13,6 +13,9 @@
 from tamarackgap import logs
 from tamarackgap.network import exchanges, scheduler, sockets
 
+# A longer time in a Keep-Alive header is ignored.
+_MAX_TIMEOUT_DIGITS = 9
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -336,7 +339,11 @@
         if keep_alive is not None:
             for part in keep_alive.split(b","):
                 name, _, value = part.strip().partition(b"=")
-                if name.lower() == b"timeout" and value.isdigit():
+                if (
+                    name.lower() == b"timeout"
+                    and value.isdigit()
+                    and len(value) <= _MAX_TIMEOUT_DIGITS
+                ):
                     # Leaves a margin of one second: the other side may close
                     # slightly before its timeout.
                     return min(
--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -30,6 +30,9 @@
     }
 )
 _STATUSES_READ_AS_NOT_RUN = frozenset({408, 429, 503})
+# All numbers of so many digits are exact as floats.
+_MAX_DIGITS = 15
+_MAX_COUNT = 10**_MAX_DIGITS
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
 _STATUS_BAD_GATEWAY = 502
@@ -66,17 +69,18 @@
         elif name == names.ATTEMPT_ID:
             request_id = value
         elif name == names.TIMEOUT_MS:
-            if not value.isdigit():
+            timeout_ms = _parse_count(value)
+            if timeout_ms is None:
                 return result.Failure(
                     f"timeout {value!r} is not a whole number"
                 )
-            timeout = int(value) / 1000
+            timeout = timeout_ms / 1000
         elif name == names.SHARD_KEY:
-            if not value.isdigit() or int(value) >= slots.POSITION_COUNT:
+            position = _parse_count(value)
+            if position is None or position >= slots.POSITION_COUNT:
                 return result.Failure(
                     f"shard key {value!r} is not an integer from 0 to 65535"
                 )
-            position = int(value)
         if (
             name not in _HEADERS_NOT_PASSED_ON
             and name not in connection_headers
@@ -97,6 +101,14 @@
     return result.Success(adapter.DecodedRequest(host_name, call, timeout))
 
 
+def _parse_count(text: bytes) -> int | None:
+    """Returns a whole number, or None; `_MAX_COUNT` if it is larger."""
+    if not text.isdigit():
+        return None
+    digits = text.lstrip(b"0") or b"0"
+    return int(digits) if len(digits) <= _MAX_DIGITS else _MAX_COUNT
+
+
 def encode_call(dispatch: calls.Dispatch, left_ms: int, instance: str) -> bytes:
     """Returns the bytes of a call to the local server.
 
@@ -181,12 +193,12 @@
     counts as full.
     """
     load = answer.header(names.SERVER_LOAD)
-    numbers = (load or b"").split(b",")
-    if len(numbers) != 3 or not all(
-        number.strip().isdigit() for number in numbers
-    ):
+    numbers = [
+        _parse_count(number.strip()) for number in (load or b"").split(b",")
+    ]
+    if len(numbers) != 3 or None in numbers:
         return True
-    running, waiting, capacity = (int(number) for number in numbers)
+    running, waiting, capacity = numbers
     return running >= capacity or waiting > 0
 
 
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -104,3 +104,25 @@
         assert len(outcomes) == 1
         pool.send(lambda: b"GET /2 HTTP/1.1\r\n\r\n", 1.0, outcomes.append)
         assert accepted.recv(100).startswith(b"GET /2")
+
+
+@pytest.mark.parametrize(
+    "timeout", [b"9" * 5000, b"99999999999", b"-1", b"\xd9\xa3", b"1e9", b""]
+)
+def test_an_answer_with_an_odd_keep_alive_time_is_handled(
+    poller_and_pool, target, timeout
+):
+    poller, pool = poller_and_pool
+    outcomes = []
+    pool.send(lambda: b"GET / HTTP/1.1\r\n\r\n", 1.0, outcomes.append)
+    _connect(poller)
+    accepted, _ = target.accept()
+    with accepted:
+        accepted.recv(100)
+        accepted.sendall(
+            b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=%b\r\n"
+            b"content-length: 0\r\n\r\n" % timeout
+        )
+        time.sleep(0.05)
+        poller.fire(sockets.READABLE)
+    assert isinstance(outcomes[0], result.Success)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,7 +1,8 @@
 import pytest
+from returns import result
 
 from tamarackgap import types
-from tamarackgap.network import httppool
+from tamarackgap.network import httppool, httpserver
 from tamarackgap.platform import requests
 
 
@@ -21,6 +22,8 @@
         (b"3,0,12", types.Reason.TARGET_REFUSED),
         (b"nonsense", types.Reason.TARGET_FULL),
         (b"1,2", types.Reason.TARGET_FULL),
+        (b"3,0," + b"9" * 5000, types.Reason.TARGET_REFUSED),
+        (b"\xd9\xa3,0,12", types.Reason.TARGET_FULL),
     ],
 )
 def test_the_load_header_tells_a_full_target_from_a_refusal(load, reason):
@@ -41,3 +44,34 @@
 
 def test_503_without_the_header_may_have_run():
     assert _decode(503).verdict is types.Verdict.MAY_HAVE_RUN
+
+
+def _decode_call(**headers):
+    header_pairs = [
+        (b"host", b"h"),
+        (b"x-tamarackgap-attempt-id", b"r1"),
+        *(
+            (f"x-tamarackgap-{name.replace('_', '-')}".encode(), value)
+            for name, value in headers.items()
+        ),
+    ]
+    incoming = httpserver.IncomingRequest(
+        None, 0.0, "GET", "/x", header_pairs, b""
+    )
+    return requests.decode_call(incoming, types.ServiceName("s"))
+
+
+@pytest.mark.parametrize("digits", [20, 400, 5000])
+def test_a_timeout_of_many_digits_is_a_long_one(digits):
+    request = _decode_call(timeout_ms=b"9" * digits).unwrap()
+    assert 10**9 < request.timeout < float("inf")
+    assert (
+        _decode_call(timeout_ms=b"0" * digits + b"500").unwrap().timeout == 0.5
+    )
+
+
+@pytest.mark.parametrize(
+    "key", [b"9" * 20, b"9" * 5000, b"-1", b"\xd9\xa3", b"", b"1.0", b"65536"]
+)
+def test_a_shard_key_out_of_range_is_refused(key):
+    assert isinstance(_decode_call(shard_key=key), result.Failure)
