--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -14,6 +14,8 @@
 
 # Answers to no request that are skipped on a connection before it is given up.
 _MAX_SKIPPED_ANSWERS = 3
+# A longer time in a Keep-Alive header is ignored.
+_MAX_TIMEOUT_DIGITS = 9
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -354,7 +356,11 @@
         if keep_alive is not None:
             for part in keep_alive.split(b","):
                 name, _, value = part.strip().partition(b"=")
-                if name.lower() == b"timeout" and value.isdigit():
+                if (
+                    name.lower() == b"timeout"
+                    and value.isdigit()
+                    and len(value) <= _MAX_TIMEOUT_DIGITS
+                ):
                     # Leaves a margin of one second: the other side may close
                     # slightly before its timeout.
                     return min(
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -447,3 +447,25 @@
         for start in range(0, len(body), 4096):
             sender.receive(body[start : start + 4096])
         assert sender.statuses == [200] * count
+
+
+@pytest.mark.parametrize(
+    "timeout", [b"9" * 5000, b"99999999999", b"-1", b"\xd9\xa3", b"1e9", b""]
+)
+def test_an_answer_with_an_odd_keep_alive_time_is_handled(
+    poller_and_pool, target, timeout
+):
+    poller, pool = poller_and_pool
+    outcomes = []
+    pool.send(lambda: b"GET / HTTP/1.1\r\n\r\n", 1.0, outcomes.append)
+    _connect(poller)
+    accepted, _ = target.accept()
+    with accepted:
+        accepted.recv(100)
+        accepted.sendall(
+            b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=%b\r\n"
+            b"content-length: 0\r\n\r\n" % timeout
+        )
+        time.sleep(0.05)
+        poller.fire(sockets.READABLE)
+    assert isinstance(outcomes[0], result.Success)
