--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -70,8 +70,17 @@
         self.connection: _Connection | None = None
 
 
+def _do_nothing() -> None:
+    """Is called where nobody is to be told."""
+
+
 class ConnectionPool:
-    """Holds the connections to one address."""
+    """Holds the connections to one address.
+
+    Attributes:
+        on_connected: Called when a new connection is established, before a
+            request is written to it.
+    """
 
     def __init__(
         self,
@@ -98,6 +107,12 @@
         self._unacked_timeout_ms = unacked_timeout_ms
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
+        self.on_connected: Callable[[], None] = _do_nothing
+
+    @property
+    def has_established_connection(self) -> bool:
+        """Whether the other side has accepted a connection still open."""
+        return any(connection.established for connection in self._open)
 
     def send(
         self,
@@ -205,6 +220,11 @@
         )
         self._writer = sockets.Writer(pool.poller, sock, False)
 
+    @property
+    def established(self) -> bool:
+        """Whether the other side has accepted the connection."""
+        return self._writer.connected
+
     def send(self, exchange: Exchange) -> None:
         """Sends a request on this idle connection, once it is established."""
         self._exchange = exchange
@@ -249,8 +269,10 @@
             if not self._writer.handle_writable():
                 self.fail(self._failure_cause())
                 return
-            if not was_connected and self._exchange is not None:
-                self._write()
+            if not was_connected:
+                self._pool.on_connected()
+                if self._exchange is not None:
+                    self._write()
         if self._closed:
             return
         if flags & (sockets.READABLE | sockets.ERROR_OR_HANGUP):
