Seeded faults of targets and daemons, and a release that ends too late

Faults of fifteen kinds begin at random times and overlap, on the stepped clock and with both ways of granting; afterwards no rule may have been broken. Each seed that broke one stays as a test of its own.

--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -2,8 +2,15 @@
 
 import contextlib
 
+import pytest
+
 from tamarackgap.peers import messages
-from tests.support import targetsimulation
+from tamarackgap.traffic import routetable
+from tests.support import targetfaults, targetsimulation
+
+Fault = targetfaults.Fault
+CALL = routetable.GrantChannel.CALL
+HEARTBEAT = routetable.GrantChannel.HEARTBEAT
 
 VICTIM = "seats-1"
 # A target announces itself again within this time, seconds.
@@ -102,3 +109,64 @@
             cluster.run(3)
             assert broken_rules(cluster, "holders") == [], seed
             assert broken_rules(cluster, "fence") == [], seed
+
+
+def test_late_end_of_a_release_does_not_release_the_lease_that_came_after_it():
+    with settled_cluster(lease=3.0) as cluster:
+        host = cluster.hosts[VICTIM]
+        handler = cluster.sidecars[cluster.daemons[VICTIM]].handler
+        host.process.leaving = True
+        host.faults.max_work_s = 1.0
+        cluster.table_up = False
+        begun = cluster.run(4, lambda: handler.slot_grants.has_pending_releases)
+        assert begun is not None
+        cluster.restart_target(VICTIM)
+        cluster.table_up = True
+        cluster.run(8)
+        assert broken_rules(cluster, "holders") == []
+
+
+# Each seed that broke a rule stays.
+STORIES = {
+    "restart": ({Fault.RESTART}, CALL, 0),
+    "clock-step": ({Fault.CLOCK_STEP}, CALL, 0),
+    "refusal": ({Fault.REFUSAL}, CALL, 0),
+    "epochs": (
+        {
+            Fault.LOST_MESSAGES,
+            Fault.LONG_WORK,
+            Fault.DAEMON_ENDS,
+            Fault.DAEMON_LEAVING,
+        },
+        CALL,
+        14,
+    ),
+    "daemon-leaving": (
+        {Fault.LATE_GRANT, Fault.DAEMON_LEAVING, Fault.TABLE_AWAY},
+        CALL,
+        0,
+    ),
+    "target-leaving": (
+        {Fault.LATE_GRANT, Fault.TARGET_LEAVING, Fault.TABLE_AWAY},
+        CALL,
+        9,
+    ),
+    "heartbeat-target-leaving": ({Fault.TARGET_LEAVING}, HEARTBEAT, 13),
+    "all": (set(Fault), CALL, 0),
+    "heartbeat-all": (set(Fault), HEARTBEAT, 4),
+}
+
+
+@pytest.mark.parametrize("story", STORIES)
+def test_faults_make_no_second_holder_and_no_outdated_fence(story):
+    faults, channel, seed = STORIES[story]
+    cluster = targetfaults.play(faults, seed, 8.0, channel=channel)
+    assert cluster.violations == cluster.ledger.violations == []
+
+
+@pytest.mark.parametrize("channel", routetable.GrantChannel)
+@pytest.mark.parametrize("seed", range(2))
+def test_faults_that_restart_no_target_at_once_break_no_rule(channel, seed):
+    faults = set(Fault) - {Fault.RESTART, Fault.CLOCK_STEP, Fault.REFUSAL}
+    cluster = targetfaults.play(faults, seed, 8.0, channel=channel)
+    assert cluster.violations == cluster.ledger.violations == []
