The end of an earlier release does not give up the lease that came after it

Cause: a daemon whose target is leaving gives its lease up once the target has released all slots. If the target was replaced meanwhile, its lease had gone already, and the release that ended later gave up the next one, while the new process held slots under it. In the same way the late end of a release that had been given up recorded slots as released that had been granted again since.

The end of a release of all slots counts only for the lease for which it was begun, and slots that were granted after a release began stay held.

--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -92,6 +92,8 @@
         self._releasing: frozenset[int] = frozenset()
         self._paused = False
         self._stopped = False
+        # Releases that were begun before the latest reset no longer count.
+        self._reset_count = 0
         # Whether grants are given only with the answers to heartbeats.
         self.by_heartbeat = False
         # Id of the target's process as last announced, for the log.
@@ -185,13 +187,22 @@
         """Takes all slots back from the target and stops granting.
 
         Args:
-            done: Called when the target no longer holds any of them.
+            done: Called when the target no longer holds any of them; not
+                called after `reset`.
         """
         self._stopped = True
-        self.release(self._ledger.granted_slots, lambda handovers: done())
+        reset_count = self._reset_count
+
+        def finish(handovers: dict[slots.SlotRange, str]) -> None:
+            del handovers
+            if reset_count == self._reset_count:
+                done()
+
+        self.release(self._ledger.granted_slots, finish)
 
     def reset(self) -> None:
         """Starts granting again after the lease of the released slots ended."""
+        self._reset_count += 1
         self._stopped = False
         self._releasing = frozenset()
         self.clear()
@@ -310,6 +321,7 @@
         if not ranges:
             done({})
             return
+        latest_end = self._ledger.ends_at(moving)
         handovers: dict[slots.SlotRange, str] = {}
         self._pending_releases += len(ranges)
         for slot_range in ranges:
@@ -358,7 +370,7 @@
                 instance=self.target_instance,
             )
             self._ledger.record_released(
-                range(slot_range.first, slot_range.last + 1)
+                range(slot_range.first, slot_range.last + 1), latest_end
             )
             handovers[slot_range] = handover
             self._pending_releases -= 1
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -265,6 +265,38 @@
     assert ended
 
 
+def test_release_all_that_ends_after_a_reset_is_not_reported(subject):
+    # It gave up the lease that came after the one it was begun for.
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    ended = []
+    grants.release_all(lambda: ended.append(True))
+    grants.reset()
+    core.own(0, 9, 2)
+    grants.renew()
+    target.answer()
+    timers.advance(1.01)
+    assert not ended
+
+
+def test_late_end_of_a_release_leaves_slots_granted_since(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    grants.release(frozenset({8, 9}), lambda handovers: None)
+    target.answer(acknowledged=False)
+    grants.end_release()
+    timers.advance(0.5)
+    grants.renew()
+    target.answer()
+    timers.advance(0.51)
+    assert grants.is_held(8, timers.now)
+    assert grants.remaining_hold > 0
+
+
 def test_release_all_covers_slots_of_a_release_that_was_given_up(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
