A lost target's lease is kept until its holds have ended

Cause: a refused connection and announcements that stop don't show that the target's process has ended; took both together for a proof. Only three things show that a target holds nothing: its release, the end of its holds, or a new process at its address that has released what it may have taken. A lost target's lease is now given up like a silent one's, when its holds have ended.

What it costs: the keys of a target that crashes and does not come back wait for up to a hold, as those of a lost VM do.

--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -31,9 +31,6 @@
 # Slots that have not moved through the table this long after the target or
 # the process began to leave go to their successors without a handover.
 _MOVE_TIMEOUT_S = 0.8
-# A target whose connections are refused is regarded as ended if it has not
-# announced itself for this many announce intervals.
-_ANNOUNCED_INTERVALS = 1.25
 _IDLE_TIMEOUT_S = 7.0
 _UNACKED_TIMEOUT_MS = 3000
 _MAX_ORDER_ANSWER_BYTES = 65_536
@@ -92,7 +89,7 @@
         self._release_at = 0.0
         # Number of times that the target was lost or silent.
         self._absences = 0
-        self._announce_interval = settings.router_announce_interval / 1000
+        announce_interval = settings.router_announce_interval / 1000
 
         def create_pool(max_answer_bytes: int) -> httppool.ConnectionPool:
             return httppool.ConnectionPool(
@@ -117,7 +114,7 @@
         )
         self._order_pool.on_connected = self.slot_grants.handle_new_connection
         self._heartbeat_orders = heartbeatorders.HeartbeatOrders(
-            timers, self._announce_interval, platform_adapter.max_hold_ranges
+            timers, announce_interval, platform_adapter.max_hold_ranges
         )
         self.runner = runner.Runner(
             self._service,
@@ -133,7 +130,7 @@
             self.slot_grants, core.record_release
         )
         self.target = localtarget.LocalTarget(
-            self._service, self._announce_interval, timers.now
+            self._service, announce_interval, timers.now
         )
 
     @property
@@ -286,18 +283,10 @@
                 self.runner.drain()
             case localtarget.Transition.LOST:
                 self.runner.detach()
-                # A target that still runs announces itself by then.
-                announced_s = self._announce_interval * _ANNOUNCED_INTERVALS
-                self._release_lease_later(
-                    min(self.slot_grants.pause(), announced_s), "target-gone"
-                )
+                self._release_lease_when_expired("target-gone")
             case localtarget.Transition.SILENT:
                 self.runner.detach()
-                # The target may still run, and serve its slots until its
-                # holds expire.
-                self._release_lease_later(
-                    self.slot_grants.pause(), "target-silent"
-                )
+                self._release_lease_when_expired("target-silent")
         self.on_status_changed()
 
     def _release_without_table(self) -> None:
@@ -349,12 +338,11 @@
         else:
             self.slot_grants.reset()
 
-    def _release_lease_later(self, wait: float, reason: str) -> None:
-        """Releases the lease after a time, unless the target returns.
+    def _release_lease_when_expired(self, reason: str) -> None:
+        """Releases the lease once all holds have ended, if nobody returns.
 
-        Args:
-            wait: Time to wait, seconds.
-            reason: The cause, for the log.
+        A target that is silent or refuses connections may still run, and serve
+        its slots until its holds expire.
         """
         self._absences += 1
         absence = self._absences
@@ -364,6 +352,7 @@
             if is_same and self.target.phase is localtarget.Phase.ABSENT:
                 self._release_lease(reason)
 
+        wait = self.slot_grants.pause()
         if wait:
             self._timers.after(wait, release_if_absent)
         else:
--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -92,6 +92,17 @@
         assert broken_rules(cluster, "holders") == []
 
 
+def test_lease_is_not_released_while_unheard_target_that_refuses_holds():
+    # One late announcement beside refused connections made two holders.
+    with settled_cluster(lease=3.0) as cluster:
+        host = cluster.hosts[VICTIM]
+        host.faults.refuses = True
+        host.faults.announcement_loss = 1.0
+        host.close_connections()
+        cluster.run(5)
+        assert broken_rules(cluster, "holders") == []
+
+
 def test_holds_do_not_outlast_lease_that_ends_earlier_in_the_next_epoch():
     with settled_cluster(count=4) as cluster:
         core = cluster.daemons[VICTIM].core
