The end of a release does not forget grants that were sent after it began

What callers could see: two targets with the same keys. A move is cancelled while the target still owes the answer to its release (next epoch's grants expire, or the lease is lost), the slots are granted again, and then the earlier release is answered or its hold ends. The slots counted as held by nobody: calls for them were refused, and the next move, or a daemon that leaves, gave them up without ordering the target to release them.

Cause: the end of a release cleared the holds of its slots whatever had been granted since.

Each hold now has the number of its latest grant, which is taken when the grant is queued and again when it is written; a release clears only holds whose grants were sent before it began.

Evidence: the three tests of slotgrants failed before and pass. Found by review, not seen in a run. The test of record_released passes the number of grants sent, its assertions are unchanged.

--- a/tamarackgap/traffic/holds.py
+++ b/tamarackgap/traffic/holds.py
@@ -34,6 +34,7 @@
         ends_at: Latest end of all grants that were sent, monotonic seconds.
         late_until: Latest end of the grants that were sent and that the target
             may still carry out, monotonic seconds.
+        sent: Number of the latest grant that was sent.
     """
 
     fence: int = 0
@@ -42,6 +43,7 @@
     held_until: float = _NEVER
     ends_at: float = _NEVER
     late_until: float = _NEVER
+    sent: int = 0
 
 
 class HoldLedger:
@@ -54,6 +56,12 @@
     def __init__(self) -> None:
         """Creates the ledger of a target that has been granted nothing."""
         self._holds: dict[int, _SlotHold] = {}
+        self._sent_count = 0
+
+    @property
+    def sent_count(self) -> int:
+        """Number of grants that have been sent."""
+        return self._sent_count
 
     @property
     def granted_slots(self) -> frozenset[int]:
@@ -100,8 +108,10 @@
             slot_range: The range.
             until: Monotonic time by which its hold has ended, seconds.
         """
+        self._sent_count += 1
         for slot in _slots(slot_range):
             hold = self._hold(slot, slot_range.fence)
+            hold.sent = self._sent_count
             hold.ends_at = max(hold.ends_at, until)
             hold.late_until = max(hold.late_until, until)
 
@@ -181,10 +191,17 @@
             (hold.late_until for hold in self._select(wanted)), default=_NEVER
         )
 
-    def record_released(self, released: Iterable[int]) -> None:
-        """Records that the target no longer holds slots."""
+    def record_released(self, released: Iterable[int], sent_count: int) -> None:
+        """Records that the target no longer holds slots.
+
+        Args:
+            released: The slots.
+            sent_count: Number of grants that had been sent when the release
+                began; the target may hold slots by later ones.
+        """
         for hold in self._select(released):
-            hold.held_until = hold.ends_at = hold.late_until = _NEVER
+            if hold.sent <= sent_count:
+                hold.held_until = hold.ends_at = hold.late_until = _NEVER
 
     def clear(self) -> None:
         """Forgets all holds, since the target's process has ended."""
--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -277,6 +277,8 @@
             or hold_s < _MIN_HOLD_S
         ):
             return None
+        # A release may have begun, and been given up, since it was queued.
+        self._ledger.record_sent(state.slot_range, order.until)
         state.order_fence = self._ledger.order_fence(state.slot_range)
         return msgspec.structs.replace(
             order, fence=state.order_fence, hold_s=hold_s
@@ -312,6 +314,7 @@
             return
         handovers: dict[slots.SlotRange, str] = {}
         self._pending_releases += len(ranges)
+        sent_count = self._ledger.sent_count
         for slot_range in ranges:
             order = orders.Release(
                 *slots.position_range(slot_range, self._slot_count()),
@@ -358,7 +361,7 @@
                 instance=self.target_instance,
             )
             self._ledger.record_released(
-                range(slot_range.first, slot_range.last + 1)
+                range(slot_range.first, slot_range.last + 1), sent_count
             )
             handovers[slot_range] = handover
             self._pending_releases -= 1
--- a/tests/traffic/test_holds.py
+++ b/tests/traffic/test_holds.py
@@ -76,8 +76,16 @@
 
 def test_released_slots_are_held_no_more():
     ledger = granted_ledger(until=101.0)
-    ledger.record_released(range(0, 5))
+    ledger.record_released(range(0, 5), ledger.sent_count)
     assert not ledger.is_held(4, 3, 100.0)
     assert ledger.is_held(5, 3, 100.0)
     assert ledger.granted_ranges(range(20), 100.0) == [slots.SlotRange(5, 9, 3)]
     assert ledger.granted_ranges(range(20), 101.0) == []
+
+
+def test_a_release_does_not_end_holds_by_grants_sent_after_it_began():
+    ledger = granted_ledger(until=101.0)
+    sent_count = ledger.sent_count
+    ledger.record_sent(slots.SlotRange(0, 4, 1), 102.0)
+    ledger.record_released(range(10), sent_count)
+    assert ledger.ends_at() == 102.0
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -549,3 +549,58 @@
     grants.renew()
     target.answer()
     assert grants.stop() == 0.0
+
+
+def begin_release_that_is_given_up(target, grants):
+    """Grants slots again while their release has no answer yet."""
+    grants.renew()
+    target.answer()
+    grants.release(frozenset({0, 1}), lambda handovers: None)
+    (_, answer_release), target.orders = target.orders[0], []
+    grants.end_release()
+    grants.renew()
+    target.answer()
+    return answer_release
+
+
+def assert_target_is_ordered_to_release(target, grants):
+    released = []
+    grants.release_all(lambda: released.append(True))
+    assert [type(order) for order, _ in target.orders] == [orders.Release]
+    assert not released
+
+
+def test_late_answer_to_a_release_does_not_forget_later_grants(subject):
+    timers, core, target, grants = subject
+    core.own(0, 1, 1)
+    answer_release = begin_release_that_is_given_up(target, grants)
+    answer_release(orders.OrderResult(True))
+    assert grants.is_held(0, timers.now)
+    assert_target_is_ordered_to_release(target, grants)
+
+
+def test_end_of_an_unanswered_release_does_not_forget_later_grants(subject):
+    timers, core, target, grants = subject
+    core.own(0, 1, 1)
+    answer_release = begin_release_that_is_given_up(target, grants)
+    answer_release(orders.OrderResult(False))
+    timers.advance(0.5)
+    grants.renew()
+    target.answer()
+    timers.advance(0.55)
+    assert grants.is_held(0, timers.now)
+    assert_target_is_ordered_to_release(target, grants)
+
+
+def test_a_release_does_not_forget_a_grant_that_was_written_after_it(subject):
+    timers, core, target, grants = subject
+    core.own(0, 1, 1)
+    grants.renew()
+    (grant, answer_grant), target.orders = target.orders[0], []
+    grants.release(frozenset({0, 1}), lambda handovers: None)
+    (_, answer_release), target.orders = target.orders[0], []
+    grants.end_release()
+    assert grants.with_remaining_hold(grant) is not None
+    answer_grant(orders.OrderResult(True))
+    answer_release(orders.OrderResult(True))
+    assert_target_is_ordered_to_release(target, grants)
