A release of all slots that a later one replaced is not reported

What callers could see: two targets with the same keys, or a daemon that gives up a lease it has just taken. A target that leaves ends and starts again while its daemon waits for the release of all slots; the daemon then begins a second release of all. When that one is done, the lease is given up and the next incarnation grants again. The first one is done later, at the end of its holds, and gave the lease of the next incarnation up while the target held its slots, or made the ledger forget them.

A release of all slots is now reported only if no later one has begun, and granting has not started again since.

Evidence: the test failed before and passes. Found by review, not seen in a run.

--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -102,6 +102,8 @@
         )
         self._pending_grants = 0
         self._pending_releases = 0
+        # Rises when all slots are released, or may be granted again.
+        self._release_all_number = 0
 
     @property
     def range_count(self) -> int:
@@ -185,14 +187,24 @@
         """Takes all slots back from the target and stops granting.
 
         Args:
-            done: Called when the target no longer holds any of them.
+            done: Called when the target no longer holds any of them, unless
+                all slots have been taken back again or granted since.
         """
         self._stopped = True
-        self.release(self._ledger.granted_slots, lambda handovers: done())
+        self._release_all_number += 1
+        number = self._release_all_number
+
+        def handle_released(handovers: dict[slots.SlotRange, str]) -> None:
+            del handovers
+            if number == self._release_all_number:
+                done()
+
+        self.release(self._ledger.granted_slots, handle_released)
 
     def reset(self) -> None:
         """Starts granting again after the lease of the released slots ended."""
         self._stopped = False
+        self._release_all_number += 1
         self._releasing = frozenset()
         self.clear()
 
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -604,3 +604,22 @@
     answer_grant(orders.OrderResult(True))
     answer_release(orders.OrderResult(True))
     assert_target_is_ordered_to_release(target, grants)
+
+
+def test_a_release_that_a_later_one_replaced_is_not_reported(subject):
+    timers, core, target, grants = subject
+    core.own(0, 1, 1)
+    grants.renew()
+    target.answer()
+    reported = []
+    grants.release_all(lambda: reported.append("first"))
+    (_, answer_first), target.orders = target.orders[0], []
+    grants.release_all(lambda: reported.append("second"))
+    target.answer()
+    grants.reset()
+    grants.renew()
+    target.answer()
+    answer_first(orders.OrderResult(True))
+    assert reported == ["second"]
+    assert grants.is_held(0, timers.now)
+    assert_target_is_ordered_to_release(target, grants)
