A copy of an earlier answer is not taken for the answer to a release

What callers could see: two targets with the same keys, or a target that is given keys on which another is still at work. Servers' answers to orders have no id, and a faulty server may send an answer once more where the next one is expected. On a connection that had carried a grant, the copy of its answer acknowledged the release that came next, before the target had ended its work.

Only an answer with a handover is now one to a release; others are skipped. The connection is closed after it, so that no copy of it can be taken for the answer to a later release.

What stays: a copy of a grant's answer may be taken for that of the next grant on the same connection.

--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -57,18 +57,24 @@
     Attributes:
         build: Returns the request's bytes.
         is_answer: Returns whether an answer is the one to this request.
+        is_last: Whether the connection is closed after the answer.
         connection: The connection that carries the request, or None.
     """
 
-    __slots__ = ("is_answer", "build", "connection")
+    __slots__ = ("is_answer", "is_last", "build", "connection")
 
     def __init__(
-        self, build: RequestBuilder, done: DoneCallback, is_answer: AnswerCheck
+        self,
+        build: RequestBuilder,
+        done: DoneCallback,
+        is_answer: AnswerCheck,
+        is_last: bool,
     ) -> None:
         """Creates an exchange that calls `done` once, with its outcome."""
         super().__init__(done)
         self.build = build
         self.is_answer = is_answer
+        self.is_last = is_last
         self.connection: _Connection | None = None
 
 
@@ -125,6 +131,7 @@
         timeout: float,
         done: DoneCallback,
         is_answer: AnswerCheck = lambda answer: True,
+        is_last: bool = False,
     ) -> Exchange:
         """Sends a request.
 
@@ -136,11 +143,13 @@
                 this method returns.
             is_answer: Returns whether an answer is the one to this request;
                 a few others are skipped on a connection that was used before.
+            is_last: Whether the connection is closed after the answer, so that
+                no copy of it can be taken for the answer to another request.
 
         Returns:
             The exchange, to be passed to `cancel`.
         """
-        exchange = Exchange(build, done, is_answer)
+        exchange = Exchange(build, done, is_answer, is_last)
         connection = self._take_idle() or self._connect()
         if connection is None:
             exchange.finish(
@@ -331,7 +340,11 @@
             self._skip_answer()
             return
         self._is_reused = True
-        if self._writer.unsent or not self._parser.keeps_connection:
+        if (
+            exchange.is_last
+            or self._writer.unsent
+            or not self._parser.keeps_connection
+        ):
             self._must_close = True
         self._exchange = None
         self.reusable_until = self._pool.timers.now + self._idle_timeout_s(
--- a/tamarackgap/platform/__main__.py
+++ b/tamarackgap/platform/__main__.py
@@ -47,6 +47,7 @@
                 requests.decode_answer,
             ),
             encode_order=servers.encode_order,
+            is_order_answer=servers.is_order_answer,
             decode_order_answer=servers.decode_order_answer,
             encode_hold_list=servers.encode_hold_list,
             max_hold_ranges=servers.MAX_HOLD_RANGES,
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -189,6 +189,19 @@
     return requests.encode_json("POST", path, "target", body)
 
 
+def is_order_answer(
+    order: orders.Grant | orders.Release, answer: httppool.Answer
+) -> bool:
+    """Returns whether an answer may be the one to an order.
+
+    Answers to orders have no id, but only those to releases have a handover.
+    """
+    return (
+        not isinstance(order, orders.Release)
+        or answer.header(names.HANDOVER) is not None
+    )
+
+
 def decode_order_answer(answer: httppool.Answer) -> orders.OrderResult:
     """Returns the result of an order from the server's answer."""
     handover = answer.header(names.HANDOVER) or b""
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -413,4 +413,11 @@
                 return b""
             return self._adapter.encode_order(current)
 
-        self._order_pool.send(encode, timeout, handle_outcome)
+        self._order_pool.send(
+            encode,
+            timeout,
+            handle_outcome,
+            functools.partial(self._adapter.is_order_answer, order),
+            # No later release may be taken for answered by a copy.
+            is_last=isinstance(order, orders.Release),
+        )
--- a/tamarackgap/traffic/adapter.py
+++ b/tamarackgap/traffic/adapter.py
@@ -117,6 +117,8 @@
         encode_response: Returns the response to the caller for a completion.
         codec: Encodes calls for targets and decodes their answers.
         encode_order: Returns the bytes of an order to the target.
+        is_order_answer: Returns whether an answer of the target may be the one
+            to an order, and not a copy of one to an earlier order.
         decode_order_answer: Returns the outcome of an order from the target's
             answer.
         encode_hold_list: Returns the answer to an announcement that tells the
@@ -136,6 +138,9 @@
     encode_response: Callable[[calls.Completion], Response]
     codec: runner.Codec
     encode_order: Callable[[orders.Grant | orders.Release], bytes]
+    is_order_answer: Callable[
+        [orders.Grant | orders.Release, httppool.Answer], bool
+    ]
     decode_order_answer: Callable[[httppool.Answer], orders.OrderResult]
     encode_hold_list: Callable[[heartbeatorders.HoldList | None], Response]
     max_hold_ranges: int
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -469,3 +469,11 @@
         time.sleep(0.05)
         poller.fire(sockets.READABLE)
     assert isinstance(outcomes[0], result.Success)
+
+
+def test_a_connection_is_closed_after_its_last_exchange(sender):
+    sender.send(b"a", is_last=True)
+    sender.connect()
+    sender.receive(b"HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 0\r\n\r\n")
+    assert sender.statuses == [200]
+    assert sender.connection_count == 0
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -215,3 +215,14 @@
     headers = [(b"x-tamarackgap-handover", b"x" * 70_000)]
     answer = httppool.Answer(200, headers, b"")
     assert servers.decode_order_answer(answer) == orders.OrderResult(True)
+
+
+def test_only_an_answer_with_a_handover_is_one_to_a_release():
+    release = orders.Release(0, 255, 7)
+    plain = httppool.Answer(200, [], b"")
+    with_handover = httppool.Answer(
+        200, [(b"x-tamarackgap-handover", b"5c0e")], b""
+    )
+    assert not servers.is_order_answer(release, plain)
+    assert servers.is_order_answer(release, with_handover)
+    assert servers.is_order_answer(make_grant(0, 255, 7), plain)
--- a/tests/support/targets.py
+++ b/tests/support/targets.py
@@ -36,6 +36,12 @@
     return msgspec.json.decode(answer.body, type=orders.OrderResult)
 
 
+def is_order_answer(order, answer):
+    """Returns whether a simulated target's answer may be to an order."""
+    is_release = isinstance(order, orders.Release)
+    return not is_release or answer.header(b"handover") is not None
+
+
 def _decode_order(data):
     name, fields = msgspec.json.decode(data)
     return msgspec.convert(fields, _ORDER_TYPES[name])
@@ -43,7 +49,8 @@
 
 def _encode_answer(outcome):
     body = msgspec.json.encode(outcome)
-    head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
+    handover = f"handover: {outcome.handover}\r\n" if outcome.handover else ""
+    head = f"HTTP/1.1 200 OK\r\n{handover}content-length: {len(body)}\r\n\r\n"
     return head.encode() + body
 
 
@@ -227,6 +234,8 @@
         max_work_s: Longest time until released slots' calls end, seconds.
         announcement_loss: Share of announcements that are lost.
         max_announcement_delay_s: Longest time until one arrives, seconds.
+        copies_answers: Whether each answer to an order comes once more, at the
+            time at which the next answer on its connection is expected.
     """
 
     refuses: bool = False
@@ -238,6 +247,7 @@
     max_work_s: float = 0.02
     announcement_loss: float = 0.0
     max_announcement_delay_s: float = 0.004
+    copies_answers: bool = False
 
 
 class Host:
@@ -322,6 +332,8 @@
         self._descriptor = descriptor
         self._clock = clock
         self._received = b""
+        # What arrives in answer to the next order, before its own answer.
+        self._copy = b""
         self._closed = False
         self.process = None
         self.is_open = False
@@ -369,7 +381,7 @@
                 answer(process.grant(order, arrived_at, now), 0.0)
             else:
                 process.release(order, now, work_s)
-                answer(orders.OrderResult(True), work_s)
+                answer(orders.OrderResult(True, handover="work-ended"), work_s)
 
         def answer(outcome, delay):
             if not is_silent:
@@ -377,6 +389,8 @@
                 host.schedule(delay, lambda: self._receive(outcome))
 
         host.schedule(rng.uniform(0, faults.max_transit_s), arrive)
+        self._received += self._copy
+        self._copy = b""
         return len(data)
 
     def recv(self, size):
@@ -394,6 +408,8 @@
     def _receive(self, outcome):
         if not self.is_reset:
             self._received += _encode_answer(outcome)
+            if self._host.faults.copies_answers:
+                self._copy = _encode_answer(outcome)
 
     def ready_flags(self):
         """Returns the flags that epoll would report."""
--- a/tests/support/targetsimulation.py
+++ b/tests/support/targetsimulation.py
@@ -274,6 +274,7 @@
         encode_response=cannot,
         codec=runner.Codec(cannot, cannot, cannot),
         encode_order=targets.encode_order,
+        is_order_answer=targets.is_order_answer,
         decode_order_answer=targets.decode_order_answer,
         encode_hold_list=lambda hold_list: adapter.Response(200, [], hold_list),
         max_hold_ranges=100,
--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -113,3 +113,15 @@
             cluster.run(3)
             assert broken_rules(cluster, "holders") == [], seed
             assert broken_rules(cluster, "fence") == [], seed
+
+
+def test_copy_of_an_earlier_answer_is_not_taken_for_one_to_a_release():
+    for seed in range(3):
+        with settled_cluster(seed, count=4) as cluster:
+            for host in cluster.hosts.values():
+                host.faults.copies_answers = True
+                host.faults.max_work_s = 0.8
+            cluster.run(1)
+            cluster.add_daemon("seats-4", "a")
+            assert cluster.run(20, cluster.is_settled) is not None
+            assert broken_rules(cluster, "holders") == [], seed
