--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -92,8 +92,6 @@
         self._releasing: frozenset[int] = frozenset()
         self._paused = False
         self._stopped = False
-        # Releases that were begun before the latest reset no longer count.
-        self._reset_count = 0
         # Whether grants are given only with the answers to heartbeats.
         self.by_heartbeat = False
         # Id of the target's process as last announced, for the log.
@@ -104,6 +102,8 @@
         )
         self._pending_grants = 0
         self._pending_releases = 0
+        # Rises when all slots are released, or may be granted again.
+        self._release_all_number = 0
 
     @property
     def range_count(self) -> int:
@@ -187,23 +187,24 @@
         """Takes all slots back from the target and stops granting.
 
         Args:
-            done: Called when the target no longer holds any of them; not
-                called after `reset`.
+            done: Called when the target no longer holds any of them, unless
+                all slots have been taken back again or granted since.
         """
         self._stopped = True
-        reset_count = self._reset_count
+        self._release_all_number += 1
+        number = self._release_all_number
 
-        def finish(handovers: dict[slots.SlotRange, str]) -> None:
+        def handle_released(handovers: dict[slots.SlotRange, str]) -> None:
             del handovers
-            if reset_count == self._reset_count:
+            if number == self._release_all_number:
                 done()
 
-        self.release(self._ledger.granted_slots, finish)
+        self.release(self._ledger.granted_slots, handle_released)
 
     def reset(self) -> None:
         """Starts granting again after the lease of the released slots ended."""
-        self._reset_count += 1
         self._stopped = False
+        self._release_all_number += 1
         self._releasing = frozenset()
         self.clear()
 
@@ -288,6 +289,8 @@
             or hold_s < _MIN_HOLD_S
         ):
             return None
+        # A release may have begun, and been given up, since it was queued.
+        self._ledger.record_sent(state.slot_range, order.until)
         state.order_fence = self._ledger.order_fence(state.slot_range)
         return msgspec.structs.replace(
             order, fence=state.order_fence, hold_s=hold_s
@@ -321,9 +324,9 @@
         if not ranges:
             done({})
             return
-        latest_end = self._ledger.ends_at(moving)
         handovers: dict[slots.SlotRange, str] = {}
         self._pending_releases += len(ranges)
+        sent_count = self._ledger.sent_count
         for slot_range in ranges:
             order = orders.Release(
                 *slots.position_range(slot_range, self._slot_count()),
@@ -370,7 +373,7 @@
                 instance=self.target_instance,
             )
             self._ledger.record_released(
-                range(slot_range.first, slot_range.last + 1), latest_end
+                range(slot_range.first, slot_range.last + 1), sent_count
             )
             handovers[slot_range] = handover
             self._pending_releases -= 1
--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -192,3 +192,15 @@
     faults = set(Fault) - {Fault.RESTART, Fault.CLOCK_STEP, Fault.REFUSAL}
     cluster = targetfaults.play(faults, seed, 8.0, channel=channel)
     assert cluster.violations == cluster.ledger.violations == []
+
+
+def test_copy_of_an_earlier_answer_is_not_taken_for_one_to_a_release():
+    for seed in range(3):
+        with settled_cluster(seed, count=4) as cluster:
+            for host in cluster.hosts.values():
+                host.faults.copies_answers = True
+                host.faults.max_work_s = 0.8
+            cluster.run(1)
+            cluster.add_daemon("seats-4", "a")
+            assert cluster.run(20, cluster.is_settled) is not None
+            assert broken_rules(cluster, "holders") == [], seed
