A model of grants to a target that restarts, and of giving the lease up

The models had the daemons only, and neither targets nor orders to them. The new one has one slot, its owner, the owner's target process, the next process at the same address and the next owner's target. Grants arrive late, are carried out any time later, lose their answers and overtake each other; connections end with the process that they were opened to, or before. Two processes that hold the slot, or one that takes it under a fence that another had, break it.

Without each of its seven rules a violation is found in 5 to 10 steps: a hold that outlasts the lease, a new connection or an unanswered grant that does not raise the fence, a restart, a refused connection or a release that ends the lease too early, an epoch whose lease ends before a hold.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -1,10 +1,10 @@
-"""Checks both specifications and prints the shortest trace of each mutant."""
+"""Checks all specifications and prints the shortest trace of each mutant."""
 
 import sys
 
 import click
 
-from model import anchor, check, spec
+from model import anchor, check, grants, spec
 
 _MAX_STATES = 6_000_000
 
@@ -21,10 +21,11 @@
         checked = check.check(complete, most)
         click.echo(f"all rules, explicit={explicit}: {_text(checked)}")
         failed = failed or checked.holds is not True
-    checked = check.check(anchor.Spec(), most)
-    click.echo(f"all rules of the anchor: {_text(checked)}")
-    failed = failed or checked.holds is not True
-    for module in (spec, anchor):
+    for module in (anchor, grants):
+        checked = check.check(module.Spec(), most)
+        click.echo(f"all rules of {module.__name__}: {_text(checked)}")
+        failed = failed or checked.holds is not True
+    for module in (spec, anchor, grants):
         for rule in module.Rule:
             mutant = module.Spec(without=frozenset({rule}))
             checked = check.check(mutant, most)
--- a/model/check.py
+++ b/model/check.py
@@ -5,7 +5,7 @@
 import minicheck
 import msgspec
 
-from model import anchor
+from model import anchor, grants
 from model import spec as spec_lib
 
 ONE_OWNER = "at most one owner"
@@ -31,7 +31,7 @@
     property: str = ""
 
 
-Spec = spec_lib.Spec | anchor.Spec
+Spec = spec_lib.Spec | anchor.Spec | grants.Spec
 
 
 def protocol(spec: Spec) -> minicheck.Protocol:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from model import anchor, check
+from model import anchor, check, grants
 from model import spec as spec_lib
 from tamarackgap import types
 from tamarackgap.ownership import lease, takeover, witness
@@ -73,6 +73,34 @@
     assert len(result.trace) == ANCHOR_TRACE_LENGTHS[rule]
 
 
+def test_grants_and_restarts_make_no_second_holder():
+    result = check.check(grants.Spec(max_grants=2), MAX_STATES)
+    assert result.holds is True
+    assert result.states > 50_000
+
+
+# Steps of the shortest violation without each rule.
+GRANTS_TRACE_LENGTHS = {
+    grants.Rule.HOLD_IN_LEASE: 7,
+    grants.Rule.NEW_CONNECTION: 9,
+    grants.Rule.UNANSWERED: 8,
+    grants.Rule.RESTART_WAIT: 8,
+    grants.Rule.REFUSAL_WAIT: 6,
+    grants.Rule.RELEASE_CONFIRMED: 5,
+    grants.Rule.NO_EARLIER_END: 10,
+}
+
+
+@pytest.mark.parametrize("rule", grants.Rule)
+def test_each_rule_of_grants_is_necessary(rule):
+    mutant = grants.Spec(without=frozenset({rule}), max_grants=2)
+    result = check.check(mutant, MAX_STATES)
+    assert result.holds is False
+    assert len(result.trace) == GRANTS_TRACE_LENGTHS[rule]
+    fences = rule is grants.Rule.NEW_CONNECTION
+    assert result.property == (check.FENCES if fences else check.ONE_OWNER)
+
+
 STATE_CODES = {
     types.WitnessState.OPEN: "o",
     types.WitnessState.SEALED: "s",
