Stand-in servers end at once, keep the fences they have seen, and can answer late

A test could not see what a restart of a target leads to: `stop` went on accepting connections for up to 0.5 s, open connections outlived the server, and a fence was forgotten with the hold it came with. Now a server that is stopped cuts its connections within 10 ms; it refuses a fence below the highest that it has seen for a key, also after the hold has ended; and with `grant_delay_s` a grant gets no answer and is carried out later, its time counted from its arrival. All servers of a process share one lock, so an observer of `on_hold_taken` sees the holds of all of them at one moment.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -1,5 +1,6 @@
 """Stand-in for a server of the users' platform, with keys granted to it."""
 
+import array
 import http.client
 import json
 import threading
@@ -15,9 +16,16 @@
 _MAX_ANSWER_BYTES = 4096
 # Interval while keys are being released.
 _RELEASING_INTERVAL_S = 0.05
+_STOP_POLL_S = 0.01
+_WORK_POLL_S = 0.002
+_KEY_COUNT = 65_536
 
+# Shared by all servers, so that observers see the holds of all of them at one
+# moment.
+_state_lock = threading.RLock()
 
-class _Hold(msgspec.Struct):
+
+class Hold(msgspec.Struct):
     """A granted range of keys.
 
     Attributes:
@@ -51,6 +59,10 @@
             signature, each after the execution. Empty for no fault.
         on_run_started: Called with this server, the request's id and its shard
             key before each execution.
+        on_hold_taken: Called with this server and each hold that it takes;
+            no server's holds change meanwhile.
+        grant_delay_s: If it is not 0, grants get no answer and are carried out
+            this many seconds after their arrival.
         crash_path: A request for a path with this prefix ends the server;
             empty for none.
         ignores_answers: Whether it acts as if answers to its heartbeats were
@@ -91,11 +103,13 @@
         self.on_run_started: Callable[[AppServer, str, int | None], None] = (
             _ignore_run
         )
+        self.on_hold_taken: Callable[[AppServer, Hold], None] = _ignore_hold
+        self.grant_delay_s = 0.0
         self.crash_path = ""
         self.ignores_answers = False
         self._grants = grants
         # Ranges that are released as soon as no request works on them.
-        self._ending: list[_Hold] = []
+        self._ending: list[Hold] = []
         # First and last key, and handover, of released ranges not reported yet.
         self._freed: list[tuple[int, int, str]] = []
         # Shard keys of the requests being executed.
@@ -104,18 +118,31 @@
         self._keyed = keyed
         self._started_at_ms = int(time.time() * 1000)
         self._sequence = 0
-        self._holds: list[_Hold] = []
+        self._holds: list[Hold] = []
+        # Highest fence seen by key, also after the hold has ended.
+        self._seen_fences = array.array("q", bytes(8 * _KEY_COUNT))
         self._release_count = 0
-        self._lock = threading.Lock()
+        self._lock = _state_lock
         self._stopping = threading.Event()
         self._closed = threading.Event()
         self._server = httpd.serve(address, self._handle_request)
 
     def start(self) -> None:
         """Starts the threads that serve requests and send heartbeats."""
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self._server.serve_forever, args=(_STOP_POLL_S,), daemon=True
+        ).start()
         threading.Thread(target=self._send_heartbeats, daemon=True).start()
 
+    @property
+    def live_holds(self) -> list[Hold]:
+        """The holds that have not expired; none once the server stops."""
+        with self._lock:
+            now = time.monotonic()
+            if self._stopping.is_set():
+                return []
+            return [hold for hold in self._holds if hold.until > now]
+
     @property
     def is_stopped(self) -> bool:
         """Whether the server has stopped and released its address."""
@@ -123,9 +150,9 @@
 
     def stop(self) -> None:
         """Stops the server at once, without an announcement."""
-        self._stopping.set()
-        self._server.shutdown()
-        self._server.server_close()
+        with self._lock:
+            self._stopping.set()
+        self._server.stop()
         self._closed.set()
 
     def send_heartbeat(self) -> bool:
@@ -153,7 +180,7 @@
             connection.request("POST", path, json.dumps(body))
             response = connection.getresponse()
             answer = response.read()
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return False
         finally:
             connection.close()
@@ -173,12 +200,13 @@
             return [
                 (hold.first, hold.last, hold.fence)
                 for hold in [*self._holds, *self._ending]
-                if hold.until > now or self._is_working_on(hold)
+                if hold.until > now
+                or self._is_working_on(hold.first, hold.last)
             ]
 
-    def _is_working_on(self, hold: "_Hold") -> bool:
+    def _is_working_on(self, first: int, last: int) -> bool:
         return any(
-            key is not None and hold.first <= key <= hold.last
+            key is not None and first <= key <= last
             for key in self._running_keys
         )
 
@@ -191,25 +219,37 @@
         with self._lock:
             self.grant_count += 1
             for first, last, fence, _ in answer["holds"]:
-                seen = max(
-                    (
-                        hold.fence
-                        for hold in self._holds
-                        if hold.first <= last and hold.last >= first
-                    ),
-                    default=0,
-                )
-                if fence >= seen:
-                    listed.append(_Hold(first, last, fence, until))
+                if self._accept_fence(first, last, fence):
+                    listed.append(Hold(first, last, fence, until))
             for hold in listed:
                 self._remove_range(hold.first, hold.last)
             self._ending += self._holds
             self._holds = listed
+            for hold in listed:
+                self._report_hold(hold)
+
+    def _accept_fence(self, first: int, last: int, fence: int) -> bool:
+        """Records a fence; returns whether no key has been seen with a higher.
+
+        Args:
+            first: First key.
+            last: Last key.
+            fence: Fence of a grant of these keys.
+        """
+        if max(self._seen_fences[first : last + 1]) > fence:
+            return False
+        count = last + 1 - first
+        self._seen_fences[first : last + 1] = array.array("q", [fence]) * count
+        return True
+
+    def _report_hold(self, hold: Hold) -> None:
+        if hold.until > time.monotonic() and not self._stopping.is_set():
+            self.on_hold_taken(self, hold)
 
     def _end_releases(self) -> None:
         """Releases the ranges that were left out and are not worked on."""
         for hold in list(self._ending):
-            if self._is_working_on(hold):
+            if self._is_working_on(hold.first, hold.last):
                 continue
             self._ending.remove(hold)
             self._release_count += 1
@@ -218,12 +258,9 @@
 
     def holds(self, shard_key: int) -> bool:
         """Returns whether the server currently holds a shard key."""
-        with self._lock:
-            now = time.monotonic()
-            return any(
-                hold.first <= shard_key <= hold.last and hold.until > now
-                for hold in self._holds
-            )
+        return any(
+            hold.first <= shard_key <= hold.last for hold in self.live_holds
+        )
 
     def _send_heartbeats(self) -> None:
         while not self._stopping.is_set():
@@ -244,17 +281,19 @@
         return self._run(request)
 
     def _grant(self, body: dict) -> httpd.Response:
+        until = time.monotonic() + body["hold_ms"] / 1000
+        delay_s = self.grant_delay_s
+        if delay_s:
+            self._stopping.wait(delay_s)
         with self._lock:
             self.grant_count += 1
-            first, last = body["from"], body["target"]
-            for hold in self._holds:
-                overlaps = hold.first <= last and hold.last >= first
-                if overlaps and hold.fence > body["fence"]:
-                    return httpd.Response(409)
-            until = time.monotonic() + body["hold_ms"] / 1000
+            first, last, fence = body["from"], body["target"], body["fence"]
+            if not self._accept_fence(first, last, fence):
+                return httpd.Response(None if delay_s else 409)
             self._remove_range(first, last)
-            self._holds.append(_Hold(first, last, body["fence"], until))
-        return httpd.Response(200)
+            self._holds.append(Hold(first, last, fence, until))
+            self._report_hold(self._holds[-1])
+        return httpd.Response(None if delay_s else 200)
 
     def _remove_range(self, first: int, last: int) -> None:
         """Removes keys from all holds, and keeps the rest of each hold."""
@@ -262,7 +301,7 @@
         for hold in self._holds:
             if hold.first < first:
                 remaining.append(
-                    _Hold(
+                    Hold(
                         hold.first,
                         min(hold.last, first - 1),
                         hold.fence,
@@ -271,7 +310,7 @@
                 )
             if hold.last > last:
                 remaining.append(
-                    _Hold(
+                    Hold(
                         max(hold.first, last + 1),
                         hold.last,
                         hold.fence,
@@ -285,6 +324,8 @@
             self._remove_range(body["from"], body["target"])
             self._release_count += 1
             handover = f"{self.instance}-{self._release_count}"
+        while self._is_working_on(body["from"], body["target"]):
+            time.sleep(_WORK_POLL_S)
         return httpd.Response(200, headers={"X-Tamarackgap-Handover": handover})
 
     def _run(self, request: httpd.Request) -> httpd.Response:
@@ -293,24 +334,21 @@
         target_instance = request.headers.get("x-tamarackgap-target-instance")
         key_text = request.headers.get("x-tamarackgap-shard-key")
         shard_key = int(key_text) if key_text else None
+        refusal_headers = {**id_header, "X-Tamarackgap-Not-Executed": "1"}
         is_misdirected = self.fault == "misdirect-once"
         if is_misdirected:
             self.fault = ""
-        if (
-            is_misdirected
-            or target_instance != self.instance
-            or (self._keyed and not self.holds(shard_key))
-        ):
-            return httpd.Response(
-                421, headers={**id_header, "X-Tamarackgap-Not-Executed": "1"}
-            )
-        if self.fault == "full":
-            return httpd.Response(
-                503, headers={**id_header, "X-Tamarackgap-Not-Executed": "1"}
-            )
-        self.on_run_started(self, request_id, shard_key)
         with self._lock:
+            if (
+                is_misdirected
+                or target_instance != self.instance
+                or (self._keyed and not self.holds(shard_key))
+            ):
+                return httpd.Response(421, headers=refusal_headers)
+            if self.fault == "full":
+                return httpd.Response(503, headers=refusal_headers)
             self._running_keys.append(shard_key)
+            self.on_run_started(self, request_id, shard_key)
         time.sleep(self.work_s)
         with self._lock:
             self._running_keys.remove(shard_key)
@@ -346,3 +384,7 @@
     server: AppServer, request_id: str, shard_key: int | None
 ) -> None:
     del server, request_id, shard_key
+
+
+def _ignore_hold(server: AppServer, hold: Hold) -> None:
+    del server, hold
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -1,7 +1,9 @@
 """A small threaded HTTP server for the stand-ins."""
 
+import contextlib
 import http.server
 import json
+import socket
 import socketserver
 import sys
 from collections.abc import Callable
@@ -54,18 +56,45 @@
 RequestHandler = Callable[[Request], Response]
 
 
-class _Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    """An HTTP server with a thread for each connection."""
+
     daemon_threads = True
     request_queue_size = 256
     allow_reuse_address = True
 
+    def __init__(self, *args: object) -> None:
+        """Binds the address; takes the same arguments as `HTTPServer`."""
+        self._connections: set[socket.socket] = set()
+        super().__init__(*args)
+
+    def process_request(
+        self, request: socket.socket, client_address: object
+    ) -> None:
+        """Serves a connection on a thread of its own."""
+        self._connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: socket.socket) -> None:
+        """Closes a connection that has been served."""
+        self._connections.discard(request)
+        super().shutdown_request(request)
+
+    def stop(self) -> None:
+        """Stops listening and cuts all connections, as a process's end does."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request: object, client_address: object) -> None:
         """Reports errors, except those of connections closed by the client."""
         if not isinstance(sys.exc_info()[1], ConnectionError):
             super().handle_error(request, client_address)
 
 
-def serve(address: str, handler: RequestHandler) -> http.server.HTTPServer:
+def serve(address: str, handler: RequestHandler) -> Server:
     """Returns a server bound to an address.
 
     Args:
@@ -113,4 +142,4 @@
             """Writes no log."""
 
     host, _, port = address.rpartition(":")
-    return _Server((host, int(port)), Handler)
+    return Server((host, int(port)), Handler)
--- a/standins/platformcluster.py
+++ b/standins/platformcluster.py
@@ -100,7 +100,9 @@
             it before `start` to put a proxy in between.
         target_address: Address of the server in the daemon's settings; may be
             changed likewise.
-        server_incarnation: Number of servers started so far.
+        heartbeat_address: Address to which the server announces itself; may be
+            changed likewise.
+        server_incarnation: Number of server ids used so far.
         server: The current server, None before the first start.
         process: The daemon's process, None before the first start.
         log: File for the daemon's log.
@@ -125,22 +127,31 @@
         self.server_address, self.metrics_address = addresses[4:]
         self.store_address = cluster.store_address
         self.target_address = self.server_address
+        self.heartbeat_address = self.announce_address
         self.server_incarnation = 0
         self.server = None
         self.process = None
         self.log = cluster.folder / f"{name}.log"
 
-    def start_server(self):
-        """Starts the next incarnation of the server."""
-        self.server_incarnation += 1
+    def create_server(self, same_id=False):
+        """Creates the next incarnation of the server, without starting it.
+
+        Args:
+            same_id: Whether it has the id of the one before it.
+        """
+        self.server_incarnation += not same_id
         self.server = appserver.AppServer(
             f"{self.name}-{self.server_incarnation}",
             self.service,
             self.server_address,
-            self.announce_address,
+            self.heartbeat_address,
             self.keyed,
             grants=self.cluster.grants,
         )
+
+    def start_server(self):
+        """Starts the next incarnation of the server."""
+        self.create_server()
         self.server.start()
 
     def start(self):
@@ -259,14 +270,18 @@
         """Reserves all ports below `port`."""
         self._next_port = port
 
-    def start(self):
-        """Writes the configuration, and starts all servers and daemons."""
+    def write_configuration(self):
+        """Writes the first version of the configuration."""
         resources = (
             HEARTBEAT_RESOURCES
             if self.grants == "heartbeat"
             else DEFAULT_RESOURCES
         )
         self.store.put("op", "config", configuration(1, *resources))
+
+    def start(self):
+        """Writes the configuration, and starts all servers and daemons."""
+        self.write_configuration()
         for vm in self.vms:
             vm.start_server()
             vm.start()
