--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,13 +2,17 @@
 
 import pathlib
 import random
+import shutil
 import sys
 import tempfile
 
 import click
+import msgspec
 
 from soak import run
 
+_PLANS = {"general": run.GENERAL, "ownership": run.OWNERSHIP}
+
 
 @click.command()
 @click.option("--seeds", default=1, help="Number of runs.")
@@ -18,13 +22,53 @@
     default=20.0,
     help="Seconds for which each run injects faults.",
 )
-def main(seeds: int, first: int | None, seconds: float) -> None:
+@click.option(
+    "--faults",
+    "plan_name",
+    type=click.Choice(list(_PLANS)),
+    default="general",
+    help="The faults that are injected.",
+)
+@click.option(
+    "--grants",
+    type=click.Choice(["call", "heartbeat"]),
+    default="call",
+    help="How targets take their keys.",
+)
+@click.option(
+    "--only",
+    multiple=True,
+    help="Name of a fault; the others are not injected.",
+)
+@click.option("--vms", type=int, help="Number of VMs instead of the usual.")
+@click.option(
+    "--folder",
+    type=click.Path(path_type=pathlib.Path, file_okay=False, exists=True),
+    default=tempfile.gettempdir(),
+    help="Folder for the logs of runs that fail.",
+)
+def main(
+    seeds: int,
+    first: int | None,
+    seconds: float,
+    plan_name: str,
+    grants: str,
+    only: tuple[str, ...],
+    vms: int | None,
+    folder: pathlib.Path,
+) -> None:
     """Runs consecutive seeds, and keeps the logs of those that fail."""
+    plan = msgspec.structs.replace(_PLANS[plan_name], grants=grants)
+    if only:
+        chosen = tuple(f for f in plan.fault_choices if f.name in only)
+        plan = msgspec.structs.replace(plan, fault_choices=chosen)
+    if vms is not None:
+        plan = msgspec.structs.replace(plan, vms=run.name_vms(vms))
     first_seed = first if first is not None else random.randrange(10**6)
     failed_runs = 0
     for seed in range(first_seed, first_seed + seeds):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = run.run_seed(folder, seed, seconds)
+        logs = pathlib.Path(tempfile.mkdtemp("", f"soak-{seed}-", folder))
+        result = run.run_seed(logs, seed, seconds, plan)
         recovery_s = result.recovery_s
         click.echo(
             f"seed {seed}: {'passed' if result.passed else 'FAILED'},"
@@ -35,10 +79,13 @@
         )
         if not result.passed:
             failed_runs += 1
-            (folder / "story.txt").write_text("\n".join(result.fault_log))
-            click.echo(f"  logs: {folder}")
+            (logs / "story.txt").write_text("\n".join(result.fault_log))
+            (logs / "holds.txt").write_text("\n".join(result.hold_log))
+            click.echo(f"  logs: {logs}")
             for violation in result.violations:
                 click.echo(f"  {violation}")
+        else:
+            shutil.rmtree(logs)
     sys.exit(1 if failed_runs else 0)
 
 
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -1,8 +1,10 @@
-"""Checks invariants on the requests and executions of a soak run."""
+"""Checks invariants on the requests, executions and holds of a soak run."""
 
 import collections
+import datetime
 import json
 import threading
+import time
 
 import msgspec
 
@@ -35,23 +37,44 @@
     body: bytes
 
 
+class _LastTaken(msgspec.Struct, frozen=True):
+    """The highest fence with which keys have been taken, and by whom."""
+
+    first: int
+    last: int
+    fence: int
+    server: appserver.AppServer
+
+    def overlaps(self, first: int, last: int) -> bool:
+        """Returns whether any key from `first` to `last` is among these."""
+        return self.first <= last and self.last >= first
+
+
 class InvariantChecker:
-    """Records exchanges and executions, and collects violated invariants.
+    """Records what callers and servers see, and collects violated invariants.
 
     The invariants are: a request that is not idempotent is executed at most
     once, and never after a refusal; no two servers hold a key at the same
-    time; a caller gets the complete answer to its own request.
+    time; a server takes a key with a higher fence than all other servers that
+    had it, those that have ended included; a caller gets the complete answer
+    to its own request.
 
     Attributes:
         requests_sent: Number of exchanges recorded.
         statuses: Number of exchanges for each status.
         violations: One text for each violation.
+        hold_log: One line for each start of a server and each hold taken.
     """
 
     def __init__(self) -> None:
         self.requests_sent = 0
         self.statuses: collections.Counter[int] = collections.Counter()
         self.violations: list[str] = []
+        self.hold_log: list[str] = []
+        # By service, without overlaps.
+        self._last_taken: dict[str, list[_LastTaken]] = {}
+        # Owner violations that have been added, without their time.
+        self._reported: set[str] = set()
         self._executions: collections.Counter[str] = collections.Counter()
         self._refused: set[str] = set()
         self._non_idempotent: set[str] = set()
@@ -59,10 +82,15 @@
         self._lock = threading.Lock()
 
     def add_server(self, server: appserver.AppServer) -> None:
-        """Starts to check each request that a server begins to execute."""
+        """Starts to check the executions and holds of a server.
+
+        Call it before the server is started.
+        """
         with self._lock:
             self._servers.append(server)
+        self._log_hold(f"{server.instance} starts")
         server.on_run_started = self._record_execution
+        server.on_hold_taken = self._check_hold
 
     def record_exchange(self, exchange: Exchange) -> None:
         """Records an exchange, and checks the response if it is a success."""
@@ -95,13 +123,7 @@
     ) -> None:
         with self._lock:
             self._executions[request] += 1
-            others = [
-                other
-                for other in self._servers
-                if other is not server
-                and other.service == server.service
-                and not other.is_stopped
-            ]
+        others = self._others(server)
         if shard_key is None:
             return
         other_holders = [o.instance for o in others if o.holds(shard_key)]
@@ -113,6 +135,66 @@
                 f" {', '.join(other_holders)} holds it too"
             )
 
+    def _others(self, server: appserver.AppServer) -> list[appserver.AppServer]:
+        """Returns the other servers of a server's service that run."""
+        with self._lock:
+            return [
+                other
+                for other in self._servers
+                if other is not server
+                and other.service == server.service
+                and not other.is_stopped
+            ]
+
+    def _check_hold(
+        self, server: appserver.AppServer, hold: appserver.Hold
+    ) -> None:
+        """Checks a hold that a server takes; no holds change meanwhile."""
+        self._log_hold(
+            f"{server.instance} takes {hold.first}-{hold.last}"
+            f" fence {hold.fence} for {hold.until - time.monotonic():.3f} s"
+        )
+        for other in self._others(server):
+            for held in other.live_holds:
+                if held.first <= hold.last and held.last >= hold.first:
+                    self._report_owner(
+                        f"OWNER {max(held.first, hold.first)}:"
+                        f" {server.instance} takes it with fence {hold.fence},"
+                        f" {other.instance} holds it with fence {held.fence}"
+                    )
+        self._check_fence(server, hold)
+
+    def _check_fence(
+        self, server: appserver.AppServer, hold: appserver.Hold
+    ) -> None:
+        """Checks that no other server has had the keys with such a fence."""
+        remaining = []
+        taken = [_LastTaken(hold.first, hold.last, hold.fence, server)]
+        for last in self._last_taken.get(server.service, []):
+            if not last.overlaps(hold.first, hold.last):
+                remaining.append(last)
+                continue
+            if last.server is not server and last.fence >= hold.fence:
+                self._report_owner(
+                    f"OWNER {max(last.first, hold.first)}:"
+                    f" {server.instance} takes it with fence {hold.fence},"
+                    f" {last.server.instance} had it with fence {last.fence}"
+                )
+            if last.fence > hold.fence:
+                remaining.append(last)
+                taken = _without(taken, last.first, last.last)
+            else:
+                remaining += _without([last], hold.first, hold.last)
+        self._last_taken[server.service] = remaining + taken
+
+    def _report_owner(self, text: str) -> None:
+        if text not in self._reported:
+            self._reported.add(text)
+            self._add_violation(f"{text}, at {current_time()}")
+
+    def _log_hold(self, text: str) -> None:
+        self.hold_log.append(f"{current_time()} {text}")
+
     def _check_response(self, exchange: Exchange) -> None:
         try:
             answer = json.loads(exchange.body)
@@ -131,3 +213,25 @@
 
     def _add_violation(self, text: str) -> None:
         self.violations.append(text)
+
+
+def current_time() -> str:
+    """Returns the time of day in the form of the daemons' logs."""
+    now = datetime.datetime.now(datetime.UTC)
+    return now.strftime("%H:%M:%S.%f")[:-3]
+
+
+def _without(
+    taken: list[_LastTaken], first: int, last: int
+) -> list[_LastTaken]:
+    """Returns what is left of disjoint ranges without the given keys."""
+    remaining = []
+    for each in taken:
+        if not each.overlaps(first, last):
+            remaining.append(each)
+            continue
+        if each.first < first:
+            remaining.append(msgspec.structs.replace(each, last=first - 1))
+        if each.last > last:
+            remaining.append(msgspec.structs.replace(each, first=last + 1))
+    return remaining
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -8,7 +8,6 @@
 import time
 
 _READ_BYTES = 65_536
-_ACCEPT_TIMEOUT_S = 0.2
 
 
 class Mode(enum.Enum):
@@ -18,42 +17,71 @@
     DELAY = "delay"
     # New connections are reset, and open ones on their next bytes.
     RESET = "reset"
+    # New connections are refused, and open ones reset on their next bytes.
+    REFUSE = "refuse"
     # Requests are passed on; answers are discarded.
     ANSWERS_LOST = "answers-lost"
     # Bytes in both directions are discarded; no connection is closed.
     SILENT = "silent"
 
 
+_RESETTING = frozenset({Mode.RESET, Mode.REFUSE})
+
+
 class Proxy:
     """Accepts connections at one address and forwards them to another.
 
     Attributes:
-        mode: What happens to connections and bytes; may be set at any time.
         delay_s: Delay of each read in DELAY mode, seconds.
     """
 
     def __init__(self, address: str, target: str) -> None:
         """Listens at `address` for connections to `target`, both `ip:port`."""
-        host, _, port = address.rpartition(":")
-        self._target = target
-        self._listener = socket.create_server((host, int(port)), backlog=256)
-        self._listener.settimeout(_ACCEPT_TIMEOUT_S)
-        self._closed = threading.Event()
-        self.mode = Mode.PASS
+        self._address = _host_and_port(address)
+        self._target = _host_and_port(target)
+        self._mode = Mode.PASS
+        self._lock = threading.Lock()
+        self._listener: socket.socket | None = None
         self.delay_s = 0.0
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listen()
+
+    @property
+    def mode(self) -> Mode:
+        """What happens to connections and bytes; may be set at any time."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: Mode) -> None:
+        with self._lock:
+            self._mode = mode
+            if mode is Mode.REFUSE:
+                self._stop_listening()
+            elif self._listener is None:
+                self._listen()
 
     def close(self) -> None:
         """Stops listening; open connections stay."""
-        self._closed.set()
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while not self._closed.is_set():
+        with self._lock:
+            self._stop_listening()
+
+    def _listen(self) -> None:
+        self._listener = socket.create_server(self._address, backlog=256)
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def _stop_listening(self) -> None:
+        if self._listener is not None:
+            with contextlib.suppress(OSError):
+                # Ends the call of `accept` that waits on the other thread.
+                self._listener.shutdown(socket.SHUT_RDWR)
+            self._listener.close()
+            self._listener = None
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
             try:
-                client, _ = self._listener.accept()
-            except TimeoutError:
-                continue
+                client, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(
@@ -61,12 +89,11 @@
             ).start()
 
     def _connect(self, client: socket.socket) -> None:
-        if self.mode is Mode.RESET:
+        if self.mode in _RESETTING:
             _reset(client)
             return
-        host, _, port = self._target.rpartition(":")
         try:
-            target = socket.create_connection((host, int(port)), timeout=1)
+            target = socket.create_connection(self._target, timeout=1)
         except OSError:
             _reset(client)
             return
@@ -95,7 +122,7 @@
         try:
             while data := source.recv(_READ_BYTES):
                 mode = self.mode
-                if mode is Mode.RESET:
+                if mode in _RESETTING:
                     break
                 if mode in discarding:
                     # Later bytes would not follow on from the discarded ones,
@@ -112,6 +139,11 @@
             _reset(sock)
 
 
+def _host_and_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def _reset(sock: socket.socket) -> None:
     """Closes a socket with a reset, so that the peer notices at once."""
     with contextlib.suppress(OSError):
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import http.client
-import itertools
 import pathlib
 import random
 import threading
@@ -11,11 +10,11 @@
 
 import msgspec
 
-from soak import checker, faults, proxy
+from soak import callers, checker, faults, proxy
 from standins import platformcluster, ports
 
 # Name, service, and whether the service is keyed.
-_VMS = (
+_DEFAULT_VMS = (
     ("north", "seats", False),
     ("south", "seats", False),
     ("east", "money", True),
@@ -26,10 +25,7 @@
 # The users require that all requests are served again within this time after
 # the last fault.
 _RECOVERY_LIMIT_S = 15.0
-_REQUEST_TIMEOUT_MS = 1200
 _CALLERS_PER_VM = 2
-# Mean pause of a caller between two requests.
-_MEAN_PAUSE_S = 0.02
 # A request that was sent to a server may still start to execute within this
 # time.
 _SETTLE_S = 2.0
@@ -45,8 +41,8 @@
         served_share: Share of these requests with status 200.
         recovery_s: Seconds after the last fault until all routes were served,
             None if that took longer than the limit.
-        fault_log: Start and end of each fault, with seconds since the start
-            of the run.
+        fault_log: Start and end of each fault, with the time of day.
+        hold_log: Each start of a server and each hold taken, likewise.
     """
 
     violations: list[str]
@@ -54,6 +50,7 @@
     served_share: float
     recovery_s: float | None
     fault_log: list[str]
+    hold_log: list[str]
 
     @property
     def passed(self) -> bool:
@@ -61,29 +58,64 @@
         return not self.violations and self.recovery_s is not None
 
 
+class Plan(msgspec.Struct, frozen=True):
+    """What is run, and which faults are injected.
+
+    Attributes:
+        fault_choices: The faults among which is chosen.
+        max_pause_s: Longest time between the starts of two faults, seconds.
+        vms: Name, service and whether that is keyed, for each VM.
+        grants: How targets take their keys: by `call` or `heartbeat`.
+    """
+
+    fault_choices: tuple[faults.Fault, ...] = faults.GENERAL
+    max_pause_s: float = 1.5
+    vms: tuple[tuple[str, str, bool], ...] = _DEFAULT_VMS
+    grants: str = "call"
+
+
+GENERAL = Plan()
+OWNERSHIP = Plan(faults.OWNERSHIP, max_pause_s=0.8)
+
+
+def name_vms(count: int) -> tuple[tuple[str, str, bool], ...]:
+    """Returns VMs for a larger run, a quarter of them without keys."""
+    return tuple(
+        (f"vm{index}", "money", True)
+        if index % 4
+        else (f"vm{index}", "seats", False)
+        for index in range(count)
+    )
+
+
 class _Soak:
     """A cluster with its proxies, callers and injected faults."""
 
-    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+    def __init__(self, folder: pathlib.Path, seed: int, plan: Plan) -> None:
         self.rng = random.Random(seed)
         self.checker = checker.InvariantChecker()
-        self.cluster = platformcluster.PlatformCluster(folder, _VMS)
+        self.cluster = platformcluster.PlatformCluster(
+            folder, plan.vms, plan.grants
+        )
         self.fault_log: list[str] = []
-        self._ids = itertools.count(1)
+        self._plan = plan
         self._stopped = threading.Event()
-        self._started_at = time.monotonic()
         self._proxies: list[proxy.Proxy] = []
         store_proxies = {}
         target_proxies = {}
+        announcement_proxies = {}
         for vm in self.cluster.vms:
             store_proxies[vm.name] = self._add_proxy(vm.store_address)
             vm.store_address = self._proxy_address
             target_proxies[vm.name] = self._add_proxy(vm.server_address)
             vm.target_address = self._proxy_address
+            announcement_proxies[vm.name] = self._add_proxy(vm.announce_address)
+            vm.heartbeat_address = self._proxy_address
         self.context = faults.FaultContext(
             self.cluster,
             store_proxies,
             target_proxies,
+            announcement_proxies,
             self.start_server,
             self.rng,
         )
@@ -96,14 +128,16 @@
         self._proxies.append(new_proxy)
         return new_proxy
 
-    def start_server(self, vm: platformcluster.VM) -> None:
-        vm.start_server()
+    def start_server(self, vm: platformcluster.VM, same_id: bool) -> None:
+        vm.create_server(same_id)
         self.checker.add_server(vm.server)
+        vm.server.start()
 
     def start(self) -> None:
-        self.cluster.start()
+        self.cluster.write_configuration()
         for vm in self.cluster.vms:
-            self.checker.add_server(vm.server)
+            self.start_server(vm, False)
+            vm.start()
         if not platformcluster.wait_until(
             _START_TIMEOUT_S, self._serves_all_routes
         ):
@@ -119,31 +153,36 @@
         """Starts the callers, and injects overlapping faults for `seconds`."""
         for vm in self.cluster.vms:
             for _ in range(_CALLERS_PER_VM):
-                threading.Thread(
-                    target=self._run_caller, args=(vm,), daemon=True
-                ).start()
+                caller = callers.Caller(
+                    vm.caller_address,
+                    random.Random(self.rng.random()),
+                    self.checker,
+                    self._stopped,
+                )
+                threading.Thread(target=caller.run, daemon=True).start()
         end = time.monotonic() + seconds
-        active: dict[str, threading.Thread] = {}
+        active: dict[tuple[str, faults.Part], threading.Thread] = {}
+        threads = []
         while time.monotonic() < end:
-            time.sleep(self.rng.uniform(0.1, 1.5))
-            fault = self.rng.choice(faults.ALL)
+            time.sleep(self.rng.uniform(0.1, self._plan.max_pause_s))
+            fault = self.rng.choice(self._plan.fault_choices)
             vm = self.rng.choice(self.cluster.vms)
-            vm_names = {vm.name}
-            if fault is faults.kill_all:
-                vm_names = {each.name for each in self.cluster.vms}
-            # Faults at the same VM would act on the same processes, so they
-            # must not overlap.
+            fault_seed = self.rng.random()
+            parts = fault.parts_at(self.cluster, vm)
             if any(
-                name in active and active[name].is_alive() for name in vm_names
+                part in active and active[part].is_alive() for part in parts
             ):
                 continue
-            self._log_fault(f"{fault.__name__} {vm.name}")
+            self._log_fault(f"{fault.name} {vm.name}")
             thread = threading.Thread(
-                target=self._inject, args=(fault, vm), daemon=True
+                target=self._inject,
+                args=(fault, vm, random.Random(fault_seed)),
+                daemon=True,
             )
             thread.start()
-            active.update(dict.fromkeys(vm_names, thread))
-        for thread in active.values():
+            threads.append(thread)
+            active.update(dict.fromkeys(parts, thread))
+        for thread in threads:
             thread.join(30)
 
     def wait_for_recovery(self) -> float | None:
@@ -163,75 +202,35 @@
             return self.cluster.serves_all_routes()
         return False
 
-    def _inject(self, fault: faults.Fault, vm: platformcluster.VM) -> None:
+    def _inject(
+        self, fault: faults.Fault, vm: platformcluster.VM, rng: random.Random
+    ) -> None:
         try:
-            fault(self.context, vm)
+            fault.inject(self.context, vm, rng)
         except Exception:  # noqa: BLE001
             # A run in which a fault was not injected must fail.
             self.checker.violations.append(traceback.format_exc())
-        self._log_fault(f"{fault.__name__} {vm.name} ends")
+        self._log_fault(f"{fault.name} {vm.name} ends")
 
     def _log_fault(self, text: str) -> None:
-        elapsed_s = time.monotonic() - self._started_at
-        self.fault_log.append(f"{elapsed_s:7.3f} {text}")
-
-    def _run_caller(self, vm: platformcluster.VM) -> None:
-        """Sends requests until the run stops; reconnects after an error."""
-        rng = random.Random(self.rng.random())
-        connection = http.client.HTTPConnection(vm.caller_address, timeout=3)
-        while not self._stopped.is_set():
-            time.sleep(rng.uniform(0, 2 * _MEAN_PAUSE_S))
-            request_id = f"s{next(self._ids):07d}"
-            keyed = rng.random() < 0.6
-            host = "money.example" if keyed else "seats.example"
-            path = f"/pay/{request_id}" if keyed else f"/browse/{request_id}"
-            headers = {
-                "Host": host,
-                "X-Tamarackgap-Attempt-Id": request_id,
-                "X-Tamarackgap-Timeout-Ms": str(_REQUEST_TIMEOUT_MS),
-            }
-            if keyed:
-                headers["X-Tamarackgap-Shard-Key"] = str(rng.randrange(65_536))
-            status, response_headers, body = 0, {}, b""
-            try:
-                connection.request(
-                    "POST" if keyed else "GET", path, headers=headers
-                )
-                response = connection.getresponse()
-                body = response.read()
-                status, response_headers = response.status, response.headers
-            except (OSError, http.client.HTTPException):
-                connection.close()
-                connection = http.client.HTTPConnection(
-                    vm.caller_address, timeout=3
-                )
-            self.checker.record_exchange(
-                checker.Exchange(
-                    request_id,
-                    not keyed,
-                    path,
-                    status,
-                    bool(
-                        response_headers.get("X-Tamarackgap-Response-Signature")
-                    ),
-                    response_headers.get("X-Tamarackgap-Attempt-Id", ""),
-                    body,
-                )
-            )
+        self.fault_log.append(f"{checker.current_time()} {text}")
 
 
-def run_seed(folder: pathlib.Path, seed: int, seconds: float) -> RunResult:
+def run_seed(
+    folder: pathlib.Path, seed: int, seconds: float, plan: Plan = GENERAL
+) -> RunResult:
     """Runs one seed.
 
     Args:
         folder: Folder for the daemons' settings and logs.
         seed: Seed for the choice of VMs, faults and times.
         seconds: Time during which faults are injected, seconds.
+        plan: What is run, and which faults are injected.
 
     Raises:
         TimeoutError: If the cluster does not start in time.
     """
-    soak = _Soak(folder, seed)
+    soak = _Soak(folder, seed, plan)
     try:
         soak.start()
         soak.inject_faults(seconds)
@@ -247,4 +246,5 @@
         soak.checker.statuses[200] / max(1, requests_sent),
         recovery_s,
         soak.fault_log,
+        soak.checker.hold_log,
     )
