A fault's random source is no longer taken for the configuration's version

Callers of `change_configuration` saw a TypeError, and each run with that fault failed: the context still got the random source of the run as its last argument, which is the version now.

--- a/soak/run.py
+++ b/soak/run.py
@@ -117,7 +117,6 @@
             target_proxies,
             announcement_proxies,
             self.start_server,
-            self.rng,
         )
 
     def _add_proxy(self, target: str) -> proxy.Proxy:
