--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -162,10 +162,11 @@
     grants.renew()
     target.answer()
     grants.release(frozenset({8, 9}), lambda handovers: None)
+    target.orders.clear()
     timers.advance(0.3)
     grants.renew()
+    target.answer()
     ended = []
-    target.orders.clear()
     grants.release_all(lambda: ended.append(True))
     assert [(order.first, order.last) for order, _ in target.orders] == [
         (0, 10 * 256 - 1)
@@ -228,6 +229,71 @@
     assert fences == [9 * slotgrants.FENCE_STEP]
 
 
+def test_release_all_waits_for_unanswered_grants(subject):
+    # A target that was leaving executed a grant after its release, while the
+    # successor's target held the slots.
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    target.answer(acknowledged=False)
+    ended = []
+    grants.release_all(lambda: ended.append(True))
+    target.answer()
+    assert not ended
+    timers.advance(1.01)
+    assert ended
+
+
+def test_release_all_waits_for_a_grant_that_is_still_pending(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    ((_, answer_grant),) = target.orders
+    target.orders = []
+    ended = []
+    grants.release_all(lambda: ended.append(True))
+    target.answer()
+    assert not ended
+    answer_grant(orders.OrderResult(False))
+    timers.advance(1.01)
+    assert ended
+
+
+def test_release_all_covers_slots_of_a_release_that_was_given_up(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    grants.release(frozenset({8, 9}), lambda handovers: None)
+    target.answer(acknowledged=False)
+    grants.end_release()
+    ended = []
+    grants.release_all(lambda: ended.append(True))
+    assert [(order.first, order.last) for order, _ in target.orders] == [
+        (0, 10 * 256 - 1)
+    ]
+    target.answer(acknowledged=False)
+    assert not ended
+    timers.advance(1.01)
+    assert ended
+
+
+def test_a_grant_is_not_written_once_its_slots_are_released(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    ((waiting, _),) = target.orders
+    assert grants.with_remaining_hold(waiting) is not None
+    grants.release(frozenset({9}), lambda handovers: None)
+    assert grants.with_remaining_hold(waiting) is None
+
+
 def test_slots_of_next_lease_are_granted_after_release_all(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
@@ -330,6 +396,36 @@
     assert grants.is_confirmed(3)
 
 
+def test_a_grant_over_a_new_connection_has_a_higher_fence(subject):
+    # A new process of the target took the slots under its predecessor's fence.
+    timers, core, target, grants = subject
+    core.own(0, 9, 5)
+    grants.renew()
+    (first,) = target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    ((waiting, done),) = target.orders
+    target.orders = []
+    grants.handle_new_connection()
+    assert not grants.is_confirmed(3)
+    written = grants.with_remaining_hold(waiting)
+    assert written.fence > first.fence
+    done(orders.OrderResult(True))
+    assert grants.is_confirmed(3)
+
+
+def test_a_grant_written_before_a_new_connection_confirms_nothing(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 5)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    grants.handle_new_connection()
+    target.answer()
+    assert not grants.is_confirmed(3)
+
+
 def test_fences_do_not_decrease_after_failed_move(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
@@ -345,6 +441,22 @@
     assert min(fences) >= last.fence
 
 
+def test_fence_does_not_fall_back_when_a_joined_range_is_split(subject):
+    # The target refused the lower fence for good, and its slots had no holder.
+    timers, core, target, grants = subject
+    core.own(0, 4, 4)
+    grants.renew()
+    target.answer(acknowledged=False)
+    core.own(5, 9, 4)
+    grants.renew()
+    (joined,) = target.answer()
+    core.lose(0, 4)
+    timers.advance(0.5)
+    grants.renew()
+    (split,) = target.answer()
+    assert split.fence >= joined.fence
+
+
 def test_superseded_range_is_not_granted_again(subject):
     timers, core, target, grants = subject
     core.own(0, 9, 1)
