Holds of the soak's servers count from the arrival of the grant, not from its reading

The checker reported a hold that the daemon had rightly taken for ended. The proxy now asks the kernel when the bytes came in, and the stand-in server counts from that, plus the delay that the proxy adds on purpose. The tests hold the reader back by 0.3 s.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -25,6 +25,9 @@
     SILENT = "silent"
 
 
+# Position of `tcpi_last_data_recv` in Linux's `struct tcp_info`.
+_LAST_DATA_RECV_OFFSET = 52
+_TCP_INFO_BYTES = 104
 _RESETTING = frozenset({Mode.RESET, Mode.REFUSE})
 
 
@@ -42,6 +45,8 @@
         self._mode = Mode.PASS
         self._lock = threading.Lock()
         self._listener: socket.socket | None = None
+        # When the bytes forwarded last on each connection arrived.
+        self._arrivals: dict[tuple[str, int], float] = {}
         self.delay_s = 0.0
         self._listen()
 
@@ -59,6 +64,18 @@
             elif self._listener is None:
                 self._listen()
 
+    def arrival_time(self, address: tuple[str, int]) -> float:
+        """Returns when the bytes that were forwarded last would have arrived.
+
+        A busy machine may run the threads of this process late. The time is
+        therefore the one at which the kernel received the bytes, plus the
+        proxy's delay.
+
+        Args:
+            address: The proxy's end of its connection to the target.
+        """
+        return self._arrivals.get(address, time.monotonic())
+
     def close(self) -> None:
         """Stops listening; open connections stay."""
         with self._lock:
@@ -119,8 +136,11 @@
             sink: The socket to write to.
             discarding: Modes in which bytes of this direction are discarded.
         """
+        address = ("", 0)
         try:
+            address = sink.getsockname()
             while data := source.recv(_READ_BYTES):
+                arrived_at = time.monotonic() - _time_since_receipt(source)
                 mode = self.mode
                 if mode in _RESETTING:
                     break
@@ -131,14 +151,24 @@
                         time.sleep(0.02)
                     break
                 if mode is Mode.DELAY:
-                    time.sleep(self.delay_s)
+                    arrived_at += self.delay_s
+                    time.sleep(max(0.0, arrived_at - time.monotonic()))
+                self._arrivals[address] = arrived_at
                 sink.sendall(data)
         except OSError:
             pass
+        self._arrivals.pop(address, None)
         for sock in (source, sink):
             _reset(sock)
 
 
+def _time_since_receipt(sock: socket.socket) -> float:
+    """Returns the time since the kernel received data, seconds."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    (milliseconds,) = struct.unpack_from("=I", info, _LAST_DATA_RECV_OFFSET)
+    return milliseconds / 1000
+
+
 def _host_and_port(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/soak/run.py
+++ b/soak/run.py
@@ -130,6 +130,8 @@
     def start_server(self, vm: platformcluster.VM, same_id: bool) -> None:
         vm.create_server(same_id)
         self.checker.add_server(vm.server)
+        link = self.context.target_proxies[vm.name]
+        vm.server.arrival_time = link.arrival_time
         vm.server.start()
 
     def start(self) -> None:
--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -61,6 +61,8 @@
             key before each execution.
         on_hold_taken: Called with this server and each hold that it takes;
             no server's holds change meanwhile.
+        arrival_time: Returns when the latest bytes from an address arrived,
+            monotonic seconds; only called while a request from it is read.
         grant_delay_s: If it is not 0, grants get no answer and are carried out
             this many seconds after their arrival.
         crash_path: A request for a path with this prefix ends the server;
@@ -104,6 +106,9 @@
             _ignore_run
         )
         self.on_hold_taken: Callable[[AppServer, Hold], None] = _ignore_hold
+        self.arrival_time: Callable[[tuple[str, int]], float] = lambda _: (
+            time.monotonic()
+        )
         self.grant_delay_s = 0.0
         self.crash_path = ""
         self.ignores_answers = False
@@ -275,13 +280,14 @@
         if self._stopping.is_set():
             return httpd.Response(None)
         if request.path == "/-/grant":
-            return self._grant(request.json())
+            return self._grant(request)
         if request.path == "/-/release":
             return self._release(request.json())
         return self._run(request)
 
-    def _grant(self, body: dict) -> httpd.Response:
-        until = time.monotonic() + body["hold_ms"] / 1000
+    def _grant(self, request: httpd.Request) -> httpd.Response:
+        body = request.json()
+        until = self.arrival_time(request.client) + body["hold_ms"] / 1000
         delay_s = self.grant_delay_s
         if delay_s:
             self._stopping.wait(delay_s)
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -19,12 +19,14 @@
         path: Path with the query string.
         headers: Headers, with names in lower case.
         body: The body.
+        client: Address of the other end of the connection, host and port.
     """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    client: tuple[str, int] = ("", 0)
 
     def json(self) -> dict:
         """Decodes the body from JSON; an empty body gives an empty dict."""
@@ -114,7 +116,11 @@
             size = int(self.headers.get("Content-Length") or 0)
             headers = {k.lower(): v for k, v in self.headers.items()}
             request = Request(
-                self.command, self.path, headers, self.rfile.read(size)
+                self.command,
+                self.path,
+                headers,
+                self.rfile.read(size),
+                self.client_address,
             )
             response = handler(request)
             if response.status is None:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -3,6 +3,7 @@
 import http.client
 import socket
 import threading
+import time
 
 import pytest
 
@@ -55,3 +56,29 @@
     subject.close()
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(address)
+
+
+def test_the_time_of_arrival_does_not_depend_on_when_bytes_are_read():
+    base = ports.find_free_ports(2)
+    with socket.create_server(("127.0.0.1", base)) as target:
+        subject = proxy.Proxy(f"127.0.0.1:{base + 1}", f"127.0.0.1:{base}")
+        with socket.create_connection(("127.0.0.1", base + 1)) as client:
+            server_end, address = target.accept()
+            client.sendall(b"first")
+            sent_at = time.monotonic()
+            assert server_end.recv(100) == b"first"
+            time.sleep(0.3)
+            assert abs(subject.arrival_time(address) - sent_at) < 0.1
+            server_end.close()
+        subject.close()
+
+
+def test_bytes_that_were_read_late_have_arrived_when_the_kernel_got_them():
+    listener = socket.create_server(("127.0.0.1", ports.find_free_ports(1)))
+    with listener, socket.create_connection(listener.getsockname()) as client:
+        server_end, _ = listener.accept()
+        with server_end:
+            client.sendall(b"late")
+            time.sleep(0.3)
+            assert server_end.recv(100) == b"late"
+            assert 0.25 < proxy._time_since_receipt(server_end) < 0.6
