--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -19,6 +19,10 @@
 _STOP_POLL_S = 0.01
 _WORK_POLL_S = 0.002
 _KEY_COUNT = 65_536
+_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Tamarackgap-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 
 # Shared by all servers, so that observers see the holds of all of them at one
 # moment.
@@ -55,8 +59,10 @@
         grant_count: Number of grants received, including refused ones.
         fault: Fault to inject: `full` refuses requests; `misdirect-once`
             refuses the next one as if its key had just moved; `cut` closes the
-            connection, `error` answers 500 and `unsigned` answers without a
-            signature, each after the execution. Empty for no fault.
+            connection, `cut-head` closes it within the head of the answer,
+            `error` answers 500, `unsigned` answers without a signature and
+            `refusal-again` sends a refusal without an id first, each after the
+            execution. Empty for no fault.
         on_run_started: Called with this server, the request's id and its shard
             key before each execution.
         on_hold_taken: Called with this server and each hold that it takes;
@@ -383,6 +389,8 @@
             status,
             json.dumps(answer).encode("utf-8"),
             {**id_header, "X-Tamarackgap-Response-Signature": "signed"},
+            ends_in_head=self.fault == "cut-head",
+            surplus=_REFUSAL if self.fault == "refusal-again" else b"",
         )
 
 
--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -6,14 +6,16 @@
 import socket
 from collections.abc import Callable
 
-import httptools
 import msgspec
 from returns import result
 
 from tamarackgap import logs
-from tamarackgap.network import exchanges, scheduler, sockets
+from tamarackgap.network import answerparser, exchanges, scheduler, sockets
 
-Headers = list[tuple[bytes, bytes]]
+# Answers to no request that are skipped on a connection before it is given up.
+_MAX_SKIPPED_ANSWERS = 3
+# A longer time in a Keep-Alive header is ignored.
+_MAX_TIMEOUT_DIGITS = 9
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -26,7 +28,7 @@
     """
 
     status: int
-    headers: Headers
+    headers: answerparser.Headers
     body: bytes
 
     def header(self, name: bytes) -> bytes | None:
@@ -89,6 +91,7 @@
         address: str,
         idle_timeout_s: float,
         unacked_timeout_ms: int,
+        max_answer_bytes: int,
     ) -> None:
         """Creates a pool without connections.
 
@@ -99,11 +102,13 @@
             idle_timeout_s: Longest idle time of a connection that is reused.
             unacked_timeout_ms: Time after which a connection is closed if
                 sent bytes are not acknowledged (TCP_USER_TIMEOUT).
+            max_answer_bytes: Largest size of an answer with its head.
         """
         self.poller = poller
         self.timers = timers
         self.address = address
         self.idle_timeout_s = idle_timeout_s
+        self.max_answer_bytes = max_answer_bytes
         self._unacked_timeout_ms = unacked_timeout_ms
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
@@ -130,7 +135,7 @@
             done: Called once with the answer or the failure, possibly before
                 this method returns.
             is_answer: Returns whether an answer is the one to this request;
-                other answers are skipped.
+                a few others are skipped on a connection that was used before.
 
         Returns:
             The exchange, to be passed to `cancel`.
@@ -205,10 +210,12 @@
         self._closed = False
         self._must_close = False
         self._received = False
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._has_framing = False
+        # Whether an earlier request was answered on this connection.
+        self._is_reused = False
+        self._skipped_answers = 0
+        self._parser = answerparser.AnswerParser(
+            pool.max_answer_bytes, self._accept_answer
+        )
         # An exchange and its accepted answer, until the bytes received with
         # the answer have been parsed.
         self._accepted: tuple[Exchange, Answer] | None = None
@@ -240,27 +247,6 @@
         elif not self._writer.write(data):
             self.fail(exchanges.Cause.CLOSED)
 
-    # Callbacks of the HTTP parser.
-
-    def on_message_begin(self) -> None:
-        if self._exchange is None:
-            self._must_close = True
-        self._headers = []
-        self._body = []
-        self._has_framing = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
-        if name in (b"content-length", b"transfer-encoding"):
-            self._has_framing = True
-        self._headers.append((name, value))
-
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        self._accept_answer()
-
     # Events of the socket.
 
     def _on_ready(self, flags: int) -> None:
@@ -309,43 +295,43 @@
 
     def _feed(self, data: bytes) -> None:
         self._received = True
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        if not self._parser.feed(data):
             self._must_close = True
             if self._exchange is not None:
                 self.fail(exchanges.Cause.MALFORMED)
                 return
+        if self._exchange is not None and self._parser.is_too_large:
+            self.fail(exchanges.Cause.TOO_LARGE)
+            return
         self._complete()
 
     def _handle_eof(self) -> None:
-        if self._received and not self._has_framing and self._headers:
-            # Without framing headers, the body ends with the connection.
-            self._must_close = True
-            self._accept_answer()
-            if self._exchange is None:
-                self._complete()
-                return
+        self._must_close = True
+        if self._received:
+            self._parser.end()
+        if self._exchange is None:
+            self._complete()
+            return
         self.fail(
             exchanges.Cause.TRUNCATED
             if self._received
             else exchanges.Cause.CLOSED
         )
 
-    def _accept_answer(self) -> None:
+    def _accept_answer(
+        self, status: int, headers: answerparser.Headers, body: bytes
+    ) -> None:
         """Accepts a complete answer if it is the one to the current request."""
         exchange = self._exchange
         if exchange is None:
             self._must_close = True
             return
-        answer = Answer(
-            self._parser.get_status_code(), self._headers, b"".join(self._body)
-        )
+        answer = Answer(status, headers, body)
         if not exchange.is_answer(answer):
-            logs.event("late_answer_skipped", address=self._pool.address)
-            self._must_close = True
+            self._skip_answer()
             return
-        if self._writer.unsent or not self._parser.should_keep_alive():
+        self._is_reused = True
+        if self._writer.unsent or not self._parser.keeps_connection:
             self._must_close = True
         self._exchange = None
         self.reusable_until = self._pool.timers.now + self._idle_timeout_s(
@@ -353,12 +339,28 @@
         )
         self._accepted = (exchange, answer)
 
+    def _skip_answer(self) -> None:
+        """Waits for a further answer, or fails the exchange.
+
+        An answer that is not to the current request may be a copy of one to an
+        earlier request on this connection.
+        """
+        logs.event("late_answer_skipped", address=self._pool.address)
+        self._must_close = True
+        self._skipped_answers += 1
+        if not self._is_reused or self._skipped_answers > _MAX_SKIPPED_ANSWERS:
+            self.fail(exchanges.Cause.MALFORMED)
+
     def _idle_timeout_s(self, answer: Answer) -> float:
         keep_alive = answer.header(b"keep-alive")
         if keep_alive is not None:
             for part in keep_alive.split(b","):
                 name, _, value = part.strip().partition(b"=")
-                if name.lower() == b"timeout" and value.isdigit():
+                if (
+                    name.lower() == b"timeout"
+                    and value.isdigit()
+                    and len(value) <= _MAX_TIMEOUT_DIGITS
+                ):
                     # Leaves a margin of one second: the other side may close
                     # slightly before its timeout.
                     return min(
@@ -370,7 +372,7 @@
         """Keeps or closes the connection, and reports an accepted answer."""
         if self._exchange is not None:
             return
-        if self._must_close:
+        if self._must_close or self._parser.is_receiving:
             self.close()
         elif not self._closed:
             self._pool.add_idle(self)
