--- a/soak/checker.py
+++ b/soak/checker.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from standins import appserver
+from standins import appserver, keyranges
 
 # Statuses by which the router says that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -37,18 +37,12 @@
     body: bytes
 
 
-class _LastTaken(msgspec.Struct, frozen=True):
+class _LastTaken(keyranges.KeyRange):
     """The highest fence with which keys have been taken, and by whom."""
 
-    first: int
-    last: int
     fence: int
     server: appserver.AppServer
 
-    def overlaps(self, first: int, last: int) -> bool:
-        """Returns whether any key from `first` to `last` is among these."""
-        return self.first <= last and self.last >= first
-
 
 class InvariantChecker:
     """Records what callers and servers see, and collects violated invariants.
@@ -147,7 +141,7 @@
             ]
 
     def _check_hold(
-        self, server: appserver.AppServer, hold: appserver.Hold
+        self, server: appserver.AppServer, hold: keyranges.Hold
     ) -> None:
         """Checks a hold that a server takes; no holds change meanwhile."""
         self._log_hold(
@@ -156,7 +150,7 @@
         )
         for other in self._others(server):
             for held in other.live_holds:
-                if held.first <= hold.last and held.last >= hold.first:
+                if held.overlaps(hold.first, hold.last):
                     self._report_owner(
                         f"OWNER {max(held.first, hold.first)}:"
                         f" {server.instance} takes it with fence {hold.fence},"
@@ -165,7 +159,7 @@
         self._check_fence(server, hold)
 
     def _check_fence(
-        self, server: appserver.AppServer, hold: appserver.Hold
+        self, server: appserver.AppServer, hold: keyranges.Hold
     ) -> None:
         """Checks that no other server has had the keys with such a fence."""
         remaining = []
@@ -182,9 +176,9 @@
                 )
             if last.fence > hold.fence:
                 remaining.append(last)
-                taken = _without(taken, last.first, last.last)
+                taken = keyranges.without(taken, last.first, last.last)
             else:
-                remaining += _without([last], hold.first, hold.last)
+                remaining += keyranges.without([last], hold.first, hold.last)
         self._last_taken[server.service] = remaining + taken
 
     def _report_owner(self, text: str) -> None:
@@ -219,19 +213,3 @@
     """Returns the time of day in the form of the daemons' logs."""
     now = datetime.datetime.now(datetime.UTC)
     return now.strftime("%H:%M:%S.%f")[:-3]
-
-
-def _without(
-    taken: list[_LastTaken], first: int, last: int
-) -> list[_LastTaken]:
-    """Returns what is left of disjoint ranges without the given keys."""
-    remaining = []
-    for each in taken:
-        if not each.overlaps(first, last):
-            remaining.append(each)
-            continue
-        if each.first < first:
-            remaining.append(msgspec.structs.replace(each, last=first - 1))
-        if each.last > last:
-            remaining.append(msgspec.structs.replace(each, first=last + 1))
-    return remaining
--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -7,9 +7,7 @@
 import time
 from collections.abc import Callable
 
-import msgspec
-
-from standins import httpd
+from standins import httpd, keyranges
 
 _HEARTBEAT_INTERVAL_S = 0.2
 # Largest answer to a heartbeat that a server accepts.
@@ -29,22 +27,6 @@
 _state_lock = threading.RLock()
 
 
-class Hold(msgspec.Struct):
-    """A granted range of keys.
-
-    Attributes:
-        first: First key.
-        last: Last key.
-        fence: Fence of the grant.
-        until: Monotonic time at which the grant expires, seconds.
-    """
-
-    first: int
-    last: int
-    fence: int
-    until: float
-
-
 class AppServer:
     """One incarnation of a server, which announces itself to one daemon.
 
@@ -111,7 +93,9 @@
         self.on_run_started: Callable[[AppServer, str, int | None], None] = (
             _ignore_run
         )
-        self.on_hold_taken: Callable[[AppServer, Hold], None] = _ignore_hold
+        self.on_hold_taken: Callable[[AppServer, keyranges.Hold], None] = (
+            _ignore_hold
+        )
         self.arrival_time: Callable[[tuple[str, int]], float] = lambda _: (
             time.monotonic()
         )
@@ -120,7 +104,7 @@
         self.ignores_answers = False
         self._grants = grants
         # Ranges that are released as soon as no request works on them.
-        self._ending: list[Hold] = []
+        self._ending: list[keyranges.Hold] = []
         # First and last key, and handover, of released ranges not reported yet.
         self._freed: list[tuple[int, int, str]] = []
         # Shard keys of the requests being executed.
@@ -129,7 +113,7 @@
         self._keyed = keyed
         self._started_at_ms = int(time.time() * 1000)
         self._sequence = 0
-        self._holds: list[Hold] = []
+        self._holds: list[keyranges.Hold] = []
         # Highest fence seen by key, also after the hold has ended.
         self._seen_fences = array.array("q", bytes(8 * _KEY_COUNT))
         self._release_count = 0
@@ -146,7 +130,7 @@
         threading.Thread(target=self._send_heartbeats, daemon=True).start()
 
     @property
-    def live_holds(self) -> list[Hold]:
+    def live_holds(self) -> list[keyranges.Hold]:
         """The holds that have not expired; none once the server stops."""
         with self._lock:
             now = time.monotonic()
@@ -231,9 +215,11 @@
             self.grant_count += 1
             for first, last, fence, _ in answer["holds"]:
                 if self._accept_fence(first, last, fence):
-                    listed.append(Hold(first, last, fence, until))
+                    listed.append(keyranges.Hold(first, last, fence, until))
             for hold in listed:
-                self._remove_range(hold.first, hold.last)
+                self._holds = keyranges.without(
+                    self._holds, hold.first, hold.last
+                )
             self._ending += self._holds
             self._holds = listed
             for hold in listed:
@@ -253,7 +239,7 @@
         self._seen_fences[first : last + 1] = array.array("q", [fence]) * count
         return True
 
-    def _report_hold(self, hold: Hold) -> None:
+    def _report_hold(self, hold: keyranges.Hold) -> None:
         if hold.until > time.monotonic() and not self._stopping.is_set():
             self.on_hold_taken(self, hold)
 
@@ -302,38 +288,16 @@
             first, last, fence = body["from"], body["target"], body["fence"]
             if not self._accept_fence(first, last, fence):
                 return httpd.Response(None if delay_s else 409)
-            self._remove_range(first, last)
-            self._holds.append(Hold(first, last, fence, until))
+            self._holds = keyranges.without(self._holds, first, last)
+            self._holds.append(keyranges.Hold(first, last, fence, until))
             self._report_hold(self._holds[-1])
         return httpd.Response(None if delay_s else 200)
 
-    def _remove_range(self, first: int, last: int) -> None:
-        """Removes keys from all holds, and keeps the rest of each hold."""
-        remaining = []
-        for hold in self._holds:
-            if hold.first < first:
-                remaining.append(
-                    Hold(
-                        hold.first,
-                        min(hold.last, first - 1),
-                        hold.fence,
-                        hold.until,
-                    )
-                )
-            if hold.last > last:
-                remaining.append(
-                    Hold(
-                        max(hold.first, last + 1),
-                        hold.last,
-                        hold.fence,
-                        hold.until,
-                    )
-                )
-        self._holds = remaining
-
     def _release(self, body: dict) -> httpd.Response:
         with self._lock:
-            self._remove_range(body["from"], body["target"])
+            self._holds = keyranges.without(
+                self._holds, body["from"], body["target"]
+            )
             self._release_count += 1
             handover = f"{self.instance}-{self._release_count}"
         while self._is_working_on(body["from"], body["target"]):
@@ -400,5 +364,5 @@
     del server, request_id, shard_key
 
 
-def _ignore_hold(server: AppServer, hold: Hold) -> None:
+def _ignore_hold(server: AppServer, hold: keyranges.Hold) -> None:
     del server, hold
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -6,7 +6,7 @@
 import pytest
 
 from soak import checker
-from standins import appserver
+from standins import keyranges
 
 
 class Server:
@@ -25,7 +25,7 @@
         return self.holds_keys
 
     def take(self, first, last, fence):
-        hold = appserver.Hold(first, last, fence, time.monotonic() + 1)
+        hold = keyranges.Hold(first, last, fence, time.monotonic() + 1)
         self.live_holds.append(hold)
         self.on_hold_taken(self, hold)
 
