The time at which a grant arrived is known also after its connection has ended

Cause: the daemon had closed these connections after 0.3 s, the proxy forgot the time of arrival with the connection, and the stand-in took the time of reading instead. The proxy now keeps the times. The test closes the connection before it asks (it failed before).

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -45,7 +45,8 @@
         self._mode = Mode.PASS
         self._lock = threading.Lock()
         self._listener: socket.socket | None = None
-        # When the bytes forwarded last on each connection arrived.
+        # When the bytes forwarded last on each connection arrived. The target
+        # may read them after the connection has ended.
         self._arrivals: dict[tuple[str, int], float] = {}
         self.delay_s = 0.0
         self._listen()
@@ -136,7 +137,6 @@
             sink: The socket to write to.
             discarding: Modes in which bytes of this direction are discarded.
         """
-        address = ("", 0)
         try:
             address = sink.getsockname()
             while data := source.recv(_READ_BYTES):
@@ -157,7 +157,6 @@
                 sink.sendall(data)
         except OSError:
             pass
-        self._arrivals.pop(address, None)
         for sock in (source, sink):
             _reset(sock)
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -67,6 +67,7 @@
             client.sendall(b"first")
             sent_at = time.monotonic()
             assert server_end.recv(100) == b"first"
+            client.close()
             time.sleep(0.3)
             assert abs(subject.arrival_time(address) - sent_at) < 0.1
             server_end.close()
