Seeds of the soak that failed with the incident's faults are regression cases

A daemon gives its lease up 1.25 announce intervals after a refused connection, and an announcement that is later than that finds two holders.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -60,8 +60,7 @@
     """Runs consecutive seeds, and keeps the logs of those that fail."""
     plan = msgspec.structs.replace(_PLANS[plan_name], grants=grants)
     if only:
-        chosen = tuple(f for f in plan.fault_choices if f.name in only)
-        plan = msgspec.structs.replace(plan, fault_choices=chosen)
+        plan = plan.with_faults(*only)
     if vms is not None:
         plan = msgspec.structs.replace(plan, vms=run.name_vms(vms))
     first_seed = first if first is not None else random.randrange(10**6)
--- a/soak/run.py
+++ b/soak/run.py
@@ -73,6 +73,17 @@
     vms: tuple[tuple[str, str, bool], ...] = _DEFAULT_VMS
     grants: str = "call"
 
+    def with_faults(self, *names: str) -> "Plan":
+        """Returns the plan with those of its faults that are named only.
+
+        Raises:
+            ValueError: If there is no fault with one of the names.
+        """
+        chosen = tuple(f for f in self.fault_choices if f.name in names)
+        if unknown := set(names) - {fault.name for fault in chosen}:
+            raise ValueError(f"no faults with the names {sorted(unknown)}")
+        return msgspec.structs.replace(self, fault_choices=chosen)
+
 
 GENERAL = Plan()
 OWNERSHIP = Plan(faults.OWNERSHIP, max_pause_s=0.8)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -21,8 +21,13 @@
     # A target that had been restarted was granted keys with its predecessor's
     # fence, and kept them when its daemon gave the lease up.
     (1003, REGRESSION_SECONDS, "call"),
+    # Slots moved to a daemon whose record had been deleted during the release.
+    (1109, REGRESSION_SECONDS, "heartbeat"),
+]
+# The same with targets that refuse connections, and no other faults.
+REFUSAL_SEEDS = [
     # A refused connection was taken for the end of the target's process.
-    (1103, REGRESSION_SECONDS, "heartbeat"),
+    (1500, SECONDS, "call"),
 ]
 
 
@@ -40,8 +45,17 @@
 
 
 @pytest.mark.parametrize(("seed", "seconds", "grants"), OWNERSHIP_SEEDS)
-def test_no_key_is_held_twice_when_targets_restart_or_refuse(
+def test_no_key_is_held_twice_under_overlapping_faults(
+    tmp_path, seed, seconds, grants
+):
+    plan = msgspec.structs.replace(run.OWNERSHIP, grants=grants)
+    _check(run.run_seed(tmp_path, seed, seconds, plan))
+
+
+@pytest.mark.parametrize(("seed", "seconds", "grants"), REFUSAL_SEEDS)
+def test_no_key_is_held_twice_when_a_running_target_refuses_connections(
     tmp_path, seed, seconds, grants
 ):
     plan = msgspec.structs.replace(run.OWNERSHIP, grants=grants)
+    plan = plan.with_faults("refuse_target")
     _check(run.run_seed(tmp_path, seed, seconds, plan))
