--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,9 @@
 # the last fault.
 _RECOVERY_LIMIT_S = 15.0
 _CALLERS_PER_VM = 2
+# The log tells when the threads of the soak run later than this.
+_LATENESS_S = 0.3
+_LATENESS_CHECK_S = 0.05
 # A request that was sent to a server may still start to execute within this
 # time.
 _SETTLE_S = 2.0
@@ -172,6 +175,7 @@
                     self._stopped,
                 )
                 threading.Thread(target=caller.run, daemon=True).start()
+        threading.Thread(target=self._watch_lateness, daemon=True).start()
         end = time.monotonic() + seconds
         active: dict[tuple[str, faults.Part], threading.Thread] = {}
         threads = []
@@ -224,6 +228,15 @@
             self.checker.violations.append(traceback.format_exc())
         self._log_fault(f"{fault.name} {vm.name} ends")
 
+    def _watch_lateness(self) -> None:
+        """Logs when this process runs late, and its servers with it."""
+        while not self._stopped.is_set():
+            due = time.monotonic() + _LATENESS_CHECK_S
+            time.sleep(_LATENESS_CHECK_S)
+            late_s = time.monotonic() - due
+            if late_s > _LATENESS_S:
+                self._log_fault(f"the soak runs {late_s:.1f} s late")
+
     def _log_fault(self, text: str) -> None:
         self.fault_log.append(f"{checker.current_time()} {text}")
 
