--- a/tamarackgap/traffic/holds.py
+++ b/tamarackgap/traffic/holds.py
@@ -181,10 +181,19 @@
             (hold.late_until for hold in self._select(wanted)), default=_NEVER
         )
 
-    def record_released(self, released: Iterable[int]) -> None:
-        """Records that the target no longer holds slots."""
+    def record_released(
+        self, released: Iterable[int], latest_end: float
+    ) -> None:
+        """Records that the target no longer holds slots.
+
+        Args:
+            released: The slots.
+            latest_end: End of all grants when the release began, monotonic
+                seconds. Slots that have been granted since are held.
+        """
         for hold in self._select(released):
-            hold.held_until = hold.ends_at = hold.late_until = _NEVER
+            if hold.ends_at <= latest_end:
+                hold.held_until = hold.ends_at = hold.late_until = _NEVER
 
     def clear(self) -> None:
         """Forgets all holds, since the target's process has ended."""
