An odd row or announcement no longer stops the product's own interface

Callers saw nothing on the users' platform, which does not use it. With the product's own table, one row that was deeply nested or had another type failed each read that brought it, for ever; a revision beyond 64 bit could not be sent to witnesses. A deeply nested announcement of a target raised RecursionError and got no answer. The commands ended with a traceback at an odd row.

Cause: as for the platform's store: an answer was decoded as one piece, and numbers had no range. An address was checked with str.isdecimal, which takes digits of all scripts and raises ValueError later for more than 4,300 digits.

Fix: rows of an answer are decoded one by one, and unreadable ones are left out with a log line; so they are in the commands' list of open leases.

--- a/tamarackgap/commands/control.py
+++ b/tamarackgap/commands/control.py
@@ -75,7 +75,7 @@
         address: The table's `ip:port`.
 
     Raises:
-        exceptions.TableError: If the table does not answer.
+        exceptions.TableError: If the table gives no usable answer.
     """
     try:
         status, body = send_request(address, "GET", "/rows?since=0")
@@ -83,7 +83,10 @@
         raise exceptions.TableError(f"table {address}: {error}") from error
     if status != 200:
         raise exceptions.TableError(f"table {address}: status {status}")
-    return msgspec.json.decode(body, type=tableclient.Changes)
+    try:
+        return tableclient.decode_changes(body)
+    except msgspec.MsgspecError as error:
+        raise exceptions.TableError(f"table {address}: {error}") from error
 
 
 def find_row(rows: list[records.Row], key: str) -> records.Row | None:
@@ -160,13 +163,13 @@
 
 
 def open_leases(rows: list[records.Row]) -> list[records.LeaseRecord]:
-    """Returns the open lease records among rows."""
-    lease_records = [
-        msgspec.json.decode(row.value, type=records.LeaseRecord)
-        for row in rows
-        if row.key.startswith(records.LEASE_PREFIX) and row.value
-    ]
-    return [record for record in lease_records if record.is_open]
+    """Returns the open lease records among rows; unreadable ones are left out.
+
+    The records are sorted by incarnation.
+    """
+    view = records.TableView()
+    rowmerge.merge_readable(view, rows)
+    return view.open_records()
 
 
 def query_propagation(address: str, revision: int) -> Propagation:
--- a/tamarackgap/placement/records.py
+++ b/tamarackgap/placement/records.py
@@ -162,7 +162,7 @@
 
     key: str
     value: str | None
-    revision: int
+    revision: decoding.Count
 
 
 class Check(msgspec.Struct, frozen=True):
--- a/tamarackgap/requests/targetclient.py
+++ b/tamarackgap/requests/targetclient.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns import result
 
-from tamarackgap import logs, types, verdicts
+from tamarackgap import decoding, logs, types, verdicts
 from tamarackgap.network import exchanges, httpclient, scheduler
 from tamarackgap.peers import messages
 from tamarackgap.placement import slots
@@ -36,8 +36,8 @@
     name: str
     service: str
     address: str
-    slots: int
-    connections: int
+    slots: decoding.Count
+    connections: decoding.Count
     checks_grants: bool = False
     leaving: bool = False
 
--- a/tamarackgap/requests/web.py
+++ b/tamarackgap/requests/web.py
@@ -9,7 +9,7 @@
 from circuits.web import wrappers
 from returns import result
 
-from tamarackgap import logs, types, verdicts
+from tamarackgap import decoding, logs, types, verdicts
 from tamarackgap.network import scheduler
 from tamarackgap.requests import forwarder, parsing, targetclient
 from tamarackgap.settings import config
@@ -213,15 +213,13 @@
         self, response: wrappers.Response, body: bytes
     ) -> None:
         try:
-            announcement = msgspec.json.decode(
-                body, type=targetclient.Announcement
-            )
+            announcement = decoding.decode(body, targetclient.Announcement)
         except msgspec.MsgspecError as error:
             problem = str(error)
         else:
             problem = self._on_announcement(announcement)
         if problem is not None:
-            logs.event("announcement_refused", problem=problem)
+            logs.unreadable_event("announcement_refused", problem=problem)
             self._refuse(
                 response,
                 400,
--- a/tamarackgap/table/tableclient.py
+++ b/tamarackgap/table/tableclient.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns import result
 
+from tamarackgap import decoding, logs
 from tamarackgap.network import exchanges, httpclient
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
@@ -26,6 +27,16 @@
     rows: list[records.Row]
 
 
+class _EncodedChanges(msgspec.Struct):
+    revision: decoding.Count
+    rows: list[msgspec.Raw]
+
+
+class _EncodedOutcome(msgspec.Struct):
+    committed: bool
+    rows: list[msgspec.Raw]
+
+
 class CommitOutcome(msgspec.Struct, frozen=True):
     """The table's answer to a transaction.
 
@@ -138,10 +149,23 @@
     return failure.cause.value
 
 
+def decode_changes(body: bytes) -> Changes:
+    """Returns the changes in an answer; unreadable rows are left out.
+
+    Raises:
+        msgspec.MsgspecError: If the body is malformed.
+    """
+    encoded = decoding.decode_with_list(body, _EncodedChanges)
+    return Changes(encoded.revision, _decode_rows(encoded.rows))
+
+
 def _decode_changes(answer: httpclient.Answer) -> result.Result[Changes, str]:
     if answer.status != _OK:
         return result.Failure(f"status {answer.status}")
-    return _decode(answer.body, Changes)
+    try:
+        return result.Success(decode_changes(answer.body))
+    except msgspec.MsgspecError as error:
+        return result.Failure(f"malformed answer: {error}")
 
 
 def _decode_outcome(
@@ -149,11 +173,20 @@
 ) -> result.Result[CommitOutcome, str]:
     if answer.status not in (_OK, _CONFLICT):
         return result.Failure(f"status {answer.status}")
-    return _decode(answer.body, CommitOutcome)
-
-
-def _decode(body: bytes, answer_type: type) -> result.Result:
     try:
-        return result.Success(msgspec.json.decode(body, type=answer_type))
+        encoded = decoding.decode_with_list(answer.body, _EncodedOutcome)
     except msgspec.MsgspecError as error:
         return result.Failure(f"malformed answer: {error}")
+    return result.Success(
+        CommitOutcome(encoded.committed, _decode_rows(encoded.rows))
+    )
+
+
+def _decode_rows(encoded_rows: list[msgspec.Raw]) -> list[records.Row]:
+    rows = []
+    for encoded in encoded_rows:
+        try:
+            rows.append(decoding.decode(encoded, records.Row))
+        except msgspec.MsgspecError as error:
+            logs.unreadable_event("row_malformed", key="", error=str(error))
+    return rows
--- a/tests/processes/test_daemon.py
+++ b/tests/processes/test_daemon.py
@@ -15,6 +15,7 @@
 from tests.support import callers, clusters
 
 BODY_LIMIT = 20_000
+DEEP = "[" * 9000 + "]" * 9000
 
 
 @pytest.fixture(scope="module")
@@ -215,6 +216,35 @@
     assert b"service other: expected seats" in response[2]
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"x": DEEP},
+        {"slots": 10**30},
+        {"slots": -1},
+        {"address": "127.0.0.1:70000"},
+        {"address": "127.0.0.1:" + "9" * 5000},
+    ],
+)
+def test_an_odd_announcement_is_refused_and_the_target_stays_in_use(
+    live_cluster, fields
+):
+    announcement = {
+        "name": "t",
+        "service": "seats",
+        "address": "127.0.0.1:5",
+        "slots": 1,
+        "connections": 1,
+        **fields,
+    }
+    body = json.dumps(announcement).replace(f'"{DEEP}"', DEEP)
+    response = callers.send_request(
+        live_cluster.vms[0], "POST", "/announce", body.encode()
+    )
+    assert response[0] == 400
+    assert is_serving(live_cluster)
+
+
 def test_metrics_are_served(live_cluster):
     status, _, text = callers.send_request(
         live_cluster.vms[0], "GET", "/metrics"
--- a/tests/settings/test_config.py
+++ b/tests/settings/test_config.py
@@ -149,3 +149,36 @@
     assert settings.replaced == ()
     assert settings.grace == 10.0
     assert settings.router_grants == "heartbeat"
+
+
+@pytest.mark.parametrize("text", ["10.0.0.9:1", "10.0.0.9:65535"])
+def test_an_address_has_an_ip_and_a_port(text):
+    assert config.is_address(text)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        ":",
+        "10.0.0.9",
+        "10.0.0.9:",
+        "10.0.0.9:0",
+        "10.0.0.9:65536",
+        "10.0.0.9:70000",
+        "10.0.0.9:-1",
+        "10.0.0.9:+1",
+        "10.0.0.9: 1",
+        "10.0.0.9:1\n",
+        "10.0.0.9:1_0",
+        "10.0.0.9:\u0663",
+        "10.0.0.9:" + "9" * 5000,
+        "\u0661.0.0.9:1",
+        "10.0.0.256:1",
+        "server:80",
+        "[::1]:80",
+        "\ud800:80",
+    ],
+)
+def test_a_text_that_cannot_be_connected_to_is_no_address(text):
+    assert not config.is_address(text)
