A caller's attempt number beyond 64 bit is refused

Callers of the product's own interface got no answer to a request with an X-Attempt or X-First-Sent-Ms beyond 64 bit.

Cause: any integer was taken, and the message to the key's owner can't carry it.

Evidence: three of the new tests failed before.

Fix: integers beyond those of JSON are refused with 400 like other texts that are no number.

--- a/tamarackgap/requests/parsing.py
+++ b/tamarackgap/requests/parsing.py
@@ -7,7 +7,7 @@
 from circuits.web import wrappers
 from returns import result
 
-from tamarackgap import types
+from tamarackgap import decoding, types
 from tamarackgap.requests import forwarder
 from tamarackgap.settings import config
 
@@ -122,9 +122,10 @@
     if text is None:
         return default
     try:
-        return int(text)
+        number = int(text)
     except ValueError:
         return None
+    return number if abs(number) <= decoding.MAX_INTEGER else None
 
 
 def _first_sent_ms(request_id: str, now_ms: int, attempt: int | None) -> int:
