A heartbeat that says it started after the year 9999 is refused

Callers saw: after a heartbeat with such a `born`, those of the real server counted as sent by an earlier process, and the server was not used any more.

Cause: the range of `born` was that of the integers of JSON.

Evidence: the new case of test_servers.py failed before.

Fix: `born` is at most the last millisecond of the year 9999. A well-formed heartbeat with an earlier time in the future still does this.

--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -26,6 +26,8 @@
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 # Each running request has a connection, and so a port, of its own.
 _MAX_SLOTS = 65_535
+# The end of the year 9999.
+_LAST_MILLISECOND = 253_402_300_799_999
 _INSTANCE_PATTERN = re.compile(r"[!-~]{1,200}")
 # Handovers are stored in rows, whose size is limited.
 _MAX_HANDOVER_CHARACTERS = 200
@@ -43,7 +45,7 @@
     seq: decoding.Count
     cold_remaining_ms: decoding.Amount
     # Start of the server process, Unix time in milliseconds.
-    born: decoding.Count = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_LAST_MILLISECOND)] = 0
     # First and last key, and fence, of each range that the server holds or
     # still works on.
     holds: list[tuple[_Key, _Key, decoding.Count]] = []
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -134,6 +134,7 @@
             for name in ("slots", "seq", "born")
             for value in [-1, 2**63, 2**64, 10**30, 1e30, None, "1", True]
         ),
+        {"born": 10**15},
         {"slots": 0},
         {"slots": 10**9},
         {"cold_remaining_ms": -1},
