A request that comes again meets no copy of its first answer

A request that its target has refused or failed may be sent to the same target again, under the same id. A copy of the first answer that the server writes once more then passes for the answer to the second run: the caller is told 'not run' for a request that is running, or it is run once more.

Cause: the id tells the requests of a connection apart, but not two runs of one request, and the connection that was used last is used first. Evidence: test_a_request_that_comes_again_meets_no_copy_of_its_first_answer and test_an_exclusive_exchange_has_a_connection_of_its_own fail with the parameter ignored. Fix: the runner remembers the ids of such requests until their deadline, and sends them again over a connection that carries nothing else.

--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -108,6 +108,7 @@
         timeout: float,
         done: DoneCallback,
         is_answer: AnswerCheck = lambda answer: True,
+        exclusive: bool = False,
     ) -> Exchange:
         """Sends a request.
 
@@ -119,12 +120,16 @@
                 this method returns.
             is_answer: Returns whether an answer is the one to this request;
                 a few others are skipped on a connection that was used before.
+            exclusive: Whether the request gets a connection of its own, which
+                carries nothing else before or after it. No copy of another
+                answer can then be taken for its own.
 
         Returns:
             The exchange, to be passed to `cancel`.
         """
         exchange = Exchange(build, done, is_answer)
-        connection = self._take_idle() or self._connect()
+        connection = None if exclusive else self._take_idle()
+        connection = connection or self._connect()
         if connection is None:
             exchange.finish(
                 result.Failure(
@@ -135,7 +140,7 @@
         exchange.timer = self.timers.after(
             timeout, lambda: self._abort(exchange, exchanges.Cause.TIMEOUT)
         )
-        connection.send(exchange)
+        connection.send(exchange, exclusive)
         return exchange
 
     def cancel(self, exchange: Exchange) -> None:
@@ -210,8 +215,14 @@
         )
         self._writer = sockets.Writer(pool.poller, sock, False)
 
-    def send(self, exchange: Exchange) -> None:
-        """Sends a request on this idle connection, once it is established."""
+    def send(self, exchange: Exchange, is_last: bool) -> None:
+        """Sends a request on this idle connection, once it is established.
+
+        Args:
+            exchange: The request.
+            is_last: Whether the connection is closed after its answer.
+        """
+        self._must_close = is_last
         self._exchange = exchange
         exchange.connection = self
         self._received = False
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -35,6 +35,7 @@
 # Time constant of the moving average of the utilisation.
 _UTILISATION_TIME_S = 0.4
 _REFUSE_LATE_INTERVAL_S = 0.02
+_SERVER_ERROR_STATUS = 500
 
 ReplyCallback = Callable[[calls.Completion], None]
 
@@ -122,6 +123,9 @@
         self.on_fingerprint_cleared: Callable[[str], None] = _ignore_fingerprint
         self._admission = admission.AdmissionQueue()
         self._legs: dict[tuple[str, int], Leg] = {}
+        # Deadline of each request that the target has refused or failed, by
+        # request id. It may come again until then, with the same id.
+        self._returned_requests: dict[types.RequestId, float] = {}
         self._instance = ""
         self._drain_ends_at = 0.0
         self._meter = loadstats.SlotMeter(
@@ -150,6 +154,11 @@
         """Number of calls that are queued or run by the target."""
         return len(self._legs)
 
+    @property
+    def returned_request_count(self) -> int:
+        """Number of requests that may come again."""
+        return len(self._returned_requests)
+
     @property
     def accepting(self) -> bool:
         """Whether the target takes new calls."""
@@ -367,6 +376,8 @@
             left + _ANSWER_GRACE_S,
             functools.partial(self._handle_outcome, leg),
             functools.partial(self._codec.is_answer_to, request_id),
+            # A copy of its first answer would have its id as well.
+            exclusive=request_id in self._returned_requests,
         )
 
     def _encode(self, leg: Leg, instance: str) -> bytes:
@@ -396,6 +407,11 @@
                     self._admission.reduce_capacity()
                 elif completion.reason is types.Reason.TARGET_MISDIRECTED:
                     self._grants.renew_soon()
+                if (
+                    completion.verdict is not types.Verdict.ANSWERED
+                    or completion.status >= _SERVER_ERROR_STATUS
+                ):
+                    self._remember_returned(leg)
             case result.Failure(exchanges.Failure() as failure):
                 completion = self._handle_failure(leg, failure)
             case _:
@@ -405,6 +421,15 @@
         self._finish(leg, completion)
         self._admission.finish(duration, leg.dispatch.latency_objective, now)
 
+    def _remember_returned(self, leg: Leg) -> None:
+        now = self._timers.now
+        while self._returned_requests:
+            request_id, deadline = next(iter(self._returned_requests.items()))
+            if deadline >= now:
+                break
+            del self._returned_requests[request_id]
+        self._returned_requests[leg.dispatch.call.request_id] = leg.deadline
+
     def _handle_failure(
         self, leg: Leg, failure: exchanges.Failure
     ) -> calls.Completion:
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -45,6 +45,7 @@
 @pytest.fixture
 def target():
     with socket.create_server(("127.0.0.1", 0)) as server:
+        server.settimeout(5)
         yield server
 
 
@@ -355,6 +356,19 @@
     assert sender.statuses == [503, exchanges.Cause.MALFORMED]
 
 
+def test_an_exclusive_exchange_has_a_connection_of_its_own(sender, surplus):
+    _receive_refusal(sender)
+    # A copy of the refusal would pass as the answer to a request with its id.
+    sender.send(b"a", exclusive=True)
+    sender.receive(surplus)
+    assert sender.statuses == [503]
+    sender.accepted.close()
+    sender.connect()
+    sender.receive(b"HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 0\r\n\r\n")
+    assert sender.statuses == [503, 200]
+    assert sender.connection_count == 0
+
+
 @pytest.mark.parametrize("interim", [b"100 Continue", b"103 Early Hints"])
 def test_an_interim_answer_is_not_the_answer(sender, interim):
     sender.send(b"a")
--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -40,7 +40,7 @@
     def _renew_soon(self):
         self.renewals += 1
 
-    def _send(self, data, timeout, done, is_answer):
+    def _send(self, data, timeout, done, is_answer, exclusive):
         done(result.Success(httppool.Answer(503, [], b"")))
 
     def _decode_answer(self, leg, answer):
@@ -75,11 +75,20 @@
     assert (subject.renewals > 0) is (renewals > 0)
 
 
+_VERDICT_BY_STATUS = {
+    200: types.Verdict.ANSWERED,
+    408: types.Verdict.MAY_HAVE_RUN,
+    500: types.Verdict.ANSWERED,
+    503: types.Verdict.NOT_RUN,
+}
+
+
 class ControlledTargetHarness:
     """A runner whose target ends each call when the test says so."""
 
     def __init__(self):
         self.sent = []
+        self.exclusive = []
         self.completions = []
         self.scheduled = []
         self.timers = module_types.SimpleNamespace(
@@ -98,7 +107,7 @@
                 lambda *unused: b"",
                 lambda *unused: True,
                 lambda leg, answer: calls.Completion(
-                    leg, types.Verdict.ANSWERED, status=200
+                    leg, _VERDICT_BY_STATUS[answer.status], status=answer.status
                 ),
             ),
             self.timers,
@@ -107,12 +116,13 @@
         )
         self.runner.attach("target", CAPACITY)
 
-    def _send(self, build, timeout, done, is_answer):
+    def _send(self, build, timeout, done, is_answer, exclusive):
         self.sent.append(done)
+        self.exclusive.append(exclusive)
         return object()
 
-    def call(self, path, owner="i"):
-        call = calls.Call("r", "s", "GET", path, b"", b"", None)
+    def call(self, path, owner="i", request_id="r"):
+        call = calls.Call(request_id, "s", "GET", path, b"", b"", None)
         leg = len(self.completions) + 1
         self.completions.append(None)
         self.runner.submit(
@@ -127,13 +137,13 @@
             self.timers.now += seconds
             call()
 
-    def end(self, index, broken):
+    def end(self, index, broken, status=200):
         self.timers.now += 0.01
         if broken:
             failure = exchanges.Failure(exchanges.Cause.CLOSED, True)
             self.sent[index](result.Failure(failure))
         else:
-            self.sent[index](result.Success(httppool.Answer(200, [], b"")))
+            self.sent[index](result.Success(httppool.Answer(status, [], b"")))
 
 
 def test_call_sent_after_crash_is_not_its_cause():
@@ -214,3 +224,27 @@
     subject.call("/runs")
     subject.sent[0](result.Failure(exchanges.Failure(cause, True)))
     assert subject.completions[0].verdict is types.Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    ("status", "exclusive"),
+    [(200, False), (408, True), (500, True), (503, True)],
+)
+def test_a_request_that_comes_again_meets_no_copy_of_its_first_answer(
+    status, exclusive
+):
+    subject = ControlledTargetHarness()
+    subject.call("/first", request_id="r1")
+    subject.end(0, broken=False, status=status)
+    subject.call("/other", request_id="r2")
+    subject.call("/first", request_id="r1")
+    assert subject.exclusive == [False, False, exclusive]
+
+
+def test_request_ids_are_forgotten_after_their_deadlines():
+    subject = ControlledTargetHarness()
+    for number in range(100):
+        subject.call("/refused", request_id=f"r{number}")
+        subject.end(number, broken=False, status=503)
+        subject.timers.now += 1.0
+    assert subject.runner.returned_request_count <= 12
