--- a/tamarackgap/ownership/epochchange.py
+++ b/tamarackgap/ownership/epochchange.py
@@ -88,8 +88,9 @@
         awaits_release = self._release is not None and (
             self._release.handovers is None
         )
-        if awaits_release or not self._renewer.own_lease.is_prepared(now):
-            if now >= self._cancel_at:
+        own_lease = self._renewer.own_lease
+        if awaits_release or not own_lease.is_prepared(now):
+            if now >= self._cancel_at or own_lease.has_next_expired(now):
                 self.finish()
             return None
         write = planner.plan_epoch_write(
@@ -108,7 +109,13 @@
             return None
         self.moving_slots = moving
         self._log_moves(write.moves)
-        self._renewer.own_lease.begin_write()
+        self._outbox.log(
+            "epoch_write",
+            epoch=own_lease.next.epoch,
+            lease_left_ms=_left_ms(own_lease.valid_until(), now),
+            next_left_ms=_left_ms(own_lease.next.valid_until(), now),
+        )
+        own_lease.begin_write()
         return write
 
     def record_release(self, handovers: dict[slots.SlotRange, str]) -> None:
@@ -154,3 +161,8 @@
                     to=destination,
                     reason=reason,
                 )
+
+
+def _left_ms(until: float, now: float) -> int:
+    """Returns the time that is left, 0 if none, milliseconds."""
+    return round(max(0.0, until - now) * 1000)
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -31,6 +31,9 @@
 # Slots that have not moved through the table this long after the target or
 # the process began to leave go to their successors without a handover.
 _MOVE_TIMEOUT_S = 0.8
+# A target whose connections are refused is regarded as ended if it has not
+# announced itself for this many announce intervals.
+_ANNOUNCED_INTERVALS = 1.25
 _IDLE_TIMEOUT_S = 7.0
 _UNACKED_TIMEOUT_MS = 3000
 _MAX_ORDER_ANSWER_BYTES = 65_536
@@ -87,7 +90,9 @@
         self._calls_stopped = False
         # When the slots still owned are released without the table, seconds.
         self._release_at = 0.0
-        announce_interval = settings.router_announce_interval / 1000
+        # Number of times that the target was lost or silent.
+        self._absences = 0
+        self._announce_interval = settings.router_announce_interval / 1000
 
         def create_pool(max_answer_bytes: int) -> httppool.ConnectionPool:
             return httppool.ConnectionPool(
@@ -110,8 +115,9 @@
             settings.ownership_lease / 1000,
             settings.router_longest_hold / 1000,
         )
+        self._order_pool.on_connected = self.slot_grants.handle_new_connection
         self._heartbeat_orders = heartbeatorders.HeartbeatOrders(
-            timers, announce_interval, platform_adapter.max_hold_ranges
+            timers, self._announce_interval, platform_adapter.max_hold_ranges
         )
         self.runner = runner.Runner(
             self._service,
@@ -127,7 +133,7 @@
             self.slot_grants, core.record_release
         )
         self.target = localtarget.LocalTarget(
-            self._service, announce_interval, timers.now
+            self._service, self._announce_interval, timers.now
         )
 
     @property
@@ -212,6 +218,7 @@
         self._apply_transition(
             self.target.handle_announcement(announcement, self._timers.now)
         )
+        self.slot_grants.target_instance = self.target.instance
         if self.is_serving:
             self.slot_grants.resume()
         response = self._adapter.encode_hold_list(
@@ -244,6 +251,16 @@
         return hold_list
 
     def _handle_connection_refused(self) -> None:
+        """Notices the end of the target's process.
+
+        The process still runs as long as any of its connections is open: it
+        may only have stopped listening, or have no room for more connections.
+        """
+        if (
+            self._call_pool.has_established_connection
+            or self._order_pool.has_established_connection
+        ):
+            return
         self._apply_transition(self.target.handle_connection_refused())
 
     def _apply_transition(self, transition: localtarget.Transition) -> None:
@@ -269,13 +286,17 @@
                 self.runner.drain()
             case localtarget.Transition.LOST:
                 self.runner.detach()
-                self._release_lease("target-gone")
+                # A target that still runs announces itself by then.
+                announced_s = self._announce_interval * _ANNOUNCED_INTERVALS
+                self._release_lease_later(
+                    min(self.slot_grants.pause(), announced_s), "target-gone"
+                )
             case localtarget.Transition.SILENT:
                 self.runner.detach()
                 # The target may still run, and serve its slots until its
                 # holds expire.
-                self._timers.after(
-                    self.slot_grants.pause(), self._release_lease_if_absent
+                self._release_lease_later(
+                    self.slot_grants.pause(), "target-silent"
                 )
         self.on_status_changed()
 
@@ -301,24 +322,25 @@
     def _handle_target_restart(self) -> None:
         """Releases the lease, since the target process that held slots is gone.
 
-        Grants that were not acknowledged may have reached the new process,
-        which then serves their slots until the grants expire. The lease is
-        released only after that.
+        The new process may have taken grants that were meant for the earlier
+        one, so it has to release all slots first. Grants without an answer are
+        waited for.
         """
         uncertain_s = self.slot_grants.stop()
         self._call_pool.close()
         self._order_pool.close()
         self._heartbeat_orders.close()
         self._core.is_target_empty = False
-        if not uncertain_s:
-            self._release_lease("target-started-anew")
-            return
-        logs.event("grants_in_doubt", ms=round(uncertain_s * 1000))
-        self._timers.after(
-            uncertain_s,
+        if self.slot_grants.by_heartbeat:
+            # The new process gets its first grants with the answer to its
+            # first announcement.
+            self.slot_grants.clear()
+        elif uncertain_s:
+            logs.event("grants_in_doubt", ms=round(uncertain_s * 1000))
+        self.slot_grants.release_all(
             functools.partial(
                 self._end_grant_uncertainty, self._core.incarnation
-            ),
+            )
         )
 
     def _end_grant_uncertainty(self, incarnation: types.Incarnation) -> None:
@@ -327,9 +349,25 @@
         else:
             self.slot_grants.reset()
 
-    def _release_lease_if_absent(self) -> None:
-        if self.target.phase is localtarget.Phase.ABSENT:
-            self._release_lease("target-silent")
+    def _release_lease_later(self, wait: float, reason: str) -> None:
+        """Releases the lease after a time, unless the target returns.
+
+        Args:
+            wait: Time to wait, seconds.
+            reason: The cause, for the log.
+        """
+        self._absences += 1
+        absence = self._absences
+
+        def release_if_absent() -> None:
+            is_same = absence == self._absences
+            if is_same and self.target.phase is localtarget.Phase.ABSENT:
+                self._release_lease(reason)
+
+        if wait:
+            self._timers.after(wait, release_if_absent)
+        else:
+            release_if_absent()
 
     def _release_lease(self, reason: str) -> None:
         """Releases the lease, so that successors take over at once.
@@ -337,7 +375,12 @@
         The target must hold no slot any more.
         """
         if self._core.owned:
-            logs.event("keys_abandoned", reason=reason)
+            logs.event(
+                "keys_abandoned",
+                reason=reason,
+                instance=self.target.instance,
+                held_ms=round(self.slot_grants.remaining_hold * 1000),
+            )
             self._core.release_lease(self._timers.now)
         self.slot_grants.reset()
         self._perform_effects()
