--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -13,6 +13,25 @@
 AnswerCallback = Callable[[int, Headers, bytes], None]
 
 
+def keep_alive_timeout(headers: Headers) -> float:
+    """Returns how long the other side keeps an idle connection open, seconds.
+
+    Args:
+        headers: The headers of its last answer.
+
+    Returns:
+        The time; infinite if it is not given.
+    """
+    for header_name, header_value in headers:
+        if header_name != b"keep-alive":
+            continue
+        for part in header_value.split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                return float(value)
+    return float("inf")
+
+
 class AnswerParser:
     """Parses the answers of one connection, one after another."""
 
--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -278,11 +278,9 @@
             return exchanges.Cause.REFUSED
         if not self._writer.connected:
             return exchanges.Cause.UNREACHABLE
-        return (
-            exchanges.Cause.TRUNCATED
-            if self._received
-            else exchanges.Cause.CLOSED
-        )
+        if self._received:
+            return exchanges.Cause.TRUNCATED
+        return exchanges.Cause.CLOSED
 
     def _read(self) -> None:
         try:
@@ -304,15 +302,14 @@
 
     def _feed(self, data: bytes) -> None:
         self._received = True
-        if not self._parser.feed(data):
-            self._must_close = True
-            if self._exchange is not None:
-                self.fail(exchanges.Cause.MALFORMED)
-                return
-        if self._exchange is not None and self._parser.is_too_large:
+        is_valid = self._parser.feed(data)
+        if self._exchange is None:
+            self._must_close |= not is_valid
+            self._complete()
+        elif not is_valid:
+            self.fail(exchanges.Cause.MALFORMED)
+        elif self._parser.is_too_large:
             self.fail(exchanges.Cause.TOO_LARGE)
-            return
-        self._complete()
 
     def _handle_eof(self) -> None:
         self._must_close = True
@@ -321,11 +318,7 @@
         if self._exchange is None:
             self._complete()
             return
-        self.fail(
-            exchanges.Cause.TRUNCATED
-            if self._received
-            else exchanges.Cause.CLOSED
-        )
+        self.fail(self._failure_cause())
 
     def _accept_answer(
         self, status: int, headers: answerparser.Headers, body: bytes
@@ -361,22 +354,13 @@
             self.fail(exchanges.Cause.MALFORMED)
 
     def _idle_timeout_s(self, answer: Answer) -> float:
-        keep_alive = answer.header(b"keep-alive")
-        if keep_alive is not None:
-            for part in keep_alive.split(b","):
-                name, _, value = part.strip().partition(b"=")
-                if name.lower() == b"timeout" and value.isdigit():
-                    # Leaves a margin of one second: the other side may close
-                    # slightly before its timeout.
-                    return min(
-                        self._pool.idle_timeout_s, max(0.0, int(value) - 1.0)
-                    )
-        return self._pool.idle_timeout_s
+        keep_alive_s = answerparser.keep_alive_timeout(answer.headers)
+        # Leaves a margin of one second: the other side may close slightly
+        # before its timeout.
+        return min(self._pool.idle_timeout_s, max(0.0, keep_alive_s - 1.0))
 
     def _complete(self) -> None:
         """Keeps or closes the connection, and reports an accepted answer."""
-        if self._exchange is not None:
-            return
         if self._must_close or self._parser.is_receiving:
             self.close()
         elif not self._closed:
