A copy of the answer to a grant does not acknowledge a release

A server that writes its answer to a grant once more, where the answer to the next order is expected, acknowledged a release that it had not carried out: the slots moved while it still held them or worked on their keys.

Cause: answers to orders have no id, not even if one is sent with the order, and any answer on the connection was taken as the one to the current order. Evidence: test_no_copy_of_the_answer_to_a_grant_acknowledges_a_release fails without the check (any answer was accepted).

Fix: only an answer with a handover acknowledges a release, and none with a handover a grant; others are skipped. Not covered, since nothing tells them apart: a copy of the answer to another grant, or to another release.

--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -413,4 +413,13 @@
                 return b""
             return self._adapter.encode_order(current)
 
-        self._order_pool.send(encode, timeout, handle_outcome)
+        def is_answer(answer: httppool.Answer) -> bool:
+            # Answers to orders have no id. Only the acknowledgement of a
+            # release has a handover, which tells it from a copy of the answer
+            # to an earlier grant.
+            outcome = self._adapter.decode_order_answer(answer)
+            if isinstance(order, orders.Release):
+                return bool(outcome.handover) or not outcome.acknowledged
+            return not outcome.handover
+
+        self._order_pool.send(encode, timeout, handle_outcome, is_answer)
--- /dev/null
+++ b/tests/processes/test_targethandler.py
@@ -0,0 +1,103 @@
+import types as module_types
+
+import pytest
+
+from tamarackgap.network import httppool
+from tamarackgap.ownership import effects
+from tamarackgap.platform import servers
+from tamarackgap.processes import targethandler
+from tamarackgap.traffic import crashes, orders, runner
+
+SLOT_COUNT = 256
+
+
+class Pool:
+    """Records the orders that are sent, without connections."""
+
+    has_established_connection = False
+
+    def __init__(self, sent):
+        self.sent = sent
+
+    def send(self, build, timeout, done, is_answer):
+        self.sent.append((build(), is_answer))
+
+
+class Core:
+    """Owns two slots of a service, under a lease without end."""
+
+    settings = effects.Settings("s", "d", "z", "p", "h")
+    slots_version = 1
+    owned = {slot: effects.OwnedSlot(1, 0.0, "") for slot in (0, 1)}
+    view = module_types.SimpleNamespace(
+        service_record=lambda service: module_types.SimpleNamespace(
+            slots=SLOT_COUNT
+        )
+    )
+
+    def lease_until(self):
+        return 100.0
+
+    def record_release(self, handovers):
+        pass
+
+
+@pytest.fixture
+def handler_and_sent(monkeypatch):
+    sent = []
+    monkeypatch.setattr(
+        targethandler.httppool, "ConnectionPool", lambda *unused: Pool(sent)
+    )
+    settings = module_types.SimpleNamespace(
+        daemon_service="s",
+        router_announce_interval=1000,
+        router_target_address="127.0.0.1:1",
+        requests_answer=1000,
+        ownership_lease=2000,
+        router_longest_hold=10_000,
+    )
+    adapter = module_types.SimpleNamespace(
+        max_hold_ranges=10,
+        codec=runner.Codec(None, None, None),
+        encode_order=lambda order: order,
+        decode_order_answer=servers.decode_order_answer,
+    )
+    timers = module_types.SimpleNamespace(now=1.0, after=lambda *unused: None)
+    handler = targethandler.TargetHandler(
+        settings,
+        adapter,
+        Core(),
+        None,
+        timers,
+        crashes.CrashHistory(),
+        lambda: None,
+    )
+    return handler, sent
+
+
+GRANTED = httppool.Answer(200, [], b"")
+SUPERSEDED = httppool.Answer(409, [], b"")
+RELEASED = httppool.Answer(200, [(b"x-tamarackgap-handover", b"h")], b"")
+
+
+def test_no_copy_of_the_answer_to_a_grant_acknowledges_a_release(
+    handler_and_sent,
+):
+    handler, sent = handler_and_sent
+    handler.renew_grants()
+    handler.begin_release(frozenset({0}))
+    (grant, is_grant_answer), (release, is_release_answer) = sent
+    assert isinstance(grant, orders.Grant)
+    assert isinstance(release, orders.Release)
+    answers = (GRANTED, SUPERSEDED, RELEASED)
+    assert [is_grant_answer(answer) for answer in answers] == [
+        True,
+        True,
+        False,
+    ]
+    # A refusal is safe to believe: the holds are then waited for.
+    assert [is_release_answer(answer) for answer in answers] == [
+        False,
+        True,
+        True,
+    ]
