Bytes after an answer are not part of it

With the product's own interface, a target that sent bytes after its answer had them passed on to the caller as the end of the body, framed as whole, and its connection was used for the next request. An answer with a negative length, or with a length and chunks, was taken as whole.

Cause: the parser puts all that it receives after the head into the body, takes a negative length for a body that has ended, and ignores chunks where there is a length. Evidence: test_bytes_after_an_answer_are_not_part_of_it (three kinds) and two cases of test_an_answer_that_does_not_end_as_framed_is_no_success (a negative length, a length with chunks) failed before. The other cases passed before: cut heads, short and chunked bodies, no length, two lengths, interim answers, bytes without end. Fix: the body is cut at the length that was announced, and the connection is closed; a length that is no number, or beside chunks, is malformed.

--- a/tamarackgap/network/httpclient.py
+++ b/tamarackgap/network/httpclient.py
@@ -106,6 +106,25 @@
     return head.encode("latin-1") + request.body
 
 
+def _announced_length(headers: dict[str, str]) -> int | None:
+    """Returns the length that an answer announces for its body, bytes.
+
+    Returns:
+        The length, or None if the body is sent in chunks.
+
+    Raises:
+        ValueError: If it is not a number, or the body is sent in chunks too.
+    """
+    text = headers.get("content-length")
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdecimal()):
+        raise ValueError(f"content-length {text!r} is not a number")
+    if "transfer-encoding" in headers:
+        raise ValueError("content-length and transfer-encoding")
+    return int(text)
+
+
 class HttpClient(circuits.Component):
     """Sends requests, with a pool of connections for each address."""
 
@@ -296,9 +315,21 @@
         headers = {
             name.lower(): value for name, value in parser.get_headers().items()
         }
-        answer = Answer(parser.get_status_code(), headers, parser.recv_body())
+        try:
+            length = _announced_length(headers)
+        except ValueError:
+            self._fail(connection, exchanges.Cause.MALFORMED)
+            return
+        # The parser adds to the body what was received after its end.
+        received = parser.recv_body()
+        body = received[:length]
+        answer = Answer(parser.get_status_code(), headers, body)
         connection.exchange = None
-        if connection.unsent or headers.get("connection") == "close":
+        if (
+            connection.unsent
+            or len(body) < len(received)
+            or headers.get("connection") == "close"
+        ):
             self._close(connection)
         else:
             self._idle[connection.address].append(connection)
