--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -14,8 +14,6 @@
 
 # Answers to no request that are skipped on a connection before it is given up.
 _MAX_SKIPPED_ANSWERS = 3
-# A longer time in a Keep-Alive header is ignored.
-_MAX_TIMEOUT_DIGITS = 9
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -57,24 +55,21 @@
     Attributes:
         build: Returns the request's bytes.
         is_answer: Returns whether an answer is the one to this request.
-        is_last: Whether the connection is closed after the answer.
         connection: The connection that carries the request, or None.
     """
 
-    __slots__ = ("is_answer", "is_last", "build", "connection")
+    __slots__ = ("is_answer", "build", "connection")
 
     def __init__(
         self,
         build: RequestBuilder,
         done: DoneCallback,
         is_answer: AnswerCheck,
-        is_last: bool,
     ) -> None:
         """Creates an exchange that calls `done` once, with its outcome."""
         super().__init__(done)
         self.build = build
         self.is_answer = is_answer
-        self.is_last = is_last
         self.connection: _Connection | None = None
 
 
@@ -131,7 +126,7 @@
         timeout: float,
         done: DoneCallback,
         is_answer: AnswerCheck = lambda answer: True,
-        is_last: bool = False,
+        exclusive: bool = False,
     ) -> Exchange:
         """Sends a request.
 
@@ -143,14 +138,16 @@
                 this method returns.
             is_answer: Returns whether an answer is the one to this request;
                 a few others are skipped on a connection that was used before.
-            is_last: Whether the connection is closed after the answer, so that
-                no copy of it can be taken for the answer to another request.
+            exclusive: Whether the request gets a connection of its own, which
+                carries nothing else before or after it. No copy of another
+                answer can then be taken for its own.
 
         Returns:
             The exchange, to be passed to `cancel`.
         """
-        exchange = Exchange(build, done, is_answer, is_last)
-        connection = self._take_idle() or self._connect()
+        exchange = Exchange(build, done, is_answer)
+        connection = None if exclusive else self._take_idle()
+        connection = connection or self._connect()
         if connection is None:
             exchange.finish(
                 result.Failure(
@@ -161,7 +158,7 @@
         exchange.timer = self.timers.after(
             timeout, lambda: self._abort(exchange, exchanges.Cause.TIMEOUT)
         )
-        connection.send(exchange)
+        connection.send(exchange, exclusive)
         return exchange
 
     def cancel(self, exchange: Exchange) -> None:
@@ -241,8 +238,14 @@
         """Whether the other side has accepted the connection."""
         return self._writer.connected
 
-    def send(self, exchange: Exchange) -> None:
-        """Sends a request on this idle connection, once it is established."""
+    def send(self, exchange: Exchange, exclusive: bool) -> None:
+        """Sends a request on this idle connection, once it is established.
+
+        Args:
+            exchange: The request.
+            exclusive: Whether the connection is closed after its answer.
+        """
+        self._must_close = exclusive
         self._exchange = exchange
         exchange.connection = self
         self._received = False
@@ -278,11 +281,9 @@
             return exchanges.Cause.REFUSED
         if not self._writer.connected:
             return exchanges.Cause.UNREACHABLE
-        return (
-            exchanges.Cause.TRUNCATED
-            if self._received
-            else exchanges.Cause.CLOSED
-        )
+        if self._received:
+            return exchanges.Cause.TRUNCATED
+        return exchanges.Cause.CLOSED
 
     def _read(self) -> None:
         try:
@@ -304,15 +305,14 @@
 
     def _feed(self, data: bytes) -> None:
         self._received = True
-        if not self._parser.feed(data):
-            self._must_close = True
-            if self._exchange is not None:
-                self.fail(exchanges.Cause.MALFORMED)
-                return
-        if self._exchange is not None and self._parser.is_too_large:
+        is_valid = self._parser.feed(data)
+        if self._exchange is None:
+            self._must_close |= not is_valid
+            self._complete()
+        elif not is_valid:
+            self.fail(exchanges.Cause.MALFORMED)
+        elif self._parser.is_too_large:
             self.fail(exchanges.Cause.TOO_LARGE)
-            return
-        self._complete()
 
     def _handle_eof(self) -> None:
         self._must_close = True
@@ -321,11 +321,7 @@
         if self._exchange is None:
             self._complete()
             return
-        self.fail(
-            exchanges.Cause.TRUNCATED
-            if self._received
-            else exchanges.Cause.CLOSED
-        )
+        self.fail(self._failure_cause())
 
     def _accept_answer(
         self, status: int, headers: answerparser.Headers, body: bytes
@@ -340,11 +336,7 @@
             self._skip_answer()
             return
         self._is_reused = True
-        if (
-            exchange.is_last
-            or self._writer.unsent
-            or not self._parser.keeps_connection
-        ):
+        if self._writer.unsent or not self._parser.keeps_connection:
             self._must_close = True
         self._exchange = None
         self.reusable_until = self._pool.timers.now + self._idle_timeout_s(
@@ -365,26 +357,13 @@
             self.fail(exchanges.Cause.MALFORMED)
 
     def _idle_timeout_s(self, answer: Answer) -> float:
-        keep_alive = answer.header(b"keep-alive")
-        if keep_alive is not None:
-            for part in keep_alive.split(b","):
-                name, _, value = part.strip().partition(b"=")
-                if (
-                    name.lower() == b"timeout"
-                    and value.isdigit()
-                    and len(value) <= _MAX_TIMEOUT_DIGITS
-                ):
-                    # Leaves a margin of one second: the other side may close
-                    # slightly before its timeout.
-                    return min(
-                        self._pool.idle_timeout_s, max(0.0, int(value) - 1.0)
-                    )
-        return self._pool.idle_timeout_s
+        keep_alive_s = answerparser.keep_alive_timeout(answer.headers)
+        # Leaves a margin of one second: the other side may close slightly
+        # before its timeout.
+        return min(self._pool.idle_timeout_s, max(0.0, keep_alive_s - 1.0))
 
     def _complete(self) -> None:
         """Keeps or closes the connection, and reports an accepted answer."""
-        if self._exchange is not None:
-            return
         if self._must_close or self._parser.is_receiving:
             self.close()
         elif not self._closed:
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -198,10 +198,8 @@
 
     Answers to orders have no id, but only those to releases have a handover.
     """
-    return (
-        not isinstance(order, orders.Release)
-        or answer.header(names.HANDOVER) is not None
-    )
+    has_handover = answer.header(names.HANDOVER) is not None
+    return has_handover == isinstance(order, orders.Release)
 
 
 def decode_order_answer(answer: httppool.Answer) -> orders.OrderResult:
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -407,6 +407,6 @@
             timeout,
             handle_outcome,
             functools.partial(self._adapter.is_order_answer, order),
-            # No later release may be taken for answered by a copy.
-            is_last=isinstance(order, orders.Release),
+            # No copy of another answer may acknowledge a release.
+            exclusive=isinstance(order, orders.Release),
         )
