--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -134,6 +134,7 @@
             for name in ("slots", "seq", "born")
             for value in [-1, 2**63, 2**64, 10**30, 1e30, None, "1", True]
         ),
+        {"born": 10**15},
         {"slots": 0},
         {"slots": 10**9},
         {"cold_remaining_ms": -1},
@@ -215,3 +216,14 @@
     headers = [(b"x-tamarackgap-handover", b"x" * 70_000)]
     answer = httppool.Answer(200, headers, b"")
     assert servers.decode_order_answer(answer) == orders.OrderResult(True)
+
+
+def test_only_an_answer_with_a_handover_is_one_to_a_release():
+    release = orders.Release(0, 255, 7)
+    plain = httppool.Answer(200, [], b"")
+    with_handover = httppool.Answer(
+        200, [(b"x-tamarackgap-handover", b"5c0e")], b""
+    )
+    assert not servers.is_order_answer(release, plain)
+    assert servers.is_order_answer(release, with_handover)
+    assert servers.is_order_answer(make_grant(0, 255, 7), plain)
