The test of reserved ports takes a range of its own in each test run

It failed once, in one of several test runs at the same time on this machine (twelve files, load 38), and passed alone: all runs looked for ports in one range of 100, and its last assertion needs the ports that the ended process had given back, which another run may take. Each run now uses a range by its process id; the assertions are unchanged.

--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -1,10 +1,12 @@
+import os
 import subprocess
 import sys
 
 from standins import ports
 
-FIRST = 33500
-LAST = 33600
+# Test runs at the same time on one machine each use a range of their own.
+FIRST = 33_500 + os.getpid() % 200 * 20
+LAST = FIRST + 20
 HOLD = f"""
 from standins import ports
 print(ports.find_free_ports(4, {FIRST}, {LAST}), flush=True)
