A release in heartbeats waits for an earlier answer that may still arrive

What callers could see: a target that takes keys with a fence below the one with which another target has them. A range is granted in the answer to a heartbeat; its release begins before a report has shown the range. The first report after that is not believed, but the second was, also if both had been sent before the answer with the grant arrived: an answer counts if it arrives within a second.

--- a/tamarackgap/traffic/heartbeatorders.py
+++ b/tamarackgap/traffic/heartbeatorders.py
@@ -17,6 +17,8 @@
 # A target that does not report a range in this many heartbeats after it was
 # told to hold it has refused it, or has lost the answers.
 _MAX_MISSES = 2
+# An answer that arrives later than this is not taken by the target.
+_ANSWER_TIMEOUT_S = 1.0
 # Hold time in an answer without ranges, seconds; any would do.
 _EMPTY_HOLD_S = 1.0
 
@@ -82,6 +84,9 @@
         order: The release.
         done: Called with the outcome.
         told: Whether an answer has left the range out since the release began.
+        taken_until: Monotonic time up to which an answer may arrive that was
+            written before the release began and has not been seen to be taken,
+            seconds.
         handover: Text of the largest part that has been reported as released.
         handover_size: Size of that part, key positions.
     """
@@ -89,6 +94,7 @@
     order: orders.Release
     done: Callable[[orders.OrderResult], None]
     told: bool = False
+    taken_until: float = float("-inf")
     handover: str = ""
     handover_size: int = 0
 
@@ -228,14 +234,32 @@
             _record_handover(pending, report.released)
             # A report that was on its way before the target was told may come
             # from a time at which it had not taken the range yet.
-            is_released = pending.told and not any(
-                _overlap(pending.order, held) for held in report.held
+            if not pending.told and self._is_in_doubt(pending.order, report):
+                pending.taken_until = self._timers.now + _ANSWER_TIMEOUT_S
+            is_released = (
+                pending.told
+                and self._timers.now >= pending.taken_until
+                and not any(
+                    _overlap(pending.order, held) for held in report.held
+                )
             )
             (completed if is_released else remaining).append(pending)
         self._releases = remaining
         for pending in completed:
             pending.done(orders.OrderResult(True, handover=pending.handover))
 
+    def _is_in_doubt(self, release: orders.Release, report: HoldReport) -> bool:
+        """Returns whether an answer with a released range may be on its way."""
+        return any(
+            _overlap(release, told)
+            and not any(
+                _overlap(told, held)
+                for held in report.held
+                if held.fence == told.fence
+            )
+            for told in self._told
+        )
+
     def _count_misses(self, report: HoldReport) -> None:
         self._misses = {
             told: self._misses.get(told, 0) + 1
--- a/tests/traffic/test_heartbeatorders.py
+++ b/tests/traffic/test_heartbeatorders.py
@@ -162,6 +162,22 @@
     assert not released
 
 
+def test_release_does_not_end_while_the_answer_with_a_grant_may_arrive(subject):
+    timers, core, grants, target = subject
+    core.own(0, 9, 1)
+    target.heartbeat(is_lost=True)
+    released = []
+    grants.release(frozenset(range(10)), released.append)
+    # Both reports were sent before the answer that grants the range arrived.
+    for _ in range(2):
+        timers.advance(0.3)
+        target.channel.answer(heartbeatorders.HoldReport(), grants.grant_all)
+        assert not released
+    timers.advance(0.8)
+    target.channel.answer(heartbeatorders.HoldReport(), grants.grant_all)
+    assert released
+
+
 def test_release_without_heartbeats_waits_for_end_of_hold(subject):
     timers, core, grants, target = subject
     core.own(0, 9, 1)
