--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -125,3 +125,19 @@
             cluster.add_daemon("seats-4", "a")
             assert cluster.run(20, cluster.is_settled) is not None
             assert broken_rules(cluster, "holders") == [], seed
+
+
+def test_copy_of_an_earlier_answer_confirms_no_grant():
+    for seed in range(5):
+        with settled_cluster(seed) as cluster:
+            cluster.table_up = False
+            faults = cluster.hosts[VICTIM].faults
+            faults.copies_answers = True
+            cluster.run(0.5)
+            faults.late_share = 0.5
+            faults.max_lateness_s = 0.8
+            cluster.run(0.2)
+            cluster.daemons[VICTIM].core.drain()
+            cluster.run(3)
+            assert broken_rules(cluster, "holders") == [], seed
+            assert broken_rules(cluster, "fence") == [], seed
