--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -141,3 +141,11 @@
             cluster.run(3)
             assert broken_rules(cluster, "holders") == [], seed
             assert broken_rules(cluster, "fence") == [], seed
+
+
+def test_a_process_born_before_earlier_one_by_its_clock_is_used():
+    with settled_cluster() as cluster:
+        cluster.restart_target(VICTIM, down_s=0.5, clock_step_s=-100.0)
+        assert cluster.run(15, cluster.is_settled) is not None
+        cluster.run(2)
+        assert cluster.sidecars[cluster.daemons[VICTIM]].handler.is_serving
