A lease is not given up at the drain timeout while requests run

What callers could see: the product's own interface; a request that still takes effect at a daemon's target while its successor already serves the slot. A daemon whose table does not answer keeps its slots while it drains; at the drain timeout it gave its lease up at once, also with requests in progress, which may take effect until the lease's end and linger.

The lease now ends by itself then, as in the router's stop path. Without requests in progress it is given up as before.

Evidence: the new test's case with a request in progress failed before; all of test_daemon.py passes. Found by review, not seen in a run.

--- a/tamarackgap/processes/daemon.py
+++ b/tamarackgap/processes/daemon.py
@@ -363,7 +363,8 @@
         if (
             has_left and idle and not self._core.owned
         ) or now > self._drain_deadline:
-            if self._core.owned:
+            # Requests that still run may take effect until the lease has ended.
+            if self._core.owned and not self._executor.in_progress:
                 self._core.release_lease(now)
                 self._perform_effects()
             logs.event("stopped", in_progress=self._executor.in_progress)
--- a/tests/processes/test_daemon.py
+++ b/tests/processes/test_daemon.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import time
+from unittest import mock
 
 import pytest
 import zmq
@@ -12,6 +13,7 @@
 from demo import cluster
 from tamarackgap.commands import cmdline
 from tamarackgap.peers import messages
+from tamarackgap.processes import daemon
 from tests.support import callers, clusters
 
 BODY_LIMIT = 20_000
@@ -289,3 +291,15 @@
     out = (live_cluster.folder / f"again-{vm.name}.out").read_text()
     assert "cannot start" in out
     assert "Traceback" not in out
+
+
+@pytest.mark.parametrize("in_progress", [0, 1])
+def test_lease_is_not_released_at_drain_timeout_while_a_request_runs(
+    in_progress,
+):
+    draining = mock.MagicMock(_stopped=False, _drain_deadline=100.0)
+    draining._core.owned = {1: mock.sentinel.owned_slot}
+    draining._executor.in_progress = in_progress
+    daemon.Daemon._stop_when_idle(draining, 100.1)
+    assert draining._stopped
+    assert draining._core.release_lease.called == (not in_progress)
