--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -3,6 +3,7 @@
 import contextlib
 
 from tamarackgap.peers import messages
+from tamarackgap.traffic import localtarget, routetable
 from tests.support import targetsimulation
 
 VICTIM = "seats-1"
@@ -149,3 +150,29 @@
         assert cluster.run(15, cluster.is_settled) is not None
         cluster.run(2)
         assert cluster.sidecars[cluster.daemons[VICTIM]].handler.is_serving
+
+
+def test_late_announcement_without_holds_does_not_end_an_earlier_lease():
+    channel = routetable.GrantChannel.HEARTBEAT
+    with settled_cluster(channel=channel) as cluster:
+        process = cluster.hosts[VICTIM].process
+        early = localtarget.Announcement(
+            process.instance,
+            targetsimulation.SERVICE,
+            4,
+            born_ms=process.born_ms,
+            sequence=1,
+        )
+        cluster.hosts[VICTIM].faults.announcement_loss = 1.0
+        cluster.kill(VICTIM)
+        cluster.restart(VICTIM)
+        cluster.run(0.1)
+        handler = cluster.sidecars[cluster.daemons[VICTIM]].handler
+        handler.handle_announcement(
+            targetsimulation.Incoming(early, lambda hold_list: None)
+        )
+        cluster.run(0.6)
+        cluster.hosts[VICTIM].faults.announcement_loss = 0.0
+        cluster.run(3)
+        assert broken_rules(cluster, "holders") == []
+        assert broken_rules(cluster, "fence") == []
