--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tamarackgap.peers import messages
-from tamarackgap.traffic import routetable
+from tamarackgap.traffic import localtarget, routetable
 from tests.support import targetfaults, targetsimulation
 
 Fault = targetfaults.Fault
@@ -204,3 +204,52 @@
             cluster.add_daemon("seats-4", "a")
             assert cluster.run(20, cluster.is_settled) is not None
             assert broken_rules(cluster, "holders") == [], seed
+
+
+def test_copy_of_an_earlier_answer_confirms_no_grant():
+    for seed in range(5):
+        with settled_cluster(seed) as cluster:
+            cluster.table_up = False
+            faults = cluster.hosts[VICTIM].faults
+            faults.copies_answers = True
+            cluster.run(0.5)
+            faults.late_share = 0.5
+            faults.max_lateness_s = 0.8
+            cluster.run(0.2)
+            cluster.daemons[VICTIM].core.drain()
+            cluster.run(3)
+            assert broken_rules(cluster, "holders") == [], seed
+            assert broken_rules(cluster, "fence") == [], seed
+
+
+def test_a_process_born_before_earlier_one_by_its_clock_is_used():
+    with settled_cluster() as cluster:
+        cluster.restart_target(VICTIM, down_s=0.5, clock_step_s=-100.0)
+        assert cluster.run(15, cluster.is_settled) is not None
+        cluster.run(2)
+        assert cluster.sidecars[cluster.daemons[VICTIM]].handler.is_serving
+
+
+def test_late_announcement_without_holds_does_not_end_an_earlier_lease():
+    with settled_cluster(channel=HEARTBEAT) as cluster:
+        process = cluster.hosts[VICTIM].process
+        early = localtarget.Announcement(
+            process.instance,
+            targetsimulation.SERVICE,
+            4,
+            born_ms=process.born_ms,
+            sequence=1,
+        )
+        cluster.hosts[VICTIM].faults.announcement_loss = 1.0
+        cluster.kill(VICTIM)
+        cluster.restart(VICTIM)
+        cluster.run(0.1)
+        handler = cluster.sidecars[cluster.daemons[VICTIM]].handler
+        handler.handle_announcement(
+            targetsimulation.Incoming(early, lambda hold_list: None)
+        )
+        cluster.run(0.6)
+        cluster.hosts[VICTIM].faults.announcement_loss = 0.0
+        cluster.run(3)
+        assert broken_rules(cluster, "holders") == []
+        assert broken_rules(cluster, "fence") == []
