--- a/tests/traffic/test_grantsafety.py
+++ b/tests/traffic/test_grantsafety.py
@@ -126,6 +126,14 @@
         assert broken_rules(cluster, "holders") == []
 
 
+def test_target_is_used_again_after_its_time_of_day_was_set_back():
+    with settled_cluster() as cluster:
+        cluster.restart_target(VICTIM, clock_step_s=-100.0)
+        cluster.run(10)
+        assert cluster.sidecars[cluster.daemons[VICTIM]].handler.is_serving
+        assert cluster.run(10, cluster.is_settled) is not None
+
+
 # Each seed that broke a rule stays.
 STORIES = {
     "restart": ({Fault.RESTART}, CALL, 0),
@@ -164,9 +172,26 @@
     assert cluster.violations == cluster.ledger.violations == []
 
 
+MILD_FAULTS = set(Fault) - {Fault.RESTART, Fault.CLOCK_STEP, Fault.REFUSAL}
+
+
 @pytest.mark.parametrize("channel", routetable.GrantChannel)
 @pytest.mark.parametrize("seed", range(2))
 def test_faults_that_restart_no_target_at_once_break_no_rule(channel, seed):
-    faults = set(Fault) - {Fault.RESTART, Fault.CLOCK_STEP, Fault.REFUSAL}
-    cluster = targetfaults.play(faults, seed, 8.0, channel=channel)
+    cluster = targetfaults.play(MILD_FAULTS, seed, 8.0, channel=channel)
     assert cluster.violations == cluster.ledger.violations == []
+
+
+# Each seed after which slots were held by no target stays.
+OUTAGES = {
+    "mild": (MILD_FAULTS, CALL, 10),
+    "heartbeat-daemon-leaving": ({Fault.DAEMON_LEAVING}, HEARTBEAT, 1),
+    "heartbeat-target-leaving": ({Fault.TARGET_LEAVING}, HEARTBEAT, 7),
+}
+
+
+@pytest.mark.parametrize("story", OUTAGES)
+def test_all_slots_are_held_again_after_faults(story):
+    faults, channel, seed = OUTAGES[story]
+    cluster = targetfaults.play(faults, seed, 8.0, channel=channel)
+    assert cluster.is_settled()
