--- a/tests/traffic/test_holds.py
+++ b/tests/traffic/test_holds.py
@@ -76,8 +76,15 @@
 
 def test_released_slots_are_held_no_more():
     ledger = granted_ledger(until=101.0)
-    ledger.record_released(range(0, 5))
+    ledger.record_released(range(0, 5), 101.0)
     assert not ledger.is_held(4, 3, 100.0)
     assert ledger.is_held(5, 3, 100.0)
     assert ledger.granted_ranges(range(20), 100.0) == [slots.SlotRange(5, 9, 3)]
     assert ledger.granted_ranges(range(20), 101.0) == []
+
+
+def test_slots_granted_since_a_release_began_are_still_held():
+    ledger = granted_ledger(until=101.0)
+    ledger.record_sent(RANGE, 102.0)
+    ledger.record_released(range(0, 5), 101.0)
+    assert ledger.ends_at(range(0, 5)) == 102.0
