A completion for the process before is not taken for another request's

A daemon's process that ended and started again at its address could take the completion of a leg of the process before for one of its own: the caller got another request's answer, or was told 'not run' for a request that was running.

Cause: legs were numbered from 1 in each process, and daemons send completions to an address. Evidence: test_a_completion_for_the_process_before_is_dropped failed before. Fix: the id of a process's first leg is drawn at random from 48 bits.

--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -32,6 +32,7 @@
 # objective is left until its deadline; with less time an answer is unlikely.
 _MIN_OBJECTIVE_SHARE = 0.25
 _SERVER_ERROR_STATUS = 500
+_FIRST_LEG_BITS = 48
 
 # Refusals after which the owner of a key is looked up again.
 _OWNER_CHANGED = frozenset(
@@ -117,7 +118,8 @@
             peer_transport: Sends messages to the other daemons.
             timers: The loop's scheduler.
             budgets: Limits how many legs are sent again.
-            rng: Breaks ties between targets.
+            rng: Breaks ties between targets, and draws the id of the first
+                leg.
             crash_history: Fingerprints of requests that targets ran when they
                 crashed.
             data_centre: The data centre of this daemon.
@@ -135,7 +137,8 @@
         self._targets = targets.TargetDirectory(core, timers)
         # By the id of their current leg.
         self._by_leg: dict[int, PendingRequest] = {}
-        self._leg_ids = itertools.count(1)
+        # Completions of legs of the process before may still arrive.
+        self._leg_ids = itertools.count(rng.getrandbits(_FIRST_LEG_BITS) + 1)
         self._in_flight = 0
         # Called with each request that has ended, for metrics.
         self.on_finished: Callable[[PendingRequest, calls.Completion], None] = (
