A connection for one release does not raise the fences of all slots

Each release has had a connection of its own since. Each raised the fences of all slots that the target had acknowledged, which were then pinned until their next grant, up to the last attempt of a fence.

Cause: the pool tells of each new connection, since later grants over it may reach another process; a connection for one request carries none. Evidence: test_an_exclusive_connection_is_not_told_of failed before. The effect on moves was not measured. Fix: the pool tells only of connections that may carry several requests.

--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -81,8 +81,8 @@
     """Holds the connections to one address.
 
     Attributes:
-        on_connected: Called when a new connection is established, before a
-            request is written to it.
+        on_connected: Called when a new connection is established that may
+            carry several requests, before the first is written to it.
     """
 
     def __init__(
@@ -146,8 +146,8 @@
             The exchange, to be passed to `cancel`.
         """
         exchange = Exchange(build, done, is_answer)
-        connection = None if exclusive else self._take_idle()
-        connection = connection or self._connect()
+        idle = None if exclusive else self._take_idle()
+        connection = idle or self._connect()
         if connection is None:
             exchange.finish(
                 result.Failure(
@@ -268,7 +268,8 @@
                 self.fail(self._failure_cause())
                 return
             if not was_connected:
-                self._pool.on_connected()
+                if not self._must_close:
+                    self._pool.on_connected()
                 if self._exchange is not None:
                     self._write()
         if self._closed:
@@ -318,10 +319,9 @@
         self._must_close = True
         if self._received:
             self._parser.end()
-        if self._exchange is None:
-            self._complete()
-            return
-        self.fail(self._failure_cause())
+        if self._exchange is not None:
+            self.fail(self._failure_cause())
+        self._complete()
 
     def _accept_answer(
         self, status: int, headers: answerparser.Headers, body: bytes
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -108,6 +108,17 @@
     assert calls == ["connected", "built"]
 
 
+def test_an_exclusive_connection_is_not_told_of(poller_and_pool):
+    # The fences of all slots would rise with each release.
+    poller, pool = poller_and_pool
+    calls = []
+    pool.on_connected = lambda: calls.append("connected")
+    pool.send(lambda: b"x", 1.0, lambda outcome: None, exclusive=True)
+    _connect(poller)
+    assert pool.has_established_connection
+    assert calls == []
+
+
 def test_a_pool_tells_whether_a_connection_is_established(
     poller_and_pool, target
 ):
