The highest fence of a slot leaves room for the fences of its orders

Rows with fences that orders can't carry are refused since, with a limit for a factor of 1,024; orders multiply by 2**20 since. A fence beyond 2**33 would have given orders beyond the integers of JSON. Found by reading; the new test failed before.

--- a/tamarackgap/placement/slots.py
+++ b/tamarackgap/placement/slots.py
@@ -13,9 +13,9 @@
 POSITION_COUNT = 65_536
 
 _SlotNumber = Annotated[int, msgspec.Meta(ge=0, lt=POSITION_COUNT)]
-# Orders to targets multiply fences by up to 1,024, and must not exceed the
+# Orders to targets multiply fences by up to 2**20, and must not exceed the
 # integers of JSON.
-_Fence = Annotated[int, msgspec.Meta(ge=0, le=2**43 - 1)]
+_Fence = Annotated[int, msgspec.Meta(ge=0, le=2**33 - 1)]
 
 
 class SlotRange(msgspec.Struct, array_like=True, frozen=True, order=True):
--- a/tests/traffic/test_holds.py
+++ b/tests/traffic/test_holds.py
@@ -1,3 +1,7 @@
+import msgspec
+import pytest
+
+from tamarackgap import decoding
 from tamarackgap.placement import slots
 from tamarackgap.traffic import holds
 
@@ -89,3 +93,14 @@
     ledger.record_sent(slots.SlotRange(0, 4, 1), 102.0)
     ledger.record_released(range(10), sent_count)
     assert ledger.ends_at() == 102.0
+
+
+def test_fences_of_orders_are_integers_of_json():
+    highest = slots.SlotRange(0, 0, 2**33 - 1)
+    row = msgspec.json.encode(highest)
+    assert msgspec.json.decode(row, type=slots.SlotRange) == highest
+    too_high = msgspec.json.encode(slots.SlotRange(0, 0, 2**33))
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.json.decode(too_high, type=slots.SlotRange)
+    fence = holds.HoldLedger().order_fence(highest) + holds.FENCE_STEP - 1
+    assert fence <= decoding.MAX_INTEGER
