Comments that stopped a reader: what is kept of released slots, what raises a fence

_update_ranges still said that slots being released keep their state, which the ledger has kept since; order_fence and with_remaining_hold did not say that they change it. Comments only; tests of the ledger, the grants, logs, documents and layout pass.

--- a/tamarackgap/logs.py
+++ b/tamarackgap/logs.py
@@ -19,7 +19,7 @@
 _MAX_SUCCESSES_PER_S = 40
 _MAX_FAILURES_PER_S = 200
 _MAX_UNREADABLE_PER_S = 20
-# Longer values are cut: other programs may have chosen them.
+# Longer values are cut, since other programs may have sent them.
 _MAX_VALUE_CHARACTERS = 1000
 # Number of the last events that `unreadable_event` remembers.
 _MAX_EVENTS_KNOWN = 1000
--- a/tamarackgap/traffic/holds.py
+++ b/tamarackgap/traffic/holds.py
@@ -91,7 +91,8 @@
     def order_fence(self, slot_range: slots.SlotRange) -> int:
         """Returns the fence for orders of a range, the same for all its slots.
 
-        It never falls for a slot, also if the range is split later.
+        Raises the attempts of all its slots to the highest among them, so the
+        fence never falls for a slot, also if the range is split later.
         """
         holds = [
             self._hold(slot, slot_range.fence) for slot in _slots(slot_range)
--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -264,7 +264,7 @@
     def with_remaining_hold(
         self, order: orders.Grant | orders.Release
     ) -> orders.Grant | orders.Release | None:
-        """Returns an order as it is to be written now.
+        """Returns an order as it is to be written now, and records a grant.
 
         A connection may take time to open. Meanwhile the lease comes closer to
         its end, and the slots may be released.
@@ -402,7 +402,8 @@
         """Rebuilds the ranges after the slots owned have changed.
 
         A range keeps the state of its slots if their fence has not changed.
-        Slots that are being released keep their state, but are in no range.
+        Slots that are being released are in no range; the ledger still tells
+        what the target may hold of them.
         """
         self._version = self._core.slots_version
         assignments = {
