--- a/review/1/case.py
+++ b/review/1/case.py
@@ -194,6 +194,8 @@
     stopped = threading.Event()
     platform = _Platform(site, stopped)
     troubles = []
+    # Ids of requests whose connection ended without an answer.
+    unanswered = []
     try:
         site.put_configuration(
             1,
@@ -212,8 +214,17 @@
             deployment.in_background(platform.watch, machine)
 
             def send(machine=machine):
+                kept = site.connect(machine, _TIMEOUT_MS)
                 while not stopped.is_set():
-                    site.send(machine, "GET", "/browse/hall", _TIMEOUT_MS)
+                    status, request_id = site.send(
+                        machine,
+                        "GET",
+                        "/browse/hall",
+                        _TIMEOUT_MS,
+                        kept=kept,
+                    )
+                    if status == 0:
+                        unanswered.append(request_id)
                     time.sleep(_PAUSE_S)
 
             for _ in range(_CLIENTS_PER_MACHINE):
@@ -239,7 +250,17 @@
         stopped.set()
         site.record.write("result", **platform.ends)
         peaks_mb = {k: v // 1024 for k, v in platform.peaks_kb.items()}
-        print(f"ends {platform.ends}, most memory in MB {peaks_mb}")
+        sound = [machine.server for machine in site.machines[_FAULTY:]]
+        lost = [
+            request_id
+            for request_id in unanswered
+            if any(request_id in server.begun for server in sound)
+        ]
+        site.record.write("cut_while_at_a_sound_server", count=len(lost))
+        print(
+            f"ends {platform.ends}, most memory in MB {peaks_mb}, requests cut"
+            f" that were at a sound server: {len(lost)}"
+        )
         return 1 if _count_over(platform) >= _MACHINES_LIMIT else 0
     finally:
         stopped.set()
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -423,8 +423,19 @@
             time.sleep(0.1)
         return False
 
-    def send(self, machine, method, path, timeout_ms=2500, body=None):
-        """Sends a client's request over a new connection.
+    def send(
+        self, machine, method, path, timeout_ms=2500, body=None, kept=None
+    ):
+        """Sends a client's request.
+
+        Args:
+            machine: The machine whose daemon gets it.
+            method: Its method.
+            path: Its path.
+            timeout_ms: Time that the client waits.
+            body: Its body, or None.
+            kept: A connection that is kept open, as `connect` returns it; None
+                for a new one.
 
         Returns:
             The status, 0 if the connection ended without a whole answer, and
@@ -438,9 +449,7 @@
             path=path,
             machine=machine.name,
         )
-        link = http.client.HTTPConnection(
-            machine.outbound_address, timeout=timeout_ms / 1000 + 1
-        )
+        link = kept or self.connect(machine, timeout_ms)
         status = 0
         try:
             link.request(
@@ -457,12 +466,19 @@
             response.read()
             status = response.status
         except (OSError, http.client.HTTPException):
-            status = 0
-        finally:
+            # It is opened again for the next request.
+            link.close()
+        if kept is None:
             link.close()
         self.record.write("answered", request=request_id, status=status)
         return status, request_id
 
+    def connect(self, machine, timeout_ms=2500):
+        """Returns a connection of a client, which opens when it is used."""
+        return http.client.HTTPConnection(
+            machine.outbound_address, timeout=timeout_ms / 1000 + 1
+        )
+
     def stop(self):
         """Ends all processes that were started, the servers and the store."""
         for machine in self.machines:
