--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -98,11 +98,11 @@
     }
 
 
-def configuration(version, *resources):
+def configuration(version, resources, limits):
     """Returns a configuration, encoded as the store keeps it."""
-    limits = {"type": "limits", "metadata": {}, "spec": _LIMITS}
+    entry = {"type": "limits", "metadata": {}, "spec": limits}
     return json.dumps(
-        {"version": f"{version:08x}", "resources": [*resources, limits]}
+        {"version": f"{version:08x}", "resources": [*resources, entry]}
     ).encode("utf-8")
 
 
@@ -373,13 +373,15 @@
 class Deployment:
     """Store and machines, with a record of what clients and servers see."""
 
-    def __init__(self, case_folder, machines):
+    def __init__(self, case_folder, machines, limits=None):
         """Starts the store only.
 
         Args:
             case_folder: Folder of the case; gets `record.txt`.
             machines: Name and service of each machine.
+            limits: The operators' limits on requests; None for small ones.
         """
+        self._limits = limits or _LIMITS
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(pathlib.Path(case_folder) / "record.txt")
         self.role = tomllib.loads(
@@ -405,7 +407,9 @@
 
     def put_configuration(self, version, *resources):
         """Writes a version; the write's end is its acknowledgement."""
-        self.store.put("op", "config", configuration(version, *resources))
+        self.store.put(
+            "op", "config", configuration(version, resources, self._limits)
+        )
         return self.record.write("configuration", version=version)
 
     def start(self, work_s, path):
@@ -441,7 +445,7 @@
             The status, 0 if the connection ended without a whole answer, and
             the request's id.
         """
-        request_id = f"{next(self._ids):016x}"
+        request_id = self.next_id()
         self.record.write(
             "sent",
             request=request_id,
@@ -473,6 +477,10 @@
         self.record.write("answered", request=request_id, status=status)
         return status, request_id
 
+    def next_id(self):
+        """Returns the id of the next request."""
+        return f"{next(self._ids):016x}"
+
     def connect(self, machine, timeout_ms=2500):
         """Returns a connection of a client, which opens when it is used."""
         return http.client.HTTPConnection(
