--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -306,9 +306,14 @@
         self._lives = itertools.count(1)
         self.log_path = deployment.folder / f"{name}.log"
 
-    def start_server(self, work_s):
-        """Starts the next life of the server."""
-        self.server = Server(
+    def start_server(self, work_s, create=None):
+        """Starts the next life of the server.
+
+        Args:
+            work_s: Returns the duration of a request with a path, seconds.
+            create: Creates the server; None for one without keys.
+        """
+        self.server = (create or Server)(
             self._deployment.record, self, next(self._lives), work_s
         )
         self.server.start()
@@ -412,15 +417,22 @@
         )
         return self.record.write("configuration", version=version)
 
-    def start(self, work_s, path):
-        """Starts servers and daemons; returns whether all serve a path."""
+    def start(self, work_s, path, create=None, key=None):
+        """Starts servers and daemons; returns whether all serve a path.
+
+        Args:
+            work_s: Returns the duration of a request with a path, seconds.
+            path: The path.
+            create: Creates a server; None for servers without keys.
+            key: Key of the requests; None for none.
+        """
         for machine in self.machines:
-            machine.start_server(work_s)
+            machine.start_server(work_s, create)
             machine.start_daemon()
         deadline = time.monotonic() + _READY_S
         while time.monotonic() < deadline:
             if all(machine.is_ready() for machine in self.machines) and all(
-                self.send(machine, "GET", path)[0] == 200
+                self.send(machine, "GET", path, key=key)[0] == 200
                 for machine in self.machines
             ):
                 return True
@@ -428,7 +440,14 @@
         return False
 
     def send(
-        self, machine, method, path, timeout_ms=2500, body=None, kept=None
+        self,
+        machine,
+        method,
+        path,
+        timeout_ms=2500,
+        body=None,
+        kept=None,
+        key=None,
     ):
         """Sends a client's request.
 
@@ -440,6 +459,7 @@
             body: Its body, or None.
             kept: A connection that is kept open, as `connect` returns it; None
                 for a new one.
+            key: Its key, or None.
 
         Returns:
             The status, 0 if the connection ended without a whole answer, and
@@ -454,18 +474,16 @@
             machine=machine.name,
         )
         link = kept or self.connect(machine, timeout_ms)
+        headers = {
+            "Host": "hall.example",
+            "X-Tamarackgap-Attempt-Id": request_id,
+            "X-Tamarackgap-Timeout-Ms": str(timeout_ms),
+        }
+        if key is not None:
+            headers["X-Tamarackgap-Shard-Key"] = str(key)
         status = 0
         try:
-            link.request(
-                method,
-                path,
-                body,
-                {
-                    "Host": "hall.example",
-                    "X-Tamarackgap-Attempt-Id": request_id,
-                    "X-Tamarackgap-Timeout-Ms": str(timeout_ms),
-                },
-            )
+            link.request(method, path, body, headers)
             response = link.getresponse()
             response.read()
             status = response.status
