--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,10 +16,12 @@
 _QUEUE_S = 0.2
 _OBJECTIVE_MS = 2500
 _TIMEOUT_MS = 2500
-_CALM_S = 8.0
+_CALM_S = 5.0
 _PAUSE_S = 0.01
-_BETWEEN_S = 2.0
-_TURNS = (1, 0, 1, 0, 1, 0, 1, 0)
+_BETWEEN_S = 3.5
+# A script may run for 120 s; a turn takes about 9 s.
+_LONGEST_S = 100.0
+_TURNS = (1, 0, 1, 0, 1, 0, 1, 0, 1, 0)
 _KEY_COUNT = 65_536
 
 
@@ -73,11 +75,12 @@
             site.record.write("sigterm", machine=machine.name)
             machine.process.send_signal(signal.SIGTERM)
             time.sleep(_LATE_S + 1.0)
-            machine.process.wait()
+            machine.await_end(deployment.GRACE_S - _LATE_S - 1.0)
             machine.server.leaves_next = False
             machine.start_daemon()
             time.sleep(_BETWEEN_S)
-            if holdings.broken:
+            elapsed_s = time.monotonic() - site.record.started_at
+            if holdings.broken or elapsed_s > _LONGEST_S:
                 break
         stopped.set()
         time.sleep(1.0)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -341,6 +341,14 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def await_end(self, seconds):
+        """Waits for the daemon's end, and kills it if that takes too long."""
+        try:
+            self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.process.send_signal(signal.SIGKILL)
+            self.process.wait()
+
     def _render(self, template):
         host, _, peer_port = self.peer_address.partition(":")
         text = template.replace("{{ip}}:9464", self.metrics_address).replace(
