--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -528,6 +528,8 @@
 
 def run(main):
     """Exits with what `main` returns, or with 2 if the case can't run."""
+    # So that a script that is stopped ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         status = main()
     except Exception:  # noqa: BLE001
