--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """OWNER: a grant that is carried out late counts as confirmed."""
 
 import functools
+import os
 import pathlib
 import signal
 import threading
@@ -9,6 +10,8 @@
 from review.common import deployment, keyed
 
 _FOLDER = pathlib.Path(__file__).parent
+# Whether the disruption is made.
+_HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # "A grant that received no response may be applied seconds later"
 _LATE_S = 2.0
 _WORK_S = 0.25
@@ -70,7 +73,7 @@
         # Machines are stopped and started in turn.
         for index in _TURNS:
             machine = site.machines[index]
-            if deployment.has_trouble():
+            if _HAS_TROUBLE:
                 machine.server.leave_next(_LATE_S)
             site.record.write("sigterm", machine=machine.name)
             machine.process.send_signal(signal.SIGTERM)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -538,11 +538,6 @@
     sys.exit(status)
 
 
-def has_trouble():
-    """Returns whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def in_background(call, *args):
     """Runs a function on a thread of its own, and returns the thread."""
     thread = threading.Thread(target=call, args=args, daemon=True)
