A pending grant is not forgotten when its target refuses a call

Cause: after a 421 renew_soon made all grants look unsent, also those that waited for their answers. A change of slots then dropped the pending grant without counting it as unanswered, so the next one had the same fence, and its acknowledgement ended the wait for both.

Fix: HoldLedger records the grants without an answer itself. A grant that is sent while an earlier one of its slots has no answer gets a higher fence, and only the answer to the latest one ends the wait for those before it. No path through ranges, refusals or releases can forget one.

Evidence: test_pending_grant_is_not_forgotten_after_target_refused_a_call and most seeds of test_no_path_forgets_a_grant_without_an_answer failed on the code before; both pass.

--- a/tamarackgap/traffic/holds.py
+++ b/tamarackgap/traffic/holds.py
@@ -29,6 +29,8 @@
         attempt: Lower part of the fence in orders.
         acknowledged: Highest attempt that the target has acknowledged under
             this fence, -1 if none.
+        unanswered: Attempt of the latest grant under this fence if the target
+            has not acknowledged it, else -1.
         held_until: End of the latest acknowledged grant under this fence,
             monotonic seconds.
         ends_at: Latest end of all grants that were sent, monotonic seconds.
@@ -40,6 +42,7 @@
     fence: int = 0
     attempt: int = 0
     acknowledged: int = -1
+    unanswered: int = -1
     held_until: float = _NEVER
     ends_at: float = _NEVER
     late_until: float = _NEVER
@@ -100,14 +103,28 @@
         attempt = max(hold.attempt for hold in holds)
         for hold in holds:
             hold.attempt = attempt
-        return slot_range.fence * FENCE_STEP + attempt
-
-    def record_sent(self, slot_range: slots.SlotRange, until: float) -> None:
+        return _order_fence(slot_range.fence, attempt)
+
+    def record_sent(
+        self,
+        slot_range: slots.SlotRange,
+        until: float,
+        unwritten_fence: int | None = None,
+    ) -> int:
         """Records a grant that is about to be sent.
 
+        Its fence is above those of all earlier grants of its slots that have
+        not been acknowledged, so the target refuses those once it has executed
+        this one.
+
         Args:
             slot_range: The range.
             until: Monotonic time by which its hold has ended, seconds.
+            unwritten_fence: The fence with which the same grant was recorded
+                before, if it has not been written since.
+
+        Returns:
+            The fence of the grant.
         """
         self._sent_count += 1
         for slot in _slots(slot_range):
@@ -115,6 +132,15 @@
             hold.sent = self._sent_count
             hold.ends_at = max(hold.ends_at, until)
             hold.late_until = max(hold.late_until, until)
+            if (
+                hold.unanswered == hold.attempt
+                and _order_fence(hold.fence, hold.attempt) != unwritten_fence
+            ):
+                hold.attempt = min(hold.attempt + 1, _LAST_ATTEMPT)
+        order_fence = self.order_fence(slot_range)
+        for hold in self._under_fence(slot_range):
+            hold.unanswered = hold.attempt
+        return order_fence
 
     def record_acknowledged(
         self, slot_range: slots.SlotRange, order_fence: int, until: float
@@ -130,12 +156,20 @@
         for hold in self._under_fence(slot_range):
             hold.held_until = max(hold.held_until, until)
             hold.acknowledged = max(hold.acknowledged, attempt)
+            if attempt < hold.unanswered:
+                # A later grant may still be executed.
+                continue
+            hold.unanswered = -1
             if attempt == hold.attempt < _LAST_ATTEMPT:
                 # Grants without an answer had lower fences.
                 hold.late_until = _NEVER
 
     def record_unanswered(self, slot_range: slots.SlotRange) -> None:
-        """Records that a grant had no answer, and raises the fence."""
+        """Records that a grant had no answer, and raises the fence.
+
+        The next grant has a higher fence in any case; a release is to have one
+        as well.
+        """
         for hold in self._under_fence(slot_range):
             hold.attempt = min(hold.attempt + 1, _LAST_ATTEMPT)
 
@@ -166,6 +200,7 @@
             hold is not None
             and hold.fence == fence
             and hold.acknowledged == hold.attempt
+            and hold.unanswered < 0
             and hold.attempt < _LAST_ATTEMPT
         )
 
@@ -232,9 +267,14 @@
             hold.fence = fence
             hold.attempt = 0
             hold.acknowledged = -1
+            hold.unanswered = -1
             hold.held_until = _NEVER
         return hold
 
 
+def _order_fence(fence: int, attempt: int) -> int:
+    return fence * FENCE_STEP + attempt
+
+
 def _slots(slot_range: slots.SlotRange) -> range:
     return range(slot_range.first, slot_range.last + 1)
--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -290,8 +290,9 @@
         ):
             return None
         # A release may have begun, and been given up, since it was queued.
-        self._ledger.record_sent(state.slot_range, order.until)
-        state.order_fence = self._ledger.order_fence(state.slot_range)
+        state.order_fence = self._ledger.record_sent(
+            state.slot_range, order.until, unwritten_fence=state.order_fence
+        )
         return msgspec.structs.replace(
             order, fence=state.order_fence, hold_s=hold_s
         )
@@ -412,11 +413,6 @@
             if slot not in self._releasing
         }
         previous_by_slot = self._by_slot
-        for state in self._by_range.values():
-            if state.is_pending and state.requested_until > float("-inf"):
-                # The pending answer is not counted for the new ranges, so the
-                # grant counts as unanswered.
-                self._ledger.record_unanswered(state.slot_range)
         self._by_range = {}
         self._by_slot = {}
         for slot_range in slots.compress(assignments):
@@ -464,9 +460,8 @@
             self._send_queued()
             return
         state.requested_until = until
-        self._ledger.record_sent(slot_range, until)
         first, last = slots.position_range(slot_range, self._slot_count())
-        state.order_fence = self._ledger.order_fence(slot_range)
+        state.order_fence = self._ledger.record_sent(slot_range, until)
         state.order = orders.Grant(
             first,
             last,
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -655,3 +655,149 @@
     assert reported == ["second"]
     assert grants.is_held(0, timers.now)
     assert_target_is_ordered_to_release(target, grants)
+
+
+def test_pending_grant_is_not_forgotten_after_target_refused_a_call(subject):
+    # The refusal made the pending grant look unsent, and a change of slots then
+    # gave the next grant its fence. The pending one was executed late, after
+    # its keys had moved.
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    ((late, _),), target.orders = target.orders, []
+    grants.renew_soon()
+    core.lose(8, 9)
+    grants.renew()
+    (grant,) = target.answer()
+    assert grant.fence > late.fence
+
+
+class LateTarget:
+    """Receives orders, and may execute a grant without an answer at any time.
+
+    Attributes:
+        grants: The grants that send the orders.
+        too_low: Grants whose fence was not above that of an earlier grant
+            without an answer.
+    """
+
+    def __init__(self, timers, rng):
+        self.grants = None
+        self.too_low = []
+        self._timers = timers
+        self._rng = rng
+        self._queued = []
+        self._written = []
+        self._unanswered = []
+
+    def __call__(self, order, timeout, done):
+        self._queued.append((order, done))
+
+    def write_one(self):
+        if not self._queued:
+            return
+        index = self._rng.randrange(len(self._queued))
+        order, done = self._queued.pop(index)
+        if self._rng.random() < 0.1:
+            self.grants.handle_new_connection()
+        current = self.grants.with_remaining_hold(order)
+        if current is None or isinstance(current, orders.Release):
+            done(orders.OrderResult(current is not None))
+            return
+        self.too_low += [
+            current
+            for other in self._unanswered
+            if overlap(other, current) and other.fence >= current.fence
+        ]
+        self._unanswered.append(current)
+        self._written.append((current, done))
+
+    def end_one(self):
+        if not self._written:
+            return
+        index = self._rng.randrange(len(self._written))
+        grant, done = self._written.pop(index)
+        acknowledged = self._rng.random() < 0.6
+        if acknowledged:
+            # It refuses all earlier grants of these keys from now on.
+            self._unanswered = [
+                other
+                for other in self._unanswered
+                if other is not grant
+                and not (overlap(other, grant) and other.fence < grant.fence)
+            ]
+        done(orders.OrderResult(acknowledged))
+
+    def may_take(self, first, last):
+        """Returns the grants by which it may still take some of the keys."""
+        return [
+            grant
+            for grant in self._unanswered
+            if grant.first <= last
+            and grant.last >= first
+            and grant.until > self._timers.now
+        ]
+
+
+def overlap(one, other):
+    return one.first <= other.last and one.last >= other.first
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_no_path_forgets_a_grant_without_an_answer(seed):
+    # Whatever happens between a grant and its answer, later grants have higher
+    # fences, and released keys are not reported while it may be executed.
+    timers = Timers()
+    core = Core(timers)
+    rng = random.Random(seed)
+    target = LateTarget(timers, rng)
+    grants = slotgrants.SlotGrants(core, target, timers, 1.0, 10.0)
+    target.grants = grants
+    core.own(0, 7, 1)
+    forgotten = []
+    releases = [0]
+
+    def change_slots():
+        slot = rng.randrange(8)
+        if slot in core.owned:
+            core.lose(slot, slot)
+        else:
+            core.own(slot, slot, 1)
+
+    def release():
+        if grants.has_pending_releases:
+            return
+        releases[0] += 1
+        number = releases[0]
+        first = rng.randrange(8)
+        last = min(7, first + rng.randrange(3))
+
+        def handle_released(handovers):
+            if number == releases[0]:
+                first_key, last_key = slots.position_range(
+                    slots.SlotRange(first, last, 1), ServiceRecord.slots
+                )
+                forgotten.extend(target.may_take(first_key, last_key))
+
+        grants.release(frozenset(range(first, last + 1)), handle_released)
+
+    def end_release():
+        releases[0] += 1
+        grants.end_release()
+
+    steps = [
+        change_slots,
+        release,
+        end_release,
+        grants.renew_soon,
+        lambda: timers.advance(rng.uniform(0.0, 0.3)),
+    ]
+    for _ in range(300):
+        rng.choice(steps)()
+        grants.renew()
+        rng.choice((target.write_one, target.end_one))()
+    assert target.too_low == []
+    assert forgotten == []
