Messages under way share a limit on the memory that they take

What callers saw: a server that sent bytes without end made the daemon that had called it exceed its memory limit.

Cause: limits counted the bytes received, not the memory held, and each message had its own. A body was kept as a list of its chunks, and a chunk of two bytes takes 57. Small header fields cost as much. On the caller's side a path and a header field without end were not limited at all, and responses to callers that did not read them were kept for ever.

Fix: bodies are kept in one piece, so memory follows the bytes received. A budget for the whole process, a third of the memory that the platform allows, counts what all messages hold: answers of servers and of the store, requests of callers and of peers, responses not yet read. What has no room is refused as not run (503), or given up. Callers that do not read their response are closed after the idle time. A caller that still sends gets its refusal before the connection closes. Addresses that are not for callers take small bodies only. httpclient uses the same parser, so bytes that are no HTTP at all now end an exchange at the first of them (malformed) and not at the limit; its test of endless bytes has a begin of an answer instead, and a test for such bytes of its own.

The rewritten server also answers requests that it had read before it closes a connection: a pipelined request was dropped when the one before it was answered while draining, or when the last one closed the connection, and more than 1 MB of them got 413. Reading pauses instead.

--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -4,10 +4,14 @@
 
 import httptools
 
+from tamarackgap.network import bytebudget
+
 Headers = list[tuple[bytes, bytes]]
 
 _FIRST_FINAL_STATUS = 200
 _MAX_HEAD_BYTES = 65_536
+# Memory of a header field beside its characters: a tuple and two objects.
+FIELD_OVERHEAD_BYTES = 160
 
 # Called with the status, headers and body of each complete final answer.
 AnswerCallback = Callable[[int, Headers, bytes], None]
@@ -35,19 +39,31 @@
 class AnswerParser:
     """Parses the answers of one connection, one after another."""
 
-    def __init__(self, max_bytes: int, on_answer: AnswerCallback) -> None:
+    def __init__(
+        self,
+        max_bytes: int,
+        on_answer: AnswerCallback,
+        budget: bytebudget.ByteBudget,
+    ) -> None:
         """Creates a parser that has received nothing.
 
         Args:
             max_bytes: Largest size of an answer with its head.
             on_answer: Called with each complete answer: its status, its headers
                 with names in lower case and in the order received, its body.
+            budget: Limits the memory of all messages under way.
         """
         self._max_bytes = max_bytes
         self._on_answer = on_answer
+        self._charge = bytebudget.Charge(budget)
+        self._has_room = True
+        self._is_closed = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # Memory of the headers, bytes.
+        self._headers_size = 0
+        # Small chunks take little more memory here than on the wire.
+        self._body = bytearray()
         self._has_framing = False
         self._is_head_complete = False
         self._is_receiving = False
@@ -62,7 +78,12 @@
 
     @property
     def is_too_large(self) -> bool:
-        """Whether the answer being received exceeds the limits."""
+        """Whether the answer being received exceeds the limits.
+
+        Its own limits are on the bytes received, the budget's on the memory.
+        """
+        if not self._has_room:
+            return True
         limit = self._max_bytes if self._is_head_complete else _MAX_HEAD_BYTES
         return self._received_bytes > limit
 
@@ -76,10 +97,21 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._charge.release()
             return False
         self._received_bytes += len(data)
+        if self._is_closed:
+            # Closed by a callback; what was parsed since is of no use.
+            self._drop()
+        self._has_room = self._charge.hold(self._headers_size + len(self._body))
         return True
 
+    def close(self) -> None:
+        """Drops what has been received, when the connection is closed."""
+        self._is_closed = True
+        self._drop()
+        self._charge.release()
+
     def end(self) -> None:
         """Completes an answer whose body ends with the connection."""
         if (
@@ -94,8 +126,7 @@
     def on_message_begin(self) -> None:
         """Starts an answer."""
         self._is_receiving = True
-        self._headers = []
-        self._body = []
+        self._drop()
         self._has_framing = False
         self._is_head_complete = False
         self._received_bytes = 0
@@ -108,6 +139,7 @@
         if name in (b"content-length", b"transfer-encoding"):
             self._has_framing = True
         self._headers.append((name, value))
+        self._headers_size += len(name) + len(value) + FIELD_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Ends the head."""
@@ -115,11 +147,18 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Passes on the answer, unless it is an interim one."""
         self._is_receiving = False
+        headers, body = self._headers, bytes(self._body)
+        self._drop()
         status = self._parser.get_status_code()
         if status >= _FIRST_FINAL_STATUS:
-            self._on_answer(status, self._headers, b"".join(self._body))
+            self._on_answer(status, headers, body)
+
+    def _drop(self) -> None:
+        self._headers = []
+        self._headers_size = 0
+        self._body = bytearray()
--- a/tamarackgap/network/httpclient.py
+++ b/tamarackgap/network/httpclient.py
@@ -13,14 +13,17 @@
 import circuits
 import msgspec
 from circuits.core import pollers
-from circuits.web import parsers
 from returns import result
 
-from tamarackgap.network import exchanges, scheduler
+from tamarackgap.network import (
+    answerparser,
+    bytebudget,
+    exchanges,
+    scheduler,
+)
 
 _READ_BYTES = 65_536
 _CONNECT_PENDING_ERRNOS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
-_RESPONSE_PARSER_KIND = 1
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -75,7 +78,20 @@
 
 
 class _Connection:
-    """A connection, which carries at most one exchange."""
+    """A connection, which carries at most one exchange.
+
+    Attributes:
+        address: `ip:port` of the other side.
+        sock: The socket.
+        exchange: The exchange that it carries, or None.
+        connected: Whether it is established.
+        unsent: What is left to be sent of the request.
+        sent: Whether any byte of the request has been sent.
+        received_bytes: Bytes received since the request was assigned.
+        parser: Parses the answers; None before the first request.
+        answer: The answer to the exchange, once it is complete.
+        is_reusable: Whether the connection may carry another request.
+    """
 
     def __init__(self, address: str, sock: socket.socket) -> None:
         self.address = address
@@ -85,16 +101,35 @@
         self.unsent = b""
         self.sent = False
         self.received_bytes = 0
-        self.parser = parsers.HttpParser(_RESPONSE_PARSER_KIND)
+        self.parser: answerparser.AnswerParser | None = None
+        self.answer: Answer | None = None
+        self.is_reusable = False
 
-    def assign(self, exchange: Exchange) -> None:
+    def assign(self, exchange: Exchange, budget: bytebudget.ByteBudget) -> None:
         """Prepares to write the request of an exchange."""
         self.exchange = exchange
         exchange.connection = self
         self.unsent = _encode_request(exchange.request)
         self.sent = False
         self.received_bytes = 0
-        self.parser = parsers.HttpParser(_RESPONSE_PARSER_KIND)
+        self.answer = None
+        self.is_reusable = False
+        self.parser = answerparser.AnswerParser(
+            exchange.request.max_answer_bytes, self._accept, budget
+        )
+
+    def _accept(
+        self, status: int, headers: answerparser.Headers, body: bytes
+    ) -> None:
+        if self.answer is not None:
+            self.is_reusable = False
+            return
+        fields: dict[str, str] = {}
+        for name, value in headers:
+            key, text = name.decode("latin-1"), value.decode("latin-1")
+            fields[key] = f"{fields[key]}, {text}" if key in fields else text
+        self.answer = Answer(status, fields, body)
+        self.is_reusable = self.parser.keeps_connection
 
 
 def _encode_request(request: Request) -> bytes:
@@ -106,42 +141,28 @@
     return head.encode("latin-1") + request.body
 
 
-def _announced_length(headers: dict[str, str]) -> int | None:
-    """Returns the length that an answer announces for its body, bytes.
-
-    Returns:
-        The length, or None if the body is sent in chunks.
-
-    Raises:
-        ValueError: If it is not a number, or the body is sent in chunks too.
-    """
-    text = headers.get("content-length")
-    if text is None:
-        return None
-    if not (text.isascii() and text.isdecimal()):
-        raise ValueError(f"content-length {text!r} is not a number")
-    if "transfer-encoding" in headers:
-        raise ValueError("content-length and transfer-encoding")
-    return int(text)
-
-
 class HttpClient(circuits.Component):
     """Sends requests, with a pool of connections for each address."""
 
     channel = "http-client"
 
     def __init__(
-        self, poller: pollers.BasePoller, timers: scheduler.Scheduler
+        self,
+        poller: pollers.BasePoller,
+        timers: scheduler.Scheduler,
+        budget: bytebudget.ByteBudget,
     ) -> None:
         """Creates a client without connections.
 
         Args:
             poller: The loop's poller.
             timers: The loop's scheduler.
+            budget: Limits the memory of all answers under way.
         """
         super().__init__()
         self._poller = poller
         self._timers = timers
+        self._budget = budget
         self._connections: dict[socket.socket, _Connection] = {}
         self._idle: dict[str, collections.deque[_Connection]] = (
             collections.defaultdict(collections.deque)
@@ -171,7 +192,7 @@
                 )
             )
             return exchange
-        connection.assign(exchange)
+        connection.assign(exchange, self._budget)
         if connection.connected:
             self._write(connection)
         return exchange
@@ -212,6 +233,8 @@
             return
         with contextlib.suppress(ValueError):
             self._idle[connection.address].remove(connection)
+        if connection.parser is not None:
+            connection.parser.close()
         self._poller.discard(connection.sock)
         connection.sock.close()
 
@@ -291,46 +314,35 @@
         self._fail(connection, cause)
 
     def _feed(self, connection: _Connection, data: bytes) -> None:
-        parser = connection.parser
         connection.received_bytes += len(data)
-        if (
-            connection.received_bytes
-            > connection.exchange.request.max_answer_bytes
-        ):
+        request = connection.exchange.request
+        if connection.received_bytes > request.max_answer_bytes:
             self._fail(connection, exchanges.Cause.TOO_LARGE)
             return
-        try:
-            parser.execute(data, len(data))
-        except (ValueError, TypeError, IndexError):
-            self._fail(connection, exchanges.Cause.MALFORMED)
-            return
-        if parser.errno is not None:
+        is_valid = connection.parser.feed(data)
+        if connection.answer is not None:
+            self._complete(connection, is_valid)
+        elif not is_valid:
             self._fail(connection, exchanges.Cause.MALFORMED)
-        elif parser.is_message_complete():
-            self._complete(connection)
+        elif connection.parser.is_too_large:
+            self._fail(connection, exchanges.Cause.TOO_LARGE)
 
-    def _complete(self, connection: _Connection) -> None:
-        parser = connection.parser
+    def _complete(self, connection: _Connection, is_valid: bool) -> None:
+        """Reports the answer, and keeps the connection if nothing followed.
+
+        Args:
+            connection: The connection.
+            is_valid: Whether all bytes received could be parsed.
+        """
         exchange = connection.exchange
-        headers = {
-            name.lower(): value for name, value in parser.get_headers().items()
-        }
-        try:
-            length = _announced_length(headers)
-        except ValueError:
-            self._fail(connection, exchanges.Cause.MALFORMED)
-            return
-        # The parser adds to the body what was received after its end.
-        received = parser.recv_body()
-        body = received[:length]
-        answer = Answer(parser.get_status_code(), headers, body)
         connection.exchange = None
         if (
-            connection.unsent
-            or len(body) < len(received)
-            or headers.get("connection") == "close"
+            connection.is_reusable
+            and is_valid
+            and not connection.unsent
+            and not connection.parser.is_receiving
         ):
-            self._close(connection)
-        else:
             self._idle[connection.address].append(connection)
-        exchange.finish(result.Success(answer))
+        else:
+            self._close(connection)
+        exchange.finish(result.Success(connection.answer))
--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -10,7 +10,13 @@
 from returns import result
 
 from tamarackgap import logs
-from tamarackgap.network import answerparser, exchanges, scheduler, sockets
+from tamarackgap.network import (
+    answerparser,
+    bytebudget,
+    exchanges,
+    scheduler,
+    sockets,
+)
 
 # Answers to no request that are skipped on a connection before it is given up.
 _MAX_SKIPPED_ANSWERS = 3
@@ -93,6 +99,7 @@
         idle_timeout_s: float,
         unacked_timeout_ms: int,
         max_answer_bytes: int,
+        budget: bytebudget.ByteBudget,
     ) -> None:
         """Creates a pool without connections.
 
@@ -104,12 +111,14 @@
             unacked_timeout_ms: Time after which a connection is closed if
                 sent bytes are not acknowledged (TCP_USER_TIMEOUT).
             max_answer_bytes: Largest size of an answer with its head.
+            budget: Limits the memory of all messages under way.
         """
         self.poller = poller
         self.timers = timers
         self.address = address
         self.idle_timeout_s = idle_timeout_s
         self.max_answer_bytes = max_answer_bytes
+        self.budget = budget
         self._unacked_timeout_ms = unacked_timeout_ms
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
@@ -220,7 +229,7 @@
         self._is_reused = False
         self._skipped_answers = 0
         self._parser = answerparser.AnswerParser(
-            pool.max_answer_bytes, self._accept_answer
+            pool.max_answer_bytes, self._accept_answer, pool.budget
         )
         # An exchange and its accepted answer, until the bytes received with
         # the answer have been parsed.
@@ -395,6 +404,7 @@
         if self._closed:
             return
         self._closed = True
+        self._parser.close()
         self._pool.poller.unwatch(self._descriptor)
         self._pool.discard(self)
         self._sock.close()
--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -1,21 +1,31 @@
 """Serves HTTP/1.1: reads whole requests and sends whole responses."""
 
+import collections
+import contextlib
 import socket
 from collections.abc import Callable
 
-import httptools
-import msgspec
-
 from tamarackgap import logs
-from tamarackgap.network import scheduler, sockets
+from tamarackgap.network import (
+    bytebudget,
+    requestparser,
+    scheduler,
+    sockets,
+)
 
 _BACKLOG = 1024
 # Largest number of connections accepted in one loop iteration.
 _ACCEPT_BATCH = 64
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
-# Largest total size of the bodies of pipelined requests that wait on a
-# connection.
+# A connection is not read while pipelined requests that take more memory than
+# this wait on it.
 _MAX_PIPELINED_BYTES = 1_048_576
+# A caller that is sent an error while it still sends a request is read for this
+# long, since closing at once could take the response from it.
+_LINGER_S = 1.0
+_STATUS_TIMED_OUT = 408
+_STATUS_NO_ROOM = 503
+_NO_ROOM_RETRY_AFTER_S = b"0.2"
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -31,24 +41,8 @@
     504: "Gateway Timeout",
 }
 
-Headers = list[tuple[bytes, bytes]]
-
-
-class Limits(msgspec.Struct, frozen=True):
-    """Limits on what a caller may send.
-
-    Attributes:
-        max_header_bytes: Largest size of all headers of a request.
-        max_body_bytes: Largest request body.
-        request_timeout_s: Longest time to receive a whole request.
-        idle_timeout_s: Longest time that a connection stays open without a
-            request.
-    """
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 67_108_864
-    request_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+Headers = requestparser.Headers
+Limits = requestparser.Limits
 
 
 class IncomingRequest:
@@ -116,6 +110,7 @@
         timers: scheduler.Scheduler,
         address: str,
         serve: RequestHandler,
+        budget: bytebudget.ByteBudget,
     ) -> None:
         """Binds to `address` and starts to accept connections.
 
@@ -124,6 +119,7 @@
             timers: The loop's scheduler.
             address: `ip:port`.
             serve: Called with each request that has been received.
+            budget: Limits the memory of all messages under way.
 
         Raises:
             OSError: If the address can't be bound.
@@ -131,6 +127,7 @@
         self.poller = poller
         self.timers = timers
         self.serve = serve
+        self.budget = budget
         self.limits = Limits()
         self.draining = False
         self._connections: set[_Connection] = set()
@@ -193,89 +190,65 @@
         self._sock = sock
         self._descriptor = sock.fileno()
         self._writer = sockets.Writer(server.poller, sock, True)
-        self._parser = httptools.HttpRequestParser(self)
-        self._queued: list[IncomingRequest] = []
+        self._parser = requestparser.RequestParser(
+            lambda: server.limits, self._record_begin, self._queue_request
+        )
+        # Complete requests that wait, and the memory that each takes, bytes.
+        self._queued: collections.deque[tuple[IncomingRequest, int]] = (
+            collections.deque()
+        )
+        self._queued_bytes = 0
         self._current: IncomingRequest | None = None
-        # Status of the error response that is sent after the queued requests
-        # and ends the connection; 0 if there is none.
-        self._error_status = 0
+        self._current_bytes = 0
+        self._charge = bytebudget.Charge(server.budget)
+        self._is_paused = False
         self._closing = False
         self._closed = False
+        # Whether the request received last leaves the connection open.
         self._keep_alive = True
-        # Monotonic time of the last response or of the first byte of the last
-        # request, whichever is later, seconds.
+        # Monotonic time of the last response, of progress in sending it or of
+        # the first byte of the last request, whichever is latest, seconds.
         self._active_at = server.timers.now
-        self._receiving = False
-        # Header bytes of the request being received; counts its body bytes
-        # instead once the headers are complete.
-        self._received_bytes = 0
-        self._url = b""
-        self._headers: Headers = []
-        self._body: list[bytes] = []
         server.poller.watch(self._descriptor, sockets.READABLE, self._on_ready)
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is unanswered or partly received."""
-        return self._current is not None or self._receiving
+        return self._current is not None or self._parser.is_receiving
 
-    # Callbacks of the HTTP parser.
+    # Events of the parser.
 
-    def on_message_begin(self) -> None:
-        self._receiving = True
+    def _record_begin(self) -> None:
         self._active_at = self._server.timers.now
-        self._received_bytes = 0
-        self._url = b""
-        self._headers = []
-        self._body = []
-
-    def on_url(self, url: bytes) -> None:
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        # The separator and the line end have 2 bytes each.
-        self._received_bytes += len(name) + len(value) + 4
-        if self._received_bytes > self._server.limits.max_header_bytes:
-            self._error_status = self._error_status or 431
-        self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self._received_bytes = 0
-
-    def on_body(self, body: bytes) -> None:
-        self._received_bytes += len(body)
-        if self._received_bytes > self._server.limits.max_body_bytes:
-            self._error_status = self._error_status or 413
-            return
-        self._body.append(body)
 
-    def on_message_complete(self) -> None:
-        self._receiving = False
-        if self._error_status:
-            return
-        self._keep_alive = self._parser.should_keep_alive()
+    def _queue_request(self, request: requestparser.ParsedRequest) -> None:
+        self._keep_alive = request.keeps_connection
         incoming = IncomingRequest(
             self,
             self._active_at,
-            self._parser.get_method().decode("ascii"),
-            self._url.decode("latin-1"),
-            self._headers,
-            b"".join(self._body),
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
         )
-        self._body = []
-        self._queued.append(incoming)
+        self._queued.append((incoming, request.memory))
+        self._queued_bytes += request.memory
 
     # Events of the socket.
 
     def _on_ready(self, flags: int) -> None:
         if flags & sockets.WRITABLE:
+            self._active_at = self._server.timers.now
             if not self._writer.handle_writable():
                 self._handle_disconnect()
                 return
+            self._update_charge()
             if self._closing and not self._writer.unsent:
-                self.close()
+                self._end()
                 return
-        if flags & (sockets.READABLE | sockets.ERROR_OR_HANGUP):
+        if flags & sockets.PEER_CLOSED:
+            self._handle_disconnect()
+        elif flags & (sockets.READABLE | sockets.ERROR_OR_HANGUP):
             self._read()
 
     def _read(self) -> None:
@@ -290,36 +263,57 @@
             return
         if self._closing:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._error_status = 400
-        except httptools.HttpParserError as error:
-            logs.event("caller_sent_no_request", error=str(error))
-            self._error_status = self._error_status or 400
-        queued_bytes = sum(len(incoming.body) for incoming in self._queued)
-        if queued_bytes > _MAX_PIPELINED_BYTES and self._current is not None:
-            self._error_status = self._error_status or 413
+        self._parser.feed(data)
+        if not self._update_charge():
+            self._refuse_for_memory()
         self._serve_next()
 
+    def _update_charge(self) -> bool:
+        """Counts the memory of this connection; returns whether it has room."""
+        return self._charge.hold(
+            self._parser.memory
+            + self._queued_bytes
+            + self._current_bytes
+            + self._writer.unsent
+        )
+
+    def _refuse_for_memory(self) -> None:
+        """Refuses the request that was received last, which has not run."""
+        logs.event("caller_refused_for_memory", held=self._charge.held)
+        if not self._parser.is_receiving and self._queued:
+            _, memory = self._queued.pop()
+            self._queued_bytes -= memory
+        self._parser.refuse(_STATUS_NO_ROOM)
+        self._update_charge()
+
     def _serve_next(self) -> None:
-        if self._current is not None or self._closing:
-            return
-        if self._queued:
-            self._current = self._queued.pop(0)
-            self._server.serve(self._current)
-        elif self._error_status:
-            self._respond_error(self._error_status)
+        if self._current is None and not self._closing:
+            if self._queued:
+                self._current, self._current_bytes = self._queued.popleft()
+                self._queued_bytes -= self._current_bytes
+                self._server.serve(self._current)
+            elif self._parser.error_status:
+                self._respond_error(self._parser.error_status)
+        self._pause_or_resume()
+
+    def _pause_or_resume(self) -> None:
+        """Stops reading while many requests wait, or starts it again."""
+        is_paused = self._queued_bytes > _MAX_PIPELINED_BYTES
+        if is_paused != self._is_paused and not self._closed:
+            self._is_paused = is_paused
+            self._writer.set_reading(not is_paused)
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends the response to the current request."""
         self._current = None
+        self._current_bytes = 0
         if self._closed:
             return
-        keep_alive = (
+        # Requests that have been received before are answered as well.
+        keep_alive = bool(self._queued) or (
             self._keep_alive
             and not self._server.draining
-            and not (self._error_status and not self._queued)
+            and not self._parser.error_status
         )
         reason = _REASON_PHRASES.get(status, "Unknown")
         lines = [f"HTTP/1.1 {status} {reason}\r\n".encode("ascii")]
@@ -333,6 +327,7 @@
         if not self._writer.write(b"".join(lines)):
             self._handle_disconnect()
             return
+        self._update_charge()
         if keep_alive:
             self._serve_next()
         else:
@@ -340,29 +335,44 @@
 
     def _respond_error(self, status: int) -> None:
         self._keep_alive = False
-        self.respond(status, [], b"")
+        headers = []
+        if status == _STATUS_NO_ROOM:
+            headers.append((b"retry-after", _NO_ROOM_RETRY_AFTER_S))
+        self.respond(status, headers, b"")
 
     def _close_when_sent(self) -> None:
         """Closes the connection after all bytes have been sent."""
         self._closing = True
         if not self._writer.unsent:
+            self._end()
+
+    def _end(self) -> None:
+        """Closes the connection, or only its sending side after an error."""
+        if not self._parser.error_status:
             self.close()
+            return
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
 
     def check_timeout(self, now: float) -> None:
-        """Closes the connection if it is idle or sends a request too slowly."""
-        limits = self._server.limits
-        if self._current is not None or self._closing:
+        """Closes the connection if its caller is idle or too slow."""
+        if self._current is not None:
             return
-        if self._receiving:
-            if now - self._active_at > limits.request_timeout_s:
-                self._respond_error(408)
-        elif now - self._active_at > limits.idle_timeout_s:
+        limits = self._server.limits
+        quiet_s = now - self._active_at
+        if self._closing and not self._writer.unsent:
+            if quiet_s > _LINGER_S:
+                self.close()
+        elif self._parser.is_receiving and not self._closing:
+            if quiet_s > limits.request_timeout_s:
+                self._parser.refuse(_STATUS_TIMED_OUT)
+                self._respond_error(_STATUS_TIMED_OUT)
+        elif quiet_s > limits.idle_timeout_s:
             self.close()
 
     def _handle_disconnect(self) -> None:
         current = self._current
-        queued = self._queued
-        self._queued = []
+        queued = [incoming for incoming, _ in self._queued]
         self.close()
         for incoming in [current, *queued]:
             if incoming is not None and incoming.on_disconnect is not None:
@@ -375,6 +385,8 @@
         if self._closed:
             return
         self._closed = True
+        self._queued.clear()
+        self._charge.release()
         self._server.poller.unwatch(self._descriptor)
         self._server.discard(self)
         self._sock.close()
--- a/tamarackgap/network/sockets.py
+++ b/tamarackgap/network/sockets.py
@@ -1,5 +1,6 @@
 """Watches sockets on the circuits loop, with callbacks instead of events."""
 
+import collections
 import errno
 import select
 import socket
@@ -11,6 +12,8 @@
 READABLE = select.EPOLLIN
 WRITABLE = select.EPOLLOUT
 ERROR_OR_HANGUP = select.EPOLLERR | select.EPOLLHUP
+# The other side will send nothing more.
+PEER_CLOSED = select.EPOLLRDHUP
 READ_BYTES = 65_536
 CONNECTING = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 
@@ -139,8 +142,11 @@
         self._poller = poller
         self._sock = sock
         self._descriptor = sock.fileno()
-        self._buffer = b""
+        # Views of what has not been sent: copies would take memory.
+        self._unsent: collections.deque[memoryview] = collections.deque()
+        self._unsent_bytes = 0
         self._connected = connected
+        self._read_flags = READABLE
         self.connection_refused = False
 
     @property
@@ -151,7 +157,15 @@
     @property
     def unsent(self) -> int:
         """Number of bytes that have not been passed to the socket yet."""
-        return len(self._buffer)
+        return self._unsent_bytes
+
+    def set_reading(self, reads: bool) -> None:
+        """Sets whether the socket is watched for bytes to be read.
+
+        While it is not, it is watched for its end only.
+        """
+        self._read_flags = READABLE if reads else PEER_CLOSED
+        self._update_flags()
 
     def write(self, data: bytes) -> bool:
         """Sends bytes now, or as soon as the socket is writable.
@@ -159,10 +173,17 @@
         Returns:
             False if the connection is broken.
         """
-        if self._buffer or not self._connected:
-            self._buffer += data
+        if not data:
+            return True
+        self._unsent.append(memoryview(data))
+        self._unsent_bytes += len(data)
+        if len(self._unsent) > 1 or not self._connected:
             return True
-        return self._send(data)
+        if not self._send():
+            return False
+        if self._unsent:
+            self._update_flags()
+        return True
 
     def handle_writable(self) -> bool:
         """Sends the buffered bytes after the socket has become writable.
@@ -176,24 +197,31 @@
                 self.connection_refused = code == errno.ECONNREFUSED
                 return False
             self._connected = True
-        data = self._buffer
-        self._buffer = b""
-        if not self._send(data):
+        if not self._send():
             return False
-        if not self._buffer:
-            self._poller.modify(self._descriptor, READABLE)
+        if not self._unsent:
+            self._update_flags()
         return True
 
-    def _send(self, data: bytes) -> bool:
-        if not data:
-            return True
-        try:
-            count = self._sock.send(data)
-        except BlockingIOError:
-            count = 0
-        except OSError:
-            return False
-        if count < len(data):
-            self._buffer = data[count:]
-            self._poller.modify(self._descriptor, READABLE | WRITABLE)
+    def _update_flags(self) -> None:
+        flags = self._read_flags
+        if self._unsent or not self._connected:
+            flags |= WRITABLE
+        self._poller.modify(self._descriptor, flags)
+
+    def _send(self) -> bool:
+        """Sends what the socket takes; returns False if it is broken."""
+        while self._unsent:
+            data = self._unsent[0]
+            try:
+                count = self._sock.send(data)
+            except BlockingIOError:
+                return True
+            except OSError:
+                return False
+            self._unsent_bytes -= count
+            if count < len(data):
+                self._unsent[0] = data[count:]
+                return True
+            self._unsent.popleft()
         return True
--- a/tamarackgap/platform/__main__.py
+++ b/tamarackgap/platform/__main__.py
@@ -37,7 +37,10 @@
     daemon.begin(
         adapter.Adapter(
             store=store.Store(
-                daemon.poller, daemon.timers, settings.table_address
+                daemon.poller,
+                daemon.timers,
+                settings.table_address,
+                daemon.budget,
             ),
             decode_call=requests.decode_call,
             encode_response=requests.encode_response,
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -7,7 +7,13 @@
 from returns import result
 
 from tamarackgap import logs
-from tamarackgap.network import exchanges, httppool, scheduler, sockets
+from tamarackgap.network import (
+    bytebudget,
+    exchanges,
+    httppool,
+    scheduler,
+    sockets,
+)
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
 from tamarackgap.platform import (
@@ -61,7 +67,11 @@
     """Makes all calls of this daemon to the platform's store."""
 
     def __init__(
-        self, poller: sockets.Poller, timers: scheduler.Scheduler, address: str
+        self,
+        poller: sockets.Poller,
+        timers: scheduler.Scheduler,
+        address: str,
+        budget: bytebudget.ByteBudget,
     ) -> None:
         """Creates a client without connections.
 
@@ -69,6 +79,7 @@
             poller: The loop's poller.
             timers: The loop's scheduler.
             address: The store's `ip:port`.
+            budget: Limits the memory of all messages under way.
         """
         self._timers = timers
         self._address = address
@@ -79,6 +90,7 @@
             _IDLE_TIMEOUT_S,
             _UNACKED_TIMEOUT_MS,
             _MAX_ANSWER_BYTES,
+            budget,
         )
         self._call_counts: dict[str, int] = {}
         self._own_watch: tablewatch.TableWatch | None = None
--- a/tamarackgap/processes/daemon.py
+++ b/tamarackgap/processes/daemon.py
@@ -13,7 +13,12 @@
 from circuits.web import servers
 
 from tamarackgap import logs, metrics
-from tamarackgap.network import httpclient, scheduler, sockets
+from tamarackgap.network import (
+    bytebudget,
+    httpclient,
+    scheduler,
+    sockets,
+)
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import messages, transport
 from tamarackgap.processes import ownershipsettings
@@ -67,7 +72,11 @@
         self._poller = sockets.Poller().register(self)
         self._timers = scheduler.Scheduler().register(self)
         clock = time.monotonic
-        self._http_client = httpclient.HttpClient(self._poller, self._timers)
+        self._http_client = httpclient.HttpClient(
+            self._poller,
+            self._timers,
+            bytebudget.ByteBudget(settings.message_memory),
+        )
         self._http_client.register(self)
         self._metrics = metrics.Metrics(
             settings.daemon_name, settings.daemon_service
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -17,6 +17,7 @@
 
 from tamarackgap import logs, metrics, types
 from tamarackgap.network import (
+    bytebudget,
     httpserver,
     scheduler,
     sockets,
@@ -64,6 +65,8 @@
 # force, with a traceback that shows where it hung.
 _EXIT_TIMEOUT_S = 2.0
 _ENVELOPE_OVERHEAD_BYTES = 65_536
+# Limits of all addresses that are not for callers.
+_CONTROL_LIMITS = httpserver.Limits(max_body_bytes=262_144)
 _STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
 _STATUS_BAD_REQUEST = 400
@@ -107,6 +110,7 @@
         self.poller = sockets.Poller().register(self)
         self.timers = scheduler.Scheduler(now).register(self)
         self.poller.run_due = self.timers.run_due
+        self.budget = bytebudget.ByteBudget(settings.message_memory)
         self._route_table: routetable.RouteTable | None = None
         self._route_table_since = now()
         self._route_index: routetable.RouteIndex | None = None
@@ -155,6 +159,7 @@
             self.timers,
             self._crash_history,
             self._perform_effects,
+            self.budget,
         )
         self._runner = self._target_handler.runner
         self._retry_budgets = retries.ServiceRetryBudgets(
@@ -196,6 +201,7 @@
         self._caller_server = self._listen(
             settings.daemon_http_address, self._handle_request
         )
+        self._caller_server.limits = httpserver.Limits()
         self._listen(
             settings.router_announce_address,
             self._target_handler.handle_announcement,
@@ -222,7 +228,11 @@
     def _listen(
         self, address: str, handler: httpserver.RequestHandler
     ) -> httpserver.HttpServer:
-        return httpserver.HttpServer(self.poller, self.timers, address, handler)
+        server = httpserver.HttpServer(
+            self.poller, self.timers, address, handler, self.budget
+        )
+        server.limits = _CONTROL_LIMITS
+        return server
 
     # Callers.
 
@@ -469,6 +479,8 @@
             "peer_messages_dropped": self._transport.dropped_messages,
             "peer_frames_malformed": self._transport.malformed_frames,
             "open_connections": self._caller_server.connection_count,
+            "message_bytes": self.budget.used,
+            "messages_refused_for_memory": self.budget.refusals,
         }
 
     def _build_pages(self) -> httpserver.RequestHandler:
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -7,6 +7,7 @@
 
 from tamarackgap import logs, types
 from tamarackgap.network import (
+    bytebudget,
     exchanges,
     httppool,
     httpserver,
@@ -63,6 +64,7 @@
         timers: scheduler.Scheduler,
         crash_history: crashes.CrashHistory,
         perform_effects: Callable[[], None],
+        budget: bytebudget.ByteBudget,
     ) -> None:
         """Creates a handler whose target has not announced itself.
 
@@ -75,6 +77,7 @@
             crash_history: Fingerprints of requests that targets ran when they
                 crashed.
             perform_effects: Performs what the ownership logic has decided.
+            budget: Limits the memory of all messages under way.
         """
         self.settings = settings
         self.on_crash: Callable[[], None] = _do_nothing
@@ -99,6 +102,7 @@
                 _IDLE_TIMEOUT_S,
                 _UNACKED_TIMEOUT_MS,
                 max_answer_bytes,
+                budget,
             )
 
         self._call_pool = create_pool(settings.requests_answer)
@@ -125,6 +129,7 @@
             timers,
             self._handle_connection_refused,
             crash_history,
+            budget,
         )
         self._slot_releaser = slotrelease.SlotReleaser(
             self.slot_grants, core.record_release
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -13,6 +13,10 @@
 
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+_MEGABYTE = 1_048_576
+_DEFAULT_MESSAGE_MEMORY = 96 * _MEGABYTE
+# A message may be copied twice on its way through the process.
+_MESSAGE_MEMORY_PART = 3
 
 
 class Config(msgspec.Struct, frozen=True):
@@ -30,6 +34,7 @@
     daemon_http_address: str
     daemon_peer_address: str
     daemon_log: str
+    daemon_memory: int
     router_announce_address: str
     router_ready_address: str
     router_metrics_address: str
@@ -64,6 +69,13 @@
     requests_retries: int
     replaced: tuple[str, ...] = ()
 
+    @property
+    def message_memory(self) -> int:
+        """Memory for all messages under way, bytes."""
+        if not self.daemon_memory:
+            return _DEFAULT_MESSAGE_MEMORY
+        return self.daemon_memory * _MEGABYTE // _MESSAGE_MEMORY_PART
+
     @property
     def grace(self) -> float:
         """Time from SIGTERM to SIGKILL, seconds."""
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -104,6 +104,17 @@
         "file for log lines; '-' is standard error, 'stdout' standard output",
         "-",
     ),
+    _integer_option(
+        "daemon",
+        "memory",
+        0,
+        0,
+        1_048_576,
+        "MB",
+        "memory that the platform allows the process; a third of it is for"
+        " messages under way. 0: not known; 96 MB are for them",
+        rendered=True,
+    ),
     Option(
         "router",
         "announce_address",
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -12,7 +12,7 @@
 from returns import result
 
 from tamarackgap import logs, types
-from tamarackgap.network import exchanges, httppool, scheduler
+from tamarackgap.network import bytebudget, exchanges, httppool, scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls
 from tamarackgap.placement import loadstats, slots
@@ -70,12 +70,14 @@
             before that.
         queued_call: The call in the admission queue.
         exchange: The HTTP exchange with the target.
+        charge: The memory that a peer's call takes.
     """
 
     dispatch: calls.Dispatch
     sender: str
     deadline: float
     reply: ReplyCallback | None
+    charge: bytebudget.Charge
     sent_at: float = 0.0
     queued_call: admission.QueuedCall | None = None
     exchange: httppool.Exchange | None = None
@@ -94,6 +96,7 @@
         timers: scheduler.Scheduler,
         on_connection_refused: Callable[[], None],
         crash_history: crashes.CrashHistory,
+        budget: bytebudget.ByteBudget,
     ) -> None:
         """Creates a runner without a target.
 
@@ -107,7 +110,9 @@
             on_connection_refused: Called when the target refuses connections.
             crash_history: Fingerprints of requests that targets ran when they
                 crashed.
+            budget: Limits the memory of all messages under way.
         """
+        self._budget = budget
         self._service = service
         self._core = core
         self._grants = grants
@@ -257,8 +262,16 @@
                 returns.
         """
         now = self._timers.now
-        leg = Leg(dispatch, sender, now + dispatch.remaining, reply)
+        leg = Leg(
+            dispatch,
+            sender,
+            now + dispatch.remaining,
+            reply,
+            bytebudget.Charge(self._budget),
+        )
         refusal = self._refusal(dispatch, now)
+        if refusal is None and not self._charge(leg):
+            refusal = types.Reason.QUEUE_FULL
         if refusal is not None:
             self._refuse(leg, refusal)
             return
@@ -282,6 +295,16 @@
         self._admission.submit(leg.queued_call, now)
         self._refuse_late_soon()
 
+    def _charge(self, leg: Leg) -> bool:
+        """Counts the memory of a peer's call; returns whether it has room.
+
+        The call of a local caller counts while its connection holds it.
+        """
+        if self._core.is_own(leg.sender):
+            return True
+        call = leg.dispatch.call
+        return leg.charge.hold(len(call.head) + len(call.body))
+
     def withdraw(self, sender: str, leg_id: int) -> None:
         """Cancels a leg whose caller no longer waits.
 
@@ -301,6 +324,7 @@
                 leg.queued_call
             ):
                 self._legs.pop((sender, leg_id), None)
+                leg.charge.release()
         elif leg.dispatch.idempotent:
             self._pool.cancel(leg.exchange)
 
@@ -488,6 +512,7 @@
 
     def _finish(self, leg: Leg, completion: calls.Completion) -> None:
         self._legs.pop((leg.sender, leg.dispatch.leg), None)
+        leg.charge.release()
         reply = leg.reply
         leg.reply = None
         if reply is not None:
--- a/tests/network/test_answerparser.py
+++ b/tests/network/test_answerparser.py
@@ -1,6 +1,8 @@
+import tracemalloc
+
 import pytest
 
-from tamarackgap.network import answerparser
+from tamarackgap.network import answerparser, bytebudget
 
 
 @pytest.mark.parametrize(
@@ -14,3 +16,69 @@
 )
 def test_the_idle_timeout_of_the_other_side_is_read(headers, seconds):
     assert answerparser.keep_alive_timeout(headers) == seconds
+
+
+class Answers:
+    """Feeds a parser, and keeps the answers that it has parsed."""
+
+    def __init__(self, max_bytes, budget=None):
+        self.received = []
+        self.budget = budget or bytebudget.ByteBudget()
+        self.parser = answerparser.AnswerParser(
+            max_bytes,
+            lambda status, headers, body: self.received.append(body),
+            self.budget,
+        )
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("begin", "endless"),
+    [(CHUNKED, b"2\r\nab\r\n"), (b"HTTP/1.1 200 OK\r\n", b"a:\r\n")],
+)
+def test_an_answer_takes_little_more_memory_than_it_may_have_bytes(
+    begin, endless
+):
+    # Endless answers in chunks of two bytes took eight times the limit, and
+    # twelve at once ended the process.
+    answers = Answers(1_000_000)
+    block = endless * (65_536 // len(endless))
+    tracemalloc.start()
+    try:
+        answers.parser.feed(begin)
+        while not answers.parser.is_too_large:
+            assert answers.parser.feed(block)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 4 * answers.budget.used < 16_000_000
+
+
+def test_answers_at_once_share_the_memory_of_the_process():
+    budget = bytebudget.ByteBudget(1_000_000)
+    all_answers = [Answers(400_000, budget) for _ in range(10)]
+    for answers in all_answers:
+        answers.parser.feed(CHUNKED)
+    for _ in range(100):
+        for answers in all_answers:
+            if not answers.parser.is_too_large:
+                answers.parser.feed(b"1000\r\n" + b"a" * 4096 + b"\r\n")
+            if answers.parser.is_too_large:
+                answers.parser.close()
+        assert budget.used <= 1_000_000
+    assert budget.refusals
+    for answers in all_answers:
+        answers.parser.close()
+    assert budget.used == 0
+
+
+def test_bytes_after_a_parser_was_closed_take_no_memory():
+    budget = bytebudget.ByteBudget()
+    parser = answerparser.AnswerParser(
+        1000, lambda *answer: parser.close(), budget
+    )
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+    parser.feed(answer + b"HTTP/1.1 200 OK\r\nx-a: b\r\nx-c: d\r\n")
+    assert budget.used == 0
--- a/tests/network/test_httpclient.py
+++ b/tests/network/test_httpclient.py
@@ -5,7 +5,7 @@
 from circuits.core import pollers
 from returns import result
 
-from tamarackgap.network import exchanges, httpclient
+from tamarackgap.network import bytebudget, exchanges, httpclient
 
 
 class Poller:
@@ -45,7 +45,9 @@
     def __init__(self, server):
         self._server = server
         self._poller = Poller()
-        self._client = httpclient.HttpClient(self._poller, Timers())
+        self._client = httpclient.HttpClient(
+            self._poller, Timers(), bytebudget.ByteBudget()
+        )
         self._target = None
         self.outcomes = []
 
@@ -138,7 +140,7 @@
 @pytest.mark.parametrize(
     ("begin", "endless"),
     [
-        (b"", b"a"),
+        (b"HTTP/1.1 200 OK\r\nX-A: ", b"a"),
         (b"HTTP/1.1 200 OK\r\n", b"x-a: b\r\n"),
         (b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n", b"a"),
     ],
@@ -151,3 +153,12 @@
     assert sender.outcomes == [
         result.Failure(exchanges.Failure(exchanges.Cause.TOO_LARGE, sent=True))
     ]
+
+
+def test_bytes_that_are_no_answer_are_given_up_at_once(sender):
+    sender.send()
+    sender.receive(b"a")
+    assert sender.outcomes == [
+        result.Failure(exchanges.Failure(exchanges.Cause.MALFORMED, sent=True))
+    ]
+    assert sender.connection_count == 0
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -5,7 +5,7 @@
 import pytest
 from returns import result
 
-from tamarackgap.network import exchanges, httppool, sockets
+from tamarackgap.network import bytebudget, exchanges, httppool, sockets
 
 MAX_ANSWER_BYTES = 100_000
 
@@ -54,7 +54,13 @@
     poller = Poller()
     host, port = target.getsockname()
     pool = httppool.ConnectionPool(
-        poller, Timers(), f"{host}:{port}", 5.0, 3000, MAX_ANSWER_BYTES
+        poller,
+        Timers(),
+        f"{host}:{port}",
+        5.0,
+        3000,
+        MAX_ANSWER_BYTES,
+        bytebudget.ByteBudget(),
     )
     yield poller, pool
     pool.close()
--- /dev/null
+++ b/tests/network/test_httpserver.py
@@ -0,0 +1,220 @@
+import select
+import socket
+import time
+
+import pytest
+
+from tamarackgap.network import bytebudget, httpserver
+from tests.network import test_httppool
+
+
+class Timers(test_httppool.Timers):
+    """Timers whose clock the test sets."""
+
+    def __init__(self):
+        self.now = 1.0
+
+    def every(self, seconds, call):
+        self.check_timeouts = call
+
+
+class Poller(test_httppool.Poller):
+    """A poller that calls back for the sockets that are ready."""
+
+    def __init__(self):
+        super().__init__()
+        self._epoll = select.epoll()
+
+    def watch(self, descriptor, flags, callback):
+        super().watch(descriptor, flags, callback)
+        self._epoll.register(descriptor, flags)
+
+    def modify(self, descriptor, flags):
+        self._epoll.modify(descriptor, flags)
+
+    def unwatch(self, descriptor):
+        super().unwatch(descriptor)
+        self._epoll.unregister(descriptor)
+
+    def run(self):
+        """Handles all that is ready, for a moment."""
+        while ready := self._epoll.poll(0.005):
+            for descriptor, flags in ready:
+                if descriptor in self.callbacks:
+                    self.callbacks[descriptor](flags)
+
+
+class Server:
+    """A server whose requests the test answers."""
+
+    def __init__(self):
+        self.timers = Timers()
+        self.poller = Poller()
+        self.budget = bytebudget.ByteBudget(1_000_000)
+        self.requests = []
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        self.server = httpserver.HttpServer(
+            self.poller,
+            self.timers,
+            "{}:{}".format(*self.address),
+            self.requests.append,
+            self.budget,
+        )
+        self.callers = []
+
+    def connect(self, receive_buffer=0):
+        caller = socket.socket()
+        if receive_buffer:
+            caller.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+            )
+        caller.connect(self.address)
+        caller.setblocking(False)
+        self.callers.append(caller)
+        return caller
+
+    def send(self, caller, data):
+        """Sends as much as the server reads; returns what is left, bytes."""
+        while data:
+            try:
+                count = caller.send(data)
+            except BlockingIOError:
+                break
+            data = data[count:]
+            self.poller.run()
+        return len(data)
+
+    def pass_time(self, seconds):
+        self.timers.now += seconds
+        self.timers.check_timeouts()
+
+    def close(self):
+        for caller in self.callers:
+            caller.close()
+        self.poller.run()
+        self.server.close()
+
+
+@pytest.fixture
+def server():
+    server = Server()
+    yield server
+    server.close()
+
+
+def received(caller):
+    time.sleep(0.02)
+    data = b""
+    try:
+        while part := caller.recv(65_536):
+            data += part
+    except BlockingIOError:
+        pass
+    return data
+
+
+def post(body, extra=b""):
+    head = b"POST /a HTTP/1.1\r\nhost: h\r\n%bcontent-length: %d\r\n\r\n"
+    return head % (extra, len(body)) + body
+
+
+GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
+
+
+def test_many_pipelined_requests_are_all_answered(server):
+    # They were refused with 413 while an earlier one was being answered.
+    server.budget = bytebudget.ByteBudget()
+    server.server.budget = server.budget
+    caller = server.connect()
+    requests = post(b"a" * 400_000) * 60
+    unsent = server.send(caller, requests)
+    assert unsent
+    answered = 0
+    while server.requests:
+        assert server.budget.used < 2_500_000
+        server.requests.pop(0).respond(200, [], b"")
+        server.poller.run()
+        answered += received(caller).count(b"HTTP/1.1 200")
+        if unsent:
+            unsent = server.send(caller, requests[-unsent:])
+    assert answered == 60
+
+
+def test_requests_received_before_a_draining_server_closes_are_answered(server):
+    # The response to the first one closed the connection.
+    caller = server.connect()
+    server.send(caller, GET + GET)
+    server.server.draining = True
+    server.requests.pop(0).respond(200, [], b"")
+    server.requests.pop(0).respond(200, [], b"")
+    responses = received(caller)
+    assert responses.count(b"HTTP/1.1 200") == 2
+    assert responses.count(b"connection: close") == 1
+    assert caller.recv(100) == b""
+
+
+def test_a_request_before_one_that_closes_the_connection_is_answered(server):
+    caller = server.connect()
+    last = GET.replace(b"host", b"connection: close\r\nhost")
+    server.send(caller, GET + last)
+    for _ in range(2):
+        server.requests.pop(0).respond(200, [], b"")
+    assert received(caller).count(b"HTTP/1.1 200") == 2
+
+
+def test_requests_share_the_memory_of_the_process(server):
+    # Requests under way, each within its limit, took all memory at once.
+    callers = [server.connect() for _ in range(5)]
+    for caller in callers:
+        server.send(caller, post(b"a" * 300_000))
+    assert server.budget.used <= 1_000_000
+    assert len(server.requests) == 2
+    refused = received(callers[-1])
+    assert refused.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in refused
+    for request in server.requests:
+        request.respond(200, [], b"")
+    assert received(callers[0]).startswith(b"HTTP/1.1 200")
+    for caller in callers:
+        caller.close()
+    server.poller.run()
+    assert server.budget.used == 0
+
+
+def test_a_refused_caller_that_still_sends_gets_the_response(server):
+    # Closing at once reset the connection, and the response was lost.
+    caller = server.connect()
+    server.send(caller, b"GET / HTTP/1.1\r\nhost h\r\n\r\n")
+    server.send(caller, b"a" * 100_000)
+    assert received(caller).startswith(b"HTTP/1.1 400")
+    server.pass_time(1.1)
+    assert server.server.connection_count == 0
+
+
+def test_a_caller_that_does_not_read_its_response_is_closed(server):
+    # Its response was kept until the process ended.
+    for last in (True, False):
+        caller = server.connect(receive_buffer=4096)
+        extra = b"connection: close\r\n" if last else b""
+        server.send(caller, post(b"", extra))
+        server.requests.pop(0).respond(200, [], b"a" * 8_000_000)
+        server.poller.run()
+        assert server.budget.used > 1_000_000
+        server.pass_time(server.server.limits.idle_timeout_s + 0.1)
+        assert server.server.connection_count == 0
+        assert server.budget.used == 0
+
+
+def test_a_caller_that_reads_its_response_slowly_gets_all_of_it(server):
+    caller = server.connect(receive_buffer=4096)
+    server.send(caller, GET)
+    body = b"a" * 8_000_000
+    server.requests.pop(0).respond(200, [], body)
+    data = b""
+    while len(data) < len(body):
+        server.pass_time(server.server.limits.idle_timeout_s / 2)
+        part = received(caller)
+        server.poller.run()
+        data += part
+    assert data.endswith(body)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,7 @@
 import pytest
 from returns import result
 
-from tamarackgap.network import exchanges, httppool
+from tamarackgap.network import bytebudget, exchanges, httppool
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
 from tamarackgap.platform import store
@@ -43,7 +43,9 @@
         self.timers = Timers()
         self.calls = []
         self.read_times = []
-        self.store = store.Store(None, self.timers, "127.0.0.1:1")
+        self.store = store.Store(
+            None, self.timers, "127.0.0.1:1", bytebudget.ByteBudget()
+        )
         self.store.call = self._call
         self.store.watch(
             lambda rows, revision, as_of: self.read_times.append(as_of),
--- a/tests/processes/test_targethandler.py
+++ b/tests/processes/test_targethandler.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackgap.network import httppool
+from tamarackgap.network import bytebudget, httppool
 from tamarackgap.ownership import effects
 from tamarackgap.platform import servers
 from tamarackgap.processes import targethandler
@@ -71,6 +71,7 @@
         timers,
         crashes.CrashHistory(),
         lambda: None,
+        bytebudget.ByteBudget(),
     )
     return handler, sent
 
--- a/tests/support/targetsimulation.py
+++ b/tests/support/targetsimulation.py
@@ -9,7 +9,7 @@
 import itertools
 from unittest import mock
 
-from tamarackgap.network import httpserver, scheduler, sockets
+from tamarackgap.network import bytebudget, httpserver, scheduler, sockets
 from tamarackgap.ownership import effects
 from tamarackgap.peers import messages
 from tamarackgap.placement import slots as slots_lib
@@ -64,6 +64,7 @@
             self.timers,
             crashes.CrashHistory(),
             lambda: cluster.perform_effects(daemon),
+            bytebudget.ByteBudget(),
         )
         table = routetable.RouteTable(
             1,
--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from tamarackgap import types
-from tamarackgap.network import exchanges, httppool
+from tamarackgap.network import bytebudget, exchanges, httppool
 from tamarackgap.peers import calls
 from tamarackgap.traffic import crashes, runner
 
@@ -34,6 +34,7 @@
             module_types.SimpleNamespace(now=self.now),
             lambda: None,
             crashes.CrashHistory(),
+            bytebudget.ByteBudget(),
         )
         self.runner.attach("target", CAPACITY)
 
@@ -113,6 +114,7 @@
             self.timers,
             lambda: None,
             crashes.CrashHistory(),
+            bytebudget.ByteBudget(),
         )
         self.runner.attach("target", CAPACITY)
 
