--- a/tests/commands/test_cmdline.py
+++ b/tests/commands/test_cmdline.py
@@ -31,7 +31,7 @@
 @pytest.fixture
 def platform():
     simulated = platform_lib.Platform()
-    address = f"127.0.0.1:{ports.find_free_ports(1, first=33000, last=34000)}"
+    address = f"127.0.0.1:{ports.find_free_ports(1, first=17000, last=18000)}"
     server = httpd.serve(address, simulated.handle_request)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     create_service = records.Transaction(
--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -4,8 +4,9 @@
 
 from standins import ports
 
-# Test runs at the same time on one machine each use a range of their own.
-FIRST = 33_500 + os.getpid() % 200 * 20
+# Test runs at the same time on one machine each use a range of their own. It is
+# below the ports that the kernel gives to outgoing connections.
+FIRST = 18_000 + os.getpid() % 200 * 20
 LAST = FIRST + 20
 HOLD = f"""
 from standins import ports
