A silent target's running calls are left to their answers

Cause: a target that had deregistered, or whose announcements were late, counted as absent after 3.5 intervals, and the daemon then closed all connections to it, also those of running calls.

Fix: silence only stops new calls and refuses queued ones. A running call ends with its answer, the end of its connection or its deadline.

Evidence: test_silence_of_a_target_breaks_off_no_running_call failed before.

--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -293,6 +293,7 @@
                 self.runner.detach()
                 self._release_lease_when_expired("target-silent")
         self.on_status_changed()
+                self._call_pool.close()
 
     def _release_without_table(self) -> None:
         """Releases the lease if slots have not moved through the table in time.
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -194,10 +194,13 @@
             self._drain_ends_at = self._timers.now + _DRAIN_TIME_S
 
     def detach(self) -> None:
-        """Stops using the target and refuses all queued calls."""
+        """Stops using the target and refuses all queued calls.
+
+        Calls that it runs are left to their answers, the end of their
+        connections or their deadlines.
+        """
         self._instance = ""
         self._admission.resize(0, self._timers.now)
-        self._pool.close()
 
     def pop_crashed_runs(self) -> list[tuple[str, float, float]]:
         """Returns and forgets the runs that a crash of the target has ended.
--- a/tests/processes/test_targethandler.py
+++ b/tests/processes/test_targethandler.py
@@ -6,7 +6,12 @@
 from tamarackgap.ownership import effects
 from tamarackgap.platform import servers
 from tamarackgap.processes import targethandler
-from tamarackgap.traffic import crashes, orders, runner
+from tamarackgap.traffic import (
+    crashes,
+    localtarget,
+    orders,
+    runner,
+)
 
 SLOT_COUNT = 256
 
@@ -18,6 +23,10 @@
 
     def __init__(self, sent):
         self.sent = sent
+        self.closed = 0
+
+    def close(self):
+        self.closed += 1
 
     def send(self, build, timeout, done, is_answer, exclusive):
         self.sent.append((build(), is_answer, exclusive))
@@ -41,6 +50,9 @@
     def record_release(self, handovers):
         pass
 
+    def release_lease(self, now):
+        pass
+
 
 @pytest.fixture
 def handler_and_sent(monkeypatch):
@@ -102,3 +114,27 @@
         False,
         True,
     ]
+
+
+def test_silence_of_a_target_breaks_off_no_running_call(handler_and_sent):
+    # A target that had deregistered served on; what it ran was answered 502
+    # when its last announcement was too old.
+    handler, _ = handler_and_sent
+    handler.target.handle_announcement(
+        localtarget.Announcement("i-1", "s", 4, sequence=1), 1.0
+    )
+    assert handler.is_serving
+    handler._timers.now = 10.0
+    handler.check_silence()
+    assert not handler.is_serving
+    assert not handler.runner.accepting
+    assert handler._call_pool.closed == 0
+
+
+def test_calls_of_an_ended_target_are_failed_at_once(handler_and_sent):
+    handler, _ = handler_and_sent
+    handler.target.handle_announcement(
+        localtarget.Announcement("i-1", "s", 4, sequence=1), 1.0
+    )
+    handler.runner.on_connection_refused()
+    assert handler._call_pool.closed == 1
