Silence of a daemon alone ends no call

Cause: a call whose owner had not reported yet got a candidate that was kept nowhere, so reports of that owner never reached it, and it counted as silent 1.2 s later. Besides, silence failed the leg also where no other target could run the request.

Fix: reports count for all calls at the daemon. A call at a daemon that is silent is sent to another target if there is one (for keys: if the slot has another owner by now), and the first good answer is passed on, whichever leg it comes from. Otherwise the call waits for its answer or deadline.

Evidence: test_owner_that_had_not_reported_when_it_was_sent_a_call_is_not _silent, test_silence_of_a_daemon_alone_ends_no_call and test_call_at_a_ silent_daemon_runs_elsewhere_and_both_answers_count failed before.

--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -417,7 +417,7 @@
         self._core.tick(current_time)
         self._perform_effects()
         self._peer_sync.update_new_daemons()
-        self._request_dispatcher.fail_silent_legs()
+        self._request_dispatcher.rerun_silent_legs()
         target.release_if_leaving(draining)
         if draining:
             self._stop_when_idle(current_time)
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -79,6 +79,8 @@
         timer: Fires at the deadline.
         last_completion: The completion of the last leg that did not end the
             request.
+        earlier_legs: Legs at daemons that fell silent; an answer to one of
+            them is still passed on.
     """
 
     call: calls.Call
@@ -94,6 +96,7 @@
     may_have_run: bool = False
     timer: scheduler.Timer | None = None
     last_completion: calls.Completion | None = None
+    earlier_legs: tuple[int, ...] = ()
 
 
 class Dispatcher:
@@ -135,7 +138,7 @@
         self._round_robin = routetable.WeightedRoundRobin()
         self._keyed: frozenset[str] = frozenset()
         self._targets = targets.TargetDirectory(core, timers)
-        # By the id of their current leg.
+        # By the ids of their current and earlier legs.
         self._by_leg: dict[int, PendingRequest] = {}
         # Completions of legs of the process before may still arrive.
         self._leg_ids = itertools.count(rng.getrandbits(_FIRST_LEG_BITS) + 1)
@@ -248,28 +251,68 @@
         if pending is None:
             logs.event("late_completion_dropped", leg=completion.leg)
             return
+        if completion.leg != pending.leg:
+            self._handle_earlier_leg(pending, completion)
+            return
         pending.leg = 0
         if completion.verdict is types.Verdict.ANSWERED:
             self._handle_answer(pending, completion)
         else:
             self._handle_failure(pending, completion)
 
-    def fail_silent_legs(self) -> None:
-        """Fails legs at daemons that have not reported for too long.
+    def rerun_silent_legs(self) -> None:
+        """Sends requests at daemons that have been silent too long elsewhere.
 
-        Legs of requests that must not run twice wait for their deadline, or
-        until the daemon is forgotten.
+        Silence alone ends no leg: the daemon may be slow, and its target at
+        work. Requests that must not run twice, or that nobody else can run,
+        wait for their deadline, or until the daemon is forgotten.
         """
         for name in self._targets.expired_daemons():
             self._drop_daemon(name)
         for leg, pending in list(self._by_leg.items()):
-            candidate = pending.candidate
             if (
-                pending.route.idempotent
-                and candidate is not None
-                and self._targets.is_silent(candidate)
+                leg == pending.leg
+                and pending.route.idempotent
+                and self._targets.is_silent(pending.candidate)
+                and self._has_other_target(pending)
+                and self._may_rerun(pending)
             ):
-                self._fail_leg(leg, pending)
+                self._rerun_silent_leg(pending)
+
+    def _has_other_target(self, pending: PendingRequest) -> bool:
+        """Returns whether a target may run a request that has not had it."""
+        if pending.service in self._keyed:
+            owner, refusal = self._find_owner(pending)
+            return refusal is None and owner != pending.candidate.incarnation
+        now = self._timers.now
+        return any(
+            candidate.is_usable(now)
+            and candidate.incarnation not in pending.tried
+            for candidate in self._targets.candidates_of_service(
+                pending.service
+            )
+        )
+
+    def _rerun_silent_leg(self, pending: PendingRequest) -> None:
+        self._record_outcome(pending, True)
+        pending.may_have_run = True
+        pending.last_completion = calls.Completion(
+            pending.leg, types.Verdict.MAY_HAVE_RUN, types.Reason.OWNER_LOST
+        )
+        pending.earlier_legs += (pending.leg,)
+        pending.leg = 0
+        self._send_leg(pending)
+
+    def _handle_earlier_leg(
+        self, pending: PendingRequest, completion: calls.Completion
+    ) -> None:
+        """Passes on the answer to a leg that was not waited for."""
+        if (
+            completion.verdict is types.Verdict.ANSWERED
+            and completion.status < _SERVER_ERROR_STATUS
+        ):
+            self._withdraw_leg(pending)
+            self._finish(pending, completion)
 
     def _send_leg(self, pending: PendingRequest) -> None:
         """Chooses a target and sends the next leg, or ends the request."""
@@ -532,7 +575,9 @@
         self._targets.remove(incarnation)
         for leg, pending in list(self._by_leg.items()):
             candidate = pending.candidate
-            if candidate and candidate.incarnation == incarnation:
+            if leg != pending.leg or candidate is None:
+                continue
+            if candidate.incarnation == incarnation:
                 self._fail_leg(leg, pending)
 
     def _withdraw_leg(self, pending: PendingRequest) -> None:
@@ -603,8 +648,8 @@
             return
         pending.on_done = None
         pending.timer.cancel()
-        if pending.leg:
-            self._by_leg.pop(pending.leg, None)
+        for leg in (pending.leg, *pending.earlier_legs):
+            self._by_leg.pop(leg, None)
         self._in_flight -= 1
         self._log(pending, completion)
         self.on_finished(pending, completion)
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -149,8 +149,13 @@
         return candidate is not None and not self.is_silent(candidate)
 
     def is_silent(self, candidate: balancer.Candidate) -> bool:
-        """Returns whether a target's daemon has not reported for too long."""
-        return candidate.is_silent(self._timers.now)
+        """Returns whether a target's daemon has not reported for too long.
+
+        A candidate may have been made for an owner that had not reported yet;
+        what its daemon has reported since counts.
+        """
+        known = self._candidates.get(candidate.incarnation, candidate)
+        return known.is_silent(self._timers.now)
 
     def expired_daemons(self) -> list[str]:
         """Returns the daemons whose last report is too old to keep them."""
--- a/tests/traffic/test_dispatcher.py
+++ b/tests/traffic/test_dispatcher.py
@@ -1,6 +1,8 @@
 import random
 import types as module_types
 
+import pytest
+
 from tamarackgap import types
 from tamarackgap.peers import calls
 from tamarackgap.traffic import crashes, dispatcher, routetable
@@ -10,21 +12,31 @@
 class DaemonProcess:
     """A process of a daemon whose calls all go to one other daemon."""
 
-    def __init__(self):
+    def __init__(self, may_rerun=False):
         self.dispatches = []
         self.completions = []
+        # The owner of all slots of services with keys.
+        self.owner = "other"
         timer = module_types.SimpleNamespace(cancel=lambda: None)
-        timers = module_types.SimpleNamespace(
+        self.timers = timers = module_types.SimpleNamespace(
             now=100.0, after=lambda seconds, call: timer
         )
+        record = module_types.SimpleNamespace(peer_address="x:1", slots=16)
         core = module_types.SimpleNamespace(
             incarnation="own",
             view=module_types.SimpleNamespace(
-                lease=lambda incarnation: None, cursor=1
+                lease=lambda incarnation: record,
+                service_record=lambda service: record,
+                cursor=1,
+            ),
+            slot_owners=module_types.SimpleNamespace(
+                find=lambda service, slot: module_types.SimpleNamespace(
+                    owner=self.owner
+                )
             ),
         )
         budget = module_types.SimpleNamespace(
-            deposit=lambda: None, withdraw=lambda: False
+            deposit=lambda: None, withdraw=lambda: may_rerun
         )
         self.dispatcher = dispatcher.Dispatcher(
             core,
@@ -38,27 +50,51 @@
         )
         self.dispatcher.update_status("other", "x:1", test_targets.status())
 
-    def _send(self, sender, address, dispatch):
-        self.dispatches.append(dispatch)
+    def _send(self, sender, address, message):
+        if isinstance(message, calls.Dispatch):
+            self.dispatches.append(message)
         return True
 
-    def send(self, request_id):
+    def report(self, incarnation, address, process):
+        self.dispatcher.update_status(
+            incarnation, address, test_targets.status(process=process)
+        )
+
+    def set_keyed(self):
+        service = routetable.Service("s", True, 16)
+        self.dispatcher.configure(
+            routetable.RouteTable(1, (), {"s": service}, None)
+        )
+
+    def answer(self, dispatch, status=200):
+        self.dispatcher.handle_completion(
+            dispatch.owner,
+            calls.Completion(
+                dispatch.leg, types.Verdict.ANSWERED, status=status
+            ),
+        )
+
+    @property
+    def statuses(self):
+        return [completion.status for completion in self.completions]
+
+    def send(self, request_id, idempotent=False):
         route = routetable.Route(
             "r",
             "h",
             "/",
             (routetable.WeightedService("s", 1),),
-            False,
-            2.0,
+            idempotent,
+            20.0,
             0.4,
-            1,
+            2 if idempotent else 1,
             0,
         )
         self.dispatcher.submit(
-            calls.Call(request_id, "s", "POST", "/", b"", b"", None),
+            calls.Call(request_id, "s", "POST", "/", b"", b"", 7),
             route,
             100.0,
-            1.0,
+            15.0,
             self.completions.append,
         )
 
@@ -79,3 +115,70 @@
         calls.Completion(dispatch.leg, types.Verdict.ANSWERED, status=200),
     )
     assert [completion.status for completion in later.completions] == [200]
+
+
+# Longer than a daemon may be silent, but it is not forgotten yet.
+SILENT_S = 5.0
+
+
+def test_owner_that_had_not_reported_when_it_was_sent_a_call_is_not_silent():
+    # A process that had just started answered 502 after 1.2 s for requests that
+    # their owners ran, though these had reported since.
+    process = DaemonProcess(may_rerun=True)
+    process.set_keyed()
+    process.owner = "owner"
+    process.send("r", idempotent=True)
+    process.timers.now += SILENT_S
+    process.report("owner", "y:1", "p9")
+    process.owner = "other"
+    process.dispatcher.rerun_silent_legs()
+    (dispatch,) = process.dispatches
+    process.answer(dispatch)
+    assert process.statuses == [200]
+
+
+@pytest.mark.parametrize("keyed", [True, False])
+@pytest.mark.parametrize("may_rerun", [True, False])
+def test_silence_of_a_daemon_alone_ends_no_call(keyed, may_rerun):
+    process = DaemonProcess(may_rerun)
+    if keyed:
+        process.set_keyed()
+    process.send("r", idempotent=True)
+    process.timers.now += SILENT_S
+    process.dispatcher.rerun_silent_legs()
+    assert process.completions == []
+    (dispatch,) = process.dispatches
+    process.answer(dispatch)
+    assert process.statuses == [200]
+
+
+@pytest.mark.parametrize("keyed", [True, False])
+@pytest.mark.parametrize("first_answers", [True, False])
+def test_call_at_a_silent_daemon_runs_elsewhere_and_both_answers_count(
+    keyed, first_answers
+):
+    process = DaemonProcess(may_rerun=True)
+    if keyed:
+        process.set_keyed()
+    process.send("r", idempotent=True)
+    process.timers.now += SILENT_S
+    process.report("third", "z:1", "p3")
+    process.owner = "third"
+    process.dispatcher.rerun_silent_legs()
+    first, second = process.dispatches
+    assert (first.owner, second.owner) == ("other", "third")
+    process.answer(first, 200 if first_answers else 500)
+    assert process.statuses == ([200] if first_answers else [])
+    process.answer(second, 201)
+    assert process.statuses == ([200] if first_answers else [201])
+    assert process.dispatcher.in_flight == 0
+
+
+def test_call_that_must_not_run_twice_waits_for_a_silent_daemon():
+    process = DaemonProcess(may_rerun=True)
+    process.send("r")
+    process.timers.now += SILENT_S
+    process.report("third", "z:1", "p3")
+    process.dispatcher.rerun_silent_legs()
+    assert len(process.dispatches) == 1
+    assert process.completions == []
