Answers wait for the connection to a daemon that has just started

What callers saw: a request that a target had answered ended with 504 at its deadline, soon after the daemon that had taken it was started again.

Cause: a message to a peer without a connection is dropped at once. After a restart the connection to the new process is made anew within up to half a second; a call of the new process reaches its owner before that, and the answer was dropped.

Fix: completions are tried again for 2 s. Ids of legs are drawn anew by each process, so a later one drops what is not its own. What was handed to a connection is still sent for 0.2 s after close, so that the last answers of a process that ends are not lost either.

Evidence: test_a_message_waits_for_the_connection_to_a_daemon_that_starts fails without the retries. By reading; no run of the mesh shows it alone.

--- a/tamarackgap/peers/transport.py
+++ b/tamarackgap/peers/transport.py
@@ -21,6 +21,10 @@
 # Keeps an iteration of the loop short when peers send without pause.
 _MAX_MESSAGES_PER_ITERATION = 200
 _POLL_INTERVAL_S = 0.05
+# While a connection is made anew, a message is tried again this often.
+_RETRY_PAUSE_S = 0.02
+# Messages that have been handed over are sent within this time after `close`.
+_CLOSE_LINGER_MS = 200
 # An int, because flags of an enumeration are slow to combine.
 _READABLE = int(zmq.POLLIN)
 
@@ -63,6 +67,7 @@
         Raises:
             OSError: If the address can't be bound.
         """
+        self._timers = timers
         self._deployment = deployment
         self._address = address
         self._receive = receive
@@ -117,6 +122,32 @@
         """
         return self._send(address, self._encode(sender, message))
 
+    def send_within(
+        self,
+        sender: str,
+        address: str,
+        message: messages.Message,
+        timeout_s: float,
+    ) -> None:
+        """Sends a message as soon as there is a connection.
+
+        Args:
+            sender: Incarnation that sends the message.
+            address: `ip:port` of the receiver.
+            message: The message.
+            timeout_s: Longest time to wait for a connection, seconds.
+        """
+        frame = self._encode(sender, message)
+        give_up_at = self._timers.now + timeout_s
+
+        def send() -> None:
+            if self._context.closed:
+                return
+            if not self._send(address, frame) and self._timers.now < give_up_at:
+                self._timers.after(_RETRY_PAUSE_S, send)
+
+        send()
+
     def send_all(
         self, sender: str, addresses: Iterable[str], message: messages.Message
     ) -> None:
@@ -149,9 +180,9 @@
         return True
 
     def close(self) -> None:
-        """Closes all sockets."""
+        """Closes all sockets, once what was handed over has been sent."""
         for outbox in self._outboxes.values():
-            outbox.close()
+            outbox.close(linger=_CLOSE_LINGER_MS)
         self._inbox.close()
         self._context.term()
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -67,6 +67,8 @@
 _ENVELOPE_OVERHEAD_BYTES = 65_536
 # Limits of all addresses that are not for callers.
 _CONTROL_LIMITS = httpserver.Limits(max_body_bytes=262_144)
+# An answer for another daemon waits this long for a connection to it.
+_COMPLETION_TIMEOUT_S = 2.0
 _STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
 _STATUS_BAD_REQUEST = 400
@@ -394,7 +396,10 @@
     def _send_completion(
         self, address: str, completion: calls.Completion
     ) -> None:
-        self._transport.send(self._core.incarnation, address, completion)
+        # The connection to a daemon that has just started may not be made yet.
+        self._transport.send_within(
+            self._core.incarnation, address, completion, _COMPLETION_TIMEOUT_S
+        )
 
     def _report_load(self) -> None:
         self._core.has_low_load = (
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -6,14 +6,27 @@
 
 from standins import ports
 from tamarackgap.network import sockets
-from tamarackgap.peers import messages, transport
+from tamarackgap.peers import calls, messages, transport
 
 MAX_MESSAGE_BYTES = 10_000
 CONNECT_TIMEOUT_S = 5
 
 
 class Timers:
-    """Timers that never fire."""
+    """Timers that fire when the test says so."""
+
+    now = 1.0
+
+    def __init__(self):
+        self.due = []
+
+    def after(self, seconds, call):
+        self.due.append(call)
+
+    def fire(self):
+        due, self.due = self.due, []
+        for call in due:
+            call()
 
     def each_iteration(self, call):
         pass
@@ -96,3 +109,39 @@
             peer_transport._receive_frames()
     assert [envelope.address for envelope in received] == [own]
     assert peer_transport.malformed_frames == len(frames)
+
+
+def test_a_message_waits_for_the_connection_to_a_daemon_that_starts():
+    # The answer to a call of a daemon that had just started was dropped while
+    # the connection to it was made anew.
+    base = ports.find_free_ports(2, 26_600)
+    poller = module_types.SimpleNamespace(
+        watch=lambda descriptor, flags, callback: None
+    )
+    timers = Timers()
+    own, other = f"127.0.0.1:{base}", f"127.0.0.1:{base + 1}"
+    sender = transport.PeerTransport(
+        poller, timers, "test", own, MAX_MESSAGE_BYTES, None
+    )
+    completion = calls.Completion(7, calls.types.Verdict.ANSWERED, status=200)
+    sender.send_within("sender", other, completion, 2.0)
+    timers.fire()
+    received = []
+    receiver = transport.PeerTransport(
+        poller, Timers(), "test", other, MAX_MESSAGE_BYTES, received.append
+    )
+    deadline = time.monotonic() + CONNECT_TIMEOUT_S
+    while not received and time.monotonic() < deadline:
+        timers.fire()
+        receiver._receive_frames()
+        time.sleep(0.01)
+    timers.now += 3.0
+    timers.fire()
+    assert timers.due == []
+    assert [envelope.message.leg for envelope in received] == [7]
+    sender.send_within("sender", "127.0.0.1:1", completion, 2.0)
+    timers.now += 3.0
+    timers.fire()
+    assert timers.due == []
+    sender.close()
+    receiver.close()
