A refusal without a server's signature is not passed on

What callers saw, by the users' rules: a 3xx or 4xx that bears no signature counts as this system's own, so a proper request is turned away as if it were wrong (DENIED).

Cause: only successes without a signature were held back; any other status that a spoilt or faulty server sent with the request's id was passed on.

Fix: without a signature nothing below 500 is passed on. The request may have run; it is repeated where that is allowed, else answered 502.

Evidence: test_a_refusal_without_signature_is_not_passed_on failed before.

--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -34,6 +34,7 @@
 _MAX_DIGITS = 15
 _MAX_COUNT = 10**_MAX_DIGITS
 _STATUS_MISDIRECTED = 421
+_STATUS_SERVER_ERROR = 500
 _STATUS_UNAVAILABLE = 503
 _STATUS_BAD_GATEWAY = 502
 _STATUS_GATEWAY_TIMEOUT = 504
@@ -166,7 +167,10 @@
         return calls.Completion(leg, types.Verdict.NOT_RUN, reason)
     is_signed = answer.header(names.RESPONSE_SIGNATURE) is not None
     is_encoded = answer.header(b"content-encoding") is not None
-    is_invalid = is_encoded or (answer.status < 300 and not is_signed)
+    # Without a signature, a caller takes all but a 5xx for this system's own.
+    is_invalid = is_encoded or (
+        answer.status < _STATUS_SERVER_ERROR and not is_signed
+    )
     # Only the header shows that a request has not run. Without it, these
     # statuses are not passed on: clients would conclude that it has not.
     if is_invalid or answer.status in _STATUSES_READ_AS_NOT_RUN:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -59,6 +59,16 @@
     assert _decode(503).verdict is types.Verdict.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize("status", [301, 400, 404, 413, 431, 499])
+def test_a_refusal_without_signature_is_not_passed_on(status):
+    # Callers take it for this system's own: proper requests were turned away.
+    completion = _decode(status)
+    assert completion.verdict is types.Verdict.MAY_HAVE_RUN
+    signed = _decode(status, x_tamarackgap_response_signature=b"s")
+    assert signed.verdict is types.Verdict.ANSWERED
+    assert signed.status == status
+
+
 def _decode_call(**headers):
     header_pairs = [
         (b"host", b"h"),
