A process that ends answers all requests, and takes none too late

A slow caller's response was cut when the process was otherwise idle.

Cause: nothing was refused between the end of listening and the end of the process; at the deadline all connections just closed; a response that was not yet sent did not count as work.

Fix: requests completed after the end of listening get 503 at once. At the deadline each request is answered, 503 if it has not run and 502 if it may have, and peers are told that their calls were broken off. A connection is busy until its response is sent.

Evidence: test_a_request_that_comes_late_in_the_grace_is_refused, test_requests_are_answered_before_the_process_ends and test_a_server_is_busy_until_its_response_is_sent failed before.

--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -213,8 +213,12 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is unanswered or partly received."""
-        return self._current is not None or self._parser.is_receiving
+        """Whether a request is partly received, or a response not yet sent."""
+        return (
+            self._current is not None
+            or self._parser.is_receiving
+            or self._writer.unsent > 0
+        )
 
     # Events of the parser.
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -248,7 +248,7 @@
                 pass
             case other:
                 raise AssertionError(other)
-        if self._route_index is None:
+        if self._route_index is None or self._takes_no_requests:
             incoming.respond(
                 _STATUS_UNAVAILABLE, [(b"retry-after", _RETRY_AFTER_S)], b""
             )
@@ -509,6 +509,11 @@
 
     # Readiness and shutdown.
 
+    @property
+    def _takes_no_requests(self) -> bool:
+        """Whether requests come too late to be answered before the end."""
+        return self._listen_until is not None and now() > self._listen_until
+
     def _handle_readiness(self, incoming: httpserver.IncomingRequest) -> None:
         ready = (
             self._listen_until is None
@@ -584,6 +589,8 @@
         # Slots that are still owned are not released here: the target may run
         # calls for them until its holds expire with the lease.
         logs.event("stopped", in_flight=self._request_dispatcher.in_flight)
+        self._request_dispatcher.give_up()
+        self._target_handler.end_calls()
         faulthandler.dump_traceback_later(
             _TICK_INTERVAL_S + _EXIT_TIMEOUT_S, exit=True
         )
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -164,6 +164,11 @@
         self._calls_stopped = True
         self.runner.drain()
 
+    def end_calls(self) -> None:
+        """Breaks off all calls, since the process ends; their callers hear."""
+        self.runner.detach()
+        self._call_pool.close()
+
     def check_silence(self) -> None:
         """Notices a target that no longer announces itself."""
         self._apply_transition(
@@ -288,12 +293,12 @@
                 self.runner.drain()
             case localtarget.Transition.LOST:
                 self.runner.detach()
+                self._call_pool.close()
                 self._release_lease_when_expired("target-gone")
             case localtarget.Transition.SILENT:
                 self.runner.detach()
                 self._release_lease_when_expired("target-silent")
         self.on_status_changed()
-                self._call_pool.close()
 
     def _release_without_table(self) -> None:
         """Releases the lease if slots have not moved through the table in time.
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -138,11 +138,11 @@
         self._round_robin = routetable.WeightedRoundRobin()
         self._keyed: frozenset[str] = frozenset()
         self._targets = targets.TargetDirectory(core, timers)
+        self._open: set[PendingRequest] = set()
         # By the ids of their current and earlier legs.
         self._by_leg: dict[int, PendingRequest] = {}
         # Completions of legs of the process before may still arrive.
         self._leg_ids = itertools.count(rng.getrandbits(_FIRST_LEG_BITS) + 1)
-        self._in_flight = 0
         # Called with each request that has ended, for metrics.
         self.on_finished: Callable[[PendingRequest, calls.Completion], None] = (
             _ignore
@@ -151,7 +151,7 @@
     @property
     def in_flight(self) -> int:
         """Number of requests that have not been answered yet."""
-        return self._in_flight
+        return len(self._open)
 
     def configure(self, table: routetable.RouteTable) -> None:
         """Applies a new version of the route table."""
@@ -219,7 +219,7 @@
             received_at + min(timeout, route.timeout),
             done,
         )
-        self._in_flight += 1
+        self._open.add(pending)
         self._budgets.for_service(pending.service).deposit()
         left = pending.deadline - self._timers.now
         pending.timer = self._timers.after(
@@ -242,6 +242,20 @@
             ),
         )
 
+    def give_up(self) -> None:
+        """Answers all requests, since the process ends.
+
+        Those that no target may have run can be sent again by their callers.
+        """
+        for pending in list(self._open):
+            self._withdraw_leg(pending)
+            self._finish(
+                pending,
+                self._final_completion(
+                    pending, types.Reason.DRAINING, bool(pending.leg)
+                ),
+            )
+
     def handle_completion(
         self, sender: str, completion: calls.Completion
     ) -> None:
@@ -650,7 +664,7 @@
         pending.timer.cancel()
         for leg in (pending.leg, *pending.earlier_legs):
             self._by_leg.pop(leg, None)
-        self._in_flight -= 1
+        self._open.discard(pending)
         self._log(pending, completion)
         self.on_finished(pending, completion)
         done(completion)
--- a/tests/network/test_httpserver.py
+++ b/tests/network/test_httpserver.py
@@ -93,7 +93,8 @@
         for caller in self.callers:
             caller.close()
         self.poller.run()
-        self.server.close()
+        if self.server.is_open:
+            self.server.close()
 
 
 @pytest.fixture
@@ -218,3 +219,19 @@
         server.poller.run()
         data += part
     assert data.endswith(body)
+
+
+def test_a_server_is_busy_until_its_response_is_sent(server):
+    # A process that was told to stop ended before slow callers had read theirs.
+    caller = server.connect(receive_buffer=4096)
+    server.send(caller, GET)
+    server.server.draining = True
+    server.requests.pop(0).respond(200, [], b"a" * 8_000_000)
+    server.server.close()
+    assert server.server.busy_connections == 1
+    size = 0
+    while part := received(caller):
+        size += len(part)
+        server.poller.run()
+    assert size > 8_000_000
+    assert server.server.busy_connections == 0
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -520,6 +520,35 @@
     assert platformcluster.wait_until(READY_S, cluster.serves_all_routes)
 
 
+def test_a_request_that_comes_late_in_the_grace_is_refused(cluster):
+    # It was passed on, and cut without an answer when the process ended.
+    assert platformcluster.wait_until(READY_S, cluster.serves_all_routes)
+    vm = cluster.vms[1]
+    host, _, port = vm.caller_address.rpartition(":")
+    request = (
+        b"POST /book/x HTTP/1.1\r\nhost: seats.example\r\n"
+        b"x-tamarackgap-attempt-id: late\r\n"
+        b"x-tamarackgap-timeout-ms: 4000\r\ncontent-length: 2\r\n\r\nab"
+    )
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        vm.process.send_signal(signal.SIGTERM)
+        time.sleep(DRAIN_LISTEN_S - 0.2)
+        sock.sendall(request[:40])
+        time.sleep(0.6)
+        sock.sendall(request[40:])
+        response = sock.recv(1000)
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in response
+    assert vm.process.wait(timeout=6) == 0
+    assert not any(
+        "late" in run
+        for each in cluster.vms
+        for run in each.server.executed_requests
+    )
+    vm.start()
+    assert platformcluster.wait_until(READY_S, cluster.serves_all_routes)
+
+
 def test_a_daemon_that_is_told_to_stop_cuts_nothing(cluster):
     vm = cluster.vms[0]
     vm.process.send_signal(signal.SIGTERM)
--- a/tests/traffic/test_dispatcher.py
+++ b/tests/traffic/test_dispatcher.py
@@ -182,3 +182,20 @@
     process.dispatcher.rerun_silent_legs()
     assert len(process.dispatches) == 1
     assert process.completions == []
+
+
+def test_requests_are_answered_before_the_process_ends():
+    # Their connections ended without an answer.
+    process = DaemonProcess()
+    process.send("sent")
+    process.set_keyed()
+    process.owner = None
+    process.dispatcher._core.view.lease = lambda incarnation: None
+    process.send("waits")
+    process.dispatcher.give_up()
+    verdicts = [completion.verdict for completion in process.completions]
+    assert sorted(verdict.value for verdict in verdicts) == [
+        types.Verdict.MAY_HAVE_RUN.value,
+        types.Verdict.NOT_RUN.value,
+    ]
+    assert process.dispatcher.in_flight == 0
