A route table is asked of one daemon at a time, and sent compressed

Cause, by reading: all daemons that do not follow the store ask the one that tells them first, and ask again after 0.2 s, although a table of some hundred KB takes a link of 10 Mbit/s 0.3 s for each of them. Links were full of copies of one table, and calls waited behind them.

Fix: a daemon has one request under way. It waits up to 0.1 s, so that it hears of several daemons that have the table, and asks one drawn among them; without an answer it asks another, less and less often. Tables are sent compressed, and are compressed once.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -126,7 +126,11 @@
 class RouteTableUpdate(
     msgspec.Struct, tag="table-news", array_like=True, frozen=True
 ):
-    """Passes a route table on, as the operators wrote it."""
+    """Passes a route table on.
+
+    Attributes:
+        source: The table as the operators wrote it, compressed by zlib.
+    """
 
     source: bytes
 
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -1,5 +1,6 @@
 """Exchanges target status, crash reports and route tables between routers."""
 
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -8,6 +9,7 @@
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls, messages, transport
+from tamarackgap.processes import tablesync
 from tamarackgap.traffic import (
     crashes,
     dispatcher,
@@ -17,9 +19,6 @@
     statusintervals,
 )
 
-# Least time between two requests for a newer route table.
-_ROUTE_TABLE_REQUEST_INTERVAL_S = 0.2
-
 
 class PeerSync:
     """Sends the other daemons the state of the target and route table here.
@@ -37,6 +36,7 @@
         crash_history: crashes.CrashHistory,
         timers: scheduler.Scheduler,
         route_table: Callable[[], routetable.RouteTable | None],
+        rng: random.Random,
     ) -> None:
         """Creates an instance that has sent nothing, and schedules broadcasts.
 
@@ -49,6 +49,7 @@
             crash_history: Records which requests ran at targets that crashed.
             timers: The loop's scheduler.
             route_table: Returns the route table in force here.
+            rng: Chooses whom to ask for a newer route table.
         """
         self._core = core
         self._transport = peer_transport
@@ -57,7 +58,9 @@
         self._crash_history = crash_history
         self._timers = timers
         self._route_table = route_table
-        self._route_table_requested_at = float("-inf")
+        self._table_sync = tablesync.RouteTableSync(
+            self._send, timers, rng, route_table
+        )
         # The incarnation at the start identifies the process, since each id is
         # used only once.
         self._process = core.incarnation
@@ -85,7 +88,7 @@
                     envelope.sender, envelope.address, status
                 )
                 self._record_load(envelope.sender, status, 0.0)
-                self._request_table_if_newer(
+                self._table_sync.record_version(
                     status.route_table_version, envelope.address
                 )
             case calls.StatusDigest() as digest:
@@ -95,10 +98,7 @@
             case calls.FingerprintCleared(fingerprint=fingerprint):
                 self._crash_history.clear(fingerprint)
             case calls.RouteTableRequest():
-                table = self._route_table()
-                if table is not None:
-                    update = calls.RouteTableUpdate(table.source)
-                    self._send(envelope.address, update)
+                self._table_sync.answer(envelope.address)
             case _:
                 return False
         return True
@@ -150,7 +150,7 @@
                 heard.incarnation, heard.address, heard.status, heard.age
             )
             self._record_load(heard.incarnation, heard.status, heard.age)
-            self._request_table_if_newer(
+            self._table_sync.record_version(
                 heard.status.route_table_version, heard.address
             )
         if not digest.passes_on:
@@ -298,22 +298,6 @@
                     "content_barred", content=fingerprint, s=crashes.BAR_TIME_S
                 )
 
-    def _request_table_if_newer(self, version: int, address: str) -> None:
-        """Requests a peer's route table if it is newer than this daemon's.
-
-        This daemon may be unable to read it from the store.
-        """
-        table = self._route_table()
-        current = table.version if table is not None else 0
-        now = self._timers.now
-        if (
-            version > current
-            and now - self._route_table_requested_at
-            > _ROUTE_TABLE_REQUEST_INTERVAL_S
-        ):
-            self._route_table_requested_at = now
-            self._send(address, calls.RouteTableRequest())
-
     def _broadcast(self, message: messages.Message) -> None:
         own = self._core.settings.peer_address
         self._transport.send_all(
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -30,6 +30,7 @@
     peersync,
     routerpages,
     rowsharing,
+    tablesync,
     targethandler,
 )
 from tamarackgap.requests import retries
@@ -186,6 +187,7 @@
             self._crash_history,
             self.timers,
             lambda: self._route_table,
+            self._rng,
         )
         self._row_sharer = rowsharing.RowSharer(
             self._core, self._transport, self._request_dispatcher, self.timers
@@ -382,9 +384,10 @@
                 self._request_dispatcher.handle_completion(sender, completion)
             case calls.Withdraw(leg=leg):
                 self._runner.withdraw(sender, leg)
-            case calls.RouteTableUpdate(source=source):
-                table = self._adapter.decode_table(source)
-                if table is not None:
+            case calls.RouteTableUpdate() as update:
+                source = tablesync.decode_update(update)
+                table = source and self._adapter.decode_table(source)
+                if table:
                     self._apply_route_table(table)
             case _:
                 if isinstance(envelope.message, messages.RowUpdates):
--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -1,5 +1,6 @@
 """A network of daemons that exchange states and rows, on a stepped clock."""
 
+import random
 import types as module_types
 
 from tamarackgap.peers import messages
@@ -131,6 +132,7 @@
             None,
             network,
             lambda: None,
+            random.Random(1),
         )
         self.sharer = rowsharing.RowSharer(core, self, self.directory, network)
         self.row_updates = 0
