No 404 while a newer route table is known of

Cause: 404 says that no route matches; that was concluded from a table known to be out of date.

Fix: such a request gets 503 with Retry-After. It has not run, and comes back when the table has arrived. The log line says which case it was.

Evidence: test_a_newer_table_is_known_until_it_is_in_force.

--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -76,6 +76,11 @@
         timers.after(self._status_interval, self._broadcast_periodically)
         timers.after(relays.DIGEST_INTERVAL_S, self._relay_periodically)
 
+    @property
+    def knows_newer_table(self) -> bool:
+        """Whether another daemon has a newer route table than this one."""
+        return self._table_sync.knows_newer
+
     def receive(self, envelope: messages.Envelope) -> bool:
         """Handles a message about targets or route tables.
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -251,9 +251,7 @@
             case other:
                 raise AssertionError(other)
         if self._route_index is None or self._takes_no_requests:
-            incoming.respond(
-                _STATUS_UNAVAILABLE, [(b"retry-after", _RETRY_AFTER_S)], b""
-            )
+            self._refuse_for_now(incoming)
             return
         route = self._route_index.find(
             request.host, request.call.request_target
@@ -265,8 +263,13 @@
                 request=request.call.request_id,
                 host=request.host,
                 version=self._route_table.version,
+                knows_newer=self._peer_sync.knows_newer_table,
             )
-            incoming.respond(_STATUS_NOT_FOUND, [], b"")
+            if self._peer_sync.knows_newer_table:
+                # The table that is on its way may have the route.
+                self._refuse_for_now(incoming)
+            else:
+                incoming.respond(_STATUS_NOT_FOUND, [], b"")
             return
         timeout = route.timeout if request.timeout is None else request.timeout
         pending = self._request_dispatcher.submit(
@@ -281,6 +284,11 @@
                 self._request_dispatcher.cancel, pending
             )
 
+    def _refuse_for_now(self, incoming: httpserver.IncomingRequest) -> None:
+        incoming.respond(
+            _STATUS_UNAVAILABLE, [(b"retry-after", _RETRY_AFTER_S)], b""
+        )
+
     def _respond(
         self, incoming: httpserver.IncomingRequest, completion: calls.Completion
     ) -> None:
--- a/tamarackgap/processes/tablesync.py
+++ b/tamarackgap/processes/tablesync.py
@@ -61,6 +61,12 @@
         self._compressed = b""
         self._compressed_version = 0
 
+    @property
+    def knows_newer(self) -> bool:
+        """Whether another daemon has a newer table than this one."""
+        current = self._own_version()
+        return any(version > current for version in self._newer.values())
+
     def record_version(self, version: int, address: str) -> None:
         """Records the version that a daemon has, and requests a newer one.
 
--- a/tests/processes/test_tablesync.py
+++ b/tests/processes/test_tablesync.py
@@ -99,6 +99,18 @@
     assert len(daemon.asked) == 2
 
 
+def test_a_newer_table_is_known_until_it_is_in_force():
+    # A daemon answered 404 for routes of a table that it knew it lacked.
+    daemon = Daemon()
+    assert not daemon.sync.knows_newer
+    daemon.sync.record_version(2, "a:1")
+    assert daemon.sync.knows_newer
+    daemon.version = 2
+    assert not daemon.sync.knows_newer
+    daemon.sync.record_version(1, "b:1")
+    assert not daemon.sync.knows_newer
+
+
 def test_a_table_is_passed_on_whole_and_small():
     daemon = Daemon(version=2)
     daemon.sync.answer("b:1")
