Pipelined requests that are answered at once need no deep stack

What callers saw: many small requests in one read, each answered at once (404, or refused while the daemon leaves), raised RecursionError in the daemon, and the rest of the connection's requests had no answer.

Cause: each response served the next request from within itself.

Fix: a loop serves the requests that wait; a response that is given within it only ends its own turn.

Evidence: test_many_requests_that_are_answered_at_once_need_no_deep_stack failed before with RecursionError.

--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -25,7 +25,7 @@
 _LINGER_S = 1.0
 _STATUS_TIMED_OUT = 408
 _STATUS_NO_ROOM = 503
-_NO_ROOM_RETRY_AFTER_S = b"0.2"
+_RETRY_LATER = [(b"retry-after", b"0.2")]
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -202,6 +202,7 @@
         self._current_bytes = 0
         self._charge = bytebudget.Charge(server.budget)
         self._is_paused = False
+        self._is_serving = False
         self._closing = False
         self._closed = False
         # Whether the request received last leaves the connection open.
@@ -291,13 +292,19 @@
         self._update_charge()
 
     def _serve_next(self) -> None:
-        if self._current is None and not self._closing:
-            if self._queued:
+        if self._is_serving:
+            return  # A response was given at once; the loop below goes on.
+        self._is_serving = True
+        try:
+            while self._queued and self._current is None and not self._closing:
                 self._current, self._current_bytes = self._queued.popleft()
                 self._queued_bytes -= self._current_bytes
                 self._server.serve(self._current)
-            elif self._parser.error_status:
-                self._respond_error(self._parser.error_status)
+        finally:
+            self._is_serving = False
+        error_status = self._parser.error_status
+        if error_status and self._current is None and not self._closing:
+            self._respond_error(error_status)
         self._pause_or_resume()
 
     def _pause_or_resume(self) -> None:
@@ -339,10 +346,8 @@
 
     def _respond_error(self, status: int) -> None:
         self._keep_alive = False
-        headers = []
-        if status == _STATUS_NO_ROOM:
-            headers.append((b"retry-after", _NO_ROOM_RETRY_AFTER_S))
-        self.respond(status, headers, b"")
+        is_refusal = status == _STATUS_NO_ROOM
+        self.respond(status, _RETRY_LATER if is_refusal else [], b"")
 
     def _close_when_sent(self) -> None:
         """Closes the connection after all bytes have been sent."""
@@ -375,10 +380,9 @@
             self.close()
 
     def _handle_disconnect(self) -> None:
-        current = self._current
-        queued = [incoming for incoming, _ in self._queued]
+        waiting = [self._current, *(queued for queued, _ in self._queued)]
         self.close()
-        for incoming in [current, *queued]:
+        for incoming in waiting:
             if incoming is not None and incoming.on_disconnect is not None:
                 callback = incoming.on_disconnect
                 incoming.on_disconnect = None
--- a/tests/network/test_httpserver.py
+++ b/tests/network/test_httpserver.py
@@ -142,6 +142,14 @@
     assert answered == 60
 
 
+def test_many_requests_that_are_answered_at_once_need_no_deep_stack(server):
+    server.server.budget = bytebudget.ByteBudget()
+    server.server.serve = lambda request: request.respond(404, [], b"")
+    caller = server.connect()
+    assert server.send(caller, GET * 2000) == 0
+    assert received(caller).count(b"HTTP/1.1 404") == 2000
+
+
 def test_requests_received_before_a_draining_server_closes_are_answered(server):
     # The response to the first one closed the connection.
     caller = server.connect()
