--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -39,6 +39,7 @@
     adapter,
     crashes,
     dispatcher,
+    pendingrequests,
     routetable,
     storewatch,
 )
@@ -475,7 +476,9 @@
     # Metrics.
 
     def _observe_request(
-        self, pending: dispatcher.PendingRequest, completion: calls.Completion
+        self,
+        pending: pendingrequests.PendingRequest,
+        completion: calls.Completion,
     ) -> None:
         reason = completion.reason.value if completion.reason else ""
         elapsed = self.timers.now - pending.received_at
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -10,15 +10,21 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from tamarackgap import logs, types
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls, transport
 from tamarackgap.placement import slots
 from tamarackgap.requests import retries
-from tamarackgap.traffic import balancer, crashes, routetable, runner, targets
+from tamarackgap.traffic import (
+    balancer,
+    crashes,
+    pendingrequests,
+    reruns,
+    routetable,
+    runner,
+    targets,
+)
 
 # Pause before a request whose slot moves is tried again. After a planned move
 # the new owner is known within this time.
@@ -27,10 +33,6 @@
 _MAX_MOVE_WAIT_SHARE = 0.6
 # Retry advice if a key has no owner: the last owner's lease has to end first.
 _NO_OWNER_RETRY_S = 0.3
-_DEFAULT_RETRY_S = 0.1
-# A request that may have run is sent again only if this share of its latency
-# objective is left until its deadline; with less time an answer is unlikely.
-_MIN_OBJECTIVE_SHARE = 0.25
 _SERVER_ERROR_STATUS = 500
 _FIRST_LEG_BITS = 48
 
@@ -44,60 +46,6 @@
     }
 )
 
-# Refusals by the target itself rather than by its daemon.
-_REFUSED_BY_TARGET = frozenset(
-    {
-        types.Reason.TARGET_REFUSED,
-        types.Reason.TARGET_FULL,
-        types.Reason.TARGET_MISDIRECTED,
-    }
-)
-
-# Those after which the owner of a key may run the request all the same.
-_MAY_SUCCEED_AT_OWNER = frozenset(
-    {types.Reason.TARGET_REFUSED, types.Reason.TARGET_MISDIRECTED}
-)
-
-DoneCallback = Callable[[calls.Completion], None]
-
-
-class PendingRequest(msgspec.Struct, eq=False):
-    """Holds a caller's request that has not been answered yet.
-
-    Attributes:
-        call: The request as it is handed to targets.
-        route: The route that it matched.
-        service: The service that is to run it.
-        received_at: Monotonic time at which it was received, seconds.
-        deadline: Monotonic time by which it must be answered, seconds.
-        on_done: Called once with the completion; None after that.
-        leg: Id of the current leg; 0 if there is none.
-        candidate: The target that the last leg was sent to.
-        tried: Incarnations that a leg was sent to.
-        runs: Number of legs that may have reached a target.
-        may_have_run: Whether any leg may have been executed.
-        timer: Fires at the deadline.
-        last_completion: The completion of the last leg that did not end the
-            request.
-        earlier_legs: Legs at daemons that fell silent; an answer to one of
-            them is still passed on.
-    """
-
-    call: calls.Call
-    route: routetable.Route
-    service: types.ServiceName
-    received_at: float
-    deadline: float
-    on_done: DoneCallback | None
-    leg: int = 0
-    candidate: balancer.Candidate | None = None
-    tried: frozenset[str] = frozenset()
-    runs: int = 0
-    may_have_run: bool = False
-    timer: scheduler.Timer | None = None
-    last_completion: calls.Completion | None = None
-    earlier_legs: tuple[int, ...] = ()
-
 
 class Dispatcher:
     """Tracks the requests that this daemon has received from callers."""
@@ -138,15 +86,16 @@
         self._round_robin = routetable.WeightedRoundRobin()
         self._keyed: frozenset[str] = frozenset()
         self._targets = targets.TargetDirectory(core, timers)
-        self._open: set[PendingRequest] = set()
+        self._rerun_rules = reruns.RerunRules(self._targets, budgets, timers)
+        self._open: set[pendingrequests.PendingRequest] = set()
         # By the ids of their current and earlier legs.
-        self._by_leg: dict[int, PendingRequest] = {}
+        self._by_leg: dict[int, pendingrequests.PendingRequest] = {}
         # Completions of legs of the process before may still arrive.
         self._leg_ids = itertools.count(rng.getrandbits(_FIRST_LEG_BITS) + 1)
         # Called with each request that has ended, for metrics.
-        self.on_finished: Callable[[PendingRequest, calls.Completion], None] = (
-            _ignore
-        )
+        self.on_finished: Callable[
+            [pendingrequests.PendingRequest, calls.Completion], None
+        ] = _ignore
 
     @property
     def in_flight(self) -> int:
@@ -196,8 +145,8 @@
         route: routetable.Route,
         received_at: float,
         timeout: float,
-        done: DoneCallback,
-    ) -> PendingRequest:
+        done: pendingrequests.DoneCallback,
+    ) -> pendingrequests.PendingRequest:
         """Accepts a request and sends its first leg.
 
         Args:
@@ -211,7 +160,7 @@
         Returns:
             The pending request, for `cancel`.
         """
-        pending = PendingRequest(
+        pending = pendingrequests.PendingRequest(
             call,
             route,
             self._round_robin.pick(route),
@@ -228,7 +177,7 @@
         self._send_leg(pending)
         return pending
 
-    def cancel(self, pending: PendingRequest) -> None:
+    def cancel(self, pending: pendingrequests.PendingRequest) -> None:
         """Cancels a request whose caller has gone away."""
         if pending.on_done is None:
             return
@@ -237,7 +186,7 @@
         self._withdraw_leg(pending)
         self._finish(
             pending,
-            self._final_completion(
+            pendingrequests.final_completion(
                 pending, types.Reason.NO_ANSWER, bool(pending.leg)
             ),
         )
@@ -251,7 +200,7 @@
             self._withdraw_leg(pending)
             self._finish(
                 pending,
-                self._final_completion(
+                pendingrequests.final_completion(
                     pending, types.Reason.DRAINING, bool(pending.leg)
                 ),
             )
@@ -289,11 +238,13 @@
                 and pending.route.idempotent
                 and self._targets.is_silent(pending.candidate)
                 and self._has_other_target(pending)
-                and self._may_rerun(pending)
+                and self._rerun_rules.may_rerun(pending)
             ):
                 self._rerun_silent_leg(pending)
 
-    def _has_other_target(self, pending: PendingRequest) -> bool:
+    def _has_other_target(
+        self, pending: pendingrequests.PendingRequest
+    ) -> bool:
         """Returns whether a target may run a request that has not had it."""
         if pending.service in self._keyed:
             owner, refusal = self._find_owner(pending)
@@ -307,7 +258,9 @@
             )
         )
 
-    def _rerun_silent_leg(self, pending: PendingRequest) -> None:
+    def _rerun_silent_leg(
+        self, pending: pendingrequests.PendingRequest
+    ) -> None:
         self._record_outcome(pending, True)
         pending.may_have_run = True
         pending.last_completion = calls.Completion(
@@ -318,7 +271,9 @@
         self._send_leg(pending)
 
     def _handle_earlier_leg(
-        self, pending: PendingRequest, completion: calls.Completion
+        self,
+        pending: pendingrequests.PendingRequest,
+        completion: calls.Completion,
     ) -> None:
         """Passes on the answer to a leg that was not waited for."""
         if (
@@ -328,7 +283,7 @@
             self._withdraw_leg(pending)
             self._finish(pending, completion)
 
-    def _send_leg(self, pending: PendingRequest) -> None:
+    def _send_leg(self, pending: pendingrequests.PendingRequest) -> None:
         """Chooses a target and sends the next leg, or ends the request."""
         if pending.on_done is None:
             return
@@ -340,7 +295,9 @@
                 reason = types.Reason.CRASHES_TARGETS
                 self._finish(
                     pending,
-                    self._final_completion(pending, reason, False, barred_for),
+                    pendingrequests.final_completion(
+                        pending, reason, False, barred_for
+                    ),
                 )
                 return
         if pending.service in self._keyed:
@@ -365,13 +322,14 @@
                 ):
                     reason = pending.last_completion.reason
                 self._finish(
-                    pending, self._final_completion(pending, reason, False)
+                    pending,
+                    pendingrequests.final_completion(pending, reason, False),
                 )
                 return
         self._dispatch(pending, candidate, now)
 
     def _find_owner(
-        self, pending: PendingRequest
+        self, pending: pendingrequests.PendingRequest
     ) -> tuple[str, types.Reason | None]:
         """Returns the owner of a request's key, or why there is none."""
         position = pending.call.position
@@ -390,7 +348,10 @@
         return slot_owner.owner, None
 
     def _dispatch(
-        self, pending: PendingRequest, candidate: balancer.Candidate, now: float
+        self,
+        pending: pendingrequests.PendingRequest,
+        candidate: balancer.Candidate,
+        now: float,
     ) -> None:
         leg = next(self._leg_ids)
         route = pending.route
@@ -438,18 +399,26 @@
             )
 
     def _handle_answer(
-        self, pending: PendingRequest, completion: calls.Completion
+        self,
+        pending: pendingrequests.PendingRequest,
+        completion: calls.Completion,
     ) -> None:
         failed = completion.status >= _SERVER_ERROR_STATUS
         self._record_outcome(pending, failed)
-        if failed and pending.route.idempotent and self._may_rerun(pending):
+        if (
+            failed
+            and pending.route.idempotent
+            and self._rerun_rules.may_rerun(pending)
+        ):
             pending.may_have_run = True
             pending.last_completion = completion
             self._send_leg(pending)
             return
         self._finish(pending, completion)
 
-    def _record_outcome(self, pending: PendingRequest, failed: bool) -> None:
+    def _record_outcome(
+        self, pending: pendingrequests.PendingRequest, failed: bool
+    ) -> None:
         """Counts the last leg as a failure or a success of its target."""
         candidate = pending.candidate
         if candidate is None:
@@ -460,7 +429,9 @@
             candidate.record_success(self._timers.now)
 
     def _handle_failure(
-        self, pending: PendingRequest, completion: calls.Completion
+        self,
+        pending: pendingrequests.PendingRequest,
+        completion: calls.Completion,
     ) -> None:
         """Sends the next leg after one without answer, or ends the request."""
         reason = completion.reason
@@ -470,83 +441,39 @@
         if may_have_run or reason is types.Reason.TARGET_REFUSED:
             self._record_outcome(pending, True)
         if may_have_run:
-            if pending.route.idempotent and self._may_rerun(pending):
+            if pending.route.idempotent and self._rerun_rules.may_rerun(
+                pending
+            ):
                 self._send_leg(pending)
             else:
                 self._finish(
-                    pending, self._final_completion(pending, reason, True)
+                    pending,
+                    pendingrequests.final_completion(pending, reason, True),
                 )
             return
         if pending.service in self._keyed:
             if reason in _OWNER_CHANGED:
                 self._await_owner(pending, reason)
                 return
-            if self._may_retry_owner(pending, reason):
+            if self._rerun_rules.may_retry_owner(pending, reason):
                 # The daemons learn of a move within a few round trips.
                 self._timers.after(
                     _MOVE_RETRY_PAUSE_S,
                     functools.partial(self._send_leg, pending),
                 )
                 return
-        elif self._may_try_other_target(pending, reason):
+        elif self._rerun_rules.may_try_other_target(pending, reason):
             self._send_leg(pending)
             return
         self._finish(
             pending,
-            self._final_completion(
+            pendingrequests.final_completion(
                 pending, reason, False, completion.retry_after
             ),
         )
 
-    def _may_rerun(self, pending: PendingRequest) -> bool:
-        """Returns whether a request that may have run is sent again.
-
-        If it is, a token is taken from the service's retry budget.
-        """
-        now = self._timers.now
-        return (
-            pending.runs < pending.route.max_attempts
-            and pending.deadline - now
-            > pending.route.latency_objective * _MIN_OBJECTIVE_SHARE
-            and self._targets.has_room(pending.service)
-            and self._budgets.for_service(pending.service).withdraw()
-        )
-
-    def _may_try_other_target(
-        self, pending: PendingRequest, reason: types.Reason | None
-    ) -> bool:
-        """Returns whether a request that did not run goes to another target.
-
-        A leg that a target itself refused takes a token from the retry budget.
-        """
-        if len(pending.tried) >= max(2, pending.route.max_attempts):
-            return False
-        if reason in _REFUSED_BY_TARGET:
-            # The leg has reached a target and counts as an attempt.
-            return pending.runs < pending.route.max_attempts and (
-                self._budgets.for_service(pending.service).withdraw()
-            )
-        pending.runs -= 1
-        return True
-
-    def _may_retry_owner(
-        self, pending: PendingRequest, reason: types.Reason | None
-    ) -> bool:
-        """Returns whether a request is sent to the owner of its key again.
-
-        It is sent again only after a refusal by the target that is not a lack
-        of room, so the next leg may succeed: TARGET_REFUSED, or
-        TARGET_MISDIRECTED, where the leg met a key that was just about to move.
-        A token is then taken from the service's retry budget.
-        """
-        return (
-            reason in _MAY_SUCCEED_AT_OWNER
-            and pending.runs < pending.route.max_attempts
-            and self._budgets.for_service(pending.service).withdraw()
-        )
-
     def _await_owner(
-        self, pending: PendingRequest, reason: types.Reason
+        self, pending: pendingrequests.PendingRequest, reason: types.Reason
     ) -> None:
         """Sends a request again after a pause if its slot is moving.
 
@@ -571,10 +498,14 @@
             return
         self._finish(
             pending,
-            self._final_completion(pending, reason, False, _NO_OWNER_RETRY_S),
+            pendingrequests.final_completion(
+                pending, reason, False, _NO_OWNER_RETRY_S
+            ),
         )
 
-    def _fail_leg(self, leg: int, pending: PendingRequest) -> None:
+    def _fail_leg(
+        self, leg: int, pending: pendingrequests.PendingRequest
+    ) -> None:
         self._by_leg.pop(leg, None)
         pending.leg = 0
         self._handle_failure(
@@ -594,7 +525,7 @@
             if candidate.incarnation == incarnation:
                 self._fail_leg(leg, pending)
 
-    def _withdraw_leg(self, pending: PendingRequest) -> None:
+    def _withdraw_leg(self, pending: pendingrequests.PendingRequest) -> None:
         if not pending.leg or pending.candidate is None:
             return
         owner = pending.candidate.incarnation
@@ -608,54 +539,22 @@
                 own_incarnation, address, calls.Withdraw(pending.leg)
             )
 
-    def _handle_deadline(self, pending: PendingRequest) -> None:
+    def _handle_deadline(self, pending: pendingrequests.PendingRequest) -> None:
         if pending.on_done is None:
             return
         self._withdraw_leg(pending)
         has_leg = bool(pending.leg)
         self._finish(
             pending,
-            self._final_completion(pending, types.Reason.NO_ANSWER, has_leg),
-        )
-
-    def _final_completion(
-        self,
-        pending: PendingRequest,
-        reason: types.Reason | None,
-        may_have_run: bool,
-        retry_after: float = 0.0,
-    ) -> calls.Completion:
-        """Returns the completion of a request that ends without an answer.
-
-        Args:
-            pending: The request.
-            reason: Why it ends.
-            may_have_run: Whether its last leg may have been executed.
-            retry_after: Seconds after which the caller may try again; 0 for
-                the default.
-        """
-        if pending.last_completion is not None and (
-            pending.last_completion.verdict is types.Verdict.ANSWERED
-        ):
-            # A 5xx answer from a target says more than a reason of the router.
-            return pending.last_completion
-        may_have_run = may_have_run or pending.may_have_run
-        verdict = (
-            types.Verdict.MAY_HAVE_RUN
-            if may_have_run
-            else types.Verdict.NOT_RUN
-        )
-        return calls.Completion(
-            pending.leg,
-            verdict,
-            reason,
-            retry_after=0.0
-            if may_have_run
-            else retry_after or _DEFAULT_RETRY_S,
+            pendingrequests.final_completion(
+                pending, types.Reason.NO_ANSWER, has_leg
+            ),
         )
 
     def _finish(
-        self, pending: PendingRequest, completion: calls.Completion
+        self,
+        pending: pendingrequests.PendingRequest,
+        completion: calls.Completion,
     ) -> None:
         done = pending.on_done
         if done is None:
@@ -665,41 +564,16 @@
         for leg in (pending.leg, *pending.earlier_legs):
             self._by_leg.pop(leg, None)
         self._open.discard(pending)
-        self._log(pending, completion)
+        pendingrequests.log(
+            pending, completion, self._timers.now, self._core.view.cursor
+        )
         self.on_finished(pending, completion)
         done(completion)
 
-    def _log(
-        self, pending: PendingRequest, completion: calls.Completion
-    ) -> None:
-        now = self._timers.now
-        candidate = pending.candidate
-        reason = completion.reason
-        logs.request_event(
-            "request",
-            completion.verdict is not types.Verdict.ANSWERED,
-            request=pending.call.request_id,
-            route=pending.route.name,
-            rank=pending.route.rank,
-            service=pending.service,
-            position=pending.call.position,
-            owner=candidate.incarnation if candidate else "",
-            revision=self._core.view.cursor,
-            load=candidate.reported_load + candidate.sent_since_report
-            if candidate
-            else 0,
-            load_age_ms=(
-                round((now - candidate.last_heard) * 1000) if candidate else 0
-            ),
-            runs=pending.runs,
-            verdict=completion.verdict.value,
-            reason=reason.value if reason else "",
-            status=completion.status,
-            ms=round((now - pending.received_at) * 1000, 1),
-        )
-
 
-def _ignore(pending: PendingRequest, completion: calls.Completion) -> None:
+def _ignore(
+    pending: pendingrequests.PendingRequest, completion: calls.Completion
+) -> None:
     del pending, completion
 
 
--- /dev/null
+++ b/tamarackgap/traffic/pendingrequests.py
@@ -0,0 +1,124 @@
+"""Holds the requests that this daemon has received and not answered yet."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackgap import logs, types
+from tamarackgap.network import scheduler
+from tamarackgap.peers import calls
+from tamarackgap.traffic import balancer, routetable
+
+_DEFAULT_RETRY_S = 0.1
+
+DoneCallback = Callable[[calls.Completion], None]
+
+
+class PendingRequest(msgspec.Struct, eq=False):
+    """Holds a caller's request that has not been answered yet.
+
+    Attributes:
+        call: The request as it is handed to targets.
+        route: The route that it matched.
+        service: The service that is to run it.
+        received_at: Monotonic time at which it was received, seconds.
+        deadline: Monotonic time by which it must be answered, seconds.
+        on_done: Called once with the completion; None after that.
+        leg: Id of the current leg; 0 if there is none.
+        candidate: The target that the last leg was sent to.
+        tried: Incarnations that a leg was sent to.
+        runs: Number of legs that may have reached a target.
+        may_have_run: Whether any leg may have been executed.
+        timer: Fires at the deadline.
+        last_completion: The completion of the last leg that did not end the
+            request.
+        earlier_legs: Legs at daemons that fell silent; an answer to one of
+            them is still passed on.
+    """
+
+    call: calls.Call
+    route: routetable.Route
+    service: types.ServiceName
+    received_at: float
+    deadline: float
+    on_done: DoneCallback | None
+    leg: int = 0
+    candidate: balancer.Candidate | None = None
+    tried: frozenset[str] = frozenset()
+    runs: int = 0
+    may_have_run: bool = False
+    timer: scheduler.Timer | None = None
+    last_completion: calls.Completion | None = None
+    earlier_legs: tuple[int, ...] = ()
+
+
+def final_completion(
+    pending: PendingRequest,
+    reason: types.Reason | None,
+    may_have_run: bool,
+    retry_after: float = 0.0,
+) -> calls.Completion:
+    """Returns the completion of a request that ends without an answer.
+
+    Args:
+        pending: The request.
+        reason: Why it ends.
+        may_have_run: Whether its last leg may have been executed.
+        retry_after: Seconds after which the caller may try again; 0 for
+            the default.
+    """
+    if pending.last_completion is not None and (
+        pending.last_completion.verdict is types.Verdict.ANSWERED
+    ):
+        # A 5xx answer from a target says more than a reason of the router.
+        return pending.last_completion
+    may_have_run = may_have_run or pending.may_have_run
+    verdict = (
+        types.Verdict.MAY_HAVE_RUN if may_have_run else types.Verdict.NOT_RUN
+    )
+    return calls.Completion(
+        pending.leg,
+        verdict,
+        reason,
+        retry_after=0.0 if may_have_run else retry_after or _DEFAULT_RETRY_S,
+    )
+
+
+def log(
+    pending: PendingRequest,
+    completion: calls.Completion,
+    now: float,
+    revision: int,
+) -> None:
+    """Logs the completion of a request.
+
+    Args:
+        pending: The request.
+        completion: Its completion.
+        now: Monotonic time, seconds.
+        revision: Revision of the table that this daemon has read.
+    """
+    candidate = pending.candidate
+    reason = completion.reason
+    logs.request_event(
+        "request",
+        completion.verdict is not types.Verdict.ANSWERED,
+        request=pending.call.request_id,
+        route=pending.route.name,
+        rank=pending.route.rank,
+        service=pending.service,
+        position=pending.call.position,
+        owner=candidate.incarnation if candidate else "",
+        revision=revision,
+        load=candidate.reported_load + candidate.sent_since_report
+        if candidate
+        else 0,
+        load_age_ms=(
+            round((now - candidate.last_heard) * 1000) if candidate else 0
+        ),
+        runs=pending.runs,
+        verdict=completion.verdict.value,
+        reason=reason.value if reason else "",
+        status=completion.status,
+        ms=round((now - pending.received_at) * 1000, 1),
+    )
