Rows that change while a table is read in pages are not missed

What callers saw: nothing known. A table of more than 500 rows or 1 MB is read in pages; a row of an earlier page that changed before the last page was read stayed in its old form until its next change, or until the history was lost.

Cause: changes were followed from the last page's revision on. Each page is the table at its own moment.

Fix: they are followed from the first page's revision, and the read counts as of that moment. Changes that a later page had already shown are read again, which the rows' revisions make harmless.

--- a/tamarackgap/platform/tablewatch.py
+++ b/tamarackgap/platform/tablewatch.py
@@ -69,6 +69,9 @@
         self._known_keys: set[str] = set()
         self._rows_so_far: list[records.Row] = []
         self._keys_so_far: list[str] = []
+        # The first page's answer: rows of it may have changed when the last
+        # page is read, so only changes up to then are known to be complete.
+        self._first_page: rowcodec.RowsAnswer | None = None
         self._retry_pause_s = _MIN_RETRY_PAUSE_S
         self._is_failing = False
         # Makes the next call when the pause ends; None outside of pauses.
@@ -108,6 +111,7 @@
         if not start:
             self._rows_so_far = []
             self._keys_so_far = []
+            self._first_page = None
         query = urllib.parse.urlencode(
             {"table": self._table, "part": "", "from": start, "limit": 500}
         )
@@ -156,6 +160,8 @@
         page = rowcodec.decode_answer(answer)
         if page is None:
             return False
+        first_page = self._first_page or page
+        self._first_page = first_page
         decoded = rowcodec.decode_rows(page)
         self._rows_so_far += decoded.readable
         self._keys_so_far += decoded.keys
@@ -172,13 +178,15 @@
         self._rows_so_far = []
         self._keys_so_far = []
         removed = [
-            records.Row(key, None, page.ver)
+            records.Row(key, None, first_page.ver)
             for key in self._known_keys - present_keys
         ]
         self._known_keys = present_keys
-        self._revision = page.ver
+        self._revision = first_page.ver
         self._on_rows(
-            rows + removed, page.ver, self._store.to_local_clock(page.now_ms)
+            rows + removed,
+            first_page.ver,
+            self._store.to_local_clock(first_page.now_ms),
         )
         self._schedule(0.0)
         return True
--- a/tests/platform/test_tablewatch.py
+++ b/tests/platform/test_tablewatch.py
@@ -169,3 +169,11 @@
     watch.fire()
     watch.answer(row("a"))
     assert watch.rows == {"a": "{}"}
+
+
+def test_a_row_that_changes_while_pages_are_read_is_not_missed(watch):
+    watch.answer(row("a", value="e30="), version=9, has_more=True)
+    # "a" is written again before the second page is read.
+    watch.answer(row("b"), version=11)
+    watch.fire()
+    assert watch.query["after"] == "9"
