Polls end in turn, and no poll waits after a failure

Cause: a long poll that the store has lost looks like one that waits, and was given up 9 s later. Polls of all daemons were sent again at the same moment, after a change or a reset, and all were lost together when the store fell silent right then. The poll after a failure waited as well, so that nothing counted as read before it ended.

Fix, by what notices that a path is back: - polls end at each daemon's own turn, evenly spread on the store's clock, one a second at the latest among the daemons in reach; - after a failure polls do not wait; time-outs and pauses are drawn; - statuses carry when the sender's table was last the newest, on the store's clock. A daemon whose calls fail calls again at once, once in each trouble, when others have had an answer since; - an answer for one table makes the other table's poll be checked if it was sent during the failure. 404 is answered only if the table was the newest within two seconds, by own reads or those of others with the same version; else 503, and the store is asked. Log lines have a table's source, the age of its proof, and how long a lost call had been under way.

The route table's keeping has moved from the router and PeerSync to processes/routetables.py, so that tests run it without a network.

Cost: in a calm time the same number of store calls, which a test bounds. Each status is some bytes longer.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -15,6 +15,8 @@
 _MAX_TRANSACTION_ENTRIES = 100
 _ENTRY_LISTS = ("expected_revision", "put", "remove")
 _UNRESPONSIVE_POLL_S = 0.02
+# Longer than any caller waits for an answer.
+_LOST_CALL_S = 30.0
 
 
 class RowStore:
@@ -23,6 +25,8 @@
     Attributes:
         failure_status: Status for every call while it is not None.
         is_unresponsive: Whether calls get no answer until this is False.
+        loses_calls: Whether calls that come now get no answer at all, on
+            connections that stay open. Those that came before still do.
         call_counts: Number of calls by path.
         committed_transactions: Number of committed transactions, without the
             rows that `put` writes.
@@ -37,6 +41,7 @@
         self._started_at = time.monotonic()
         self.failure_status: int | None = None
         self.is_unresponsive = False
+        self.loses_calls = False
         self.call_counts: dict[str, int] = {}
         self.committed_transactions = 0
 
@@ -69,6 +74,9 @@
         """Handles a call of the store's HTTP API."""
         path, _, query = request.path.partition("?")
         self.call_counts[path] = self.call_counts.get(path, 0) + 1
+        if self.loses_calls:
+            time.sleep(_LOST_CALL_S)
+            return httpd.Response(None)
         while self.is_unresponsive:
             time.sleep(_UNRESPONSIVE_POLL_S)
         if self.failure_status is not None:
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -153,6 +153,8 @@
         interval: Time between two reports, seconds.
         load: Requests a second for the keys that the daemon owns; None if it
             can't tell.
+        route_table_as_of: Last time at which that route table was the newest,
+            milliseconds on the store's clock; 0 if that is not known.
     """
 
     service: types.ServiceName
@@ -166,6 +168,7 @@
     process: str
     interval: decoding.Finite
     load: decoding.Finite | None = None
+    route_table_as_of: decoding.Count = 0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -113,6 +113,15 @@
         )
         return store_s + self._clock_offset_s
 
+    def to_store_clock(self, time: float) -> float:
+        """Returns a time of this process on the store's clock, seconds.
+
+        Args:
+            time: Time on this process's clock, seconds; minus infinity is
+                returned if the store has not answered yet.
+        """
+        return time - self._clock_offset_s
+
     def call_counts(self) -> dict[str, int]:
         """Returns the number of calls by path and result."""
         return dict(self._call_counts)
@@ -127,7 +136,12 @@
             failed: Called with the cause when a read has failed.
         """
         self._own_watch = tablewatch.TableWatch(
-            self, names.OWN_TABLE, storewatch.row_plan(1, True), rows, failed
+            self,
+            names.OWN_TABLE,
+            storewatch.row_plan(1, True),
+            rows,
+            failed,
+            lambda since: self._check_others(self._own_watch, since),
         )
         self._own_watch.read()
 
@@ -146,32 +160,74 @@
         if self._operator_watch is not None:
             self._operator_watch.plan = plan
 
+    def check_route_table(self) -> None:
+        """Reads changes of the configuration now, without waiting for one."""
+        if self._operator_watch is not None:
+            self._operator_watch.check()
+
+    def handle_news(self, answered_at: float) -> None:
+        """Calls again at once where calls fail and others have had an answer.
+
+        Args:
+            answered_at: When the store answered another daemon, seconds on the
+                store's clock.
+        """
+        if self._clock_offset_s == float("inf"):
+            return
+        local_time = answered_at + self._clock_offset_s
+        for watch in (self._own_watch, self._operator_watch):
+            if watch is not None:
+                watch.handle_news(local_time)
+
+    def _check_others(
+        self, regained: tablewatch.TableWatch, since: float
+    ) -> None:
+        """Checks polls that were sent while calls of the other watch failed.
+
+        Args:
+            regained: The watch that has an answer again.
+            since: Time of its last answer before, seconds.
+        """
+        for watch in (self._own_watch, self._operator_watch):
+            if watch is not None and watch is not regained:
+                watch.check_if_sent_since(since)
+
     def watch_route_table(
-        self, changed: Callable[[routetable.RouteTable], None]
+        self,
+        changed: Callable[[routetable.RouteTable], None],
+        checked: Callable[[float], None],
     ) -> None:
         """Reads the operator's configuration, then each new version.
 
         Args:
             changed: Called with each version that could be decoded.
+            checked: Called after each read by which the last such version is
+                the newest, with the time of that on the store's clock, seconds.
         """
+        is_decoded = False
 
         def handle_rows(
             rows: list[records.Row], revision: int, as_of: float
         ) -> None:
-            del revision, as_of
+            nonlocal is_decoded
+            del revision
             for row in rows:
                 if row.key != names.OPERATOR_KEY or row.value is None:
                     continue
                 table = operatorconfig.decode(row.value.encode("utf-8"))
+                is_decoded = table is not None
                 if table is not None:
                     changed(table)
+            if is_decoded:
+                checked(self.to_store_clock(as_of))
 
         self._operator_watch = tablewatch.TableWatch(
             self,
             names.OPERATOR_TABLE,
-            storewatch.route_table_plan(is_watcher=True),
+            storewatch.route_table_plan(storewatch.Turn(0, 1)),
             handle_rows,
             lambda problem: None,
+            lambda since: self._check_others(self._operator_watch, since),
         )
         self._operator_watch.read()
 
@@ -254,6 +310,10 @@
 
         return self._pool.send(lambda: data, timeout, handle_outcome)
 
+    def cancel(self, exchange: httppool.Exchange) -> None:
+        """Ends a call without an answer."""
+        self._pool.cancel(exchange)
+
     @property
     def timers(self) -> scheduler.Scheduler:
         """The loop's scheduler."""
--- a/tamarackgap/platform/tablewatch.py
+++ b/tamarackgap/platform/tablewatch.py
@@ -1,5 +1,6 @@
 """Reads a table of the platform's store, and follows its changes."""
 
+import random
 import urllib.parse
 from collections.abc import Callable
 from typing import Protocol
@@ -16,6 +17,13 @@
 _LONG_POLL_MARGIN_S = 1.0
 _MIN_RETRY_PAUSE_S = 0.4
 _MAX_RETRY_PAUSE_S = 1.0
+# The least part of a pause or of a timeout that is drawn. Daemons whose calls
+# failed at the same moment would otherwise all call again at the same moments.
+_MIN_DRAWN_PART = 0.5
+# All daemons hear at about the same time that the store answers again.
+_MAX_NEWS_DELAY_S = 0.05
+# Shortest time between a call and a check that replaces it.
+_MIN_CHECK_INTERVAL_S = 0.5
 _STATUS_HISTORY_LOST = 410
 
 # Called with rows, the revision up to which they are complete, and the time on
@@ -40,12 +48,25 @@
     ) -> httppool.Exchange:
         """Makes a call, and counts its result."""
 
+    def cancel(self, exchange: httppool.Exchange) -> None:
+        """Ends a call without an answer."""
+
     def to_local_clock(self, store_ms: int) -> float:
         """Returns a time of the store on this process's clock, seconds."""
 
+    def to_store_clock(self, time: float) -> float:
+        """Returns a time of this process on the store's clock, seconds."""
+
 
 class TableWatch:
-    """Reads a table whole, then follows its changes."""
+    """Reads a table whole, then follows its changes.
+
+    A long poll that the store has lost looks like one that waits, until it
+    should have ended. So each poll ends at the plan's turn, which differs
+    between daemons; the first one that notices a loss tells the others. After a
+    failure polls do not wait: their answer shows at once that the store is
+    back, and counts as a read.
+    """
 
     def __init__(
         self,
@@ -54,15 +75,30 @@
         plan: storewatch.ReadPlan,
         on_rows: OnRows,
         on_failure: Callable[[str], None],
+        on_regained: Callable[[float], None] = lambda since: None,
+        rng: random.Random | None = None,
     ) -> None:
+        """Creates a watch that has read nothing.
+
+        Args:
+            store: Makes the calls.
+            table: The table's name.
+            plan: How changes are followed.
+            on_rows: Called after each read.
+            on_failure: Called with the cause when a read has failed.
+            on_regained: Called when the store answers again after a failure,
+                with the time of the last answer before it, seconds.
+            rng: Spreads the calls of daemons that fail together.
+        """
         self._store = store
         self._table = table
-        # How changes are followed from the next read on.
-        self.plan = plan
+        self._plan = plan
         # Length of the pause before the next poll, seconds.
         self._next_pause_s = 0.0
         self._on_rows = on_rows
         self._on_failure = on_failure
+        self._on_regained = on_regained
+        self._rng = rng or random.Random()
         # All changes up to this revision have been read; None if the whole
         # table must be read.
         self._revision: int | None = None
@@ -74,18 +110,78 @@
         self._first_page: rowcodec.RowsAnswer | None = None
         self._retry_pause_s = _MIN_RETRY_PAUSE_S
         self._is_failing = False
+        # Whether a call was made because others had an answer, since the last
+        # answer to this daemon.
+        self._has_used_news = False
+        # The call under way, and the number of calls made. A call that was
+        # replaced has a lower number than the last one.
+        self._exchange: httppool.Exchange | None = None
+        self._calls = 0
+        self._sent_at = float("-inf")
+        # When the store has answered last; at first, when the watch began.
+        self._answered_at = store.timers.now
+        # When the poll under way ends without changes, seconds.
+        self._poll_ends_at = float("-inf")
         # Makes the next call when the pause ends; None outside of pauses.
         self._pause_timer: scheduler.Timer | None = None
         self._skip_next_pause = False
 
+    @property
+    def plan(self) -> storewatch.ReadPlan:
+        """How changes are followed."""
+        return self._plan
+
+    @plan.setter
+    def plan(self, plan: storewatch.ReadPlan) -> None:
+        self._plan = plan
+        now = self._store.timers.now
+        if self._poll_ends_at - now > plan.period:
+            # Fewer daemons are left to notice that polls were lost.
+            self.check()
+
     def skip_pause(self) -> None:
         """Ends the pause after a change; a pause after a failure stays."""
         if self._pause_timer is None:
             self._skip_next_pause = True
         elif not self._is_failing:
-            self._pause_timer.cancel()
             self._next_pause_s = 0.0
-            self.read()
+            self._call_now()
+
+    def check(self) -> None:
+        """Asks for changes without waiting for one, in place of a long poll."""
+        now = self._store.timers.now
+        if (
+            self._is_failing
+            or self._revision is None
+            or now - self._sent_at < _MIN_CHECK_INTERVAL_S
+        ):
+            return
+        self._poll_ends_at = float("-inf")
+        self._poll(0.0)
+
+    def handle_news(self, answered_at: float) -> None:
+        """Calls again at once if others have had an answer since the last call.
+
+        That is done once after a failure: if it fails as well, the store turns
+        away this daemon only.
+
+        Args:
+            answered_at: When the store answered another daemon, seconds.
+        """
+        if (
+            not self._is_failing
+            or self._has_used_news
+            or answered_at <= self._sent_at
+        ):
+            return
+        self._has_used_news = True
+        self._drop_call()
+        self._schedule(self._rng.uniform(0.0, _MAX_NEWS_DELAY_S))
+
+    def check_if_sent_since(self, time: float) -> None:
+        """Replaces the call under way if it was sent after a time, seconds."""
+        if self._exchange is not None and self._sent_at >= time:
+            self.check()
 
     def read(self) -> None:
         """Starts to read the whole table, or polls for its next changes."""
@@ -93,20 +189,40 @@
         if self._revision is None:
             self._read_page("")
             return
-        # A poll after a pause is shorter by the length of the pause: owners
-        # rely on having read the table at least once in each period.
         wait = 0.0
-        if self.plan.waits:
-            wait = max(0.0, self.plan.period - self._next_pause_s)
+        if self._plan.waits and not self._is_failing:
+            # Counted from the last read: owners rely on having read the table
+            # at least once in each period.
+            now = self._store.timers.now
+            wait = max(0.0, self._end_of_wait(now - self._next_pause_s) - now)
         self._next_pause_s = 0.0
+        self._poll(wait)
+
+    def _end_of_wait(self, since: float) -> float:
+        """Returns when a poll ends that follows a read, seconds.
+
+        Args:
+            since: Time of that read, seconds.
+        """
+        return since + storewatch.wait_length(
+            self._plan, self._store.to_store_clock(since)
+        )
+
+    def _poll(self, wait: float) -> None:
         wait_ms = round(wait * 1000)
         path = (
             f"{names.ROWS_FEED}?table={self._table}"
             f"&after={self._revision}&wait_ms={wait_ms}"
         )
         timeout = max(_CALL_TIMEOUT_S, wait + _LONG_POLL_MARGIN_S)
+        if self._is_failing:
+            timeout = self._draw(_CALL_TIMEOUT_S)
+        self._poll_ends_at = self._store.timers.now + wait
         self._call(path, timeout, self._handle_feed)
 
+    def _draw(self, longest: float) -> float:
+        return self._rng.uniform(_MIN_DRAWN_PART * longest, longest)
+
     def _read_page(self, start: str) -> None:
         if not start:
             self._rows_so_far = []
@@ -126,25 +242,59 @@
         handle_answer: Callable[[httppool.Answer], bool],
     ) -> None:
         """Makes a call; `handle_answer` returns False for an invalid answer."""
+        self._drop_call()
+        self._calls += 1
+        call = self._calls
+        self._sent_at = self._store.timers.now
 
         def handle_outcome(
             outcome: result.Result[httppool.Answer, exchanges.Failure],
         ) -> None:
+            if call != self._calls:
+                return
+            self._exchange = None
             match outcome:
                 case result.Success(httppool.Answer() as answer):
                     if not handle_answer(answer):
                         self._handle_failure(f"status {answer.status}")
                 case result.Failure(exchanges.Failure(cause=cause)):
-                    self._handle_failure(cause.value)
+                    self._handle_failure(
+                        cause.value, cause is exchanges.Cause.TIMEOUT
+                    )
+
+        exchange = self._store.call("GET", path, b"", timeout, handle_outcome)
+        if call == self._calls and self._pause_timer is None:
+            self._exchange = exchange
 
-        self._store.call("GET", path, b"", timeout, handle_outcome)
+    def _drop_call(self) -> None:
+        """Forgets the call under way, and a pause."""
+        self._calls += 1
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+            self._pause_timer = None
+        exchange = self._exchange
+        self._exchange = None
+        if exchange is not None:
+            self._store.cancel(exchange)
+
+    def _call_now(self) -> None:
+        self._drop_call()
+        self.read()
 
-    def _handle_failure(self, problem: str) -> None:
+    def _handle_failure(self, problem: str, has_waited: bool = False) -> None:
+        """Calls again after a pause, or at once after a time-out."""
+        under_way_s = self._store.timers.now - self._sent_at
+        self._poll_ends_at = float("-inf")
         if not self._is_failing:
             self._is_failing = True
-            logs.event("store_lost", table=self._table, problem=problem)
+            logs.event(
+                "store_lost",
+                table=self._table,
+                problem=problem,
+                ms=round(under_way_s * 1000),
+            )
         self._on_failure(problem)
-        self._schedule(self._retry_pause_s)
+        self._schedule(0.0 if has_waited else self._draw(self._retry_pause_s))
         self._retry_pause_s = min(self._retry_pause_s * 2, _MAX_RETRY_PAUSE_S)
 
     def _schedule(self, pause: float) -> None:
@@ -152,9 +302,18 @@
 
     def _handle_success(self) -> None:
         self._retry_pause_s = _MIN_RETRY_PAUSE_S
+        self._has_used_news = False
+        self._poll_ends_at = float("-inf")
+        since = self._answered_at
+        self._answered_at = self._store.timers.now
         if self._is_failing:
             self._is_failing = False
-            logs.event("store_regained", table=self._table)
+            logs.event(
+                "store_regained",
+                table=self._table,
+                ms=round((self._answered_at - since) * 1000),
+            )
+            self._on_regained(since)
 
     def _handle_page(self, answer: httppool.Answer) -> bool:
         page = rowcodec.decode_answer(answer)
@@ -198,16 +357,17 @@
             self._schedule(0.0)
             return True
         page = rowcodec.decode_answer(answer)
-        if page is None:
+        # An answer by a state from before the last read proves nothing.
+        if page is None or page.ver < self._revision:
             return False
         self._handle_success()
         decoded = rowcodec.decode_rows(page)
         rows = decoded.readable
         self._known_keys |= set(decoded.keys)
-        self._revision = max(self._revision or 0, page.ver)
+        self._revision = page.ver
         self._on_rows(rows, page.ver, self._store.to_local_clock(page.now_ms))
-        if not self._skip_next_pause and (rows or not self.plan.waits):
-            self._next_pause_s = min(self.plan.pause, self.plan.period)
+        if not self._skip_next_pause and (rows or not self._plan.waits):
+            self._next_pause_s = min(self._plan.pause, self._plan.period)
         self._schedule(self._next_pause_s)
         self._skip_next_pause = False
         return True
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -1,20 +1,16 @@
 """Exchanges target status, crash reports and route tables between routers."""
 
-import random
-from collections.abc import Callable
-
 import msgspec
 
 from tamarackgap import logs, types
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls, messages, transport
-from tamarackgap.processes import tablesync
+from tamarackgap.processes import routetables
 from tamarackgap.traffic import (
     crashes,
     dispatcher,
     relays,
-    routetable,
     runner,
     statusintervals,
 )
@@ -35,8 +31,7 @@
         request_dispatcher: dispatcher.Dispatcher,
         crash_history: crashes.CrashHistory,
         timers: scheduler.Scheduler,
-        route_table: Callable[[], routetable.RouteTable | None],
-        rng: random.Random,
+        route_tables: routetables.RouteTableKeeper,
     ) -> None:
         """Creates an instance that has sent nothing, and schedules broadcasts.
 
@@ -48,8 +43,7 @@
                 local one.
             crash_history: Records which requests ran at targets that crashed.
             timers: The loop's scheduler.
-            route_table: Returns the route table in force here.
-            rng: Chooses whom to ask for a newer route table.
+            route_tables: Holds the route table in force here.
         """
         self._core = core
         self._transport = peer_transport
@@ -57,10 +51,7 @@
         self._dispatcher = request_dispatcher
         self._crash_history = crash_history
         self._timers = timers
-        self._route_table = route_table
-        self._table_sync = tablesync.RouteTableSync(
-            self._send, timers, rng, route_table
-        )
+        self._route_tables = route_tables
         # The incarnation at the start identifies the process, since each id is
         # used only once.
         self._process = core.incarnation
@@ -76,11 +67,6 @@
         timers.after(self._status_interval, self._broadcast_periodically)
         timers.after(relays.DIGEST_INTERVAL_S, self._relay_periodically)
 
-    @property
-    def knows_newer_table(self) -> bool:
-        """Whether another daemon has a newer route table than this one."""
-        return self._table_sync.knows_newer
-
     def receive(self, envelope: messages.Envelope) -> bool:
         """Handles a message about targets or route tables.
 
@@ -93,9 +79,7 @@
                     envelope.sender, envelope.address, status
                 )
                 self._record_load(envelope.sender, status, 0.0)
-                self._table_sync.record_version(
-                    status.route_table_version, envelope.address
-                )
+                self._hear_route_table(status, envelope.address)
             case calls.StatusDigest() as digest:
                 self._apply_digest(digest)
             case calls.TargetCrash() as crash:
@@ -103,7 +87,7 @@
             case calls.FingerprintCleared(fingerprint=fingerprint):
                 self._crash_history.clear(fingerprint)
             case calls.RouteTableRequest():
-                self._table_sync.answer(envelope.address)
+                self._route_tables.send_table(envelope.address)
             case _:
                 return False
         return True
@@ -155,9 +139,7 @@
                 heard.incarnation, heard.address, heard.status, heard.age
             )
             self._record_load(heard.incarnation, heard.status, heard.age)
-            self._table_sync.record_version(
-                heard.status.route_table_version, heard.address
-            )
+            self._hear_route_table(heard.status, heard.address)
         if not digest.passes_on:
             return
         near = {
@@ -171,6 +153,13 @@
             calls.StatusDigest(digest.statuses, passes_on=False),
         )
 
+    def _hear_route_table(
+        self, status: calls.TargetStatus, address: str
+    ) -> None:
+        self._route_tables.hear_version(
+            status.route_table_version, status.route_table_as_of, address
+        )
+
     def _record_load(
         self, incarnation: str, status: calls.TargetStatus, age: float
     ) -> None:
@@ -278,7 +267,6 @@
             interval: Time until the receiver is sent the next one, seconds.
         """
         queue = self._runner.queue
-        table = self._route_table()
         return calls.TargetStatus(
             types.ServiceName(self._core.settings.service),
             self._runner.accepting,
@@ -286,11 +274,12 @@
             queue.running,
             queue.waiting,
             queue.relative_latency,
-            table.version if table is not None else 0,
+            self._route_tables.version,
             types.DataCentre(self._core.settings.data_centre),
             self._process,
             interval,
             self._core.own_load,
+            self._route_tables.as_of_ms,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -6,6 +6,7 @@
 import faulthandler
 import functools
 import gc
+import math
 import random
 import signal
 import time
@@ -29,8 +30,8 @@
     ownershipsettings,
     peersync,
     routerpages,
+    routetables,
     rowsharing,
-    tablesync,
     targethandler,
 )
 from tamarackgap.requests import retries
@@ -41,7 +42,6 @@
     dispatcher,
     pendingrequests,
     routetable,
-    storewatch,
 )
 
 _TICK_INTERVAL_S = 0.05
@@ -76,6 +76,7 @@
 _STATUS_BAD_REQUEST = 400
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = b"0.2"
+_READ_PLAN_INTERVAL_S = 1.0
 
 
 def now() -> float:
@@ -115,15 +116,10 @@
         self.timers = scheduler.Scheduler(now).register(self)
         self.poller.run_due = self.timers.run_due
         self.budget = bytebudget.ByteBudget(settings.message_memory)
-        self._route_table: routetable.RouteTable | None = None
-        self._route_table_since = now()
-        self._route_index: routetable.RouteIndex | None = None
         # When the caller address closes, seconds; None unless draining.
         self._listen_until: float | None = None
         self._exit_deadline = 0.0
         self._stopped = False
-        # Whether this daemon waits for changes of the route table.
-        self._is_watcher = True
 
     def begin(self, platform_adapter: adapter.Adapter) -> None:
         """Binds all addresses and starts the periodic work.
@@ -180,6 +176,16 @@
             settings.daemon_data_centre,
         )
         self._core.is_reachable = self._request_dispatcher.is_reachable
+        self._route_tables = routetables.RouteTableKeeper(
+            platform_adapter.store,
+            platform_adapter.decode_table,
+            self.timers,
+            self._rng,
+            lambda address, message: self._transport.send(
+                self._core.incarnation, address, message
+            ),
+            self._configure,
+        )
         self._peer_sync = peersync.PeerSync(
             self._core,
             self._transport,
@@ -187,9 +193,9 @@
             self._request_dispatcher,
             self._crash_history,
             self.timers,
-            lambda: self._route_table,
-            self._rng,
+            self._route_tables,
         )
+        self._route_tables.on_store_news = self._peer_sync.broadcast_status
         self._row_sharer = rowsharing.RowSharer(
             self._core, self._transport, self._request_dispatcher, self.timers
         )
@@ -226,9 +232,10 @@
         platform_adapter.store.watch(
             self._apply_rows, self._handle_read_failure
         )
-        platform_adapter.store.watch_route_table(self._handle_route_table_read)
+        self._route_tables.start()
         self.timers.every(_TICK_INTERVAL_S, self._tick)
         self.timers.every(_LOAD_REPORT_INTERVAL_S, self._report_load)
+        self.timers.every(_READ_PLAN_INTERVAL_S, self._set_read_plans)
 
     def _listen(
         self, address: str, handler: httpserver.RequestHandler
@@ -251,26 +258,13 @@
                 pass
             case other:
                 raise AssertionError(other)
-        if self._route_index is None or self._takes_no_requests:
+        index = self._route_tables.index
+        if index is None or self._takes_no_requests:
             self._refuse_for_now(incoming)
             return
-        route = self._route_index.find(
-            request.host, request.call.request_target
-        )
+        route = index.find(request.host, request.call.request_target)
         if route is None:
-            logs.request_event(
-                "request_without_route",
-                True,
-                request=request.call.request_id,
-                host=request.host,
-                version=self._route_table.version,
-                knows_newer=self._peer_sync.knows_newer_table,
-            )
-            if self._peer_sync.knows_newer_table:
-                # The table that is on its way may have the route.
-                self._refuse_for_now(incoming)
-            else:
-                incoming.respond(_STATUS_NOT_FOUND, [], b"")
+            self._refuse_without_route(incoming, request)
             return
         timeout = route.timeout if request.timeout is None else request.timeout
         pending = self._request_dispatcher.submit(
@@ -285,6 +279,30 @@
                 self._request_dispatcher.cancel, pending
             )
 
+    def _refuse_without_route(
+        self,
+        incoming: httpserver.IncomingRequest,
+        request: adapter.DecodedRequest,
+    ) -> None:
+        """Answers 404, or 503 while a newer table may have the route."""
+        tables = self._route_tables
+        proof_age = tables.proof_age
+        logs.request_event(
+            "request_without_route",
+            True,
+            request=request.call.request_id,
+            host=request.host,
+            version=tables.version,
+            knows_newer=tables.knows_newer,
+            proof_age_ms=round(proof_age * 1000)
+            if math.isfinite(proof_age)
+            else None,
+        )
+        if tables.can_deny_route():
+            incoming.respond(_STATUS_NOT_FOUND, [], b"")
+        else:
+            self._refuse_for_now(incoming)
+
     def _refuse_for_now(self, incoming: httpserver.IncomingRequest) -> None:
         incoming.respond(
             _STATUS_UNAVAILABLE, [(b"retry-after", _RETRY_AFTER_S)], b""
@@ -310,28 +328,21 @@
         self._transport.set_peers(
             member_addresses | self._request_dispatcher.addresses()
         )
-        self._set_read_plans(members)
+        self._set_read_plans()
         self._retry_budgets.set_daemon_count(len(members))
         self._perform_effects()
 
-    def _set_read_plans(self, members: list[records.LeaseRecord]) -> None:
-        """Sets how this daemon follows the table among all members."""
-        is_owner = self._runner.keyed or bool(self._core.owned)
-        self._adapter.store.set_row_plan(
-            storewatch.row_plan(len(members), is_owner)
-        )
-        is_watcher = storewatch.watches_route_table(
+    def _set_read_plans(self) -> None:
+        """Sets how this daemon follows the store among all daemons."""
+        if not self._core.view.is_read:
+            return
+        self._route_tables.set_read_plans(
             self._settings.daemon_peer_address,
             self._settings.daemon_data_centre,
-            members,
+            self._core.view.open_records(),
+            self._runner.keyed or bool(self._core.owned),
             self._request_dispatcher.is_reachable,
         )
-        if is_watcher is not self._is_watcher:
-            self._is_watcher = is_watcher
-            logs.event("route_table_watch", waits=is_watcher)
-        self._adapter.store.set_route_table_plan(
-            storewatch.route_table_plan(is_watcher)
-        )
 
     def _handle_read_failure(self, problem: str) -> None:
         del problem
@@ -346,21 +357,13 @@
         self._core.handle_commit_result(change, state, rows, now())
         self._perform_effects()
 
-    def _handle_route_table_read(self, table: routetable.RouteTable) -> None:
-        """Applies a table from the store, and tells all daemons of it."""
-        if self._apply_route_table(table):
-            self._peer_sync.broadcast_status()
-
-    def _apply_route_table(self, table: routetable.RouteTable) -> bool:
-        """Applies a route table; returns whether it is newer than before."""
-        if (
-            self._route_table is not None
-            and table.version <= self._route_table.version
-        ):
-            return False
-        self._route_table = table
-        self._route_table_since = now()
-        self._route_index = routetable.RouteIndex(table)
+    def _configure(self, table: routetable.RouteTable, source: str) -> None:
+        """Applies a route table that has come into force.
+
+        Args:
+            table: The table.
+            source: "store", or the address of the daemon that has sent it.
+        """
         self._caller_server.limits = table.limits
         self._request_dispatcher.configure(table)
         service = table.services.get(self._service)
@@ -374,9 +377,9 @@
             version=table.version,
             routes=len(table.routes),
             services=len(table.services),
+            source=source,
             lease_ms=round(self._core.lease_length * 1000),
         )
-        return True
 
     # Other daemons.
 
@@ -394,10 +397,7 @@
             case calls.Withdraw(leg=leg):
                 self._runner.withdraw(sender, leg)
             case calls.RouteTableUpdate() as update:
-                source = tablesync.decode_update(update)
-                table = source and self._adapter.decode_table(source)
-                if table:
-                    self._apply_route_table(table)
+                self._route_tables.handle_update(update, envelope.address)
             case _:
                 if isinstance(envelope.message, messages.RowUpdates):
                     self._row_sharer.pass_on(envelope.message)
@@ -513,8 +513,8 @@
                 store=self._adapter.store,
                 metrics=self._metrics,
                 route_table=lambda: (
-                    self._route_table.version if self._route_table else 0,
-                    self._route_table_since,
+                    self._route_tables.version,
+                    self._route_tables.in_force_since,
                 ),
                 gauges=self._gauges,
                 clock=now,
@@ -531,7 +531,7 @@
     def _handle_readiness(self, incoming: httpserver.IncomingRequest) -> None:
         ready = (
             self._listen_until is None
-            and self._route_table is not None
+            and self._route_tables.table is not None
             and self._core.view.is_read
         )
         incoming.respond(_STATUS_OK if ready else _STATUS_UNAVAILABLE, [], b"")
--- a/tamarackgap/traffic/adapter.py
+++ b/tamarackgap/traffic/adapter.py
@@ -71,12 +71,32 @@
         """
 
     def watch_route_table(
-        self, changed: Callable[[routetable.RouteTable], None]
+        self,
+        changed: Callable[[routetable.RouteTable], None],
+        checked: Callable[[float], None],
     ) -> None:
         """Starts to read the route table and each new version, without end.
 
         Args:
             changed: Called with each version.
+            checked: Called after each read with the time, in seconds on the
+                store's clock, at which the last version was the newest.
+        """
+
+    def check_route_table(self) -> None:
+        """Reads new versions of the route table now, without waiting."""
+
+    def handle_news(self, answered_at: float) -> None:
+        """Calls again at once where calls fail, since the store is back.
+
+        Args:
+            answered_at: When it answered another daemon, seconds on its clock.
+        """
+
+    def to_store_clock(self, time: float) -> float:
+        """Returns a time of this process on the store's clock, seconds.
+
+        It is minus infinity before the store's first answer.
         """
 
     def skip_pause(self) -> None:
--- a/tests/platform/test_tablewatch.py
+++ b/tests/platform/test_tablewatch.py
@@ -1,4 +1,5 @@
 import json
+import random
 import types as module_types
 import urllib.parse
 
@@ -38,10 +39,11 @@
 class Watch:
     """Holds a watch whose calls the test answers."""
 
-    def __init__(self):
+    def __init__(self, rng=None, on_regained=lambda since: None):
         self.now = 100.0
         self.due = []
         self.calls = []
+        self.cancelled = []
         self.rows = {}
         self.timers = self
         self.watch = tablewatch.TableWatch(
@@ -50,6 +52,8 @@
             storewatch.ReadPlan(0.0, 8.0),
             self._apply,
             lambda problem: None,
+            on_regained,
+            rng,
         )
         self.watch.read()
 
@@ -60,18 +64,30 @@
     def to_local_clock(self, store_ms):
         return store_ms / 1000
 
+    def to_store_clock(self, time):
+        return time
+
+    def cancel(self, exchange):
+        self.cancelled.append(exchange)
+
     def call(self, method, path, body, timeout, done):
         query = urllib.parse.parse_qs(path.partition("?")[2], True)
         self.calls.append((path, query, done))
+        return len(self.calls)
 
     def _apply(self, rows, revision, as_of):
         for each in rows:
             self.rows[each.key] = each.value
 
-    def answer(self, *rows, status=200, version=9, **fields):
+    def fail(self, cause):
+        failure = exchanges.Failure(cause, True)
+        self.calls[-1][2](result.Failure(failure))
+
+    def answer(self, *rows, status=200, version=9, call=-1, **fields):
         head = json.dumps({"ver": version, "now_ms": 5, **fields})[1:-1]
         body = f'{{"rows": [{", ".join(rows)}], {head}}}'.encode()
-        self.calls[-1][2](result.Success(httppool.Answer(status, [], body)))
+        answer = httppool.Answer(status, [], body)
+        self.calls[call][2](result.Success(answer))
 
     def fire(self):
         self.due.pop(0)[1]()
@@ -177,3 +193,105 @@
     watch.answer(row("b"), version=11)
     watch.fire()
     assert watch.query["after"] == "9"
+
+
+def test_a_failed_poll_is_followed_by_one_that_does_not_wait(watch):
+    watch.answer()
+    watch.fire()
+    assert watch.query["wait_ms"] == "8000"
+    watch.fail(exchanges.Cause.TIMEOUT)
+    assert watch.due[0][0] == 0.0
+    watch.fire()
+    assert watch.query["wait_ms"] == "0"
+    watch.answer()
+    watch.fire()
+    assert watch.query["wait_ms"] == "8000"
+
+
+def test_pauses_after_refusals_differ_and_are_bounded():
+    pauses = []
+    for seed in range(20):
+        watch = Watch(random.Random(seed))
+        for _ in range(5):
+            watch.fail(exchanges.Cause.REFUSED)
+            pauses.append(watch.due[0][0])
+            watch.fire()
+    assert len(set(pauses)) == len(pauses)
+    assert max(pauses) <= 1.0
+    assert min(pauses) >= 0.2
+
+
+def test_a_failing_watch_calls_again_once_when_others_have_an_answer(watch):
+    watch.answer()
+    watch.fire()
+    watch.fail(exchanges.Cause.TIMEOUT)
+    watch.fire()
+    calls = len(watch.calls)
+    watch.watch.handle_news(watch.now - 1.0)
+    assert not watch.due
+    watch.watch.handle_news(watch.now + 0.1)
+    assert watch.cancelled == [calls]
+    watch.fire()
+    assert len(watch.calls) == calls + 1
+    watch.watch.handle_news(watch.now + 0.2)
+    assert len(watch.calls) == calls + 1
+    # The answer to a call that was replaced counts for nothing.
+    watch.answer(row("a"), call=calls - 1)
+    assert watch.rows == {}
+
+
+def test_a_watch_that_does_not_fail_ignores_answers_to_others(watch):
+    watch.answer()
+    watch.fire()
+    watch.watch.handle_news(watch.now + 1.0)
+    assert len(watch.calls) == 2
+    assert not watch.due
+
+
+def test_a_check_replaces_a_long_poll(watch):
+    watch.answer()
+    watch.fire()
+    watch.watch.check()
+    assert len(watch.calls) == 2
+    watch.now += 1.0
+    watch.watch.check()
+    assert watch.query["wait_ms"] == "0"
+    assert watch.cancelled == [2]
+
+
+def test_a_poll_that_outlasts_a_shorter_period_is_replaced(watch):
+    watch.answer()
+    watch.fire()
+    watch.now += 1.0
+    watch.watch.plan = storewatch.ReadPlan(0.0, 2.0)
+    assert watch.query["wait_ms"] == "0"
+
+
+def test_polls_end_at_the_turn_of_the_plan(watch):
+    watch.watch.plan = storewatch.ReadPlan(0.0, 8.0, turn=0.25)
+    watch.answer()
+    watch.fire()
+    # 100 s is half a period after a multiple of eight; the turn is at 106.
+    assert watch.query["wait_ms"] == "6000"
+
+
+def test_a_regained_watch_tells_since_when_calls_may_be_lost():
+    regained = []
+    watch = Watch(on_regained=regained.append)
+    watch.answer()
+    watch.fire()
+    watch.now += 3.0
+    watch.fail(exchanges.Cause.CLOSED)
+    watch.fire()
+    watch.now += 2.0
+    watch.answer()
+    assert regained == [100.0]
+
+
+def test_an_answer_by_an_earlier_state_is_no_answer(watch):
+    watch.answer(version=9)
+    watch.fire()
+    watch.answer(row("a"), version=8)
+    assert watch.rows == {}
+    watch.fire()
+    assert watch.query["after"] == "9"
--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -1,6 +1,5 @@
 """A network of daemons that exchange states and rows, on a stepped clock."""
 
-import random
 import types as module_types
 
 from tamarackgap.peers import messages
@@ -131,8 +130,9 @@
             self.directory,
             None,
             network,
-            lambda: None,
-            random.Random(1),
+            module_types.SimpleNamespace(
+                version=0, as_of_ms=0, hear_version=lambda *heard: None
+            ),
         )
         self.sharer = rowsharing.RowSharer(core, self, self.directory, network)
         self.row_updates = 0
--- /dev/null
+++ b/tests/traffic/test_tablefreshness.py
@@ -0,0 +1,50 @@
+import pytest
+
+from tamarackgap.traffic import tablefreshness
+
+
+class Freshness:
+    """A daemon's knowledge of version 5, on a clock that the test sets."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.freshness = tablefreshness.TableFreshness(lambda: self.now)
+        self.freshness.set_version(5)
+
+
+@pytest.fixture
+def daemon():
+    return Freshness()
+
+
+def test_a_table_without_proof_is_of_infinite_age(daemon):
+    assert daemon.freshness.age == float("inf")
+
+
+def test_the_age_counts_from_the_last_read(daemon):
+    daemon.freshness.record_read(999.0)
+    daemon.freshness.record_read(998.0)
+    daemon.now = 1003.0
+    assert daemon.freshness.age == 4.0
+
+
+def test_the_proof_of_a_daemon_with_the_same_version_holds_here(daemon):
+    assess = daemon.freshness.assess
+    assert assess(5, 999.5, "a:1") is tablefreshness.Claim.NOT_NEWER
+    assert daemon.freshness.age == 0.5
+    assert assess(4, 999.9, "a:1") is tablefreshness.Claim.NOT_NEWER
+    assert daemon.freshness.age == 0.5
+
+
+def test_a_version_written_since_the_last_proof_is_newer(daemon):
+    daemon.freshness.record_read(999.0)
+    claim = daemon.freshness.assess(6, 999.1, "a:1")
+    assert claim is tablefreshness.Claim.NEWER
+    assert daemon.freshness.age == 1.0
+
+
+def test_only_later_answers_to_others_are_news(daemon):
+    assert daemon.freshness.hear_answer(990.0)
+    assert not daemon.freshness.hear_answer(990.0)
+    assert not daemon.freshness.hear_answer(989.0)
+    assert daemon.freshness.hear_answer(991.0)
