A version that the store would have shown is checked there

What callers saw: 2,800 answers 404 in a mesh of real processes, beside one left over from an earlier mesh whose store's address was used again: it named a higher version, and all others took its configuration.

Cause: any higher version that a peer named was believed and asked for, and any table that came was put into force.

Fix: a status says when its version was last the newest, on the store's clock. Versions only rise, so a version whose proof is older than this daemon's own proof for a lower one, or lies in the future, can't be the newest. Such a version is checked at the store once, without waiting; a read that began after the doubt and does not show it refutes it. A table counts only from a daemon that was asked for one.

The mesh of the symptom was not played again.

--- a/tamarackgap/processes/routetables.py
+++ b/tamarackgap/processes/routetables.py
@@ -177,6 +177,8 @@
         match self._freshness.assess(version, as_of, address):
             case tablefreshness.Claim.NEWER:
                 self._sync.record_version(version, address)
+            case tablefreshness.Claim.DOUBTFUL:
+                self._store.check_route_table()
             case tablefreshness.Claim.NOT_NEWER:
                 pass
 
@@ -187,7 +189,10 @@
     def handle_update(
         self, update: calls.RouteTableUpdate, address: str
     ) -> None:
-        """Applies a table that another daemon has sent."""
+        """Applies a table that another daemon has sent on request."""
+        if not self._sync.was_asked(address):
+            logs.unreadable_event("route_table_not_requested", address=address)
+            return
         source = tablesync.decode_update(update)
         table = self._decode(source) if source else None
         if table is not None:
--- a/tamarackgap/processes/tablesync.py
+++ b/tamarackgap/processes/tablesync.py
@@ -56,6 +56,8 @@
         self._timer: scheduler.Timer | None = None
         # Version of the table that has been requested.
         self._requested = 0
+        # Daemons that were sent a request for it.
+        self._asked: set[str] = set()
         self._retry_s = _MIN_RETRY_S
         # The table in force here, compressed, and its version.
         self._compressed = b""
@@ -82,11 +84,16 @@
             # The table that was requested has arrived meanwhile.
             self._timer.cancel()
         self._requested = 0
+        self._asked.clear()
         self._retry_s = _MIN_RETRY_S
         self._timer = self._timers.after(
             self._rng.uniform(0.0, _GATHER_S), self._request
         )
 
+    def was_asked(self, address: str) -> bool:
+        """Returns whether a daemon has been asked for the table."""
+        return address in self._asked
+
     def answer(self, address: str) -> None:
         """Sends this daemon's table to one that has requested it."""
         table = self._route_table()
@@ -125,6 +132,7 @@
         if len(self._newer) > 1:
             del self._newer[address]
         self._requested = newest
+        self._asked.add(address)
         self._send(address, calls.RouteTableRequest())
         self._timer = self._timers.after(self._retry_s, self._request)
         self._retry_s = min(self._retry_s * 2, _MAX_RETRY_S)
--- a/tamarackgap/traffic/tablefreshness.py
+++ b/tamarackgap/traffic/tablefreshness.py
@@ -9,6 +9,14 @@
 import math
 from collections.abc import Callable
 
+from tamarackgap import logs
+
+# Largest error of a daemon's estimate of the store's clock: it is exact but for
+# the time that the fastest answer took, which ends with its time-out.
+_MAX_CLOCK_ERROR_S = 2.0
+# Versions that are refuted are remembered for so many daemons.
+_MAX_REFUTED = 1000
+
 
 class Claim(enum.Enum):
     """What another daemon's version of the route table means for this one."""
@@ -17,6 +25,8 @@
     NOT_NEWER = "not-newer"
     # It is newer, and may have been written since this daemon's last proof.
     NEWER = "newer"
+    # The store would have shown it to this daemon; only the store can tell.
+    DOUBTFUL = "doubtful"
 
 
 class TableFreshness:
@@ -34,6 +44,13 @@
         self._as_of = -math.inf
         # Newest time at which any daemon is known to have had an answer.
         self._newest_answer = -math.inf
+        # When versions newer than the one here were the newest, as others know.
+        self._newer: dict[int, float] = {}
+        # Last version that the store has refuted, by the daemon's address.
+        self._refuted: dict[str, int] = {}
+        # The same for claims that are being checked, with the time at which
+        # the check began.
+        self._doubted: dict[str, tuple[int, float]] = {}
 
     @property
     def as_of(self) -> float:
@@ -54,6 +71,12 @@
     def set_version(self, version: int) -> None:
         """Records that another version is in force here."""
         self._version = version
+        self._as_of = max(self._as_of, self._newer.get(version, -math.inf))
+        self._newer = {
+            newer: as_of
+            for newer, as_of in self._newer.items()
+            if newer > version
+        }
 
     def record_read(self, as_of: float) -> None:
         """Records that the store has shown the table in force as the newest.
@@ -62,6 +85,20 @@
             as_of: Time of that on the store's clock, seconds.
         """
         self._as_of = max(self._as_of, as_of)
+        for address, (version, since) in list(self._doubted.items()):
+            if since > as_of:
+                continue
+            del self._doubted[address]
+            if version > self._version:
+                self._refute(address, version)
+
+    def _refute(self, address: str, version: int) -> None:
+        logs.event(
+            "route_table_version_refuted", version=version, address=address
+        )
+        if len(self._refuted) >= _MAX_REFUTED:
+            self._refuted.clear()
+        self._refuted[address] = version
 
     def assess(self, version: int, as_of: float, address: str) -> Claim:
         """Returns what a version means that another daemon has in force.
@@ -76,9 +113,25 @@
         """
         if version == self._version:
             self._as_of = max(self._as_of, min(as_of, self._store_time()))
-        if version <= self._version:
+        if version <= self._version or version == self._refuted.get(address):
             return Claim.NOT_NEWER
-        return Claim.NEWER
+        if self._as_of <= as_of and not self._is_in_future(as_of):
+            self._newer[version] = max(as_of, self._newer.get(version, as_of))
+            return Claim.NEWER
+        if address not in self._doubted:
+            logs.event(
+                "route_table_version_doubted",
+                version=version,
+                current=self._version,
+                address=address,
+                age_ms=round((self._store_time() - as_of) * 1000),
+            )
+            self._doubted[address] = (version, self._store_time())
+        return Claim.DOUBTFUL
+
+    def _is_in_future(self, time: float) -> bool:
+        now = self._store_time()
+        return not math.isinf(now) and time > now + _MAX_CLOCK_ERROR_S
 
     def hear_answer(self, as_of: float) -> bool:
         """Records when the store answered another daemon.
@@ -89,7 +142,7 @@
         Returns:
             Whether it is the newest answer known of.
         """
-        if as_of <= self._newest_answer:
+        if as_of <= self._newest_answer or self._is_in_future(as_of):
             return False
         self._newest_answer = as_of
         return True
--- a/tests/processes/test_routetables.py
+++ b/tests/processes/test_routetables.py
@@ -1,9 +1,14 @@
 """The spread of the operators' configuration against faults of all kinds."""
 
+import zlib
+
 import pytest
 
+from standins import platformcluster
+from tamarackgap.peers import calls
 from tests.support import tablenetwork
 
+STRANGER = "stranger:1"
 SECONDS = 45.0
 # Store calls a second by twelve daemons while nothing happens: each follows two
 # tables by polls of eight seconds.
@@ -42,3 +47,61 @@
     before = network.store_calls
     network.run(64.0)
     assert (network.store_calls - before) / 64.0 <= CALM_CALLS_PER_S * 1.1
+
+
+def _name_version(network, version, as_of_ms):
+    """Lets a process that is not of the deployment name a version to all."""
+    for daemon in network.daemons.values():
+        daemon.keeper.hear_version(version, as_of_ms(network), STRANGER)
+
+
+@pytest.mark.parametrize(
+    "as_of_ms",
+    [
+        # It has no proof, an old one, or one by another store's clock.
+        lambda network: 0,
+        lambda network: network.store_now_ms() - 60_000,
+        lambda network: network.store_now_ms() + 10_000_000,
+    ],
+)
+def test_version_of_another_deployments_process_is_not_believed(as_of_ms):
+    network = tablenetwork.Network(1, 5)
+    network.run(12.0)
+    calls_before = network.store_calls
+    for _ in range(40):
+        _name_version(network, 99, as_of_ms)
+        network.run(0.25)
+    assert {d.keeper.version for d in network.daemons.values()} == {1}
+    assert not network.unanswered
+    assert all(d.keeper.can_deny_route() for d in network.daemons.values())
+    # Each daemon asks the store about it once.
+    assert network.store_calls - calls_before <= 10 * 5 * 2 / 5 + 2 * 5
+    network.write(2)
+    network.run(6.0)
+    assert network.violations == []
+
+
+def test_route_table_that_was_not_requested_is_dropped():
+    network = tablenetwork.Network(1, 2)
+    network.run(5.0)
+    (daemon, other) = network.daemons.values()
+    source = platformcluster.configuration(
+        99, *platformcluster.DEFAULT_RESOURCES
+    )
+    daemon.keeper.handle_update(
+        calls.RouteTableUpdate(zlib.compress(source)), other.name
+    )
+    assert daemon.keeper.version == 1
+
+
+def test_few_of_many_daemons_read_a_change_from_the_store():
+    network = tablenetwork.Network(1, 60)
+    # Those that do not wait have read at 20 s.
+    network.run(24.0)
+    calls_before = network.route_table_calls
+    network.write(2)
+    network.run(3.0)
+    assert {d.keeper.version for d in network.daemons.values()} == {2}
+    # Three of each of three data centres wait for changes, and call again
+    # after this one; some of their turns come as well.
+    assert network.route_table_calls - calls_before <= 2 * 9
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -4,6 +4,7 @@
 the pauses that TCP makes after a cut. What the daemons do is the real code.
 """
 
+import base64
 import heapq
 import itertools
 import json
@@ -79,6 +80,7 @@
         )
         network.exchanges.append(exchange_state)
         network.store_calls += 1
+        network.route_table_calls += "table=op&" in target
         network.carry(
             daemon.name,
             STORE,
@@ -291,6 +293,9 @@
 
     def send(self, sender, address, message):
         """Sends a message, as a transport does."""
+        if address not in self.network.daemons:
+            self.network.unanswered.append(message)
+            return True
         if address not in self.links:
             self.links[address] = Link(self.network, self.name, address)
         return self.links[address].send(
@@ -320,8 +325,10 @@
         daemons: All daemons by name.
         blocked: Pairs of ends between which nothing passes, in one direction.
         store_calls: Number of calls that daemons have sent to the store.
+        route_table_calls: Number of those that read the operators' table.
         acknowledged: Time and version of each change of the configuration.
         violations: What was not as the rules ask.
+        unanswered: Messages to addresses that are no daemon's.
     """
 
     def __init__(self, seed, count):
@@ -330,8 +337,10 @@
         self.blocked = set()
         self.exchanges = []
         self.store_calls = 0
+        self.route_table_calls = 0
         self.acknowledged = []
         self.violations = []
+        self.unanswered = []
         self.unacked_timeout_s = _seconds("UNACKED_TIMEOUT_MS")
         self.connect_timeout_s = _seconds("CONNECT_TIMEOUT_MS")
         self._queue = []
@@ -491,6 +500,9 @@
             else:
                 self._waiting.append((state, table, after))
 
+    def store_now_ms(self):
+        return int((self.now + self._clock_offset) * 1000)
+
     def handle_call(self, state, target):
         """Handles a call that has reached the store."""
         if self._is_silent:
@@ -532,7 +544,7 @@
         ]
         body = {
             "ver": self._revision,
-            "now_ms": int((self.now + self._clock_offset) * 1000),
+            "now_ms": self.store_now_ms(),
             "rows": rows,
             "has_more": False,
         }
@@ -659,6 +671,4 @@
 
 
 def _base64(data):
-    import base64
-
     return base64.b64encode(data).decode("ascii")
