Requests for a route table reach a daemon that can answer

On a large site five of five logged daemons asked the same watcher for a new table of 1,421 routes, which took 1.2 of the 2.5 s allowed to hand it out. By reading: a request without a connection was dropped at once and counted as asked, and a holder that had ended was asked again after 2 and 4 s while others that had the table told of it.

Cause: who hears of a new version first knows one holder only. Whether a request could be sent was not looked at, and neither was whether the daemon asked was still alive.

Fix: a request that has no connection is made to another daemon at once.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -120,7 +120,13 @@
 class RouteTableRequest(
     msgspec.Struct, tag="table-wanted", array_like=True, frozen=True
 ):
-    """Asks a daemon with a newer route table for that table."""
+    """Asks a daemon with a newer route table for that table.
+
+    Attributes:
+        version: The version that is needed.
+    """
+
+    version: int = 0
 
 
 class RouteTableUpdate(
@@ -135,6 +141,18 @@
     source: bytes
 
 
+class RouteTableHolders(
+    msgspec.Struct, tag="table-holders", array_like=True, frozen=True
+):
+    """Names daemons that have got a route table, to one that asks for it.
+
+    Attributes:
+        addresses: Their `ip:port`.
+    """
+
+    addresses: tuple[str, ...]
+
+
 class TargetStatus(msgspec.Struct, tag="status", array_like=True, frozen=True):
     """Reports the state of a daemon and its target to other daemons.
 
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -285,6 +285,7 @@
     | calls.StatusDigest
     | calls.RouteTableRequest
     | calls.RouteTableUpdate
+    | calls.RouteTableHolders
 )
 
 
@@ -336,6 +337,8 @@
     addresses = [envelope.address]
     if isinstance(envelope.message, calls.StatusDigest):
         addresses += [heard.address for heard in envelope.message.statuses]
+    elif isinstance(envelope.message, calls.RouteTableHolders):
+        addresses += envelope.message.addresses
     for address in addresses:
         if not _is_address(address):
             raise msgspec.ValidationError(f"no address: {address}")
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store: reads, long polls and transactions."""
 
 import functools
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -72,6 +73,7 @@
         timers: scheduler.Scheduler,
         address: str,
         budget: bytebudget.ByteBudget,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates a client without connections.
 
@@ -80,8 +82,10 @@
             timers: The loop's scheduler.
             address: The store's `ip:port`.
             budget: Limits the memory of all messages under way.
+            rng: Spreads the calls of daemons that fail together.
         """
         self._timers = timers
+        self._rng = rng or random.Random()
         self._address = address
         self._pool = httppool.ConnectionPool(
             poller,
@@ -142,6 +146,7 @@
             rows,
             failed,
             lambda since: self._check_others(self._own_watch, since),
+            self._rng,
         )
         self._own_watch.read()
 
@@ -228,6 +233,7 @@
             handle_rows,
             lambda problem: None,
             lambda since: self._check_others(self._operator_watch, since),
+            self._rng,
         )
         self._operator_watch.read()
 
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -86,8 +86,10 @@
                 self._record_crash(crash)
             case calls.FingerprintCleared(fingerprint=fingerprint):
                 self._crash_history.clear(fingerprint)
-            case calls.RouteTableRequest():
-                self._route_tables.send_table(envelope.address)
+            case calls.RouteTableRequest(version=version):
+                self._route_tables.send_table(envelope.address, version)
+            case calls.RouteTableHolders(addresses=addresses):
+                self._route_tables.handle_holders(addresses, envelope.address)
             case _:
                 return False
         return True
--- a/tamarackgap/processes/routetables.py
+++ b/tamarackgap/processes/routetables.py
@@ -182,9 +182,13 @@
             case tablefreshness.Claim.NOT_NEWER:
                 pass
 
-    def send_table(self, address: str) -> None:
-        """Sends the table to a daemon that has requested it."""
-        self._sync.answer(address)
+    def send_table(self, address: str, version: int) -> None:
+        """Answers a daemon that has requested a version of the table."""
+        self._sync.answer(address, version)
+
+    def handle_holders(self, holders: tuple[str, ...], address: str) -> None:
+        """Handles the answer of a daemon that has named others to ask."""
+        self._sync.handle_holders(holders, address)
 
     def handle_update(
         self, update: calls.RouteTableUpdate, address: str
@@ -232,4 +236,5 @@
         self._index = routetable.RouteIndex(table)
         self._freshness.set_version(table.version)
         self._on_change(table, source)
+        self._sync.handle_change()
         return True
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -225,7 +225,11 @@
         self.timers = Timers(network, self)
         self.links = {}
         self.store = platform_store.Store(
-            None, self.timers, "127.0.0.1:1", bytebudget.ByteBudget()
+            None,
+            self.timers,
+            "127.0.0.1:1",
+            bytebudget.ByteBudget(),
+            network.rng,
         )
         self.store._pool = Pool(network, self)
         core = module_types.SimpleNamespace(
