Lost connections between daemons are given up after 1.2 s

After a cut, calls, statuses and route tables waited for TCP's next retransmission, up to as long again as the cut had lasted.

Cause: ZeroMQ's connections had no time-outs of their own.

Fix: a connection whose bytes are not acknowledged for 1.2 s, the time after which a daemon counts as silent, is made anew; attempts to connect end after 1 s, and what follows them after 2 s. The receiving side finds connections that were given up by keep-alive probes.

--- a/tamarackgap/peers/transport.py
+++ b/tamarackgap/peers/transport.py
@@ -18,6 +18,19 @@
 _HIGH_WATER_MARK_MESSAGES = 1000
 _RECONNECT_MS = 50
 _RECONNECT_MAX_MS = 500
+# A connection whose bytes are not acknowledged for so long is made anew. TCP
+# alone would go on sending them again after ever longer pauses, for as long
+# after a cut as that has lasted, and without end where the connection is lost.
+UNACKED_TIMEOUT_MS = 1200
+# The same for an attempt to connect, and for what follows until the first
+# message can be sent.
+CONNECT_TIMEOUT_MS = 1000
+_HANDSHAKE_TIMEOUT_MS = 2000
+# A receiving socket sends nothing, so only probes show that a connection that
+# its peer has given up is lost.
+_KEEP_ALIVE_IDLE_S = 10
+_KEEP_ALIVE_INTERVAL_S = 5
+_KEEP_ALIVE_PROBES = 3
 # Keeps an iteration of the loop short when peers send without pause.
 _MAX_MESSAGES_PER_ITERATION = 200
 _POLL_INTERVAL_S = 0.05
@@ -77,6 +90,11 @@
         self._inbox.setsockopt(zmq.LINGER, 0)
         self._inbox.setsockopt(zmq.RCVHWM, _HIGH_WATER_MARK_MESSAGES)
         self._inbox.setsockopt(zmq.MAXMSGSIZE, max_message_bytes)
+        self._inbox.setsockopt(zmq.HANDSHAKE_IVL, _HANDSHAKE_TIMEOUT_MS)
+        self._inbox.setsockopt(zmq.TCP_KEEPALIVE, 1)
+        self._inbox.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEP_ALIVE_IDLE_S)
+        self._inbox.setsockopt(zmq.TCP_KEEPALIVE_INTVL, _KEEP_ALIVE_INTERVAL_S)
+        self._inbox.setsockopt(zmq.TCP_KEEPALIVE_CNT, _KEEP_ALIVE_PROBES)
         try:
             self._inbox.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
@@ -195,6 +213,9 @@
             outbox.setsockopt(zmq.SNDHWM, _HIGH_WATER_MARK_MESSAGES)
             outbox.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
             outbox.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+            outbox.setsockopt(zmq.TCP_MAXRT, UNACKED_TIMEOUT_MS)
+            outbox.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+            outbox.setsockopt(zmq.HANDSHAKE_IVL, _HANDSHAKE_TIMEOUT_MS)
             outbox.connect(f"tcp://{address}")
             self._outboxes[address] = outbox
         return outbox
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -10,6 +10,8 @@
 
 MAX_MESSAGE_BYTES = 10_000
 CONNECT_TIMEOUT_S = 5
+# Of the rules: machines are in touch again this long after a cut.
+MAX_LOST_MS = 3000
 
 
 class Timers:
@@ -145,3 +147,15 @@
     assert timers.due == []
     sender.close()
     receiver.close()
+
+
+def test_connections_that_are_lost_without_a_sign_are_given_up(three_peers):
+    # Loopback connections can't be lost; the stepped clock plays the rest
+    # (tests/processes/test_routetables.py).
+    (own, _, _), (_, address, _), _ = three_peers
+    own.set_peers({address})
+    (outbox,) = own._outboxes.values()
+    assert 0 < outbox.getsockopt(zmq.TCP_MAXRT) <= MAX_LOST_MS
+    assert 0 < outbox.getsockopt(zmq.CONNECT_TIMEOUT) <= MAX_LOST_MS
+    assert 0 < outbox.getsockopt(zmq.HANDSHAKE_IVL) <= MAX_LOST_MS
+    assert own._inbox.getsockopt(zmq.TCP_KEEPALIVE) == 1
--- a/tests/processes/test_routetables.py
+++ b/tests/processes/test_routetables.py
@@ -105,3 +105,16 @@
     # Three of each of three data centres wait for changes, and call again
     # after this one; some of their turns come as well.
     assert network.route_table_calls - calls_before <= 2 * 9
+
+
+@pytest.mark.parametrize("cut_s", [0.7, 1.6, 3.3, 6.5, 12.0])
+def test_daemon_without_the_store_follows_the_others_after_a_cut(cut_s):
+    network = tablenetwork.Network(3, 5)
+    network.run(10.0)
+    lone, *others = network.daemons.values()
+    network.cut(60.0, {(lone.name, tablenetwork.STORE)})
+    network.cut(cut_s, {(lone.name, other.name) for other in others})
+    network.run(cut_s)
+    network.write(2)
+    network.run(tablenetwork.CONTACT_S)
+    assert lone.keeper.version == 2
