A call that was late on the way has less time left

Cause: a call carries the time that was left when it was sent, counted from its receipt; one that waited in a lost connection looked early. Its withdrawal waited right behind it and was read after it had started.

Fix: a call carries its time of sending on its sender's clock. The least difference to it seen so far is that of a message without delay, so the receiver knows how late each call is, also by its own freeze. That time is taken from what is left, and a call that is over 0.2 s late is held for 20 ms, so that a withdrawal behind it is read first.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -47,6 +47,7 @@
             as set for the route, seconds.
         objective_remaining: What is left of the latency objective, seconds;
             negative once it has passed.
+        sent: Time of sending, seconds on the sender's clock.
     """
 
     owner: types.Incarnation
@@ -58,6 +59,7 @@
     idempotent: bool
     latency_objective: decoding.Finite
     objective_remaining: decoding.Finite
+    sent: decoding.Finite = 0.0
 
 
 class Completion(
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -24,7 +24,7 @@
     sockets,
 )
 from tamarackgap.ownership import effects, ownership
-from tamarackgap.peers import calls, messages, transport
+from tamarackgap.peers import calls, lateness, messages, transport
 from tamarackgap.placement import records
 from tamarackgap.processes import (
     ownershipsettings,
@@ -40,6 +40,7 @@
     adapter,
     crashes,
     dispatcher,
+    latecalls,
     pendingrequests,
     routetable,
 )
@@ -150,6 +151,8 @@
             + _ENVELOPE_OVERHEAD_BYTES,
             self._receive,
         )
+        self._lateness = lateness.LatenessMeter(now)
+        self._late_calls = latecalls.LateCalls(self.timers)
         self._crash_history = crashes.CrashHistory()
         self._target_handler = targethandler.TargetHandler(
             settings,
@@ -387,14 +390,18 @@
         sender = envelope.sender
         match envelope.message:
             case calls.Dispatch() as dispatch:
-                self._runner.submit(
+                self._late_calls.receive(
                     dispatch,
                     sender,
-                    functools.partial(self._send_completion, envelope.address),
+                    self._lateness.measure(sender, dispatch.sent),
+                    functools.partial(
+                        self._submit_call, sender, envelope.address
+                    ),
                 )
             case calls.Completion() as completion:
                 self._request_dispatcher.handle_completion(sender, completion)
             case calls.Withdraw(leg=leg):
+                self._late_calls.withdraw(sender, leg)
                 self._runner.withdraw(sender, leg)
             case calls.RouteTableUpdate() as update:
                 self._route_tables.handle_update(update, envelope.address)
@@ -405,6 +412,15 @@
                     self._core.receive(envelope, now())
                     self._perform_effects()
 
+    def _submit_call(
+        self, sender: str, address: str, dispatch: calls.Dispatch
+    ) -> None:
+        self._runner.submit(
+            dispatch,
+            sender,
+            functools.partial(self._send_completion, address),
+        )
+
     def _send_completion(
         self, address: str, completion: calls.Completion
     ) -> None:
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -367,6 +367,7 @@
             objective_remaining=pending.received_at
             + route.latency_objective
             - now,
+            sent=now,
         )
         pending.leg = leg
         pending.candidate = candidate
