Memory filled by messages does not keep a daemon from the store

What callers saw: nothing known. Answers of the store shared the memory for messages with callers and targets, and of large messages the ones over 64 KB are refused first. A route table of 350 routes is larger, so a server that sends without end could keep a daemon at an old version.

Cause: control and data had one limit.

Fix: the store's answers have a reserved room of their own. What they hold still counts, so that others have less.

--- a/tamarackgap/network/bytebudget.py
+++ b/tamarackgap/network/bytebudget.py
@@ -34,6 +34,18 @@
         """Number of bytes that are held."""
         return self._used
 
+    def reserve(self, limit: int) -> "ReservedBudget":
+        """Returns a budget for messages that others must not keep out.
+
+        Args:
+            limit: Most bytes that these messages may hold.
+        """
+        return ReservedBudget(self, limit)
+
+    def count(self, change: int) -> None:
+        """Counts bytes that have their room elsewhere."""
+        self._used += change
+
     def change(self, held: int, change: int) -> bool:
         """Counts that a message holds more bytes, or fewer.
 
@@ -44,7 +56,7 @@
         Returns:
             Whether the message has room; never False if it has not grown.
         """
-        self._used += change
+        self.count(change)
         if change <= 0:
             return True
         limit = self._limit
@@ -56,6 +68,37 @@
         return False
 
 
+class ReservedBudget(ByteBudget):
+    """Counts bytes in another budget as well, but has a limit of its own."""
+
+    def __init__(self, budget: ByteBudget, limit: int) -> None:
+        """Creates a budget of which nothing is used.
+
+        Args:
+            budget: The budget whose messages have less room by these.
+            limit: Most bytes that the messages of this budget may hold.
+        """
+        super().__init__(limit)
+        self._budget = budget
+
+    def change(self, held: int, change: int) -> bool:
+        """Counts that a message holds more bytes, or fewer.
+
+        Args:
+            held: Bytes that the message holds now.
+            change: By how many they have changed.
+
+        Returns:
+            Whether the message has room; never False if it has not grown.
+        """
+        self._used += change
+        self._budget.count(change)
+        if change <= 0 or self._used <= self._limit:
+            return True
+        self.refusals += 1
+        return False
+
+
 class Charge:
     """Counts the bytes that one connection or message holds."""
 
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -31,6 +31,9 @@
 _CALL_TIMEOUT_S = 2.0
 # A page of rows has up to 1 MB; one of changes has no stated limit.
 _MAX_ANSWER_BYTES = 16_777_216
+# Both tables may be read at once. Callers and targets that fill the memory for
+# messages must not keep this daemon from its configuration.
+_RESERVED_BYTES = 2 * _MAX_ANSWER_BYTES
 _STATUS_OK = 200
 _STATUS_CONDITION_FAILED = 412
 
@@ -94,7 +97,7 @@
             _IDLE_TIMEOUT_S,
             _UNACKED_TIMEOUT_MS,
             _MAX_ANSWER_BYTES,
-            budget,
+            budget.reserve(_RESERVED_BYTES),
         )
         self._call_counts: dict[str, int] = {}
         self._own_watch: tablewatch.TableWatch | None = None
--- a/tests/network/test_bytebudget.py
+++ b/tests/network/test_bytebudget.py
@@ -33,3 +33,23 @@
         charge.release()
         charge.release()
     assert budget.used == 0
+
+
+def test_reserved_messages_have_room_in_a_full_budget():
+    budget = bytebudget.ByteBudget(LIMIT)
+    reserved = budget.reserve(500_000)
+    data = bytebudget.Charge(budget)
+    assert not data.hold(2 * LIMIT)
+    control = bytebudget.Charge(reserved)
+    assert control.hold(400_000)
+    assert budget.used == 2 * LIMIT + 400_000
+    assert not control.hold(600_000)
+    control.release()
+    assert budget.used == 2 * LIMIT
+
+
+def test_reserved_messages_leave_less_room_for_others():
+    budget = bytebudget.ByteBudget(LIMIT)
+    control = bytebudget.Charge(budget.reserve(LIMIT))
+    assert control.hold(LIMIT)
+    assert not bytebudget.Charge(budget).hold(60_000)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -145,3 +145,11 @@
     for body in (b'{"ver": 1e300}', b"[" * 100_000, b'{"ver": -1}', b"\xff"):
         client.calls[-1][2](result.Success(httppool.Answer(200, [], body)))
     assert outcomes == [(effects.CommitState.UNKNOWN, [])] * 4
+
+
+def test_a_route_table_is_read_while_messages_fill_the_memory():
+    budget = bytebudget.ByteBudget(100_000)
+    bytebudget.Charge(budget).hold(100_000)
+    client = store.Store(None, Timers(), "127.0.0.1:1", budget)
+    answer = bytebudget.Charge(client._pool.budget)
+    assert answer.hold(500_000)
