One daemon's lost poll makes all check theirs

What callers saw: after all open connections had gone silent, requests for keys that had a new owner were refused as "wrong-owner" until 4.5 s later, since each daemon noticed by itself, at its own turn, that its poll for rows was lost, and an owner's writes that were told meanwhile had been lost as well.

Cause: what one failed call tells about the others in flight was used within one daemon only.

Fix: a daemon whose poll got no answer looks whether the store is known to have answered anybody since that poll should have ended. If not, it tells all with its status up to when calls may be lost, and they replace those that they sent before, without waiting. Else the trouble is its own, and nobody else calls.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -175,6 +175,9 @@
             can't tell.
         route_table_as_of: Last time at which that route table was the newest,
             milliseconds on the store's clock; 0 if that is not known.
+        calls_lost_before: Calls to the store that any daemon sent before this
+            time may be lost, milliseconds on the store's clock; 0 if none was
+            found to be.
     """
 
     service: types.ServiceName
@@ -189,6 +192,7 @@
     interval: decoding.Finite
     load: decoding.Finite | None = None
     route_table_as_of: decoding.Count = 0
+    calls_lost_before: decoding.Count = 0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -29,6 +29,8 @@
 _IDLE_TIMEOUT_S = 20.0
 _UNACKED_TIMEOUT_MS = 2500
 _CALL_TIMEOUT_S = 2.0
+# All daemons check their polls when one of them has found its own to be lost.
+_MAX_CHECK_DELAY_S = 0.1
 # A page of rows has up to 1 MB; one of changes has no stated limit.
 _MAX_ANSWER_BYTES = 16_777_216
 # Both tables may be read at once. Callers and targets that fill the memory for
@@ -67,8 +69,18 @@
     remove: list[_RowKey]
 
 
+def _ignore_time(time: float) -> None:
+    del time
+
+
 class Store:
-    """Makes all calls of this daemon to the platform's store."""
+    """Makes all calls of this daemon to the platform's store.
+
+    Attributes:
+        on_poll_lost: Called when the store answers again after a poll got no
+            answer, with the time at which it should have ended, seconds on the
+            store's clock.
+    """
 
     def __init__(
         self,
@@ -89,6 +101,7 @@
         """
         self._timers = timers
         self._rng = rng or random.Random()
+        self.on_poll_lost: Callable[[float], None] = _ignore_time
         self._address = address
         self._pool = httppool.ConnectionPool(
             poller,
@@ -148,7 +161,7 @@
             storewatch.row_plan(1, True),
             rows,
             failed,
-            lambda since: self._check_others(self._own_watch, since),
+            lambda *times: self._handle_regained(self._own_watch, *times),
             self._rng,
         )
         self._own_watch.read()
@@ -187,18 +200,43 @@
             if watch is not None:
                 watch.handle_news(local_time)
 
-    def _check_others(
-        self, regained: tablewatch.TableWatch, since: float
+    def check_calls_sent_before(self, time: float) -> None:
+        """Replaces calls that others have found to be lost, after a moment.
+
+        Args:
+            time: Calls that were sent before may be lost, seconds on the
+                store's clock.
+        """
+        if self._clock_offset_s == float("inf"):
+            return
+        local_time = time + self._clock_offset_s
+
+        def check() -> None:
+            for watch in (self._own_watch, self._operator_watch):
+                if watch is not None:
+                    watch.check_if_sent(float("-inf"), local_time)
+
+        self._timers.after(self._rng.uniform(0.0, _MAX_CHECK_DELAY_S), check)
+
+    def _handle_regained(
+        self,
+        regained: tablewatch.TableWatch,
+        since: float,
+        lost_at: float | None,
     ) -> None:
         """Checks polls that were sent while calls of the other watch failed.
 
         Args:
             regained: The watch that has an answer again.
             since: Time of its last answer before, seconds.
+            lost_at: When a poll should have ended that was lost, seconds; None
+                if none was.
         """
         for watch in (self._own_watch, self._operator_watch):
             if watch is not None and watch is not regained:
-                watch.check_if_sent_since(since)
+                watch.check_if_sent(since, float("inf"))
+        if lost_at is not None and self._clock_offset_s < float("inf"):
+            self.on_poll_lost(self.to_store_clock(lost_at))
 
     def watch_route_table(
         self,
@@ -235,7 +273,7 @@
             storewatch.route_table_plan(storewatch.Turn(0, 1)),
             handle_rows,
             lambda problem: None,
-            lambda since: self._check_others(self._operator_watch, since),
+            lambda *times: self._handle_regained(self._operator_watch, *times),
             self._rng,
         )
         self._operator_watch.read()
--- a/tamarackgap/platform/tablewatch.py
+++ b/tamarackgap/platform/tablewatch.py
@@ -29,6 +29,10 @@
 # Called with rows, the revision up to which they are complete, and the time on
 # this process's clock at which the table had that state, seconds.
 OnRows = Callable[[list[records.Row], int, float], None]
+# Called with the time of the last answer before a failure, and with the time at
+# which a poll should have ended that got no answer, None if none was lost so.
+# Both are in seconds on this process's clock.
+OnRegained = Callable[[float, float | None], None]
 
 
 class Caller(Protocol):
@@ -75,7 +79,7 @@
         plan: storewatch.ReadPlan,
         on_rows: OnRows,
         on_failure: Callable[[str], None],
-        on_regained: Callable[[float], None] = lambda since: None,
+        on_regained: OnRegained = lambda since, lost_at: None,
         rng: random.Random | None = None,
     ) -> None:
         """Creates a watch that has read nothing.
@@ -86,8 +90,7 @@
             plan: How changes are followed.
             on_rows: Called after each read.
             on_failure: Called with the cause when a read has failed.
-            on_regained: Called when the store answers again after a failure,
-                with the time of the last answer before it, seconds.
+            on_regained: Called when the store answers again after a failure.
             rng: Spreads the calls of daemons that fail together.
         """
         self._store = store
@@ -122,6 +125,8 @@
         self._answered_at = store.timers.now
         # When the poll under way ends without changes, seconds.
         self._poll_ends_at = float("-inf")
+        # The same for the first poll of a failure, if it got no answer.
+        self._lost_at: float | None = None
         # Makes the next call when the pause ends; None outside of pauses.
         self._pause_timer: scheduler.Timer | None = None
         self._skip_next_pause = False
@@ -150,14 +155,8 @@
     def check(self) -> None:
         """Asks for changes without waiting for one, in place of a long poll."""
         now = self._store.timers.now
-        if (
-            self._is_failing
-            or self._revision is None
-            or now - self._sent_at < _MIN_CHECK_INTERVAL_S
-        ):
-            return
-        self._poll_ends_at = float("-inf")
-        self._poll(0.0)
+        if now - self._sent_at >= _MIN_CHECK_INTERVAL_S:
+            self._replace_poll()
 
     def handle_news(self, answered_at: float) -> None:
         """Calls again at once if others have had an answer since the last call.
@@ -178,10 +177,19 @@
         self._drop_call()
         self._schedule(self._rng.uniform(0.0, _MAX_NEWS_DELAY_S))
 
-    def check_if_sent_since(self, time: float) -> None:
-        """Replaces the call under way if it was sent after a time, seconds."""
-        if self._exchange is not None and self._sent_at >= time:
-            self.check()
+    def check_if_sent(self, since: float, before: float) -> None:
+        """Replaces the call under way if it was sent within a time.
+
+        Args:
+            since: Begin of that time, seconds.
+            before: End of that time, seconds.
+        """
+        if self._exchange is not None and since <= self._sent_at < before:
+            self._replace_poll()
+
+    def _replace_poll(self) -> None:
+        if not self._is_failing and self._revision is not None:
+            self._poll(0.0)
 
     def read(self) -> None:
         """Starts to read the whole table, or polls for its next changes."""
@@ -284,15 +292,16 @@
     def _handle_failure(self, problem: str, has_waited: bool = False) -> None:
         """Calls again after a pause, or at once after a time-out."""
         under_way_s = self._store.timers.now - self._sent_at
-        self._poll_ends_at = float("-inf")
         if not self._is_failing:
             self._is_failing = True
+            self._lost_at = self._poll_ends_at if has_waited else None
             logs.event(
                 "store_lost",
                 table=self._table,
                 problem=problem,
                 ms=round(under_way_s * 1000),
             )
+        self._poll_ends_at = float("-inf")
         self._on_failure(problem)
         self._schedule(0.0 if has_waited else self._draw(self._retry_pause_s))
         self._retry_pause_s = min(self._retry_pause_s * 2, _MAX_RETRY_PAUSE_S)
@@ -313,7 +322,7 @@
                 table=self._table,
                 ms=round((self._answered_at - since) * 1000),
             )
-            self._on_regained(since)
+            self._on_regained(since, self._lost_at)
 
     def _handle_page(self, answer: httppool.Answer) -> bool:
         page = rowcodec.decode_answer(answer)
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -161,6 +161,7 @@
         self._route_tables.hear_version(
             status.route_table_version, status.route_table_as_of, address
         )
+        self._route_tables.hear_lost_calls(status.calls_lost_before)
 
     def _record_load(
         self, incarnation: str, status: calls.TargetStatus, age: float
@@ -282,6 +283,7 @@
             interval,
             self._core.own_load,
             self._route_tables.as_of_ms,
+            self._route_tables.calls_lost_before_ms,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/processes/routetables.py
+++ b/tamarackgap/processes/routetables.py
@@ -69,6 +69,9 @@
         self._since = timers.now
         # Version of the last table read from the store itself.
         self._stored_version = 0
+        # Calls to the store that were sent before may be lost, as this or
+        # another daemon has found. Milliseconds on the store's clock.
+        self._calls_lost_before_ms = 0
         # Whether this daemon waits for changes of the store's table.
         self._is_watcher = True
         self._freshness = tablefreshness.TableFreshness(
@@ -107,6 +110,14 @@
         as_of = self._freshness.as_of
         return round(as_of * 1000) if math.isfinite(as_of) else 0
 
+    @property
+    def calls_lost_before_ms(self) -> int:
+        """Calls to the store that were sent before this time may be lost.
+
+        Milliseconds on the store's clock; 0 if none was found to be.
+        """
+        return self._calls_lost_before_ms
+
     @property
     def proof_age(self) -> float:
         """Time since then, seconds; infinite if it is not known."""
@@ -119,6 +130,7 @@
 
     def start(self) -> None:
         """Starts to read tables from the store."""
+        self._store.on_poll_lost = self._handle_lost_poll
         self._store.watch_route_table(self._handle_read, self._handle_check)
 
     def can_deny_route(self) -> bool:
@@ -182,6 +194,20 @@
             case tablefreshness.Claim.NOT_NEWER:
                 pass
 
+    def hear_lost_calls(self, before_ms: int) -> None:
+        """Handles that another daemon has found calls to be lost.
+
+        Args:
+            before_ms: The other daemon's `calls_lost_before_ms`.
+        """
+        before = before_ms / 1000
+        if (
+            before_ms > self._calls_lost_before_ms
+            and not self._freshness.is_in_future(before)
+        ):
+            self._calls_lost_before_ms = before_ms
+            self._store.check_calls_sent_before(before)
+
     def send_table(self, address: str, version: int) -> None:
         """Answers a daemon that has requested a version of the table."""
         self._sync.answer(address, version)
@@ -204,6 +230,19 @@
 
     # The store.
 
+    def _handle_lost_poll(self, lost_at: float) -> None:
+        """Tells all daemons of a lost poll, unless only this one had trouble.
+
+        Args:
+            lost_at: When it should have ended, seconds on the store's clock.
+        """
+        if self._freshness.newest_answer > lost_at:
+            return
+        now = self._store.to_store_clock(self._timers.now)
+        self._calls_lost_before_ms = round(now * 1000)
+        logs.event("store_calls_lost", before_ms=self._calls_lost_before_ms)
+        self.on_store_news()
+
     def _handle_read(self, table: routetable.RouteTable) -> None:
         self._stored_version = table.version
         if self._apply(table, "store"):
--- a/tamarackgap/traffic/adapter.py
+++ b/tamarackgap/traffic/adapter.py
@@ -93,6 +93,13 @@
             answered_at: When it answered another daemon, seconds on its clock.
         """
 
+    def check_calls_sent_before(self, time: float) -> None:
+        """Replaces calls under way that may be lost.
+
+        Args:
+            time: Those sent before may be, seconds on the store's clock.
+        """
+
     def to_store_clock(self, time: float) -> float:
         """Returns a time of this process on the store's clock, seconds.
 
--- a/tamarackgap/traffic/tablefreshness.py
+++ b/tamarackgap/traffic/tablefreshness.py
@@ -68,6 +68,14 @@
             return math.inf
         return max(0.0, now - self._as_of)
 
+    @property
+    def newest_answer(self) -> float:
+        """Last time at which the store is known to have answered any daemon.
+
+        In seconds on the store's clock; minus infinity if that is not known.
+        """
+        return max(self._newest_answer, self._as_of)
+
     def set_version(self, version: int) -> None:
         """Records that another version is in force here."""
         self._version = version
@@ -115,7 +123,7 @@
             self._as_of = max(self._as_of, min(as_of, self._store_time()))
         if version <= self._version or version == self._refuted.get(address):
             return Claim.NOT_NEWER
-        if self._as_of <= as_of and not self._is_in_future(as_of):
+        if self._as_of <= as_of and not self.is_in_future(as_of):
             self._newer[version] = max(as_of, self._newer.get(version, as_of))
             return Claim.NEWER
         if address not in self._doubted:
@@ -129,7 +137,8 @@
             self._doubted[address] = (version, self._store_time())
         return Claim.DOUBTFUL
 
-    def _is_in_future(self, time: float) -> bool:
+    def is_in_future(self, time: float) -> bool:
+        """Returns whether a time on the store's clock can't have come yet."""
         now = self._store_time()
         return not math.isinf(now) and time > now + _MAX_CLOCK_ERROR_S
 
@@ -142,7 +151,7 @@
         Returns:
             Whether it is the newest answer known of.
         """
-        if as_of <= self._newest_answer or self._is_in_future(as_of):
+        if as_of <= self._newest_answer or self.is_in_future(as_of):
             return False
         self._newest_answer = as_of
         return True
--- a/tests/platform/test_tablewatch.py
+++ b/tests/platform/test_tablewatch.py
@@ -39,7 +39,7 @@
 class Watch:
     """Holds a watch whose calls the test answers."""
 
-    def __init__(self, rng=None, on_regained=lambda since: None):
+    def __init__(self, rng=None, on_regained=lambda *times: None):
         self.now = 100.0
         self.due = []
         self.calls = []
@@ -277,7 +277,7 @@
 
 def test_a_regained_watch_tells_since_when_calls_may_be_lost():
     regained = []
-    watch = Watch(on_regained=regained.append)
+    watch = Watch(on_regained=lambda *times: regained.append(times))
     watch.answer()
     watch.fire()
     watch.now += 3.0
@@ -285,7 +285,7 @@
     watch.fire()
     watch.now += 2.0
     watch.answer()
-    assert regained == [100.0]
+    assert regained == [(100.0, None)]
 
 
 def test_an_answer_by_an_earlier_state_is_no_answer(watch):
@@ -295,3 +295,26 @@
     assert watch.rows == {}
     watch.fire()
     assert watch.query["after"] == "9"
+
+
+def test_a_regained_watch_tells_when_a_lost_poll_should_have_ended():
+    regained = []
+    watch = Watch(on_regained=lambda *times: regained.append(times))
+    watch.answer()
+    watch.fire()
+    watch.now += 9.0
+    watch.fail(exchanges.Cause.TIMEOUT)
+    watch.fire()
+    watch.answer()
+    assert regained == [(100.0, 108.0)]
+
+
+def test_a_call_is_checked_if_it_was_sent_within_the_time(watch):
+    watch.answer()
+    watch.fire()
+    watch.now += 1.0
+    watch.watch.check_if_sent(100.1, 200.0)
+    watch.watch.check_if_sent(0.0, 100.0)
+    assert watch.query["wait_ms"] == "8000"
+    watch.watch.check_if_sent(0.0, 100.1)
+    assert watch.query["wait_ms"] == "0"
--- a/tests/processes/test_routetables.py
+++ b/tests/processes/test_routetables.py
@@ -41,6 +41,49 @@
     assert network.violations == []
 
 
+@pytest.mark.parametrize("count", [1, 2, 3, 5, 12, 36])
+def test_lost_polls_are_replaced_as_soon_as_one_daemon_has_noticed(count):
+    # Each daemon was at an old state of the rows until it noticed by itself.
+    network = tablenetwork.Network(count, count)
+    network.run(12.0)
+    lost_at = network.now
+    network.silence_store_connections()
+    network.run(tablenetwork.CONTACT_S)
+    for daemon in network.daemons.values():
+        assert daemon.rows_as_of > lost_at
+    network.run(10.0)
+    assert network.violations == []
+
+
+@pytest.mark.parametrize("count", [1, 2, 5, 12, 36])
+@pytest.mark.parametrize("silent_s", [0.5, 1.5, 4.0])
+def test_rows_are_read_again_soon_after_a_reset_and_a_silence(count, silent_s):
+    network = tablenetwork.Network(count, count)
+    network.run(12.0)
+    network.reset_store_connections()
+    network.silence_store(silent_s)
+    network.run(silent_s)
+    returned_at = network.now
+    network.run(tablenetwork.CONTACT_S)
+    for daemon in network.daemons.values():
+        assert daemon.rows_as_of > returned_at
+
+
+def test_a_poll_that_one_daemon_alone_has_lost_makes_no_others_call():
+    network = tablenetwork.Network(1, 12)
+    network.run(12.0)
+    lone = next(iter(network.daemons.values()))
+    network.cut(20.0, {(lone.name, tablenetwork.STORE)})
+    network.run(19.9)
+    assert lone.keeper.calls_lost_before_ms == 0
+    network.run(5.0)
+    assert lone.rows_as_of > 32.0
+    assert {
+        daemon.keeper.calls_lost_before_ms
+        for daemon in network.daemons.values()
+    } == {0}
+
+
 def test_calm_store_gets_no_more_calls_than_polls_of_their_usual_length():
     network = tablenetwork.Network(1, 12)
     network.run(20.0)
--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -131,7 +131,11 @@
             None,
             network,
             module_types.SimpleNamespace(
-                version=0, as_of_ms=0, hear_version=lambda *heard: None
+                version=0,
+                as_of_ms=0,
+                calls_lost_before_ms=0,
+                hear_version=lambda *heard: None,
+                hear_lost_calls=lambda before_ms: None,
             ),
         )
         self.sharer = rowsharing.RowSharer(core, self, self.directory, network)
