A test of a takeover waits until no epoch changes

Traced by the daemons' logs: another member had joined 0.3 s before, and the owner was killed while it prepared its next epoch. Its witnesses had retired the epoch (`seal_asked ... state=closed`), so the successor took the slots by a write to the store (`commit kind=claim reason=lease-over`, 1.3 s after the kill), and all keys were served. The design says so: a retired epoch ends only through the store. The test means the other way, so it waits until the store is idle before it kills the owner; what it checks is the same.

--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -168,6 +168,9 @@
 
 def test_a_key_without_an_owner_during_a_takeover(cluster):
     title = "A key without an owner"
+    # The slots of an owner that changes its epoch go through the store, without
+    # a takeover among daemons.
+    assert platformcluster.wait_until(READY_S, cluster.is_store_idle)
     owner = next(
         vm for vm in cluster.vms if vm.keyed and vm.server.holds(30_000)
     )
