--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -4,10 +4,8 @@
 import random
 from collections.abc import Callable
 
-import msgspec
 from returns import result
 
-from tamarackgap import logs
 from tamarackgap.network import (
     bytebudget,
     exchanges,
@@ -21,8 +19,8 @@
     names,
     operatorconfig,
     requests,
-    rowcodec,
     tablewatch,
+    transactions,
 )
 from tamarackgap.traffic import routetable, storewatch
 
@@ -36,37 +34,6 @@
 # Both tables may be read at once. Callers and targets that fill the memory for
 # messages must not keep this daemon from its configuration.
 _RESERVED_BYTES = 2 * _MAX_ANSWER_BYTES
-_STATUS_OK = 200
-_STATUS_CONDITION_FAILED = 412
-
-
-class _Condition(msgspec.Struct):
-    table: str
-    part: str
-    key: str
-    # The revision that the row must have; 0 if it must not exist.
-    ver: int
-
-
-class _RowWrite(msgspec.Struct):
-    table: str
-    part: str
-    key: str
-    # In base64.
-    value: str
-
-
-class _RowKey(msgspec.Struct):
-    table: str
-    part: str
-    key: str
-
-
-class _Transaction(msgspec.Struct):
-    # A list of conditions, despite its name.
-    expected_revision: list[_Condition]
-    put: list[_RowWrite]
-    remove: list[_RowKey]
 
 
 def _ignore_time(time: float) -> None:
@@ -290,33 +257,12 @@
             done: Called once with the outcome and with rows: those written, or
                 after a conflict the checked rows as they are now.
         """
-        body = _Transaction(
-            [
-                _Condition(names.OWN_TABLE, "", check.key, check.revision)
-                for check in transaction.checks
-            ],
-            [
-                _RowWrite(
-                    names.OWN_TABLE,
-                    "",
-                    write.key,
-                    rowcodec.encode_value(write.value),
-                )
-                for write in transaction.writes
-                if write.value is not None
-            ],
-            [
-                _RowKey(names.OWN_TABLE, "", write.key)
-                for write in transaction.writes
-                if write.value is None
-            ],
-        )
         self.call(
             "POST",
             names.ROWS_TX,
-            msgspec.json.encode(body),
+            transactions.encode(transaction),
             _CALL_TIMEOUT_S,
-            functools.partial(_handle_commit_answer, transaction, done),
+            functools.partial(transactions.handle_answer, transaction, done),
         )
 
     def call(
@@ -365,45 +311,3 @@
     def timers(self) -> scheduler.Scheduler:
         """The loop's scheduler."""
         return self._timers
-
-
-def _handle_commit_answer(
-    transaction: records.Transaction,
-    done: Callable[[effects.CommitState, list[records.Row]], None],
-    outcome: result.Result[httppool.Answer, exchanges.Failure],
-) -> None:
-    match outcome:
-        case result.Success(httppool.Answer(status=status) as answer):
-            page = rowcodec.decode_answer(
-                answer, _STATUS_OK, _STATUS_CONDITION_FAILED
-            )
-            if page is not None and status == _STATUS_OK:
-                rows = [
-                    records.Row(write.key, write.value, page.ver)
-                    for write in transaction.writes
-                ]
-                done(effects.CommitState.COMMITTED, rows)
-                return
-            if page is not None and status == _STATUS_CONDITION_FAILED:
-                done(
-                    effects.CommitState.CONFLICT,
-                    _current_rows(transaction, page),
-                )
-                return
-            logs.event("commit_unknown", status=status)
-        case result.Failure(exchanges.Failure(cause=cause)):
-            logs.event("commit_unknown", cause=cause.value)
-    done(effects.CommitState.UNKNOWN, [])
-
-
-def _current_rows(
-    transaction: records.Transaction, page: rowcodec.RowsAnswer
-) -> list[records.Row]:
-    """Returns the checked rows as they are now; absent ones have no value."""
-    rows = rowcodec.decode_rows(page)
-    present_keys = set(rows.keys)
-    return rows.readable + [
-        records.Row(check.key, None, page.ver)
-        for check in transaction.checks
-        if check.key not in present_keys and page.ver
-    ]
