No 404 by a table of which a part could not be read

What callers saw: nothing known. A resource of the configuration that can't be decoded is left out; requests for its route got 404, though the operators' table has it.

Cause: 404 says that no route matches, which is not known then.

Fix: a table says whether all of it could be read. If not, a request without a route gets 503. The rest of the table stays in force.

test_an_odd_resource_leaves_the_configuration_followed asked for 404 for such a route. The test asks for 503 instead, for this route and for one that is in no table, and for 404 for both once a table without the odd resource is in force.

--- a/tamarackgap/platform/operatorconfig.py
+++ b/tamarackgap/platform/operatorconfig.py
@@ -87,6 +87,7 @@
     routes: list[routetable.Route] = []
     services: dict[types.ServiceName, routetable.Service] = {}
     limits = httpserver.Limits()
+    is_complete = True
     for entry in configuration.resources:
         resource = None
         try:
@@ -100,6 +101,7 @@
                 case "limits":
                     limits = _limits(resource)
         except msgspec.MsgspecError as error:
+            is_complete = False
             logs.unreadable_event(
                 "resource_malformed",
                 kind=resource.type if resource else "",
@@ -107,7 +109,7 @@
                 error=str(error),
             )
     return routetable.RouteTable(
-        version, tuple(routes), services, limits, value
+        version, tuple(routes), services, limits, value, is_complete
     )
 
 
--- a/tamarackgap/processes/routetables.py
+++ b/tamarackgap/processes/routetables.py
@@ -141,7 +141,12 @@
         is_proven = self._freshness.age <= _MAX_PROOF_AGE_S
         if not is_proven:
             self._store.check_route_table()
-        return is_proven and not self._sync.knows_newer
+        return (
+            is_proven
+            and not self._sync.knows_newer
+            and self._table is not None
+            and self._table.is_complete
+        )
 
     def set_read_plans(
         self,
--- a/tamarackgap/traffic/routetable.py
+++ b/tamarackgap/traffic/routetable.py
@@ -76,6 +76,7 @@
         limits: Limits for the requests of callers.
         source: The bytes that the table was read from, which are passed on to
             other daemons.
+        is_complete: Whether all that the operators wrote could be read.
     """
 
     version: int
@@ -83,6 +84,7 @@
     services: dict[types.ServiceName, Service]
     limits: httpserver.Limits
     source: bytes = b""
+    is_complete: bool = True
 
 
 class RouteIndex:
--- a/tests/platform/test_oddentries.py
+++ b/tests/platform/test_oddentries.py
@@ -107,6 +107,14 @@
         assert "Traceback" not in vm.log.read_text()
 
 
+def _statuses(cluster, path):
+    """Returns the status of a request at each daemon."""
+    return [
+        platformcluster.send_caller_request(vm, "seats.example", path)[0]
+        for vm in cluster.vms
+    ]
+
+
 def _is_route_in_force(cluster, path):
     return all(
         platformcluster.send_caller_request(vm, "seats.example", path)[0] == 200
@@ -166,11 +174,16 @@
     assert platformcluster.wait_until(
         FOLLOW_S, lambda: _is_route_in_force(cluster, "/later/x")
     )
-    for vm in cluster.vms:
-        status = platformcluster.send_caller_request(
-            vm, "seats.example", "/odd/x"
-        )[0]
-        assert status == 404
+    # The operators' table has this route, so there is no saying that it is in
+    # none; and nothing else is said to be absent by a part of a table.
+    assert _statuses(cluster, "/odd/x") == [503] * len(cluster.vms)
+    assert _statuses(cluster, "/none/x") == [503] * len(cluster.vms)
+    cluster.store.put("op", "config", _configuration(10, *routes))
+    assert platformcluster.wait_until(
+        FOLLOW_S,
+        lambda: _statuses(cluster, "/odd/x") == [404] * len(cluster.vms),
+    )
+    assert _statuses(cluster, "/none/x") == [404] * len(cluster.vms)
     assert_daemons_go_on(cluster)
 
 
--- a/tests/platform/test_operatorconfig.py
+++ b/tests/platform/test_operatorconfig.py
@@ -156,3 +156,11 @@
         for _ in range(3):
             decode_texts('{"type": "routes", "spec": {"host": "again"}}')
     assert len(events) == 1
+
+
+def test_a_table_says_whether_all_of_it_could_be_read():
+    whole = platformcluster.configuration(1, *platformcluster.DEFAULT_RESOURCES)
+    assert operatorconfig.decode(whole).is_complete
+    odd = platformcluster.route("r", "h", "/a/", "s", max_attempts=-1)
+    part = platformcluster.configuration(2, odd, platformcluster.service("s"))
+    assert not operatorconfig.decode(part).is_complete
--- a/tests/processes/test_routetables.py
+++ b/tests/processes/test_routetables.py
@@ -92,6 +92,20 @@
     assert (network.store_calls - before) / 64.0 <= CALM_CALLS_PER_S * 1.1
 
 
+def test_route_is_not_denied_by_a_table_that_could_not_all_be_read():
+    network = tablenetwork.Network(1, 2)
+    network.run(5.0)
+    odd = platformcluster.route("r", "h", "/a/", "s", max_attempts=-1)
+    network.write(2, odd)
+    network.run(5.0)
+    for daemon in network.daemons.values():
+        assert daemon.keeper.version == 2
+        assert not daemon.keeper.can_deny_route()
+    network.write(3)
+    network.run(5.0)
+    assert all(d.keeper.can_deny_route() for d in network.daemons.values())
+
+
 def _name_version(network, version, as_of_ms):
     """Lets a process that is not of the deployment name a version to all."""
     for daemon in network.daemons.values():
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -489,11 +489,11 @@
 
     # The store.
 
-    def write(self, version):
+    def write(self, version, *resources):
         """Writes a version of the configuration, which is acknowledged."""
         self._revision += 1
         source = platformcluster.configuration(
-            version, *platformcluster.DEFAULT_RESOURCES
+            version, *resources, *platformcluster.DEFAULT_RESOURCES
         )
         self._rows["config"] = (self._revision, source)
         self.acknowledged.append((self.now, version))
