Decisions about calls have a package of their own

traffic/ mixed decisions with the sockets and timers that carry them out. The admission queue and the choice of a target move to scheduling/, which imports no network module; tests/test_layout.py checks that. Behaviour is unchanged: the tests of both move along without a change.

--- a/bench/loads.py
+++ b/bench/loads.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from bench import report
-from tamarackgap.traffic import admission, balancer
+from tamarackgap.scheduling import admission, balancer
 
 _ARRIVALS_END_S = 20.0
 _TARGET_SLOTS = 6
--- /dev/null
+++ b/tamarackgap/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about calls under load, without input or output."""
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -16,8 +16,8 @@
 from tamarackgap.peers import calls, transport
 from tamarackgap.placement import slots
 from tamarackgap.requests import retries
+from tamarackgap.scheduling import balancer
 from tamarackgap.traffic import (
-    balancer,
     crashes,
     pendingrequests,
     reruns,
--- a/tamarackgap/traffic/pendingrequests.py
+++ b/tamarackgap/traffic/pendingrequests.py
@@ -7,7 +7,8 @@
 from tamarackgap import logs, types
 from tamarackgap.network import scheduler
 from tamarackgap.peers import calls
-from tamarackgap.traffic import balancer, routetable
+from tamarackgap.scheduling import balancer
+from tamarackgap.traffic import routetable
 
 _DEFAULT_RETRY_S = 0.1
 
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -16,7 +16,8 @@
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls
 from tamarackgap.placement import loadstats, slots
-from tamarackgap.traffic import admission, crashes, slotgrants
+from tamarackgap.scheduling import admission
+from tamarackgap.traffic import crashes, slotgrants
 
 # A target ends a call at its deadline; its answer takes a little longer.
 _ANSWER_GRACE_S = 0.02
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -6,7 +6,7 @@
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls
-from tamarackgap.traffic import balancer
+from tamarackgap.scheduling import balancer
 
 # A daemon that has not reported for this long is forgotten.
 _EXPIRY_S = 10 * balancer.SILENCE_TIMEOUT_S
--- a/tests/traffic/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tamarackgap.traffic import admission
+from tamarackgap.scheduling import admission
 
 
 class Target:
--- a/tests/traffic/test_balancer.py
+++ b/tests/scheduling/test_balancer.py
@@ -1,6 +1,6 @@
 import random
 
-from tamarackgap.traffic import balancer
+from tamarackgap.scheduling import balancer
 
 
 def candidate(name, **fields):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -50,3 +50,8 @@
 def test_every_package_is_on_the_map():
     packages = {path.parent.name for path in PACKAGE.glob("*/__init__.py")}
     assert packages == set(package_map()) - {TOP}
+
+
+def test_scheduling_uses_no_network():
+    for path in (PACKAGE / "scheduling").glob("*.py"):
+        assert "network" not in imported_packages(path), path.name
--- a/tests/traffic/test_statusintervals.py
+++ b/tests/traffic/test_statusintervals.py
@@ -1,6 +1,7 @@
 import pytest
 
-from tamarackgap.traffic import balancer, statusintervals
+from tamarackgap.scheduling import balancer
+from tamarackgap.traffic import statusintervals
 
 # Status messages of one daemon.
 MAX_MESSAGES_PER_S = 100.001
--- a/tests/traffic/test_targets.py
+++ b/tests/traffic/test_targets.py
@@ -3,7 +3,8 @@
 import pytest
 
 from tamarackgap.peers import calls
-from tamarackgap.traffic import balancer, targets
+from tamarackgap.scheduling import balancer
+from tamarackgap.traffic import targets
 
 
 def status(**fields):
