Pipelined requests with safe methods are served together

Requests of one connection were served one after another, so each waited for the answers to all that its caller had sent before it.

Up to 16 requests with safe methods of one connection are now served at the same time and answered in the order received; others wait for all before them, as RFC 9112 asks. Responses that wait count toward the memory of messages. A test server's requests are made from parsed ones now, so the constructor in tests/platform/test_requests.py takes one; the checks are the same.

--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -5,6 +5,8 @@
 import socket
 from collections.abc import Callable
 
+import msgspec
+
 from tamarackgap import logs
 from tamarackgap.network import (
     bytebudget,
@@ -20,6 +22,11 @@
 # A connection is not read while pipelined requests that take more memory than
 # this wait on it.
 _MAX_PIPELINED_BYTES = 1_048_576
+# Pipelined requests of one connection that are served at the same time.
+_MAX_PARALLEL_REQUESTS = 16
+# Only requests with these methods are served while others of their connection
+# are: what one of the others changes may be what the next one depends on.
+_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 # A caller that is sent an error while it still sends a request is read for this
 # long, since closing at once could take the response from it.
 _LINGER_S = 1.0
@@ -54,17 +61,24 @@
         target: Path and query.
         headers: Header names in lower case, and values, in the order received.
         body: The body.
+        memory: Memory that it takes, bytes.
+        is_served: Whether it has been passed to the server's handler.
+        response: The response to it, while it waits for those to earlier
+            requests of the connection.
         on_disconnect: Called if the caller closes its connection before the
-            response is sent, or None.
+            response is given, or None.
     """
 
     __slots__ = (
         "_connection",
         "received_at",
         "body",
+        "is_served",
+        "memory",
         "on_disconnect",
         "headers",
         "method",
+        "response",
         "target",
     )
 
@@ -72,24 +86,39 @@
         self,
         connection: "_Connection",
         received_at: float,
-        method: str,
-        target: str,
-        headers: Headers,
-        body: bytes,
+        request: requestparser.ParsedRequest,
     ) -> None:
         """Creates a request that was read from `connection`."""
         self._connection = connection
         self.received_at = received_at
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
+        self.method = request.method
+        self.target = request.target
+        self.headers = request.headers
+        self.body = request.body
+        self.memory = request.memory
+        self.is_served = False
+        self.response: _Response | None = None
         self.on_disconnect: Callable[[], None] | None = None
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends the response. May be called only once."""
+        """Sends the response in its turn. May be called only once."""
         self.on_disconnect = None
-        self._connection.respond(status, headers, body)
+        self.response = _Response(status, headers, body)
+        self._connection.send_responses(self)
+
+
+class _Response(msgspec.Struct, frozen=True):
+    """A response that has been given.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Header names and values.
+        body: The body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
 
 
 RequestHandler = Callable[[IncomingRequest], None]
@@ -183,7 +212,11 @@
 
 
 class _Connection:
-    """A caller's connection, whose requests are served one after another."""
+    """A caller's connection.
+
+    Its requests are answered in the order received. Those with safe methods are
+    served at the same time, so that none waits for the answer to another.
+    """
 
     def __init__(self, server: HttpServer, sock: socket.socket) -> None:
         self._server = server
@@ -193,13 +226,13 @@
         self._parser = requestparser.RequestParser(
             lambda: server.limits, self._record_begin, self._queue_request
         )
-        # Complete requests that wait, and the memory that each takes, bytes.
-        self._queued: collections.deque[tuple[IncomingRequest, int]] = (
-            collections.deque()
-        )
-        self._queued_bytes = 0
-        self._current: IncomingRequest | None = None
-        self._current_bytes = 0
+        # Complete requests without a response, or whose response waits for
+        # those to earlier ones, in the order received.
+        self._requests: collections.deque[IncomingRequest] = collections.deque()
+        # Memory of those that have not been served yet, bytes.
+        self._waiting_bytes = 0
+        # Memory of the others, and of responses that wait, bytes.
+        self._serving_bytes = 0
         self._charge = bytebudget.Charge(server.budget)
         self._is_paused = False
         self._is_serving = False
@@ -216,7 +249,7 @@
     def is_busy(self) -> bool:
         """Whether a request is partly received, or a response not yet sent."""
         return (
-            self._current is not None
+            bool(self._requests)
             or self._parser.is_receiving
             or self._writer.unsent > 0
         )
@@ -228,16 +261,8 @@
 
     def _queue_request(self, request: requestparser.ParsedRequest) -> None:
         self._keep_alive = request.keeps_connection
-        incoming = IncomingRequest(
-            self,
-            self._active_at,
-            request.method,
-            request.target,
-            request.headers,
-            request.body,
-        )
-        self._queued.append((incoming, request.memory))
-        self._queued_bytes += request.memory
+        self._requests.append(IncomingRequest(self, self._active_at, request))
+        self._waiting_bytes += request.memory
 
     # Events of the socket.
 
@@ -277,17 +302,20 @@
         """Counts the memory of this connection; returns whether it has room."""
         return self._charge.hold(
             self._parser.memory
-            + self._queued_bytes
-            + self._current_bytes
+            + self._waiting_bytes
+            + self._serving_bytes
             + self._writer.unsent
         )
 
     def _refuse_for_memory(self) -> None:
         """Refuses the request that was received last, which has not run."""
         logs.event("caller_refused_for_memory", held=self._charge.held)
-        if not self._parser.is_receiving and self._queued:
-            _, memory = self._queued.pop()
-            self._queued_bytes -= memory
+        if (
+            not self._parser.is_receiving
+            and self._requests
+            and not self._requests[-1].is_served
+        ):
+            self._waiting_bytes -= self._requests.pop().memory
         self._parser.refuse(_STATUS_NO_ROOM)
         self._update_charge()
 
@@ -296,58 +324,85 @@
             return  # A response was given at once; the loop below goes on.
         self._is_serving = True
         try:
-            while self._queued and self._current is None and not self._closing:
-                self._current, self._current_bytes = self._queued.popleft()
-                self._queued_bytes -= self._current_bytes
-                self._server.serve(self._current)
+            while (request := self._next_request()) is not None:
+                request.is_served = True
+                self._waiting_bytes -= request.memory
+                self._serving_bytes += request.memory
+                self._server.serve(request)
         finally:
             self._is_serving = False
         error_status = self._parser.error_status
-        if error_status and self._current is None and not self._closing:
+        if error_status and not self._requests and not self._closing:
             self._respond_error(error_status)
         self._pause_or_resume()
 
+    def _next_request(self) -> IncomingRequest | None:
+        """Returns the next request that may be served now, or None."""
+        if self._closing or self._closed:
+            return None
+        for served, request in enumerate(self._requests):
+            if not request.is_served:
+                is_parallel = request.method in _SAFE_METHODS
+                return request if is_parallel or not served else None
+            if (
+                request.method not in _SAFE_METHODS
+                or served + 1 >= _MAX_PARALLEL_REQUESTS
+            ):
+                return None
+        return None
+
     def _pause_or_resume(self) -> None:
         """Stops reading while many requests wait, or starts it again."""
-        is_paused = self._queued_bytes > _MAX_PIPELINED_BYTES
+        is_paused = self._waiting_bytes > _MAX_PIPELINED_BYTES
         if is_paused != self._is_paused and not self._closed:
             self._is_paused = is_paused
             self._writer.set_reading(not is_paused)
 
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends the response to the current request."""
-        self._current = None
-        self._current_bytes = 0
+    def send_responses(self, answered: IncomingRequest) -> None:
+        """Sends the responses whose turn has come.
+
+        Args:
+            answered: The request whose response has just been given.
+        """
         if self._closed:
             return
+        self._serving_bytes += len(answered.response.body)
+        while self._requests and self._requests[0].response is not None:
+            request = self._requests.popleft()
+            self._serving_bytes -= request.memory + len(request.response.body)
+            self._send(request.response)
+            if self._closed or self._closing:
+                return
+        self._update_charge()
+        self._serve_next()
+
+    def _send(self, response: _Response) -> None:
+        """Sends a response, and closes the connection if it is the last."""
         # Requests that have been received before are answered as well.
-        keep_alive = bool(self._queued) or (
+        keep_alive = bool(self._requests) or (
             self._keep_alive
             and not self._server.draining
             and not self._parser.error_status
         )
-        reason = _REASON_PHRASES.get(status, "Unknown")
-        lines = [f"HTTP/1.1 {status} {reason}\r\n".encode("ascii")]
-        lines += [b"%b: %b\r\n" % header for header in headers]
-        lines.append(b"content-length: %d\r\n" % len(body))
+        reason = _REASON_PHRASES.get(response.status, "Unknown")
+        lines = [f"HTTP/1.1 {response.status} {reason}\r\n".encode("ascii")]
+        lines += [b"%b: %b\r\n" % header for header in response.headers]
+        lines.append(b"content-length: %d\r\n" % len(response.body))
         if not keep_alive:
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
-        lines.append(body)
+        lines.append(response.body)
         self._active_at = self._server.timers.now
         if not self._writer.write(b"".join(lines)):
             self._handle_disconnect()
-            return
-        self._update_charge()
-        if keep_alive:
-            self._serve_next()
-        else:
+        elif not keep_alive:
+            self._update_charge()
             self._close_when_sent()
 
     def _respond_error(self, status: int) -> None:
         self._keep_alive = False
         is_refusal = status == _STATUS_NO_ROOM
-        self.respond(status, _RETRY_LATER if is_refusal else [], b"")
+        self._send(_Response(status, _RETRY_LATER if is_refusal else [], b""))
 
     def _close_when_sent(self) -> None:
         """Closes the connection after all bytes have been sent."""
@@ -365,7 +420,7 @@
 
     def check_timeout(self, now: float) -> None:
         """Closes the connection if its caller is idle or too slow."""
-        if self._current is not None:
+        if self._requests:
             return
         limits = self._server.limits
         quiet_s = now - self._active_at
@@ -380,10 +435,10 @@
             self.close()
 
     def _handle_disconnect(self) -> None:
-        waiting = [self._current, *(queued for queued, _ in self._queued)]
+        waiting = list(self._requests)
         self.close()
         for incoming in waiting:
-            if incoming is not None and incoming.on_disconnect is not None:
+            if incoming.on_disconnect is not None:
                 callback = incoming.on_disconnect
                 incoming.on_disconnect = None
                 callback()
@@ -393,7 +448,7 @@
         if self._closed:
             return
         self._closed = True
-        self._queued.clear()
+        self._requests.clear()
         self._charge.release()
         self._server.poller.unwatch(self._descriptor)
         self._server.discard(self)
--- a/tests/network/test_httpserver.py
+++ b/tests/network/test_httpserver.py
@@ -163,6 +163,66 @@
     assert caller.recv(100) == b""
 
 
+def test_pipelined_requests_are_served_together_and_answered_in_order(server):
+    # Each waited for the answers to all before it.
+    caller = server.connect()
+    server.send(caller, GET + GET.replace(b"/a", b"/b"))
+    first, second = server.requests
+    assert (first.target, second.target) == ("/a", "/b")
+    second.respond(200, [], b"second")
+    assert received(caller) == b""
+    first.respond(200, [], b"first")
+    responses = received(caller)
+    assert responses.index(b"first") < responses.index(b"second")
+
+
+def test_a_request_that_may_change_something_is_served_alone(server):
+    caller = server.connect()
+    server.send(caller, GET + post(b"x") + GET)
+    assert [request.method for request in server.requests] == ["GET"]
+    server.requests[0].respond(200, [], b"")
+    assert [request.method for request in server.requests] == ["GET", "POST"]
+    server.requests[1].respond(200, [], b"")
+    assert [r.method for r in server.requests] == ["GET", "POST", "GET"]
+
+
+def test_a_caller_can_not_have_all_of_its_requests_served_at_once(server):
+    server.server.budget = bytebudget.ByteBudget()
+    caller = server.connect()
+    server.send(caller, GET * 100)
+    assert 1 < len(server.requests) <= 16
+    while server.requests:
+        server.requests.pop(0).respond(200, [], b"")
+    assert received(caller).count(b"HTTP/1.1 200") == 100
+
+
+def test_responses_that_wait_for_an_earlier_one_share_the_memory(server):
+    caller = server.connect()
+    server.send(caller, GET + GET)
+    server.requests[1].respond(200, [], b"a" * 300_000)
+    server.poller.run()
+    assert server.budget.used > 300_000
+    server.requests[0].respond(200, [], b"")
+    while received(caller):
+        server.poller.run()
+    assert server.budget.used < 10_000
+
+
+def test_all_pipelined_requests_hear_that_their_caller_has_left(server):
+    caller = server.connect()
+    server.send(caller, GET + GET)
+    left = []
+    for request in server.requests:
+        request.on_disconnect = lambda target=request.target: left.append(
+            target
+        )
+    caller.close()
+    server.poller.run()
+    assert len(left) == 2
+    server.requests[0].respond(200, [], b"")
+    assert server.budget.used == 0
+
+
 def test_a_request_before_one_that_closes_the_connection_is_answered(server):
     caller = server.connect()
     last = GET.replace(b"host", b"connection: close\r\nhost")
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,7 +2,7 @@
 from returns import result
 
 from tamarackgap import types
-from tamarackgap.network import httppool, httpserver
+from tamarackgap.network import httppool, httpserver, requestparser
 from tamarackgap.platform import requests
 
 
@@ -78,9 +78,10 @@
             for name, value in headers.items()
         ),
     ]
-    incoming = httpserver.IncomingRequest(
-        None, 0.0, "GET", "/x", header_pairs, b""
+    parsed = requestparser.ParsedRequest(
+        "GET", "/x", header_pairs, b"", keeps_connection=True, memory=0
     )
+    incoming = httpserver.IncomingRequest(None, 0.0, parsed)
     return requests.decode_call(incoming, types.ServiceName("s"))
 
 
