A status that HTTP does not have makes bytes no answer

The HTTP parser takes any three digits for a status. 600 to 999 were passed on to the caller as answers, without a signature as well; 000 to 099 were dropped like interim answers, so that the call waited for another one until its deadline. Such an answer is malformed now: its connection is closed, and the call may have run. It is logged as answer_status_invalid.

tests/network/test_answerparser.py: 6 of the new cases fail before.

--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -4,11 +4,15 @@
 
 import httptools
 
+from tamarackgap import logs
 from tamarackgap.network import bytebudget
 
 Headers = list[tuple[bytes, bytes]]
 
+# The HTTP parser takes any three digits for a status.
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 _MAX_HEAD_BYTES = 65_536
 # Memory of a header field beside its characters: a tuple and two objects.
 FIELD_OVERHEAD_BYTES = 160
@@ -67,6 +71,8 @@
         self._has_framing = False
         self._is_head_complete = False
         self._is_receiving = False
+        # Whether a status was received that HTTP does not have.
+        self._has_bad_status = False
         # Bytes of the answer being received, with those read together with its
         # begin.
         self._received_bytes = 0
@@ -99,6 +105,10 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._charge.release()
             return False
+        if self._has_bad_status:
+            self._drop()
+            self._charge.release()
+            return False
         self._received_bytes += len(data)
         if self._is_closed:
             # Closed by a callback; what was parsed since is of no use.
@@ -144,6 +154,10 @@
     def on_headers_complete(self) -> None:
         """Ends the head."""
         self._is_head_complete = True
+        status = self._parser.get_status_code()
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            self._has_bad_status = True
+            logs.unreadable_event("answer_status_invalid", status=status)
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
@@ -155,7 +169,7 @@
         headers, body = self._headers, bytes(self._body)
         self._drop()
         status = self._parser.get_status_code()
-        if status >= _FIRST_FINAL_STATUS:
+        if status >= _FIRST_FINAL_STATUS and not self._has_bad_status:
             self._on_answer(status, headers, body)
 
     def _drop(self) -> None:
--- a/tests/network/test_answerparser.py
+++ b/tests/network/test_answerparser.py
@@ -82,3 +82,34 @@
     answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
     parser.feed(answer + b"HTTP/1.1 200 OK\r\nx-a: b\r\nx-c: d\r\n")
     assert budget.used == 0
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+def test_a_status_that_http_does_not_have_makes_bytes_no_answer(status):
+    # 000 was taken for an interim answer, and 600 and above were passed on.
+    head = b"HTTP/1.1 %b X\r\ncontent-length: 1\r\n\r\n" % status
+    answers = Answers(1000)
+    assert not answers.parser.feed(head + b"a")
+    assert answers.received == []
+    assert answers.budget.used == 0
+    in_parts = Answers(1000)
+    assert not in_parts.parser.feed(head)
+    assert not in_parts.parser.feed(b"a")
+    assert in_parts.received == []
+
+
+def test_an_answer_after_one_without_a_valid_status_is_not_believed():
+    answers = Answers(1000)
+    bad = b"HTTP/1.1 000 X\r\ncontent-length: 0\r\n\r\n"
+    good = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb"
+    assert not answers.parser.feed(bad + good)
+    assert answers.received == []
+
+
+@pytest.mark.parametrize("status", [b"200", b"599"])
+def test_an_answer_with_an_interim_one_before_it_is_passed_on(status):
+    answers = Answers(1000)
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    final = b"HTTP/1.1 %b X\r\ncontent-length: 1\r\n\r\nc" % status
+    assert answers.parser.feed(interim + final)
+    assert answers.received == [b"c"]
