--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -1,15 +1,13 @@
 """Serves HTTP/1.1: reads whole requests and sends whole responses."""
 
-import collections
 import contextlib
 import socket
 from collections.abc import Callable
 
-import msgspec
-
 from tamarackgap import logs
 from tamarackgap.network import (
     bytebudget,
+    pipeline,
     requestparser,
     scheduler,
     sockets,
@@ -22,11 +20,6 @@
 # A connection is not read while pipelined requests that take more memory than
 # this wait on it.
 _MAX_PIPELINED_BYTES = 1_048_576
-# Pipelined requests of one connection that are served at the same time.
-_MAX_PARALLEL_REQUESTS = 16
-# Only requests with these methods are served while others of their connection
-# are: what one of the others changes may be what the next one depends on.
-_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 # A caller that is sent an error while it still sends a request is read for this
 # long, since closing at once could take the response from it.
 _LINGER_S = 1.0
@@ -49,78 +42,10 @@
 }
 
 Headers = requestparser.Headers
+IncomingRequest = pipeline.IncomingRequest
 Limits = requestparser.Limits
 
 
-class IncomingRequest:
-    """A request that has been received completely and awaits its response.
-
-    Attributes:
-        received_at: Monotonic time of the request's first byte, seconds.
-        method: HTTP method.
-        target: Path and query.
-        headers: Header names in lower case, and values, in the order received.
-        body: The body.
-        memory: Memory that it takes, bytes.
-        is_served: Whether it has been passed to the server's handler.
-        response: The response to it, while it waits for those to earlier
-            requests of the connection.
-        on_disconnect: Called if the caller closes its connection before the
-            response is given, or None.
-    """
-
-    __slots__ = (
-        "_connection",
-        "received_at",
-        "body",
-        "is_served",
-        "memory",
-        "on_disconnect",
-        "headers",
-        "method",
-        "response",
-        "target",
-    )
-
-    def __init__(
-        self,
-        connection: "_Connection",
-        received_at: float,
-        request: requestparser.ParsedRequest,
-    ) -> None:
-        """Creates a request that was read from `connection`."""
-        self._connection = connection
-        self.received_at = received_at
-        self.method = request.method
-        self.target = request.target
-        self.headers = request.headers
-        self.body = request.body
-        self.memory = request.memory
-        self.is_served = False
-        self.response: _Response | None = None
-        self.on_disconnect: Callable[[], None] | None = None
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends the response in its turn. May be called only once."""
-        self.on_disconnect = None
-        self.response = _Response(status, headers, body)
-        self._connection.send_responses(self)
-
-
-class _Response(msgspec.Struct, frozen=True):
-    """A response that has been given.
-
-    Attributes:
-        status: The HTTP status.
-        headers: Header names and values.
-        body: The body.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 RequestHandler = Callable[[IncomingRequest], None]
 
 
@@ -212,11 +137,7 @@
 
 
 class _Connection:
-    """A caller's connection.
-
-    Its requests are answered in the order received. Those with safe methods are
-    served at the same time, so that none waits for the answer to another.
-    """
+    """A caller's connection."""
 
     def __init__(self, server: HttpServer, sock: socket.socket) -> None:
         self._server = server
@@ -226,13 +147,7 @@
         self._parser = requestparser.RequestParser(
             lambda: server.limits, self._record_begin, self._queue_request
         )
-        # Complete requests without a response, or whose response waits for
-        # those to earlier ones, in the order received.
-        self._requests: collections.deque[IncomingRequest] = collections.deque()
-        # Memory of those that have not been served yet, bytes.
-        self._waiting_bytes = 0
-        # Memory of the others, and of responses that wait, bytes.
-        self._serving_bytes = 0
+        self._pipeline = pipeline.Pipeline()
         self._charge = bytebudget.Charge(server.budget)
         self._is_paused = False
         self._is_serving = False
@@ -249,7 +164,7 @@
     def is_busy(self) -> bool:
         """Whether a request is partly received, or a response not yet sent."""
         return (
-            bool(self._requests)
+            bool(self._pipeline)
             or self._parser.is_receiving
             or self._writer.unsent > 0
         )
@@ -261,8 +176,9 @@
 
     def _queue_request(self, request: requestparser.ParsedRequest) -> None:
         self._keep_alive = request.keeps_connection
-        self._requests.append(IncomingRequest(self, self._active_at, request))
-        self._waiting_bytes += request.memory
+        self._pipeline.add(
+            IncomingRequest(self._send_responses, self._active_at, request)
+        )
 
     # Events of the socket.
 
@@ -301,21 +217,14 @@
     def _update_charge(self) -> bool:
         """Counts the memory of this connection; returns whether it has room."""
         return self._charge.hold(
-            self._parser.memory
-            + self._waiting_bytes
-            + self._serving_bytes
-            + self._writer.unsent
+            self._parser.memory + self._pipeline.memory + self._writer.unsent
         )
 
     def _refuse_for_memory(self) -> None:
         """Refuses the request that was received last, which has not run."""
         logs.event("caller_refused_for_memory", held=self._charge.held)
-        if (
-            not self._parser.is_receiving
-            and self._requests
-            and not self._requests[-1].is_served
-        ):
-            self._waiting_bytes -= self._requests.pop().memory
+        if not self._parser.is_receiving:
+            self._pipeline.drop_last()
         self._parser.refuse(_STATUS_NO_ROOM)
         self._update_charge()
 
@@ -324,41 +233,26 @@
             return  # A response was given at once; the loop below goes on.
         self._is_serving = True
         try:
-            while (request := self._next_request()) is not None:
-                request.is_served = True
-                self._waiting_bytes -= request.memory
-                self._serving_bytes += request.memory
+            while not (self._closing or self._closed):
+                request = self._pipeline.next_to_serve()
+                if request is None:
+                    break
                 self._server.serve(request)
         finally:
             self._is_serving = False
         error_status = self._parser.error_status
-        if error_status and not self._requests and not self._closing:
+        if error_status and not self._pipeline and not self._closing:
             self._respond_error(error_status)
         self._pause_or_resume()
 
-    def _next_request(self) -> IncomingRequest | None:
-        """Returns the next request that may be served now, or None."""
-        if self._closing or self._closed:
-            return None
-        for served, request in enumerate(self._requests):
-            if not request.is_served:
-                is_parallel = request.method in _SAFE_METHODS
-                return request if is_parallel or not served else None
-            if (
-                request.method not in _SAFE_METHODS
-                or served + 1 >= _MAX_PARALLEL_REQUESTS
-            ):
-                return None
-        return None
-
     def _pause_or_resume(self) -> None:
         """Stops reading while many requests wait, or starts it again."""
-        is_paused = self._waiting_bytes > _MAX_PIPELINED_BYTES
+        is_paused = self._pipeline.waiting_bytes > _MAX_PIPELINED_BYTES
         if is_paused != self._is_paused and not self._closed:
             self._is_paused = is_paused
             self._writer.set_reading(not is_paused)
 
-    def send_responses(self, answered: IncomingRequest) -> None:
+    def _send_responses(self, answered: IncomingRequest) -> None:
         """Sends the responses whose turn has come.
 
         Args:
@@ -366,20 +260,18 @@
         """
         if self._closed:
             return
-        self._serving_bytes += len(answered.response.body)
-        while self._requests and self._requests[0].response is not None:
-            request = self._requests.popleft()
-            self._serving_bytes -= request.memory + len(request.response.body)
-            self._send(request.response)
+        self._pipeline.hold_response(answered)
+        while (response := self._pipeline.take_response()) is not None:
+            self._send(response)
             if self._closed or self._closing:
                 return
         self._update_charge()
         self._serve_next()
 
-    def _send(self, response: _Response) -> None:
+    def _send(self, response: pipeline.Response) -> None:
         """Sends a response, and closes the connection if it is the last."""
         # Requests that have been received before are answered as well.
-        keep_alive = bool(self._requests) or (
+        keep_alive = bool(self._pipeline) or (
             self._keep_alive
             and not self._server.draining
             and not self._parser.error_status
@@ -402,7 +294,9 @@
     def _respond_error(self, status: int) -> None:
         self._keep_alive = False
         is_refusal = status == _STATUS_NO_ROOM
-        self._send(_Response(status, _RETRY_LATER if is_refusal else [], b""))
+        self._send(
+            pipeline.Response(status, _RETRY_LATER if is_refusal else [], b"")
+        )
 
     def _close_when_sent(self) -> None:
         """Closes the connection after all bytes have been sent."""
@@ -420,7 +314,7 @@
 
     def check_timeout(self, now: float) -> None:
         """Closes the connection if its caller is idle or too slow."""
-        if self._requests:
+        if self._pipeline:
             return
         limits = self._server.limits
         quiet_s = now - self._active_at
@@ -435,7 +329,7 @@
             self.close()
 
     def _handle_disconnect(self) -> None:
-        waiting = list(self._requests)
+        waiting = self._pipeline.clear()
         self.close()
         for incoming in waiting:
             if incoming.on_disconnect is not None:
@@ -448,7 +342,7 @@
         if self._closed:
             return
         self._closed = True
-        self._requests.clear()
+        self._pipeline.clear()
         self._charge.release()
         self._server.poller.unwatch(self._descriptor)
         self._server.discard(self)
