Calls to cold targets are paced by the daemon beside them

Cause: nothing read how long a target said that it was cold.

The expected wait, Retry-After and the capacity in the status follow the pace. `cold_per_s` is checked apart from the rest of a service; `cold_overage` and `cold_slack` may be empty. Without a rate nothing changes.

The fakes of a queue in tests/support have `offered_capacity` in place of `capacity`, which the status now asks for.

--- a/tamarackgap/platform/operatorconfig.py
+++ b/tamarackgap/platform/operatorconfig.py
@@ -23,6 +23,8 @@
 # Latencies are divided by it.
 _Objective = Annotated[float, msgspec.Meta(ge=1, le=2**31 - 1)]
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+# Requests per second; 0 for no limit.
+_ColdRate = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
 class _Metadata(msgspec.Struct):
@@ -64,6 +66,8 @@
     sharded: bool = False
     # How servers of the service are granted keys.
     grants: str = ""
+    # Checked apart, so that an odd value spoils nothing else.
+    cold_per_s: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _Limits(msgspec.Struct):
@@ -148,9 +152,21 @@
         spec.sharded,
         spec.max_connections,
         _GRANT_CHANNELS.get(spec.grants),
+        _cold_rate(resource.metadata.name, spec.cold_per_s),
     )
 
 
+def _cold_rate(service: str, value: msgspec.Raw) -> float:
+    """Returns the rate that a cold server tolerates; 0 if it is unusable."""
+    try:
+        return decoding.decode(value, _ColdRate)
+    except msgspec.MsgspecError as error:
+        logs.unreadable_event(
+            "cold_rate_unusable", service=service, error=str(error)
+        )
+        return 0.0
+
+
 def _limits(resource: _Resource) -> httpserver.Limits:
     spec = decoding.decode(resource.spec, _Limits)
     return httpserver.Limits(
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -273,7 +273,7 @@
         return calls.TargetStatus(
             types.ServiceName(self._core.settings.service),
             self._runner.accepting,
-            queue.capacity,
+            queue.offered_capacity(self._timers.now),
             queue.running,
             queue.waiting,
             queue.relative_latency,
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -373,6 +373,7 @@
         keyed = service is not None and service.keyed
         self._core.keyed = keyed
         self._runner.keyed = keyed
+        self._target_handler.limit_cold_calls(service)
         if keyed:
             self._target_handler.configure_grants(table, service)
         logs.event(
@@ -516,6 +517,7 @@
             "open_connections": self._caller_server.connection_count,
             "message_bytes": self.budget.used,
             "messages_refused_for_memory": self.budget.refusals,
+            "calls_held_for_cold_target": self._runner.queue.cold.held_count,
         }
 
     def _build_pages(self) -> httpserver.RequestHandler:
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -15,6 +15,7 @@
     sockets,
 )
 from tamarackgap.ownership import ownership
+from tamarackgap.scheduling import coldstart
 from tamarackgap.settings import config
 from tamarackgap.traffic import (
     adapter,
@@ -216,6 +217,34 @@
             self.settings.router_longest_hold / 1000,
         )
 
+    def limit_cold_calls(self, service: routetable.Service | None) -> None:
+        """Sets what the target bears while it is cold.
+
+        Args:
+            service: The target's service; None if the route table in force has
+                none.
+        """
+        self.runner.queue.cold.limit = coldstart.ColdLimit(
+            service.cold_rate if service is not None else 0.0,
+            self.settings.router_cold_overage,
+            self.settings.router_cold_slack,
+        )
+
+    def _set_cold(self, announcement: localtarget.Announcement) -> None:
+        """Records for how long the target says that it is still cold."""
+        cold = self.runner.queue.cold
+        was_cold = cold.is_limiting(self._timers.now)
+        cold.set_cold(announcement.cold_s, self._timers.now)
+        if cold.is_limiting(self._timers.now) is not was_cold:
+            logs.event(
+                "target_cold",
+                instance=announcement.instance,
+                cold_ms=round(announcement.cold_s * 1000),
+                pace=cold.limit.pace,
+            )
+            if self.runner.accepting:
+                self.on_status_changed()
+
     def handle_announcement(self, incoming: httpserver.IncomingRequest) -> None:
         """Handles a request of the target that announces itself."""
         announcement = self._adapter.decode_announcement(incoming)
@@ -226,6 +255,8 @@
             self.target.handle_announcement(announcement, self._timers.now)
         )
         self.slot_grants.target_instance = self.target.instance
+        if self.target.is_latest(announcement):
+            self._set_cold(announcement)
         if self.is_serving:
             self.slot_grants.resume()
         response = self._adapter.encode_hold_list(
--- a/tamarackgap/scheduling/admission.py
+++ b/tamarackgap/scheduling/admission.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from tamarackgap.scheduling import coldstart
+
 # A call with less time left than this share of its expected duration would be
 # stopped at its deadline without an answer.
 _MIN_DURATION_SHARE = 0.7
@@ -62,6 +64,8 @@
             call.
         running: Number of calls at the target.
         waiting: Number of calls in the queue, including the refused one.
+        cold_wait: Seconds that the call would have waited since the target is
+            cold.
     """
 
     retry_after: float
@@ -69,6 +73,7 @@
     expected_duration: float
     running: int
     waiting: int
+    cold_wait: float = 0.0
 
 
 class QueuedCall(msgspec.Struct, frozen=True, eq=False):
@@ -150,9 +155,14 @@
 
 
 class AdmissionQueue:
-    """Queues the calls for one target and limits how many run at once."""
+    """Queues the calls for one target and limits how many run at once.
+
+    Attributes:
+        cold: Limits how many calls a second a cold target gets.
+    """
 
     def __init__(self) -> None:
+        self.cold = coldstart.ColdStart()
         # A kind is a rank and a latency objective.
         self._share_by_kind: dict[tuple[int, float], _ServedShare] = {}
         self._usage_by_rank: dict[int, _CapacityUsage] = {}
@@ -180,6 +190,27 @@
             return 0
         return max(1, round(self._capacity * self._capacity_share))
 
+    def offered_capacity(self, now: float) -> int:
+        """Returns the capacity that other daemons may count on.
+
+        A cold target gets few calls a second, so that fewer run at once than
+        it has room for.
+
+        Args:
+            now: Monotonic time, seconds.
+        """
+        if not self.cold.is_limiting(now):
+            return self.capacity
+        duration = max(
+            (
+                self.expected_duration(objective)
+                for _, objective in self._share_by_kind
+            ),
+            default=0.0,
+        )
+        bearable = math.floor(self.cold.limit.pace * duration)
+        return min(self.capacity, max(1, bearable))
+
     @property
     def relative_latency(self) -> float:
         """Usual duration of a call divided by its latency objective.
@@ -223,13 +254,16 @@
             not self._queue
             and self._running < self.capacity
             and self._leaves_room(call, now)
+            and self.cold.may_send(now)
         ):
             self._start(call, now)
             return
-        wait = self._expected_wait(call, now)
+        wait = max(self._expected_wait(call, now), self._cold_wait(call, now))
         self._queue.append(call)
+        if not self.cold.may_send(now):
+            self.cold.held_count += 1
         if not self._can_start_in_time(call, wait, now):
-            self._refuse(call, self._retry_after(call, now), wait)
+            self._refuse(call, self._retry_after(call, now), wait, now)
             return
         self.start_waiting(now)
 
@@ -268,7 +302,11 @@
 
         Calls whose turn comes too late for their deadline are refused.
         """
-        while self._queue and self._running < self.capacity:
+        while (
+            self._queue
+            and self._running < self.capacity
+            and self.cold.may_send(now)
+        ):
             startable = [
                 call for call in self._queue if self._leaves_room(call, now)
             ]
@@ -276,7 +314,7 @@
                 return
             call = min(startable, key=lambda c: self._sort_key(c, now))
             if not self._can_finish(call, now):
-                self._refuse(call, _MIN_RETRY_AFTER_S, 0.0)
+                self._refuse(call, _MIN_RETRY_AFTER_S, 0.0, now)
                 continue
             self._queue.remove(call)
             self._start(call, now)
@@ -304,17 +342,36 @@
         """Refuses the queued calls that are not likely to start in time."""
         # Expected duration of the calls that go before the present one.
         ahead = 0.0
+        calls_ahead = 0
         # By rank.
         available: dict[int, float] = {}
         for call in sorted(self._queue, key=lambda c: self._sort_key(c, now)):
             if call.rank not in available:
                 available[call.rank] = self._available_capacity(call.rank, now)
             duration = self.expected_duration(call.latency_objective)
-            wait = (ahead + duration) / available[call.rank]
+            wait = max(
+                (ahead + duration) / available[call.rank],
+                self.cold.wait(calls_ahead, call.rank, now),
+            )
             if self._can_start_in_time(call, wait, now):
                 ahead += duration
+                calls_ahead += 1
             else:
-                self._refuse(call, self._retry_after(call, now), wait)
+                self._refuse(call, self._retry_after(call, now), wait, now)
+        if self.cold.is_limiting(now):
+            # No end of a call says that the next one may be sent.
+            self.start_waiting(now)
+
+    def _cold_wait(self, call: QueuedCall, now: float) -> float:
+        """Returns the seconds that a call waits since the target is cold."""
+        if not self.cold.is_limiting(now):
+            return 0.0
+        own = self._sort_key(call, now)
+        ahead = sum(
+            other is not call and self._sort_key(other, now) <= own
+            for other in self._queue
+        )
+        return self.cold.wait(ahead, call.rank, now)
 
     def withdraw(self, call: QueuedCall) -> bool:
         """Removes a call from the queue and returns whether it was there."""
@@ -329,7 +386,11 @@
             self._refuse(self._queue[0], _MIN_RETRY_AFTER_S, math.inf)
 
     def _refuse(
-        self, call: QueuedCall, retry_after: float, wait: float
+        self,
+        call: QueuedCall,
+        retry_after: float,
+        wait: float,
+        now: float | None = None,
     ) -> None:
         refusal = QueueRefusal(
             retry_after,
@@ -337,6 +398,7 @@
             self.expected_duration(call.latency_objective),
             self._running,
             len(self._queue),
+            self._cold_wait(call, now) if now is not None else 0.0,
         )
         self._queue.remove(call)
         call.refuse(refusal)
@@ -349,6 +411,7 @@
             usage = self._usage_by_rank[call.rank] = _CapacityUsage(now)
         usage.record_start(self.expected_duration(call.latency_objective), now)
         self._running += 1
+        self.cold.record(call.rank, now)
         call.start()
 
     def _served_share(self, call: QueuedCall, now: float) -> _ServedShare:
@@ -413,7 +476,9 @@
             if other is not call and other.rank <= call.rank
         )
         return max(
-            _MIN_RETRY_AFTER_S, ahead / self._available_capacity(call.rank, now)
+            _MIN_RETRY_AFTER_S,
+            ahead / self._available_capacity(call.rank, now),
+            self._cold_wait(call, now),
         )
 
     def _can_finish(self, call: QueuedCall, now: float) -> bool:
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -46,6 +46,8 @@
     router_grace_s: int
     router_reruns: int
     router_extra_reruns: int
+    router_cold_overage: float
+    router_cold_slack: float
     table_address: str
     table_poll: int
     table_timeout: int
@@ -115,10 +117,12 @@
                 return result.Failure(
                     f"{path}: [{section}] {name} = {value}: no such setting"
                 )
-    values: dict[str, str | int] = {}
+    values: dict[str, str | int | float] = {}
     replaced = []
     for option in options.OPTIONS:
         text = parser.get(option.section, option.name, fallback=None)
+        if not text and option.kind is options.Kind.NUMBER:
+            text = None
         if text is None and option.default is None:
             return result.Failure(
                 f"{path}: [{option.section}] {option.name} is missing:"
@@ -138,10 +142,12 @@
     return _check_constraints(Config(**values, replaced=tuple(replaced)), path)
 
 
-def _parse(option: options.Option, text: str) -> str | int | None:
+def _parse(option: options.Option, text: str) -> str | int | float | None:
     match option.kind:
         case options.Kind.INTEGER:
             return _parse_integer(option, text)
+        case options.Kind.NUMBER:
+            return _parse_number(option, text)
         case options.Kind.NAME:
             return text if _NAME_PATTERN.fullmatch(text) else None
         case options.Kind.ADDRESS:
@@ -160,6 +166,15 @@
     return number if option.minimum <= number <= option.maximum else None
 
 
+def _parse_number(option: options.Option, text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    # Not for NaN.
+    return number if option.minimum <= number <= option.maximum else None
+
+
 def is_address(text: str) -> bool:
     """Returns whether `text` is an IPv4 address and a port, as `ip:port`."""
     host, _, port = text.rpartition(":")
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -11,6 +11,7 @@
     NAME = "name of letters, digits, '.', '_' and '-'"
     ADDRESS = "ip:port"
     INTEGER = "whole number"
+    NUMBER = "number"
     PATH = "file path"
     CHOICE = "one of"
 
@@ -24,9 +25,10 @@
         kind: Type of the value.
         help: Meaning of the setting, for the documentation.
         default: Value if the file has none, or None if the file must give one.
-        minimum: Smallest valid value of an integer.
-        maximum: Largest valid value of an integer.
-        unit: Unit of an integer.
+            It is also used for a number that is left empty.
+        minimum: Smallest valid value of an integer or number.
+        maximum: Largest valid value of an integer or number.
+        unit: Unit of an integer or number.
         choices: Valid values of a choice.
         rendered: Whether a platform fills the value in. The default is then
             used in place of a value that can't be, and fractions of integers
@@ -38,7 +40,7 @@
     name: str
     kind: Kind
     help: str
-    default: str | int | None = None
+    default: str | int | float | None = None
     minimum: int = 0
     maximum: int = 0
     unit: str = ""
@@ -55,7 +57,7 @@
         """Description of the valid values, for error messages."""
         if self.kind is Kind.CHOICE:
             return f"{self.kind.value} {', '.join(self.choices)}"
-        if self.kind is not Kind.INTEGER:
+        if self.kind not in (Kind.INTEGER, Kind.NUMBER):
             return self.kind.value
         return (
             f"{self.kind.value} of {self.minimum} to {self.maximum} {self.unit}"
@@ -212,6 +214,29 @@
         "number of such repeats that are allowed in addition",
         rendered=True,
     ),
+    Option(
+        "router",
+        "cold_overage",
+        Kind.NUMBER,
+        "by what factor calls to a cold target may exceed the rate that its"
+        " service names",
+        1.0,
+        1,
+        1000,
+        "times",
+        rendered=True,
+    ),
+    Option(
+        "router",
+        "cold_slack",
+        Kind.NUMBER,
+        "calls that a cold target may get in a second beyond that",
+        0.0,
+        0,
+        1_000_000,
+        "calls",
+        rendered=True,
+    ),
     Option("table", "address", Kind.ADDRESS, "the platform's table service"),
     _integer_option(
         "table",
--- a/tamarackgap/traffic/localtarget.py
+++ b/tamarackgap/traffic/localtarget.py
@@ -31,7 +31,7 @@
         service: The service that it runs.
         capacity: Number of calls that it runs at once.
         leaving: Whether it accepts no new calls.
-        cold_s: Seconds for which it is still slow after its start.
+        cold_s: Seconds for which it is still cold.
         born_ms: Start time of its process, milliseconds; 0 if not given.
         sequence: Number that rises with each announcement of one process.
         final: Whether this is its last announcement before it ends.
--- a/tamarackgap/traffic/routetable.py
+++ b/tamarackgap/traffic/routetable.py
@@ -58,12 +58,14 @@
         keyed: Whether each key has one owner among the service's targets.
         max_connections: Largest number of connections that a target accepts.
         grant_channel: How its targets are granted keys; None if not given.
+        cold_rate: Calls per second that a cold target bears; 0 for no limit.
     """
 
     name: types.ServiceName
     keyed: bool
     max_connections: int
     grant_channel: GrantChannel | None = None
+    cold_rate: float = 0.0
 
 
 class RouteTable(msgspec.Struct, frozen=True):
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -557,6 +557,8 @@
             queue_state["work_ms"] = round(refusal.expected_duration * 1000)
             if math.isfinite(refusal.expected_wait):
                 queue_state["wait_ms"] = round(refusal.expected_wait * 1000)
+            if refusal.cold_wait:
+                queue_state["cold_wait_ms"] = round(refusal.cold_wait * 1000)
         logs.request_event(
             "call",
             completion.verdict is not types.Verdict.ANSWERED,
--- a/tests/platform/test_operatorconfig.py
+++ b/tests/platform/test_operatorconfig.py
@@ -73,6 +73,28 @@
     assert table.services["a"].grant_channel is channel
 
 
+def test_services_say_what_their_cold_targets_bear():
+    service = platformcluster.service("a", cold_per_s=6.5, cold_start_s=3.0)
+    table = operatorconfig.decode(platformcluster.configuration(1, service))
+    assert table.services["a"].cold_rate == 6.5
+
+
+@pytest.mark.parametrize("value", [-1, "7", None, [], 1e300, True])
+def test_an_odd_cold_rate_spoils_nothing_else(value):
+    odd = platformcluster.service("odd", keyed=True, cold_per_s=value)
+    good = platformcluster.service("good", cold_per_s=7)
+    with loglines.collect("cold_rate_unusable") as events:
+        for _ in range(3):
+            table = operatorconfig.decode(
+                platformcluster.configuration(1, odd, good)
+            )
+    assert table.is_complete
+    assert table.services["odd"].keyed
+    assert table.services["odd"].cold_rate == 0.0
+    assert table.services["good"].cold_rate == 7.0
+    assert [event["service"] for event in events] == ["odd"]
+
+
 def test_an_unreadable_configuration_is_ignored():
     assert operatorconfig.decode(b"\xff") is None
     assert operatorconfig.decode(b"[]") is None
--- a/tests/processes/test_targethandler.py
+++ b/tests/processes/test_targethandler.py
@@ -6,10 +6,12 @@
 from tamarackgap.ownership import effects
 from tamarackgap.platform import servers
 from tamarackgap.processes import targethandler
+from tamarackgap.traffic import adapter as adapterstructs
 from tamarackgap.traffic import (
     crashes,
     localtarget,
     orders,
+    routetable,
     runner,
 )
 
@@ -35,6 +37,7 @@
 class Core:
     """Owns two slots of a service, under a lease without end."""
 
+    incarnation = "o-1"
     settings = effects.Settings("s", "d", "z", "p", "h")
     slots_version = 1
     owned = {slot: effects.OwnedSlot(1, 0.0, "") for slot in (0, 1)}
@@ -67,8 +70,12 @@
         requests_answer=1000,
         ownership_lease=2000,
         router_longest_hold=10_000,
+        router_cold_overage=1.5,
+        router_cold_slack=8.0,
     )
     adapter = module_types.SimpleNamespace(
+        decode_announcement=lambda incoming: incoming.announcement,
+        encode_hold_list=lambda holds: adapterstructs.Response(200, [], b""),
         max_hold_ranges=10,
         codec=runner.Codec(None, None, None),
         encode_order=lambda order: order,
@@ -138,3 +145,53 @@
     )
     handler.runner.on_connection_refused()
     assert handler._call_pool.closed == 1
+
+
+def announce(handler, sequence, cold_s, instance="i-1"):
+    handler.handle_announcement(
+        module_types.SimpleNamespace(
+            announcement=localtarget.Announcement(
+                instance, "s", 4, cold_s=cold_s, sequence=sequence
+            ),
+            respond=lambda *unused: None,
+        )
+    )
+
+
+def offered_capacity(handler):
+    return handler.runner.queue.offered_capacity(handler._timers.now)
+
+
+def test_latest_announcement_says_whether_the_target_is_cold(
+    handler_and_sent,
+):
+    handler, _ = handler_and_sent
+    handler.limit_cold_calls(routetable.Service("s", True, 16, None, 7.0))
+    announce(handler, 1, 0.0)
+    assert offered_capacity(handler) == 4
+    announce(handler, 3, 3.0)
+    # An earlier announcement that arrives late.
+    announce(handler, 2, 0.0)
+    assert offered_capacity(handler) == 1
+    handler._timers.now += 1.0
+    announce(handler, 4, 0.0)
+    assert offered_capacity(handler) == 4
+    announce(handler, 5, 3.0)
+    handler._timers.now += 3.1
+    assert offered_capacity(handler) == 4
+
+
+def test_a_cold_target_is_not_limited_without_a_rate(handler_and_sent):
+    handler, _ = handler_and_sent
+    handler.limit_cold_calls(routetable.Service("s", True, 16))
+    announce(handler, 1, 3.0)
+    assert offered_capacity(handler) == 4
+    handler.limit_cold_calls(None)
+    assert offered_capacity(handler) == 4
+
+
+def test_a_rate_that_comes_after_the_announcement_holds(handler_and_sent):
+    handler, _ = handler_and_sent
+    announce(handler, 1, 3.0)
+    handler.limit_cold_calls(routetable.Service("s", True, 16, None, 7.0))
+    assert offered_capacity(handler) == 1
--- a/tests/settings/test_config.py
+++ b/tests/settings/test_config.py
@@ -110,6 +110,29 @@
     assert "\n" not in problem
 
 
+@pytest.mark.parametrize("name", ["cold_overage", "cold_slack"])
+@pytest.mark.parametrize(
+    ("text", "expected", "is_replaced"),
+    [
+        ("1.5", 1.5, False),
+        ("8", 8.0, False),
+        ("", None, False),
+        ("nan", None, True),
+        ("inf", None, True),
+        ("-1", None, True),
+        ("{}", None, True),
+    ],
+)
+def test_bounds_of_cold_targets_may_be_missing(
+    tmp_path, name, text, expected, is_replaced
+):
+    settings = load(tmp_path, f"{VALID}[router]\n{name} = {text}\n").unwrap()
+    (option,) = (option for option in options.OPTIONS if option.name == name)
+    value = getattr(settings, option.field)
+    assert value == (option.default if expected is None else expected)
+    assert bool(settings.replaced) is is_replaced
+
+
 @pytest.mark.parametrize(
     ("lines", "grace"),
     [
@@ -144,6 +167,8 @@
         "bounds.max_hold_ms": "10000",
         "bounds.grace_s": "10",
         "bounds.retry_budget_extra": "30.714285714285715",
+        "bounds.cold_overage": "1.5",
+        "bounds.cold_slack": "",
     }
     text = re.sub(r"{{(.*?)}}", lambda match: values[match[1]], template)
     settings = load(tmp_path, text).unwrap()
@@ -151,6 +176,8 @@
     assert settings.grace == 10.0
     assert settings.router_grants == "heartbeat"
     assert settings.message_memory == 100 * 1024 * 1024
+    assert settings.router_cold_overage == 1.5
+    assert settings.router_cold_slack == 0.0
 
 
 @pytest.mark.parametrize("text", ["10.0.0.9:1", "10.0.0.9:65535"])
--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -120,7 +120,10 @@
         self.loads = {}
         self.directory = targets.TargetDirectory(core, network)
         queue = module_types.SimpleNamespace(
-            capacity=4, running=1, waiting=0, relative_latency=0.3
+            offered_capacity=lambda now: 4,
+            running=1,
+            waiting=0,
+            relative_latency=0.3,
         )
         self.runner = module_types.SimpleNamespace(queue=queue, accepting=True)
         self.sync = peersync.PeerSync(
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -253,7 +253,10 @@
             lambda table, source: self.versions.append(table.version),
         )
         queue = module_types.SimpleNamespace(
-            capacity=4, running=1, waiting=0, relative_latency=0.3
+            offered_capacity=lambda now: 4,
+            running=1,
+            waiting=0,
+            relative_latency=0.3,
         )
         self.sync = peersync.PeerSync(
             core,
