A target's fourth load figure: how long work takes there now

Cause: the load header may have further figures. With four of them each refusal by a target counted as "full" and lowered its capacity.

Change: further figures never spoil the first three. The fourth travels in the completion to the admission queue, whose usual duration is learnt without it and multiplied by it when a call's duration is expected; the balancer's candidate and the status carry it for other daemons (last field, default 1).

The test of a relayed status used a stand-in for a completion; it has a Completion now and checks the new field as well.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -77,6 +77,8 @@
         retry_after: Time until there is likely to be room, seconds.
         running: Number of calls at the target.
         waiting: Number of calls in the daemon's queue.
+        slowdown: How long work takes at the target at this moment, as a
+            multiple of the usual time; 0 if that is not known.
     """
 
     leg: int
@@ -88,6 +90,7 @@
     retry_after: decoding.Finite = 0.0
     running: int = 0
     waiting: int = 0
+    slowdown: decoding.Finite = 0.0
 
 
 class Withdraw(msgspec.Struct, tag="withdraw", array_like=True, frozen=True):
@@ -178,6 +181,8 @@
         calls_lost_before: Calls to the store that any daemon sent before this
             time may be lost, milliseconds on the store's clock; 0 if none was
             found to be.
+        slowdown: How long work takes at the target at this moment, as a
+            multiple of the usual time.
     """
 
     service: types.ServiceName
@@ -193,6 +198,7 @@
     load: decoding.Finite | None = None
     route_table_as_of: decoding.Count = 0
     calls_lost_before: decoding.Count = 0
+    slowdown: decoding.Finite = 1.0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -33,6 +33,9 @@
 # All numbers of so many digits are exact as floats.
 _MAX_DIGITS = 15
 _MAX_COUNT = 10**_MAX_DIGITS
+# In the load header: calls running, waiting, slots, and how long work takes.
+_SLOWDOWN_INDEX = 3
+_USUAL_SLOWDOWN = 100
 _STATUS_MISDIRECTED = 421
 _STATUS_SERVER_ERROR = 500
 _STATUS_UNAVAILABLE = 503
@@ -164,7 +167,9 @@
         reason = types.Reason.TARGET_REFUSED
         if _is_full(answer):
             reason = types.Reason.TARGET_FULL
-        return calls.Completion(leg, types.Verdict.NOT_RUN, reason)
+        return calls.Completion(
+            leg, types.Verdict.NOT_RUN, reason, slowdown=_slowdown(answer)
+        )
     is_signed = answer.header(names.RESPONSE_SIGNATURE) is not None
     is_encoded = answer.header(b"content-encoding") is not None
     # Without a signature, a caller takes all but a 5xx for this system's own.
@@ -188,6 +193,7 @@
         status=answer.status,
         head=head,
         body=answer.body,
+        slowdown=_slowdown(answer),
     )
 
 
@@ -197,16 +203,27 @@
     A server with waiting requests, or without a valid report of its load,
     counts as full.
     """
-    load = answer.header(names.SERVER_LOAD)
-    numbers = [
-        _parse_count(number.strip()) for number in (load or b"").split(b",")
-    ]
-    if len(numbers) != 3 or None in numbers:
+    known = _load_figures(answer)[:_SLOWDOWN_INDEX]
+    if len(known) < _SLOWDOWN_INDEX or None in known:
         return True
-    running, waiting, capacity = numbers
+    running, waiting, capacity = known
     return running >= capacity or waiting > 0
 
 
+def _slowdown(answer: httppool.Answer) -> float:
+    """Returns how long work takes at a server now, 0 if it doesn't say."""
+    figures = _load_figures(answer)
+    if len(figures) <= _SLOWDOWN_INDEX:
+        return 0.0
+    return (figures[_SLOWDOWN_INDEX] or 0) / _USUAL_SLOWDOWN
+
+
+def _load_figures(answer: httppool.Answer) -> list[int | None]:
+    """Returns the figures of a server's load, None for those unreadable."""
+    load = answer.header(names.SERVER_LOAD) or b""
+    return [_parse_count(figure.strip()) for figure in load.split(b",")]
+
+
 def encode_response(completion: calls.Completion) -> adapter.Response:
     """Returns the response to the client for a completion."""
     if completion.verdict is types.Verdict.ANSWERED:
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -284,6 +284,7 @@
             self._core.own_load,
             self._route_tables.as_of_ms,
             self._route_tables.calls_lost_before_ms,
+            round(queue.slowdown(self._timers.now), 2),
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/scheduling/admission.py
+++ b/tamarackgap/scheduling/admission.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from tamarackgap.scheduling import slowdowns
+
 # A call with less time left than this share of its expected duration would be
 # stopped at its deadline without an answer.
 _MIN_DURATION_SHARE = 0.7
@@ -38,6 +40,8 @@
 _MIN_OFFERED_CALLS = 5
 # A caller that retried sooner would hardly find capacity free.
 _MIN_RETRY_AFTER_S = 0.05
+# Span for which the slowdown is reported to other daemons.
+_SLOWDOWN_REPORT_S = 0.25
 # Half-life of the measured capacity usage of each rank.
 _USAGE_HALF_LIFE_S = 1.0
 # Share of the capacity that each rank is assumed to get at least.
@@ -161,6 +165,7 @@
         self._capacity_share = 1.0
         self._running = 0
         self._relative_latency = 0.0
+        self._slowdown = slowdowns.Slowdown()
         self._queue: list[QueuedCall] = []
 
     @property
@@ -188,15 +193,34 @@
         """
         return self._relative_latency
 
-    def expected_duration(self, latency_objective: float) -> float:
-        """Returns the usual duration of a call in seconds.
+    def expected_duration(self, latency_objective: float, now: float) -> float:
+        """Returns the duration of a call that starts now, in seconds.
 
         Args:
             latency_objective: The call's latency objective, seconds.
+            now: Monotonic time, seconds.
         """
-        return (
+        usual = (
             self._relative_latency or _INITIAL_RELATIVE_LATENCY
         ) * latency_objective
+        return usual * self._slowdown.during(usual, now)
+
+    def record_slowdown(self, slowdown: float, now: float) -> None:
+        """Records how long work takes at the target at this moment.
+
+        Args:
+            slowdown: Multiple of the usual time.
+            now: Monotonic time, seconds.
+        """
+        self._slowdown.record(slowdown, now)
+
+    def slowdown(self, now: float) -> float:
+        """Returns how long work takes at the target in the next moments.
+
+        Args:
+            now: Monotonic time, seconds.
+        """
+        return self._slowdown.during(_SLOWDOWN_REPORT_S, now)
 
     def resize(self, capacity: int, now: float) -> None:
         """Sets the target's capacity.
@@ -208,13 +232,14 @@
         """
         self._capacity = capacity
         if not capacity:
-            self.refuse_all()
+            self.refuse_all(now)
         self.start_waiting(now)
 
     def reset_estimates(self) -> None:
         """Discards the measurements of a target that has been replaced."""
         self._relative_latency = 0.0
         self._capacity_share = 1.0
+        self._slowdown = slowdowns.Slowdown()
 
     def submit(self, call: QueuedCall, now: float) -> None:
         """Starts a call, queues it or refuses it at once."""
@@ -229,7 +254,7 @@
         wait = self._expected_wait(call, now)
         self._queue.append(call)
         if not self._can_start_in_time(call, wait, now):
-            self._refuse(call, self._retry_after(call, now), wait)
+            self._refuse(call, self._retry_after(call, now), wait, now)
             return
         self.start_waiting(now)
 
@@ -245,7 +270,11 @@
         """
         self._running -= 1
         if duration is not None:
-            measured = duration / latency_objective
+            measured = (
+                duration
+                / self._slowdown.during(duration, now)
+                / latency_objective
+            )
             if self._relative_latency:
                 self._relative_latency += (
                     measured - self._relative_latency
@@ -276,7 +305,7 @@
                 return
             call = min(startable, key=lambda c: self._sort_key(c, now))
             if not self._can_finish(call, now):
-                self._refuse(call, _MIN_RETRY_AFTER_S, 0.0)
+                self._refuse(call, _MIN_RETRY_AFTER_S, 0.0, now)
                 continue
             self._queue.remove(call)
             self._start(call, now)
@@ -291,7 +320,7 @@
         if self._running + 1 < capacity or capacity == 1:
             return True
         time_to_free_slot = (
-            self.expected_duration(call.latency_objective) / capacity
+            self.expected_duration(call.latency_objective, now) / capacity
         )
         return not any(
             rank < call.rank
@@ -309,12 +338,12 @@
         for call in sorted(self._queue, key=lambda c: self._sort_key(c, now)):
             if call.rank not in available:
                 available[call.rank] = self._available_capacity(call.rank, now)
-            duration = self.expected_duration(call.latency_objective)
+            duration = self.expected_duration(call.latency_objective, now)
             wait = (ahead + duration) / available[call.rank]
             if self._can_start_in_time(call, wait, now):
                 ahead += duration
             else:
-                self._refuse(call, self._retry_after(call, now), wait)
+                self._refuse(call, self._retry_after(call, now), wait, now)
 
     def withdraw(self, call: QueuedCall) -> bool:
         """Removes a call from the queue and returns whether it was there."""
@@ -323,18 +352,18 @@
         self._queue.remove(call)
         return True
 
-    def refuse_all(self) -> None:
+    def refuse_all(self, now: float) -> None:
         """Refuses all queued calls."""
         while self._queue:
-            self._refuse(self._queue[0], _MIN_RETRY_AFTER_S, math.inf)
+            self._refuse(self._queue[0], _MIN_RETRY_AFTER_S, math.inf, now)
 
     def _refuse(
-        self, call: QueuedCall, retry_after: float, wait: float
+        self, call: QueuedCall, retry_after: float, wait: float, now: float
     ) -> None:
         refusal = QueueRefusal(
             retry_after,
             wait,
-            self.expected_duration(call.latency_objective),
+            self.expected_duration(call.latency_objective, now),
             self._running,
             len(self._queue),
         )
@@ -347,7 +376,9 @@
         usage = self._usage_by_rank.get(call.rank)
         if usage is None:
             usage = self._usage_by_rank[call.rank] = _CapacityUsage(now)
-        usage.record_start(self.expected_duration(call.latency_objective), now)
+        usage.record_start(
+            self.expected_duration(call.latency_objective, now), now
+        )
         self._running += 1
         call.start()
 
@@ -361,7 +392,7 @@
     def _is_late(self, call: QueuedCall, now: float) -> bool:
         """Returns whether a call that starts now misses its soft deadline."""
         return (
-            now + self.expected_duration(call.latency_objective)
+            now + self.expected_duration(call.latency_objective, now)
             > call.soft_deadline
         )
 
@@ -381,14 +412,14 @@
             return math.inf
         own = self._sort_key(call, now)
         ahead = sum(
-            self.expected_duration(other.latency_objective)
+            self.expected_duration(other.latency_objective, now)
             for other in self._queue
             if other is not call and self._sort_key(other, now) < own
         )
         # Even with no call ahead, a running one has to end first; with n
         # running, that takes about an n-th of a call's duration.
         return (
-            ahead + self.expected_duration(call.latency_objective)
+            ahead + self.expected_duration(call.latency_objective, now)
         ) / self._available_capacity(call.rank, now)
 
     def _available_capacity(self, rank: int, now: float) -> float:
@@ -408,7 +439,7 @@
     def _retry_after(self, call: QueuedCall, now: float) -> float:
         """Returns the seconds until there is likely to be room for a call."""
         ahead = sum(
-            self.expected_duration(other.latency_objective)
+            self.expected_duration(other.latency_objective, now)
             for other in self._queue
             if other is not call and other.rank <= call.rank
         )
@@ -419,7 +450,8 @@
     def _can_finish(self, call: QueuedCall, now: float) -> bool:
         """Returns whether a call that starts now may end by its deadline."""
         shortest = (
-            self.expected_duration(call.latency_objective) * _MIN_DURATION_SHARE
+            self.expected_duration(call.latency_objective, now)
+            * _MIN_DURATION_SHARE
         )
         return now + shortest <= call.deadline
 
@@ -436,11 +468,11 @@
         longest_wait = (
             call.deadline
             - now
-            - self.expected_duration(call.latency_objective)
+            - self.expected_duration(call.latency_objective, now)
             * _MIN_DURATION_SHARE
         )
         if (
-            now + wait + self.expected_duration(call.latency_objective)
+            now + wait + self.expected_duration(call.latency_objective, now)
             > call.soft_deadline
         ):
             longest_wait *= _LATE_WAIT_SHARE
--- a/tamarackgap/scheduling/balancer.py
+++ b/tamarackgap/scheduling/balancer.py
@@ -58,6 +58,8 @@
         successes: Number of successful calls, decayed by age.
         decayed_at: Monotonic time up to which both numbers are decayed,
             seconds.
+        slowdown: How long work takes there at this moment, as a multiple of
+            the usual time.
     """
 
     incarnation: str
@@ -76,6 +78,7 @@
     failures: float = 0.0
     successes: float = 0.0
     decayed_at: float = 0.0
+    slowdown: float = 1.0
 
     def failure_ratio(self, now: float) -> float:
         """Returns the recent number of failures per success.
@@ -135,7 +138,8 @@
         # calls within the capacity count a little as well.
         durations += 0.2 * load / max(1, self.capacity)
         durations += _FAILURE_COST * self.failure_ratio(now)
-        return (self.relative_latency or default_latency) * durations
+        latency = self.relative_latency or default_latency
+        return latency * self.slowdown * durations
 
 
 def choose(
@@ -202,6 +206,7 @@
     weights = [
         candidate.capacity
         / (candidate.relative_latency or default_latency)
+        / candidate.slowdown
         / (1.0 + _FAILURE_COST * candidate.failure_ratio(now))
         for candidate in usable
     ]
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -231,7 +231,7 @@
         """Refuses queued calls that can no longer start in time."""
         now = self._timers.now
         if self._draining and now >= self._drain_ends_at:
-            self._admission.refuse_all()
+            self._admission.refuse_all(now)
         else:
             self._admission.refuse_late(now)
 
@@ -284,7 +284,9 @@
             # Counted before admission, since calls that are refused for lack of
             # room are load as well.
             amount = (
-                self._admission.expected_duration(dispatch.latency_objective)
+                self._admission.expected_duration(
+                    dispatch.latency_objective, now
+                )
                 / _LOAD_UNIT_S
             )
             self._meter.count(self._slot(dispatch), now, amount)
@@ -427,6 +429,8 @@
             case result.Success(httppool.Answer() as answer):
                 self.last_answered_at = now
                 completion = self._codec.decode_answer(leg.dispatch.leg, answer)
+                if completion.slowdown:
+                    self._admission.record_slowdown(completion.slowdown, now)
                 if completion.verdict is types.Verdict.ANSWERED:
                     duration = now - leg.sent_at
                     if self._crash_history:
@@ -525,6 +529,7 @@
                     completion,
                     running=self._admission.running,
                     waiting=self._admission.waiting,
+                    slowdown=self._admission.slowdown(self._timers.now),
                 )
             )
 
@@ -568,6 +573,7 @@
             status=completion.status,
             ms=round((now - leg.sent_at) * 1000, 1) if leg.sent_at else 0,
             left_ms=round((leg.deadline - now) * 1000),
+            slowdown=completion.slowdown,
             **queue_state,
         )
 
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -89,6 +89,7 @@
         if heard_at >= candidate.last_heard:
             # No completion has reported the load since.
             self._set_load(candidate, status.running + status.waiting)
+            candidate.slowdown = status.slowdown or 1.0
             candidate.last_heard = heard_at
         return ended
 
@@ -135,6 +136,8 @@
         candidate = self._candidates.get(sender)
         if candidate is not None:
             self._set_load(candidate, completion.running + completion.waiting)
+            if completion.slowdown > 0:
+                candidate.slowdown = completion.slowdown
             candidate.last_heard = max(candidate.last_heard, self._timers.now)
 
     def remove(self, incarnation: str) -> None:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -24,6 +24,10 @@
         (b"1,2", types.Reason.TARGET_FULL),
         (b"3,0," + b"9" * 5000, types.Reason.TARGET_REFUSED),
         (b"\xd9\xa3,0,12", types.Reason.TARGET_FULL),
+        (b"3,0,12,160", types.Reason.TARGET_REFUSED),
+        (b"12,0,12,70", types.Reason.TARGET_FULL),
+        (b"3,0,12,nonsense,7", types.Reason.TARGET_REFUSED),
+        (b"3,0,12,,", types.Reason.TARGET_REFUSED),
     ],
 )
 def test_the_load_header_tells_a_full_target_from_a_refusal(load, reason):
@@ -36,6 +40,29 @@
     assert completion.reason is reason
 
 
+@pytest.mark.parametrize(
+    ("load", "slowdown"),
+    [
+        (b"3,0,12,160", 1.6),
+        (b"3,0,12, 70 ,5", 0.7),
+        (b"3,0,12", 0.0),
+        (b"3,0,12,-5", 0.0),
+        (b"3,0,12,x", 0.0),
+        (b"", 0.0),
+    ],
+)
+def test_a_target_tells_how_long_work_takes_now(load, slowdown):
+    answered = _decode(
+        200,
+        x_tamarackgap_response_signature=b"s",
+        x_tamarackgap_server_load=load,
+    )
+    refused = _decode(
+        503, x_tamarackgap_not_executed=b"1", x_tamarackgap_server_load=load
+    )
+    assert answered.slowdown == refused.slowdown == slowdown
+
+
 @pytest.mark.parametrize(
     ("echoed", "is_answer"),
     [([b"r1"], True), ([b"r2"], False), ([], False), ([b"r1", b"r2"], False)],
--- a/tests/traffic/test_targets.py
+++ b/tests/traffic/test_targets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tamarackgap import types
 from tamarackgap.peers import calls
 from tamarackgap.scheduling import balancer
 from tamarackgap.traffic import targets
@@ -153,13 +154,16 @@
     timers, directory = subject
     directory.update_status("a", "x:1", status())
     timers.now += 1.0
-    completion = module_types.SimpleNamespace(running=4, waiting=2)
+    completion = calls.Completion(
+        1, types.Verdict.ANSWERED, running=4, waiting=2, slowdown=1.5
+    )
     directory.record_load("a", completion)
     directory.update_status(
         "a", "x:1", status(running=0, accepting=False), age=0.5
     )
     (candidate,) = directory.candidates_of_service("s")
     assert candidate.reported_load == 6
+    assert candidate.slowdown == 1.5
     # The state of the target is newer than the one that was known.
     assert not candidate.accepting
 
