--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -124,6 +124,7 @@
             running=1,
             waiting=0,
             relative_latency=0.3,
+            slowdown=lambda now: 1.0,
         )
         self.runner = module_types.SimpleNamespace(queue=queue, accepting=True)
         self.sync = peersync.PeerSync(
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -257,6 +257,7 @@
             running=1,
             waiting=0,
             relative_latency=0.3,
+            slowdown=lambda now: 1.0,
         )
         self.sync = peersync.PeerSync(
             core,
