Members' shares follow what their targets can do

Cause: slots weighed calls by the owner's present relative latency, which is the first call's alone at the start. A slot's cost at a slow owner was taken for its cost at a fast taker and the other way round, so takers got too much or too little.

Change: slots weigh work at a target of usual speed; targets' paces are learnt from sums of durations, with a prior, and reported with the load (a field at the end of both messages, 0 from earlier versions). Shares follow weight and speed. Calls that fail quickly count for nothing.

--- a/tamarackgap/ownership/loads.py
+++ b/tamarackgap/ownership/loads.py
@@ -21,10 +21,17 @@
     """The latest load that each member has reported."""
 
     def __init__(self) -> None:
-        # Requests per second, or None, and the time of the report.
-        self._reports: dict[str, tuple[float | None, float]] = {}
+        # Requests per second, or None, the time of the report, and the
+        # target's speed.
+        self._reports: dict[str, tuple[float | None, float, float]] = {}
 
-    def record(self, incarnation: str, rate: float | None, now: float) -> None:
+    def record(
+        self,
+        incarnation: str,
+        rate: float | None,
+        now: float,
+        speed: float = 0.0,
+    ) -> None:
         """Records a member's load, unless a later one is known.
 
         Args:
@@ -32,10 +39,11 @@
             rate: Requests per second that it serves, or None if it can't
                 tell because its slots have just changed.
             now: Monotonic time at which it was reported, seconds.
+            speed: Work a second that its target can do; 0 if not known.
         """
         known = self._reports.get(incarnation)
         if known is None or known[1] <= now:
-            self._reports[incarnation] = (rate, now)
+            self._reports[incarnation] = (rate, now, speed)
 
     def recent(self, now: float) -> dict[str, float]:
         """Returns the loads that are not too old, and drops the others.
@@ -44,16 +52,24 @@
             Requests per second by incarnation.
         """
         self._reports = {
-            name: (rate, at)
-            for name, (rate, at) in self._reports.items()
-            if now - at <= _MAX_AGE_S
+            name: report
+            for name, report in self._reports.items()
+            if now - report[1] <= _MAX_AGE_S
         }
         return {
             name: rate
-            for name, (rate, _) in self._reports.items()
+            for name, (rate, _, _) in self._reports.items()
             if rate is not None
         }
 
+    def speeds(self) -> dict[str, float]:
+        """Returns the speeds of the targets, as far as they are known."""
+        return {
+            name: speed
+            for name, (_, _, speed) in self._reports.items()
+            if speed > 0
+        }
+
 
 class MoveBudget:
     """A token bucket that limits the slots moved away per minute."""
@@ -125,6 +141,8 @@
         self.reported_at = now
         # Amount as which a typical request is counted in them.
         self.request_amount = 1.0
+        # Work per second that the target can do; 0 if that is not known.
+        self.own_speed = 0.0
 
     def report(
         self, rates: dict[int, float], now: float, changed_at: float
@@ -146,7 +164,7 @@
         self.own_load = total
         self.reported_at = now
         own = self._outbox.incarnation
-        self.member_loads.record(own, total, now)
+        self.member_loads.record(own, total, now, self.own_speed)
         service = self._settings.service
         policy = self._view.policy(service, self._settings.data_centre)
         self.move_budget.resize(policy.moves, now)
@@ -157,5 +175,6 @@
         ]
         for record in self._rng.sample(others, min(_FANOUT, len(others))):
             self._outbox.send_to(
-                record.peer_address, messages.LoadReport(total)
+                record.peer_address,
+                messages.LoadReport(total, self.own_speed),
             )
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -241,6 +241,11 @@
             return None
         return self._load_exchange.own_load
 
+    @property
+    def own_speed(self) -> float:
+        """Work a second that the target can do; 0 if that is not known."""
+        return self._load_exchange.own_speed
+
     def lease_until(self) -> float:
         """Returns the end of the lease on this daemon's clock, seconds.
 
@@ -302,6 +307,7 @@
         rates: dict[int, float],
         now: float,
         request_amount: float = 1.0,
+        speed: float = 0.0,
     ) -> None:
         """Records this daemon's load, and reports it to members.
 
@@ -309,12 +315,19 @@
             rates: Requests per second of each slot.
             now: Monotonic time, seconds.
             request_amount: Amount as which a typical request is counted.
+            speed: Work a second that the target can do, in the unit of the
+                rates; 0 if that is not known.
         """
         self._load_exchange.request_amount = request_amount
+        self._load_exchange.own_speed = speed
         self._load_exchange.report(rates, now, self._slots_changed_at)
 
     def record_member_load(
-        self, incarnation: str, load: float | None, reported_at: float
+        self,
+        incarnation: str,
+        load: float | None,
+        reported_at: float,
+        speed: float = 0.0,
     ) -> None:
         """Records the load that a member of this daemon's service reports.
 
@@ -322,8 +335,11 @@
             incarnation: The member.
             load: Requests per second, or None if it can't tell.
             reported_at: Monotonic time of the report, seconds.
+            speed: Work a second that its target can do; 0 if not known.
         """
-        self._load_exchange.member_loads.record(incarnation, load, reported_at)
+        self._load_exchange.member_loads.record(
+            incarnation, load, reported_at, speed
+        )
 
     def drain(self) -> None:
         """Starts moving all slots away, in order to leave."""
@@ -509,8 +525,10 @@
                 self.merge(list(message.rows), now)
             case messages.Claim():
                 self._succession.handle_claim(sender, message)
-            case messages.LoadReport(rate=rate):
-                self._load_exchange.member_loads.record(sender, rate, now)
+            case messages.LoadReport(rate=rate, speed=speed):
+                self._load_exchange.member_loads.record(
+                    sender, rate, now, speed
+                )
         if answer is not None:
             # The sender of the answer is the incarnation that was asked,
             # even if it has ended: the owner knows its witness by that id.
@@ -691,6 +709,7 @@
             is_pinned=self._is_pinned,
             rates=self._load_exchange.slot_loads,
             loads=self._load_exchange.member_loads.recent(now),
+            speeds=self._load_exchange.member_loads.speeds(),
             max_moves=int(self._load_exchange.move_budget.tokens(now)),
             age=now - self._started_at,
             now=now,
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -450,7 +450,10 @@
 
 
 def placement_members(
-    view: records.TableView, service: str, loads: dict[str, float]
+    view: records.TableView,
+    service: str,
+    loads: dict[str, float],
+    speeds: dict[str, float] | None = None,
 ) -> list[placement.Member]:
     """Returns a service's daemons with their weights, slots and loads.
 
@@ -458,6 +461,7 @@
         view: This daemon's copy of the table.
         service: The service.
         loads: Requests per second by incarnation, as far as reported.
+        speeds: Work per second that their targets can do, as far as reported.
     """
     return [
         placement.Member(
@@ -471,6 +475,7 @@
             ),
             owned=tuple(sorted(slots.expand(record.runs))),
             rate=loads.get(record.incarnation),
+            speed=(speeds or {}).get(record.incarnation, 0.0),
         )
         for record in view.open_records(service)
     ]
@@ -497,7 +502,7 @@
         return ()
     own_record = inputs.own_record
     policy = view.policy(service, own_record.data_centre)
-    members = placement_members(view, service, inputs.loads)
+    members = placement_members(view, service, inputs.loads, inputs.speeds)
     has_member_without_slots = any(
         member.weight and not member.owned for member in members
     )
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -79,6 +79,8 @@
             seconds.
         request_amount: Amount as which a typical request is counted in the
             rates.
+        speeds: Work a second that the target of each member can do, in the
+            unit of the rates, as far as known.
         is_target_empty: Whether the target is known to hold no slot, also of
             earlier incarnations.
     """
@@ -109,6 +111,7 @@
     lease_length: float = 0.6
     is_target_empty: bool = False
     request_amount: float = 1.0
+    speeds: dict[str, float] = {}
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -178,6 +178,8 @@
         calls_lost_before: Calls to the store that any daemon sent before this
             time may be lost, milliseconds on the store's clock; 0 if none was
             found to be.
+        speed: Work a second that the target can do, in the unit of the load;
+            0 if that is not known.
     """
 
     service: types.ServiceName
@@ -193,6 +195,7 @@
     load: decoding.Finite | None = None
     route_table_as_of: decoding.Count = 0
     calls_lost_before: decoding.Count = 0
+    speed: decoding.Finite = 0.0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -255,9 +255,12 @@
 
     Attributes:
         rate: Requests a second, or None right after its slots have changed.
+        speed: Work a second that its target can do, in the same unit; 0 if
+            that is not known.
     """
 
     rate: decoding.Finite | None
+    speed: decoding.Finite = 0.0
 
 
 Message = (
--- a/tamarackgap/placement/loadstats.py
+++ b/tamarackgap/placement/loadstats.py
@@ -10,6 +10,11 @@
 # request would otherwise look like a high rate.
 _MIN_AGE_S = 2.0
 _SKETCH_PERIOD_S = 60.0
+# A target's measured pace counts as much as this many calls at the usual pace
+# that are added to it, until it has executed more.
+_PRIOR_CALLS = 8.0
+# Half-life of the calls from which a pace is measured.
+_PACE_HALF_LIFE_S = 5.0
 # Slots of lower weight are dropped from the meter.
 _MIN_WEIGHT = 0.001
 
@@ -118,6 +123,59 @@
     return half_life / math.log(2)
 
 
+class PaceMeter:
+    """Measures how long a target takes for calls, against the usual time.
+
+    Single calls vary a lot, so the pace is the ratio of sums, and the usual
+    pace is assumed until there are enough calls.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Creates a meter of the usual pace.
+
+        Args:
+            now: Monotonic time, seconds.
+        """
+        # Decayed sums, and the time of their last update.
+        self._durations = 0.0
+        self._usual_durations = 0.0
+        self._calls = 0.0
+        self._updated_at = now
+
+    def record(
+        self,
+        duration: float,
+        usual_duration: float,
+        is_served: bool,
+        now: float,
+    ) -> None:
+        """Records a call that the target has executed.
+
+        A call that failed shows only that it would have taken longer.
+
+        Args:
+            duration: Time that the target took, seconds.
+            usual_duration: Time that such a call usually takes, seconds.
+            is_served: Whether the call was served.
+            now: Monotonic time, seconds.
+        """
+        if not is_served and duration <= usual_duration * self.pace:
+            return
+        factor = 2.0 ** ((self._updated_at - now) / _PACE_HALF_LIFE_S)
+        self._durations = self._durations * factor + duration
+        self._usual_durations = self._usual_durations * factor + usual_duration
+        self._calls = self._calls * factor + 1
+        self._updated_at = now
+
+    @property
+    def pace(self) -> float:
+        """Time that calls take here, as a multiple of the usual time."""
+        if not self._calls:
+            return 1.0
+        prior = _PRIOR_CALLS * self._usual_durations / self._calls
+        return (self._durations + prior) / (self._usual_durations + prior)
+
+
 class HotKeySketch:
     """Finds the keys with most requests by the Space-Saving algorithm.
 
--- a/tamarackgap/placement/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -32,6 +32,9 @@
 # Fraction of the quota. It is lower than the tolerance for load, because
 # numbers of slots are exact.
 _COUNT_TOLERANCE = 0.02
+# A target counts as at most this many times faster or slower than the mean, so
+# that a disturbance of some seconds does not take all slots from it.
+_MAX_SPEED_RATIO = 4.0
 # After a loss, each successor makes one write and gets an eighth of the lost
 # load on top of its own.
 _MAX_SUCCESSORS = 8
@@ -52,6 +55,8 @@
         owned: Slots that it owns now.
         rate: Requests a second that it serves, or None if it has not
             reported its load recently.
+        speed: Work a second that its target can do, in the unit of the
+            rates; 0 if that is not known.
     """
 
     incarnation: str
@@ -60,6 +65,7 @@
     weight: int
     owned: tuple[int, ...]
     rate: float | None = None
+    speed: float = 0.0
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -198,10 +204,9 @@
     costs = CostModel(participants, rates or {})
     if costs.total_rate < _MIN_TOTAL_RATE_PER_S and _is_any_rate_known(members):
         return _plan_count_moves(slot_count, members)
-    total = sum(member.weight for member in participants)
-    if not total:
+    shares = _shares(participants)
+    if not shares:
         return []
-    shares = {member: member.weight / total for member in participants}
     headroom = {
         member.incarnation: share - costs.member_cost(member)
         for member, share in shares.items()
@@ -221,6 +226,31 @@
     return moves
 
 
+def _shares(members: Sequence[Member]) -> dict[Member, float]:
+    """Returns the share of the load that is due to each member.
+
+    Shares follow the weights and what the targets can do, so that all are
+    equally busy. A target of unknown speed counts as one of mean speed.
+
+    Returns:
+        Shares by member; empty if no member has a weight.
+    """
+    speeds = [member.speed for member in members if member.speed > 0]
+    mean = sum(speeds) / len(speeds) if speeds else 1.0
+    parts = {
+        member: member.weight
+        * min(
+            max(member.speed / mean or 1.0, 1 / _MAX_SPEED_RATIO),
+            _MAX_SPEED_RATIO,
+        )
+        for member in members
+    }
+    total = sum(parts.values())
+    if not total:
+        return {}
+    return {member: part / total for member, part in parts.items()}
+
+
 def _is_any_rate_known(members: Sequence[Member]) -> bool:
     """Returns whether the load of at least one owner is known.
 
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -173,7 +173,10 @@
         """
         if status.service == self._core.settings.service:
             self._core.record_member_load(
-                incarnation, status.load, self._timers.now - age
+                incarnation,
+                status.load,
+                self._timers.now - age,
+                status.speed,
             )
 
     def _relay_periodically(self) -> None:
@@ -284,6 +287,7 @@
             self._core.own_load,
             self._route_tables.as_of_ms,
             self._route_tables.calls_lost_before_ms,
+            self._core.own_speed,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -434,7 +434,10 @@
             self._runner.utilisation < _LOW_LOAD_UTILISATION
         )
         self._core.report_load(
-            self._runner.slot_loads(), now(), self._runner.request_amount
+            self._runner.slot_loads(),
+            now(),
+            self._runner.request_amount,
+            self._runner.speed,
         )
         self._perform_effects()
 
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -25,8 +25,12 @@
 _MIN_REMAINING_S = 0.005
 # Time for which a keyed service still runs calls after draining has begun.
 _DRAIN_TIME_S = 1.6
-# Duration of the call that counts as one unit of a slot's load.
+# Duration of the call that counts as one unit of a slot's load, at a target of
+# usual speed.
 _LOAD_UNIT_S = 0.05
+# Time that a call is taken to need at such a target, as a share of its latency
+# objective.
+_USUAL_RELATIVE_LATENCY = 0.3
 # A target that crashed refuses connections, or is announced by a new process,
 # within this time after its connections broke.
 _CRASH_DETECTION_S = 2.0
@@ -137,6 +141,9 @@
         self._meter = loadstats.SlotMeter(
             timers.now, core.settings.load_half_life
         )
+        self._pace_meter = loadstats.PaceMeter(timers.now)
+        # Calls that the target runs at once, as it announces.
+        self._capacity = 0
         self._draining = False
         # Whether each key has one owner among the service's targets.
         self.keyed = False
@@ -179,7 +186,9 @@
         """
         if instance != self._instance:
             self._admission.reset_estimates()
+            self._pace_meter = loadstats.PaceMeter(self._timers.now)
         self._instance = instance
+        self._capacity = capacity
         self._draining = False
         self._admission.resize(capacity, self._timers.now)
 
@@ -283,10 +292,7 @@
         if self.keyed:
             # Counted before admission, since calls that are refused for lack of
             # room are load as well.
-            amount = (
-                self._admission.expected_duration(dispatch.latency_objective)
-                / _LOAD_UNIT_S
-            )
+            amount = _usual_duration(dispatch) / _LOAD_UNIT_S
             self._meter.count(self._slot(dispatch), now, amount)
         leg.queued_call = admission.QueuedCall(
             dispatch.rank,
@@ -374,12 +380,19 @@
     def slot_loads(self) -> dict[int, float]:
         """Returns the load of each owned slot, in units of load per second.
 
-        A call counts as its expected duration divided by _LOAD_UNIT_S, so that
-        the same calls are more load at a slow target.
+        A call counts as its usual duration divided by _LOAD_UNIT_S, so that it
+        is the same load wherever its slot is.
         """
         since = {slot: owned.since for slot, owned in self._core.owned.items()}
         return self._meter.rates(since, self._timers.now)
 
+    @property
+    def speed(self) -> float:
+        """Units of load a second that the target can do; 0 without one."""
+        if not self._instance:
+            return 0.0
+        return self._capacity / (_LOAD_UNIT_S * self._pace_meter.pace)
+
     @property
     def request_amount(self) -> float:
         """Amount as which a typical call is counted in `slot_loads`."""
@@ -444,6 +457,14 @@
                 completion = self._handle_failure(leg, failure)
             case _:
                 raise AssertionError(outcome)
+        if completion.verdict is not types.Verdict.NOT_RUN:
+            self._pace_meter.record(
+                now - leg.sent_at,
+                _usual_duration(leg.dispatch),
+                duration is not None
+                and completion.status < _SERVER_ERROR_STATUS,
+                now,
+            )
         self._log(leg, completion, now)
         self.on_finished(completion.verdict, now - leg.sent_at)
         self._finish(leg, completion)
@@ -584,6 +605,11 @@
 }
 
 
+def _usual_duration(dispatch: calls.Dispatch) -> float:
+    """Returns a call's time at a target of usual speed, seconds."""
+    return _USUAL_RELATIVE_LATENCY * dispatch.latency_objective
+
+
 def _fingerprint(dispatch: calls.Dispatch) -> str:
     return crashes.fingerprint(dispatch.service, dispatch.call)
 
--- a/tests/ownership/test_loads.py
+++ b/tests/ownership/test_loads.py
@@ -1,6 +1,16 @@
 from tamarackgap.ownership import loads
 
 
+def test_speeds_are_known_while_loads_are_not():
+    member_loads = loads.MemberLoads()
+    member_loads.record("a", None, 5.0, 140.0)
+    member_loads.record("b", 7.0, 5.0)
+    assert member_loads.recent(6.0) == {"b": 7.0}
+    assert member_loads.speeds() == {"a": 140.0}
+    assert not member_loads.recent(12.0)
+    assert not member_loads.speeds()
+
+
 def test_old_loads_are_dropped():
     member_loads = loads.MemberLoads()
     member_loads.record("a", 5.0, 0.0)
--- a/tests/placement/test_loadstats.py
+++ b/tests/placement/test_loadstats.py
@@ -49,6 +49,30 @@
     assert [hot_key.key for hot_key in sketch.hottest(5)] == ["new"]
 
 
+def test_one_quick_call_does_not_make_a_target_fast():
+    meter = loadstats.PaceMeter(0.0)
+    meter.record(0.001, 0.2, True, 0.1)
+    assert meter.pace > 0.8
+
+
+def test_pace_is_learnt_within_seconds():
+    # Fifteen calls a second at a target of 0.6 of the usual speed.
+    meter = loadstats.PaceMeter(0.0)
+    for number in range(45):
+        meter.record(0.2 / 0.6, 0.2, True, number / 15)
+    assert meter.pace == pytest.approx(1 / 0.6, rel=0.1)
+
+
+def test_calls_that_fail_quickly_do_not_make_a_target_fast():
+    meter = loadstats.PaceMeter(0.0)
+    for number in range(45):
+        meter.record(0.001, 0.2, False, number / 15)
+    assert meter.pace == 1.0
+    for number in range(45):
+        meter.record(1.0, 0.2, False, 3 + number / 15)
+    assert meter.pace > 3
+
+
 def test_typical_amount_is_that_of_the_requests_that_make_up_the_load():
     meter = loadstats.SlotMeter(0.0)
     assert meter.typical_amount == 1.0
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -1,5 +1,6 @@
 import collections
 
+import msgspec
 import pytest
 
 from tamarackgap.placement import placement, records, slots
@@ -283,3 +284,59 @@
     assert (
         placement.plan_moves(24, members, dict.fromkeys(range(20), 9.0)) == []
     )
+
+
+def test_shares_follow_the_speeds_of_targets():
+    # 12 targets at 0.6, 1 and 1.6 of the usual speed; each slot gets the same
+    # 30 units a second, and all of them are 0.7 of what the targets can do.
+    speeds = [0.6, 1.0, 1.6] * 4
+    slot_count = 144
+    rate = 0.7 * sum(speeds) * 100 / slot_count
+    owned = {
+        f"m{i:02}": set(range(12 * i, 12 * i + 12)) for i in range(len(speeds))
+    }
+    moved = 0
+    for _ in range(3):
+        for source in owned:
+            members = [
+                msgspec.structs.replace(
+                    loaded_member(name, sorted(own), rate * len(own)),
+                    speed=speed * 100,
+                )
+                for (name, own), speed in zip(
+                    owned.items(), speeds, strict=True
+                )
+            ]
+            moves = placement.plan_moves(
+                slot_count,
+                members,
+                dict.fromkeys(owned[source], rate),
+                half_life=2.0,
+                strategy=placement.plan_block_moves,
+            )
+            for move in moves:
+                if move.source == source:
+                    owned[source].remove(move.slot)
+                    owned[move.destination].add(move.slot)
+                    moved += 1
+    utilisations = [
+        rate * len(own) / (speed * 100)
+        for own, speed in zip(owned.values(), speeds, strict=True)
+    ]
+    mean = sum(utilisations) / len(utilisations)
+    assert max(utilisations) <= 1.3 * mean
+    # Of their 12 slots, 6.75 are due to each of the four slow targets.
+    assert moved <= 4 * 6
+
+
+def test_target_of_unknown_speed_counts_as_one_of_mean_speed():
+    members = [
+        msgspec.structs.replace(
+            loaded_member(name, range(8 * i, 8 * i + 8), 300.0), speed=speed
+        )
+        for i, (name, speed) in enumerate(
+            [("a", 400.0), ("b", 400.0), ("c", 0.0)]
+        )
+    ]
+    rates = dict.fromkeys(range(8), 37.5)
+    assert placement.plan_moves(24, members, rates) == []
--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -115,6 +115,7 @@
                 service="s",
             ),
             own_load=float(len(self.name)),
+            own_speed=0.0,
             record_member_load=self._record_load,
         )
         self.loads = {}
@@ -149,7 +150,7 @@
         else:
             self.sync.receive(envelope)
 
-    def _record_load(self, name, load, reported_at):
+    def _record_load(self, name, load, reported_at, speed):
         self.loads[name] = (load, reported_at)
 
     def send(self, sender, address, message):
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -241,6 +241,7 @@
                 service="s",
             ),
             own_load=0.0,
+            own_speed=0.0,
             record_member_load=lambda *load: None,
         )
         self.directory = targets.TargetDirectory(core, self.timers)
