Slots move by loads that are known, and only from busy targets

Cause: rates were counted from a slot's first moment, long before the first request; single slots of which hardly a request was counted seemed the busiest; members gave slots away on a momentary utilisation over 0.6.

Change: rates count from the first request, and are as certain as the requests counted; a slot's rate is drawn towards its owner's mean; a member gives slots away for load only if over 0.6 of what its target can do is offered; half the warm-up (0.5 s) after a change. The log of a move names the loads it rests on and their age.

--- a/tamarackgap/ownership/epochchange.py
+++ b/tamarackgap/ownership/epochchange.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tamarackgap.ownership import effects, planner, plannerinputs, renewal
-from tamarackgap.placement import placement, slots
+from tamarackgap.placement import placement, slots, workload
 
 # Longest time for witnesses to retire the current epoch and grant the next.
 _PREPARE_TIMEOUT_S = 2.0
@@ -148,11 +148,22 @@
 
     def _log_moves(self, moves: tuple[placement.Move, ...]) -> None:
         """Logs one line per slot range with one destination and reason."""
-        groups: dict[tuple[str, str], dict[int, slots.SlotAssignment]] = {}
+        groups: dict[
+            tuple[str, str, workload.MoveBasis | None],
+            dict[int, slots.SlotAssignment],
+        ] = {}
         for move in moves:
-            group = groups.setdefault((move.destination, move.reason), {})
+            group = groups.setdefault(
+                (move.destination, move.reason, move.basis), {}
+            )
             group[move.slot] = slots.SlotAssignment(0)
-        for (destination, reason), moved in groups.items():
+        for (destination, reason, basis), moved in groups.items():
+            fields: dict[str, float] = {}
+            if basis is not None:
+                fields["source_load"] = round(basis.source_load, 2)
+                fields["source_load_after"] = round(basis.source_load_after, 2)
+                fields["destination_load"] = round(basis.destination_load, 2)
+                fields["load_age_ms"] = round(basis.load_age * 1000)
             for slot_range in slots.compress(moved):
                 self._outbox.log(
                     "move",
@@ -160,6 +171,7 @@
                     last=slot_range.last,
                     to=destination,
                     reason=reason,
+                    **fields,
                 )
 
 
--- a/tamarackgap/ownership/loads.py
+++ b/tamarackgap/ownership/loads.py
@@ -62,6 +62,10 @@
             if rate is not None
         }
 
+    def ages(self, now: float) -> dict[str, float]:
+        """Returns the time since each report, seconds."""
+        return {name: now - at for name, (_, at, _) in self._reports.items()}
+
     def speeds(self) -> dict[str, float]:
         """Returns the speeds of the targets, as far as they are known."""
         return {
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -710,6 +710,7 @@
             rates=self._load_exchange.slot_loads,
             loads=self._load_exchange.member_loads.recent(now),
             speeds=self._load_exchange.member_loads.speeds(),
+            load_ages=self._load_exchange.member_loads.ages(now),
             max_moves=int(self._load_exchange.move_budget.tokens(now)),
             age=now - self._started_at,
             now=now,
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from tamarackgap.ownership import changes, creation, effects, plannerinputs
-from tamarackgap.placement import placement, records, slots
+from tamarackgap.placement import placement, records, slots, workload
 
 PLAN_INTERVAL_S = 0.2
 # While the signature of the inputs stays the same, the planner still runs
@@ -454,6 +454,7 @@
     service: str,
     loads: dict[str, float],
     speeds: dict[str, float] | None = None,
+    load_ages: dict[str, float] | None = None,
 ) -> list[placement.Member]:
     """Returns a service's daemons with their weights, slots and loads.
 
@@ -462,6 +463,7 @@
         service: The service.
         loads: Requests per second by incarnation, as far as reported.
         speeds: Work per second that their targets can do, as far as reported.
+        load_ages: Time since these reports, seconds.
     """
     return [
         placement.Member(
@@ -476,6 +478,7 @@
             owned=tuple(sorted(slots.expand(record.runs))),
             rate=loads.get(record.incarnation),
             speed=(speeds or {}).get(record.incarnation, 0.0),
+            load_age=(load_ages or {}).get(record.incarnation, 0.0),
         )
         for record in view.open_records(service)
     ]
@@ -502,15 +505,18 @@
         return ()
     own_record = inputs.own_record
     policy = view.policy(service, own_record.data_centre)
-    members = placement_members(view, service, inputs.loads, inputs.speeds)
+    members = placement_members(
+        view, service, inputs.loads, inputs.speeds, inputs.load_ages
+    )
+    is_idle = inputs.has_low_load or any(
+        workload.is_idle(member.rate, member.speed)
+        for member in members
+        if member.incarnation == inputs.incarnation
+    )
     has_member_without_slots = any(
         member.weight and not member.owned for member in members
     )
-    if (
-        inputs.has_low_load
-        and inputs.accepting
-        and not has_member_without_slots
-    ):
+    if is_idle and inputs.accepting and not has_member_without_slots:
         return ()
     planned = placement.plan_moves(
         service_record.slots,
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -81,6 +81,7 @@
             rates.
         speeds: Work a second that the target of each member can do, in the
             unit of the rates, as far as known.
+        load_ages: Time since each of these loads was reported, seconds.
         is_target_empty: Whether the target is known to hold no slot, also of
             earlier incarnations.
     """
@@ -112,6 +113,7 @@
     is_target_empty: bool = False
     request_amount: float = 1.0
     speeds: dict[str, float] = {}
+    load_ages: dict[str, float] = {}
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
--- a/tamarackgap/placement/loadstats.py
+++ b/tamarackgap/placement/loadstats.py
@@ -49,6 +49,8 @@
         self._squared_amounts = 0.0
         self._half_life = half_life
         self._rescaled_at = now
+        # Time of the first request, seconds.
+        self._first_at = math.inf
 
     def count(self, slot: int, now: float, amount: float = 1.0) -> None:
         """Counts a request.
@@ -60,6 +62,7 @@
         """
         # Later requests get a higher weight, instead of earlier ones a lower
         # one, so that counting touches a single slot.
+        self._first_at = min(self._first_at, now)
         weight = amount * 2.0 ** ((now - self._rescaled_at) / self._half_life)
         self._weights[slot] = self._weights.get(slot, 0.0) + weight
         self._amounts += weight
@@ -76,6 +79,22 @@
             return 1.0
         return self._squared_amounts / self._amounts
 
+    def amount_per_request(self, rates: dict[int, float]) -> float:
+        """Returns the amount in some rates that stands for a counted request.
+
+        It is the typical amount, or more if so few requests were counted yet
+        that a rate rests on fewer of them than one of an old slot would.
+
+        Args:
+            rates: Rates of all slots, from `rates`.
+        """
+        typical = self.typical_amount
+        request_count = self._amounts / typical
+        if not request_count:
+            return typical
+        total = sum(rates.values()) * time_constant_s(self._half_life)
+        return max(typical, total / request_count)
+
     def rates(
         self, owned_since: dict[int, float], now: float
     ) -> dict[int, float]:
@@ -83,12 +102,14 @@
 
         Args:
             owned_since: Time since which each slot is served here, monotonic
-                seconds. Recent slots were counted for a shorter time.
+                seconds. Recent slots were counted for a shorter time, as were
+                all slots if the first request came later.
             now: Monotonic time, seconds.
         """
         self._rescale(now)
         return {
-            slot: self._weights.get(slot, 0.0) / self._unit_weight(now - since)
+            slot: self._weights.get(slot, 0.0)
+            / self._unit_weight(now - max(since, min(self._first_at, now)))
             for slot, since in owned_since.items()
         }
 
--- a/tamarackgap/placement/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from tamarackgap import types
-from tamarackgap.placement import loadstats, records, slots
+from tamarackgap.placement import loadstats, records, slots, workload
 
 # If all members together serve less, only numbers of slots are balanced.
 _MIN_TOTAL_RATE_PER_S = 20.0
@@ -32,9 +32,6 @@
 # Fraction of the quota. It is lower than the tolerance for load, because
 # numbers of slots are exact.
 _COUNT_TOLERANCE = 0.02
-# A target counts as at most this many times faster or slower than the mean, so
-# that a disturbance of some seconds does not take all slots from it.
-_MAX_SPEED_RATIO = 4.0
 # After a loss, each successor makes one write and gets an eighth of the lost
 # load on top of its own.
 _MAX_SUCCESSORS = 8
@@ -57,6 +54,7 @@
             reported its load recently.
         speed: Work a second that its target can do, in the unit of the
             rates; 0 if that is not known.
+        load_age: Time since the rate was measured, seconds.
     """
 
     incarnation: str
@@ -66,6 +64,7 @@
     owned: tuple[int, ...]
     rate: float | None = None
     speed: float = 0.0
+    load_age: float = 0.0
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -76,12 +75,14 @@
         source: Incarnation that owns it now.
         destination: Incarnation that should own it.
         reason: Reason for the log.
+        basis: Loads that it rests on; None if it doesn't depend on them.
     """
 
     slot: int
     source: str
     destination: str
     reason: str
+    basis: workload.MoveBasis | None = None
 
 
 def rendezvous_hash(item: object, candidate: str) -> int:
@@ -201,16 +202,29 @@
     participants = [
         m for m in members if m.rate is not None or not (m.owned and m.weight)
     ]
-    costs = CostModel(participants, rates or {})
+    costs = CostModel(
+        participants,
+        workload.smoothed(rates or {}, request_amount, half_life),
+    )
     if costs.total_rate < _MIN_TOTAL_RATE_PER_S and _is_any_rate_known(members):
         return _plan_count_moves(slot_count, members)
-    shares = _shares(participants)
-    if not shares:
+    if not any(member.weight for member in participants):
         return []
+    shares = dict(
+        zip(
+            participants,
+            workload.shares(
+                [member.weight for member in participants],
+                [member.speed for member in participants],
+            ),
+            strict=True,
+        )
+    )
     headroom = {
         member.incarnation: share - costs.member_cost(member)
         for member, share in shares.items()
     }
+    before = dict(headroom)
     moves: list[Move] = []
     for source in sorted(participants, key=lambda member: member.name):
         share = shares[source]
@@ -223,32 +237,41 @@
         moves += (strategy or plan_slot_moves)(
             source, participants, costs, headroom, shares
         )
-    return moves
-
+    return _with_basis(moves, shares, before, headroom)
 
-def _shares(members: Sequence[Member]) -> dict[Member, float]:
-    """Returns the share of the load that is due to each member.
 
-    Shares follow the weights and what the targets can do, so that all are
-    equally busy. A target of unknown speed counts as one of mean speed.
+def _with_basis(
+    moves: Iterable[Move],
+    shares: dict[Member, float],
+    before: dict[str, float],
+    after: dict[str, float],
+) -> list[Move]:
+    """Returns moves that are due to load with the loads they rest on.
 
-    Returns:
-        Shares by member; empty if no member has a weight.
+    Args:
+        moves: The moves.
+        shares: Shares of the members.
+        before: Headroom of each incarnation before the plan.
+        after: Headroom of each incarnation after it.
     """
-    speeds = [member.speed for member in members if member.speed > 0]
-    mean = sum(speeds) / len(speeds) if speeds else 1.0
-    parts = {
-        member: member.weight
-        * min(
-            max(member.speed / mean or 1.0, 1 / _MAX_SPEED_RATIO),
-            _MAX_SPEED_RATIO,
+    members = {member.incarnation: member for member in shares}
+
+    def load(incarnation: str, headroom: dict[str, float]) -> float:
+        share = shares[members[incarnation]]
+        return 1 - headroom[incarnation] / share if share else 0.0
+
+    return [
+        msgspec.structs.replace(
+            move,
+            basis=workload.MoveBasis(
+                load(move.source, before),
+                load(move.source, after),
+                load(move.destination, before),
+                members[move.destination].load_age,
+            ),
         )
-        for member in members
-    }
-    total = sum(parts.values())
-    if not total:
-        return {}
-    return {member: part / total for member, part in parts.items()}
+        for move in moves
+    ]
 
 
 def _is_any_rate_known(members: Sequence[Member]) -> bool:
--- /dev/null
+++ b/tamarackgap/placement/workload.py
@@ -0,0 +1,93 @@
+"""Weighs slots by their work, and members by what their targets can do.
+
+Answers uneven targets, and demand that was counted for only seconds.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from tamarackgap.placement import loadstats
+
+# A target counts as at most this many times faster or slower than the mean, so
+# that a disturbance of some seconds does not take all slots from it.
+_MAX_SPEED_RATIO = 4.0
+# A slot's rate counts as much as this many requests at the mean rate of its
+# owner's slots that are added to it: with few requests, the slot that seems the
+# busiest is mostly one that got more by chance.
+_PRIOR_REQUESTS = 2.0
+# Below this utilisation, hardly any call waits at a target.
+_MIN_UTILISATION = 0.6
+
+
+class MoveBasis(msgspec.Struct, frozen=True):
+    """Loads on which a move rests, as multiples of the members' shares.
+
+    Attributes:
+        source_load: Load of the source before the plan.
+        source_load_after: Load of the source once the plan is executed.
+        destination_load: Load of the destination before the plan.
+        load_age: Time since the destination's load was measured, seconds.
+    """
+
+    source_load: float
+    source_load_after: float
+    destination_load: float
+    load_age: float
+
+
+def shares(weights: Sequence[int], speeds: Sequence[float]) -> list[float]:
+    """Returns the share of the load that is due to each member.
+
+    Shares follow the weights and what the targets can do, so that all are
+    equally busy. A target of unknown speed counts as one of mean speed.
+
+    Args:
+        weights: Weight of each member.
+        speeds: Work a second that each member's target can do; 0 for unknown.
+
+    Returns:
+        Fractions in the order of the members; all 0 if no member has a weight.
+    """
+    known = [speed for speed in speeds if speed > 0]
+    mean = sum(known) / len(known) if known else 1.0
+    parts = [
+        weight
+        * min(max(speed / mean or 1.0, 1 / _MAX_SPEED_RATIO), _MAX_SPEED_RATIO)
+        for weight, speed in zip(weights, speeds, strict=True)
+    ]
+    total = sum(parts)
+    return [part / total if total else 0.0 for part in parts]
+
+
+def smoothed(
+    rates: dict[int, float], request_amount: float, half_life: float
+) -> dict[int, float]:
+    """Returns the rates of one owner's slots, closer to their mean.
+
+    Their sum stays the same.
+
+    Args:
+        rates: Rates by slot.
+        request_amount: Amount as which a typical request is counted in them.
+        half_life: Half-life of the rates, seconds.
+    """
+    if not rates:
+        return rates
+    mean = sum(rates.values()) / len(rates)
+    requests = mean / request_amount * loadstats.time_constant_s(half_life)
+    weight = requests / (requests + _PRIOR_REQUESTS)
+    return {slot: mean + (rate - mean) * weight for slot, rate in rates.items()}
+
+
+def is_idle(rate: float | None, speed: float) -> bool:
+    """Returns whether a target has time for all work that is offered to it.
+
+    Moving its slots would then cost their callers more than it gains, also
+    where others have less to do.
+
+    Args:
+        rate: Work a second that is offered, or None if that is not known.
+        speed: Work a second that the target can do; 0 if that is not known.
+    """
+    return rate is not None and rate < speed * _MIN_UTILISATION
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -49,7 +49,7 @@
 _LOAD_REPORT_INTERVAL_S = 0.5
 # Short, because the busiest keys change within seconds.
 _LOAD_HALF_LIFE_S = 2.0
-_LOAD_WARMUP_S = 1.0
+_LOAD_WARMUP_S = 0.5
 _MIN_TOLERANCE_PERCENT = 15
 # A target that uses less than this share of its capacity gives no slots away:
 # moving them would cost their callers more than it gains.
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -395,8 +395,8 @@
 
     @property
     def request_amount(self) -> float:
-        """Amount as which a typical call is counted in `slot_loads`."""
-        return self._meter.typical_amount
+        """Amount that stands for one counted call in `slot_loads`."""
+        return self._meter.amount_per_request(self.slot_loads())
 
     def _start(self, leg: Leg) -> None:
         """Sends a call to the target, unless it must be refused by now."""
--- a/tests/placement/test_loadstats.py
+++ b/tests/placement/test_loadstats.py
@@ -73,6 +73,22 @@
     assert meter.pace > 3
 
 
+def test_rates_count_from_the_first_request():
+    # The slot has been owned for 12 s, and got 20 requests a second in two.
+    meter = loadstats.SlotMeter(0.0, 2.0)
+    for number in range(40):
+        meter.count(1, 10 + number / 20)
+    rates = meter.rates({1: 0.0}, 12.0)
+    assert rates[1] == pytest.approx(20.0, rel=0.05)
+    # They are as certain as the requests that were counted.
+    requests = rates[1] * loadstats.time_constant_s(2.0)
+    assert requests / meter.amount_per_request(rates) < 40
+    for number in range(400):
+        meter.count(1, 12 + number / 20)
+    rates = meter.rates({1: 0.0}, 32.0)
+    assert meter.amount_per_request(rates) == pytest.approx(1.0, rel=0.05)
+
+
 def test_typical_amount_is_that_of_the_requests_that_make_up_the_load():
     meter = loadstats.SlotMeter(0.0)
     assert meter.typical_amount == 1.0
