--- a/tamarackgap/placement/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from tamarackgap import types
-from tamarackgap.placement import loadstats, records, slots
+from tamarackgap.placement import loadstats, records, slots, workload
 
 # If all members together serve less, only numbers of slots are balanced.
 _MIN_TOTAL_RATE_PER_S = 20.0
@@ -52,6 +52,9 @@
         owned: Slots that it owns now.
         rate: Requests a second that it serves, or None if it has not
             reported its load recently.
+        speed: Work a second that its target can do, in the unit of the
+            rates; 0 if that is not known.
+        load_age: Time since the rate was measured, seconds.
     """
 
     incarnation: str
@@ -60,6 +63,8 @@
     weight: int
     owned: tuple[int, ...]
     rate: float | None = None
+    speed: float = 0.0
+    load_age: float = 0.0
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -70,12 +75,14 @@
         source: Incarnation that owns it now.
         destination: Incarnation that should own it.
         reason: Reason for the log.
+        basis: Loads that it rests on; None if it doesn't depend on them.
     """
 
     slot: int
     source: str
     destination: str
     reason: str
+    basis: workload.MoveBasis | None = None
 
 
 def rendezvous_hash(item: object, candidate: str) -> int:
@@ -195,17 +202,29 @@
     participants = [
         m for m in members if m.rate is not None or not (m.owned and m.weight)
     ]
-    costs = CostModel(participants, rates or {})
+    costs = CostModel(
+        participants,
+        workload.smoothed(rates or {}, request_amount, half_life),
+    )
     if costs.total_rate < _MIN_TOTAL_RATE_PER_S and _is_any_rate_known(members):
         return _plan_count_moves(slot_count, members)
-    total = sum(member.weight for member in participants)
-    if not total:
+    if not any(member.weight for member in participants):
         return []
-    shares = {member: member.weight / total for member in participants}
+    shares = dict(
+        zip(
+            participants,
+            workload.shares(
+                [member.weight for member in participants],
+                [member.speed for member in participants],
+            ),
+            strict=True,
+        )
+    )
     headroom = {
         member.incarnation: share - costs.member_cost(member)
         for member, share in shares.items()
     }
+    before = dict(headroom)
     moves: list[Move] = []
     for source in sorted(participants, key=lambda member: member.name):
         share = shares[source]
@@ -218,7 +237,41 @@
         moves += (strategy or plan_slot_moves)(
             source, participants, costs, headroom, shares
         )
-    return moves
+    return _with_basis(moves, shares, before, headroom)
+
+
+def _with_basis(
+    moves: Iterable[Move],
+    shares: dict[Member, float],
+    before: dict[str, float],
+    after: dict[str, float],
+) -> list[Move]:
+    """Returns moves that are due to load with the loads they rest on.
+
+    Args:
+        moves: The moves.
+        shares: Shares of the members.
+        before: Headroom of each incarnation before the plan.
+        after: Headroom of each incarnation after it.
+    """
+    members = {member.incarnation: member for member in shares}
+
+    def load(incarnation: str, headroom: dict[str, float]) -> float:
+        share = shares[members[incarnation]]
+        return 1 - headroom[incarnation] / share if share else 0.0
+
+    return [
+        msgspec.structs.replace(
+            move,
+            basis=workload.MoveBasis(
+                load(move.source, before),
+                load(move.source, after),
+                load(move.destination, before),
+                members[move.destination].load_age,
+            ),
+        )
+        for move in moves
+    ]
 
 
 def _is_any_rate_known(members: Sequence[Member]) -> bool:
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -173,7 +173,10 @@
         """
         if status.service == self._core.settings.service:
             self._core.record_member_load(
-                incarnation, status.load, self._timers.now - age
+                incarnation,
+                status.load,
+                self._timers.now - age,
+                status.speed,
             )
 
     def _relay_periodically(self) -> None:
@@ -285,6 +288,7 @@
             self._route_tables.as_of_ms,
             self._route_tables.calls_lost_before_ms,
             round(queue.slowdown(self._timers.now), 2),
+            self._core.own_speed,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
