Answers don't wait behind rows; relays above 30 daemons

Cause: after a move its rows went to all 76 other daemons (0.65 s of a 6 Mbit/s link), and answers waited behind them; states of all to all took as many bytes between data centres as answers. Change: relays above 30 daemons (was 100), digests each second up to 100; rows and digests compressed; setting daemon.link (limits.link_mbps): rows, digests and periodic states wait for the link (peers/pacing.py), the rest never does.

--- a/tamarackgap/metrics.py
+++ b/tamarackgap/metrics.py
@@ -1,5 +1,7 @@
 """Keeps a daemon's metrics and renders them for Prometheus."""
 
+from collections.abc import Mapping
+
 import aioprometheus
 from aioprometheus import renderer
 
@@ -37,6 +39,12 @@
             " and result.",
             labels,
         )
+        self._peer_bytes = self._gauge(
+            "tamarackgap_peer_bytes",
+            "Bytes sent to other daemons since the daemon started, by kind of"
+            " message and by reach: near (the same data centre) or far.",
+            labels,
+        )
         self._leg_latency = aioprometheus.Histogram(
             "tamarackgap_leg_seconds",
             "Time from sending a request to the target to its answer.",
@@ -98,6 +106,17 @@
             kind, _, result = call.rpartition(" ")
             self._store_calls.set({"kind": kind, "result": result}, count)
 
+    def set_peer_bytes(self, sizes: Mapping[tuple[str, bool], int]) -> None:
+        """Sets the numbers of bytes sent to other daemons.
+
+        Args:
+            sizes: Bytes by kind of message, and whether they went to daemons
+                of the same data centre.
+        """
+        for (kind, is_near), size in sizes.items():
+            reach = "near" if is_near else "far"
+            self._peer_bytes.set({"kind": kind, "reach": reach}, size)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a gauge.
 
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import zlib
 
 import msgspec
 
@@ -306,14 +307,33 @@
     message: Message
 
 
+# Their fields repeat; bodies of calls can't be made smaller.
+_COMPRESSED = (RowUpdates, calls.StatusDigest)
+_MIN_COMPRESSED_BYTES = 256
+_COMPRESSION_LEVEL = 1
+# First byte of what zlib writes; MessagePack begins an envelope with another.
+_ZLIB_MARK = b"\x78"
+_MAX_DECOMPRESSED_BYTES = 8_388_608
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Envelope)
 _is_address = functools.lru_cache(maxsize=10_000)(config.is_address)
 
 
 def encode(envelope: Envelope) -> bytes:
-    """Returns an envelope as MessagePack."""
-    return _ENCODER.encode(envelope)
+    """Returns an envelope as MessagePack, compressed if that saves much."""
+    frame = _ENCODER.encode(envelope)
+    if (
+        isinstance(envelope.message, _COMPRESSED)
+        and len(frame) >= _MIN_COMPRESSED_BYTES
+    ):
+        return zlib.compress(frame, _COMPRESSION_LEVEL)
+    return frame
+
+
+def kind(message: Message) -> str:
+    """Returns the name of a message's kind."""
+    return str(message.__struct_config__.tag)
 
 
 def decode(frame: bytes) -> Envelope:
@@ -322,12 +342,25 @@
     Raises:
         msgspec.MsgspecError: If the frame is malformed.
     """
+    if frame[:1] == _ZLIB_MARK:
+        frame = _decompress(frame)
     try:
         return _DECODER.decode(frame)
     except (RecursionError, UnicodeError) as error:
         raise msgspec.DecodeError(str(error)) from error
 
 
+def _decompress(frame: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        plain = decompressor.decompress(frame, _MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise msgspec.DecodeError(str(error)) from error
+    if not decompressor.eof:
+        raise msgspec.DecodeError("frame is cut off or too large")
+    return plain
+
+
 def check_addresses(envelope: Envelope) -> None:
     """Checks the addresses to which messages would be sent.
 
--- a/tamarackgap/peers/transport.py
+++ b/tamarackgap/peers/transport.py
@@ -6,6 +6,7 @@
 address.
 """
 
+import collections
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -13,7 +14,7 @@
 
 from tamarackgap import logs
 from tamarackgap.network import scheduler, sockets
-from tamarackgap.peers import messages
+from tamarackgap.peers import messages, pacing
 
 _HIGH_WATER_MARK_MESSAGES = 1000
 _RECONNECT_MS = 50
@@ -44,12 +45,23 @@
 OnMessage = Callable[[messages.Envelope], None]
 
 
+class _Frame(msgspec.Struct, frozen=True):
+    """An encoded message that waits for the link."""
+
+    address: str
+    content: bytes
+    kind: str
+
+
 class PeerTransport:
     """Holds the connections to all other daemons.
 
     Attributes:
         sent_messages: Number of messages handed to a connection.
         sent_bytes: Size of these messages, bytes.
+        sent_bytes_by_kind: The same by kind of message, and whether it went
+            to a daemon of this data centre.
+        near: `ip:port` of the daemons of this data centre.
         dropped_messages: Number of messages for peers without a connection
             or with a full queue.
         malformed_frames: Number of received frames that were malformed or
@@ -64,6 +76,7 @@
         address: str,
         max_message_bytes: int,
         receive: OnMessage,
+        link_rate: float = 0.0,
     ) -> None:
         """Binds the receiving socket.
 
@@ -76,6 +89,8 @@
                 peers reply to.
             max_message_bytes: Size of the largest message accepted, bytes.
             receive: Called with each message received.
+            link_rate: Rate of the VM's link, bytes a second; 0 if messages
+                are not to be paced.
 
         Raises:
             OSError: If the address can't be bound.
@@ -102,6 +117,14 @@
         self._outboxes: dict[str, zmq.Socket] = {}
         self.sent_messages = 0
         self.sent_bytes = 0
+        self.sent_bytes_by_kind: collections.Counter[tuple[str, bool]] = (
+            collections.Counter()
+        )
+        self.near: set[str] = set()
+        self._pacer: pacing.Pacer[_Frame] | None = (
+            pacing.Pacer(link_rate) if link_rate else None
+        )
+        self._is_drain_due = False
         self.dropped_messages = 0
         self.malformed_frames = 0
         poller.watch(
@@ -138,7 +161,11 @@
             True if the message was handed to a connection, where it may
             still be lost; False if it will never arrive.
         """
-        return self._send(address, self._encode(sender, message))
+        return self._send(
+            _Frame(
+                address, self._encode(sender, message), messages.kind(message)
+            )
+        )
 
     def send_within(
         self,
@@ -155,21 +182,27 @@
             message: The message.
             timeout_s: Longest time to wait for a connection, seconds.
         """
-        frame = self._encode(sender, message)
+        frame = _Frame(
+            address, self._encode(sender, message), messages.kind(message)
+        )
         give_up_at = self._timers.now + timeout_s
 
         def send() -> None:
             if self._context.closed:
                 return
-            if not self._send(address, frame) and self._timers.now < give_up_at:
+            if not self._send(frame) and self._timers.now < give_up_at:
                 self._timers.after(_RETRY_PAUSE_S, send)
 
         send()
 
     def send_all(
-        self, sender: str, addresses: Iterable[str], message: messages.Message
+        self,
+        sender: str,
+        addresses: Iterable[str],
+        message: messages.Message,
+        can_wait: bool = False,
     ) -> None:
-        """Sends a message to several daemons without waiting.
+        """Sends a message to several daemons.
 
         The message is encoded only once.
 
@@ -177,24 +210,57 @@
             sender: Incarnation that sends the message.
             addresses: `ip:port` of the receivers.
             message: The message.
+            can_wait: Whether messages that can't wait are sent before it, on
+                a link of known rate.
         """
-        frame = self._encode(sender, message)
+        content = self._encode(sender, message)
+        kind = messages.kind(message)
         for address in addresses:
-            self._send(address, frame)
+            frame = _Frame(address, content, kind)
+            if can_wait and self._pacer is not None:
+                self._pacer.add(frame, len(content), self._timers.now)
+            else:
+                self._send(frame)
+        self._send_due()
+
+    def _send_due(self) -> None:
+        """Sends the messages for which the link has room."""
+        if self._pacer is None or self._is_drain_due:
+            return
+        for frame in self._pacer.take(self._timers.now):
+            self._hand_over(frame)
+        delay = self._pacer.delay(self._timers.now)
+        if delay is not None:
+            self._is_drain_due = True
+            self._timers.after(delay, self._handle_room)
+
+    def _handle_room(self) -> None:
+        self._is_drain_due = False
+        if not self._context.closed:
+            self._send_due()
 
     def _encode(self, sender: str, message: messages.Message) -> bytes:
         return messages.encode(
             messages.Envelope(self._deployment, sender, self._address, message)
         )
 
-    def _send(self, address: str, frame: bytes) -> bool:
+    def _send(self, frame: _Frame) -> bool:
+        """Sends a message that can't wait."""
+        is_sent = self._hand_over(frame)
+        if is_sent and self._pacer is not None:
+            self._pacer.record(len(frame.content), self._timers.now)
+        return is_sent
+
+    def _hand_over(self, frame: _Frame) -> bool:
         try:
-            self._outbox(address).send(frame, zmq.NOBLOCK)
+            self._outbox(frame.address).send(frame.content, zmq.NOBLOCK)
         except zmq.Again:
             self.dropped_messages += 1
             return False
+        size = len(frame.content)
         self.sent_messages += 1
-        self.sent_bytes += len(frame)
+        self.sent_bytes += size
+        self.sent_bytes_by_kind[frame.kind, frame.address in self.near] += size
         return True
 
     def close(self) -> None:
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -116,22 +116,34 @@
             if record.data_centre != self._core.settings.data_centre
         }
         near = self._peer_addresses() - far
+        far_interval = self._far_interval(len(members))
         if not is_to_all and relays.are_used(len(members)):
             far = set()
         elif not is_to_all:
             self._round = (self._round + 1) % self._rounds_per_far_status
             turns = self._rounds_per_far_status
             far = set(sorted(far)[self._round :: turns])
-        for addresses, rounds in (
-            (near, 1),
-            (far, self._rounds_per_far_status),
+        for addresses, interval in (
+            (near, self._status_interval),
+            (far, far_interval),
         ):
             self._transport.send_all(
                 self._core.incarnation,
                 addresses - {own},
-                self._status(self._status_interval * rounds),
+                self._status(interval),
+                can_wait=not is_to_all,
             )
 
+    @staticmethod
+    def _far_interval(daemons: int) -> float:
+        """Returns the time until far daemons hear of a target again."""
+        interval = statusintervals.near_interval(
+            daemons
+        ) * statusintervals.rounds_per_far_status(daemons)
+        if relays.are_used(daemons):
+            interval = max(interval, relays.reported_interval(daemons))
+        return interval
+
     def _apply_digest(self, digest: calls.StatusDigest) -> None:
         own = self._core.settings.peer_address
         for heard in digest.statuses:
@@ -153,6 +165,7 @@
             self._core.incarnation,
             near - {own},
             calls.StatusDigest(digest.statuses, passes_on=False),
+            can_wait=True,
         )
 
     def _hear_route_table(
@@ -178,8 +191,9 @@
 
     def _relay_periodically(self) -> None:
         """Sends a digest of this data centre's targets, if this is a relay."""
-        self._timers.after(relays.DIGEST_INTERVAL_S, self._relay_periodically)
         members = self._core.view.open_records()
+        interval = relays.digest_interval(len(members))
+        self._timers.after(interval, self._relay_periodically)
         if not relays.are_used(len(members)):
             return
         settings = self._core.settings
@@ -199,14 +213,17 @@
                 msgspec.structs.replace(
                     heard,
                     status=msgspec.structs.replace(
-                        heard.status, interval=relays.DIGEST_INTERVAL_S
+                        heard.status,
+                        interval=relays.reported_interval(len(members)),
                     ),
                 )
                 for heard in self._dispatcher.digest(settings.data_centre)
             ),
             passes_on=True,
         )
-        self._transport.send_all(self._core.incarnation, receivers, digest)
+        self._transport.send_all(
+            self._core.incarnation, receivers, digest, can_wait=True
+        )
 
     def update_new_daemons(self) -> None:
         """Sends the local target's status to daemons that have just joined.
@@ -219,10 +236,7 @@
         self._informed_version = self._core.view.version
         members = self._core.view.open_records()
         daemons = len(members)
-        status = self._status(
-            statusintervals.near_interval(daemons)
-            * statusintervals.rounds_per_far_status(daemons)
-        )
+        status = self._status(self._far_interval(daemons))
         own = self._core.settings.peer_address
         for record in members:
             if record.incarnation in self._informed:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -150,6 +150,7 @@
             + settings.requests_answer
             + _ENVELOPE_OVERHEAD_BYTES,
             self._receive,
+            settings.link_rate,
         )
         self._lateness = lateness.LatenessMeter(now)
         self._late_calls = latecalls.LateCalls(self.timers)
@@ -328,6 +329,11 @@
         self._core.apply_table_read(rows, revision, now(), as_of)
         members = self._core.view.open_records()
         member_addresses = {record.peer_address for record in members}
+        self._transport.near = {
+            record.peer_address
+            for record in members
+            if record.data_centre == self._settings.daemon_data_centre
+        }
         self._transport.set_peers(
             member_addresses | self._request_dispatcher.addresses()
         )
@@ -533,6 +539,7 @@
                     self._route_tables.in_force_since,
                 ),
                 gauges=self._gauges,
+                peer_bytes=lambda: self._transport.sent_bytes_by_kind,
                 clock=now,
             )
         )
--- a/tamarackgap/processes/routerpages.py
+++ b/tamarackgap/processes/routerpages.py
@@ -1,7 +1,7 @@
 """HTTP pages of a router for operators and for collectors of metrics."""
 
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -40,6 +40,8 @@
         route_table: Returns the version of the route table in force, and
             since when it has been, seconds on this daemon's clock.
         gauges: Returns further gauges by name.
+        peer_bytes: Returns the bytes sent to other daemons by kind of message,
+            and whether they went to daemons of the same data centre.
         clock: Returns monotonic time, seconds.
     """
 
@@ -52,6 +54,7 @@
     metrics: metrics.Metrics
     route_table: Callable[[], tuple[int, float]]
     gauges: Callable[[], dict[str, float]]
+    peer_bytes: Callable[[], Mapping[tuple[str, bool], int]]
     clock: Callable[[], float]
 
 
@@ -208,6 +211,7 @@
     for name, value in values.items():
         sources.metrics.set_gauge(name, value)
     sources.metrics.set_store_calls(sources.store.call_counts())
+    sources.metrics.set_peer_bytes(sources.peer_bytes())
     body, headers = sources.metrics.render("text/plain")
     fields = [
         (name.lower().encode("ascii"), value.encode("ascii"))
--- a/tamarackgap/processes/rowsharing.py
+++ b/tamarackgap/processes/rowsharing.py
@@ -54,15 +54,22 @@
                 own.data_centre, members, self._dispatcher.is_reachable
             )
             direct &= effect.involved | self._near_addresses()
+        direct -= delays.keys() | {own.peer_address}
+        update = messages.RowUpdates(effect.rows)
+        # Those that the rows are about wait for them.
         self._transport.send_all(
-            effect.sender,
-            direct - delays.keys() - {own.peer_address},
-            messages.RowUpdates(effect.rows),
+            effect.sender, direct & effect.involved, update
         )
         for address, delay in delays.items():
-            self._transport.send(
-                effect.sender, address, messages.RowUpdates(effect.rows, delay)
+            self._transport.send_all(
+                effect.sender,
+                [address],
+                messages.RowUpdates(effect.rows, delay),
+                can_wait=True,
             )
+        self._transport.send_all(
+            effect.sender, direct - effect.involved, update, can_wait=True
+        )
 
     def pass_on(self, update: messages.RowUpdates) -> None:
         """Passes rows on within the data centre, if this relay is to do so.
@@ -83,6 +90,7 @@
                     self._core.incarnation,
                     self._near_addresses() - {self._core.settings.peer_address},
                     messages.RowUpdates(update.rows),
+                    can_wait=True,
                 )
 
         if update.pass_on_after:
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -35,6 +35,7 @@
     daemon_peer_address: str
     daemon_log: str
     daemon_memory: int
+    daemon_link: int
     router_announce_address: str
     router_ready_address: str
     router_metrics_address: str
@@ -76,6 +77,11 @@
             return _DEFAULT_MESSAGE_MEMORY
         return self.daemon_memory * _MEGABYTE // _MESSAGE_MEMORY_PART
 
+    @property
+    def link_rate(self) -> float:
+        """Rate of the VM's link, bytes a second; 0 if it is not known."""
+        return self.daemon_link * 1_000_000 / 8
+
     @property
     def grace(self) -> float:
         """Time from SIGTERM to SIGKILL, seconds."""
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -115,6 +115,17 @@
         " messages under way. 0: not known; 96 MB are for them",
         rendered=True,
     ),
+    _integer_option(
+        "daemon",
+        "link",
+        0,
+        0,
+        1_000_000,
+        "Mbit/s",
+        "rate of the VM's link, on which rows and states wait for answers and"
+        " leases. 0: not known; nothing waits",
+        rendered=True,
+    ),
     Option(
         "router",
         "announce_address",
--- a/tamarackgap/traffic/relays.py
+++ b/tamarackgap/traffic/relays.py
@@ -16,14 +16,22 @@
 
 from tamarackgap.placement import placement, records
 
-# Up to this number of daemons each one sends its status to all.
-_MAX_DAEMONS_WITHOUT_RELAYS = 100
+# Up to this number of daemons each one sends its status and rows to all. The
+# rows of a move take 0.1 s of a link of 6 Mbit/s then.
+_MAX_DAEMONS_WITHOUT_RELAYS = 30
 # Each relay sends digests of its own, so that one may fail unnoticed.
 _RELAYS_PER_DATA_CENTRE = 2
 # The second relay passes a message on if the first has not done so by then.
 _RELAY_DELAY_S = 0.1
-# Time between two digests of a relay, seconds.
+# Time between two digests of a relay in a deployment of many daemons, seconds.
 DIGEST_INTERVAL_S = 2.0
+# The same up to a number of daemons. Calls leave their data centre by what the
+# digests say, so it is kept short where it costs little.
+_SHORT_DIGEST_INTERVAL_S = 1.0
+_MAX_DAEMONS_WITH_SHORT_INTERVAL = 100
+# A state may miss a digest by this much, which is little beside the long
+# interval.
+_STATUS_DELAY_S = 0.2
 
 
 def are_used(daemons: int) -> bool:
@@ -31,6 +39,26 @@
     return daemons > _MAX_DAEMONS_WITHOUT_RELAYS
 
 
+def digest_interval(daemons: int) -> float:
+    """Returns the time between two digests of a relay, seconds."""
+    if daemons > _MAX_DAEMONS_WITH_SHORT_INTERVAL:
+        return DIGEST_INTERVAL_S
+    return _SHORT_DIGEST_INTERVAL_S
+
+
+def reported_interval(daemons: int) -> float:
+    """Returns the longest usual time between two digests with a state, seconds.
+
+    A daemon counts as silent after a few of them.
+
+    Args:
+        daemons: Number of daemons in all data centres.
+    """
+    if daemons > _MAX_DAEMONS_WITH_SHORT_INTERVAL:
+        return DIGEST_INTERVAL_S
+    return _SHORT_DIGEST_INTERVAL_S + _STATUS_DELAY_S
+
+
 def relays_of(
     data_centre: str,
     members: Iterable[records.LeaseRecord],
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -1,9 +1,11 @@
+import zlib
+
 import msgspec
 import pytest
 
 from tamarackgap import types
 from tamarackgap.peers import calls, messages
-from tamarackgap.placement import slots
+from tamarackgap.placement import records, slots
 
 EXAMPLES = [
     messages.Renew("w", 3, 1.5, 7),
@@ -101,3 +103,32 @@
     ):
         with pytest.raises(msgspec.MsgspecError):
             messages.decode(encode(message))
+
+
+def _rows(count):
+    return messages.RowUpdates(
+        tuple(
+            records.Row(f"lease/vm-{index}", '{"service": "seats"}' * 9, index)
+            for index in range(count)
+        )
+    )
+
+
+def test_rows_are_compressed_and_bodies_are_not():
+    envelope = messages.Envelope("d", "i", "127.0.0.1:1", _rows(8))
+    frame = messages.encode(envelope)
+    assert len(frame) < len(msgspec.msgpack.encode(envelope)) / 2
+    assert messages.decode(frame) == envelope
+    answer = calls.Completion(1, types.Verdict.ANSWERED, body=b"a" * 5000)
+    envelope = messages.Envelope("d", "i", "127.0.0.1:1", answer)
+    assert messages.encode(envelope) == msgspec.msgpack.encode(envelope)
+
+
+def test_compressed_frames_that_are_cut_off_or_too_large_are_malformed():
+    frame = messages.encode(
+        messages.Envelope("d", "i", "127.0.0.1:1", _rows(8))
+    )
+    bomb = zlib.compress(b"\x94" + b"\x00" * 100_000_000)
+    for odd in (frame[:-3], frame[:1], b"\x78\x01" + frame[20:], bomb):
+        with pytest.raises(msgspec.MsgspecError):
+            messages.decode(odd)
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -1,3 +1,4 @@
+import random
 import time
 import types as module_types
 
@@ -7,6 +8,7 @@
 from standins import ports
 from tamarackgap.network import sockets
 from tamarackgap.peers import calls, messages, transport
+from tamarackgap.placement import records
 
 MAX_MESSAGE_BYTES = 10_000
 CONNECT_TIMEOUT_S = 5
@@ -159,3 +161,44 @@
     assert 0 < outbox.getsockopt(zmq.CONNECT_TIMEOUT) <= MAX_LOST_MS
     assert 0 < outbox.getsockopt(zmq.HANDSHAKE_IVL) <= MAX_LOST_MS
     assert own._inbox.getsockopt(zmq.TCP_KEEPALIVE) == 1
+
+
+def test_rows_wait_for_a_narrow_link_and_answers_do_not(monkeypatch):
+    base = ports.find_free_ports(1, 26_700)
+    poller = module_types.SimpleNamespace(
+        watch=lambda descriptor, flags, callback: None
+    )
+    timers = Timers()
+    # 10 Mbit/s.
+    own = transport.PeerTransport(
+        poller,
+        timers,
+        "test",
+        f"127.0.0.1:{base}",
+        MAX_MESSAGE_BYTES,
+        None,
+        1_250_000.0,
+    )
+    sent = []
+    outbox = module_types.SimpleNamespace(
+        send=lambda frame, flags: sent.append(messages.decode(frame).message),
+        close=lambda linger=0: None,
+    )
+    monkeypatch.setattr(own, "_outbox", lambda address: outbox)
+    own.near = {"near"}
+    report = messages.RowUpdates(
+        (records.Row("k", random.Random(1).randbytes(6000).hex(), 1),)
+    )
+    own.send_all("me", ["near"] * 20, report, can_wait=True)
+    waiting = 20 - len(sent)
+    assert waiting > 15
+    own.send("me", "far", calls.Withdraw(1))
+    assert sent[-1] == calls.Withdraw(1)
+    for _ in range(400):
+        timers.now += 0.001
+        timers.fire()
+    assert len(sent) == 21
+    sizes = own.sent_bytes_by_kind
+    assert sizes["rows", True] > 20 * 6000
+    assert 0 < sizes["withdraw", False] < 200
+    own.close()
--- a/tests/processes/test_peersync.py
+++ b/tests/processes/test_peersync.py
@@ -75,3 +75,24 @@
     network.run(4)
     for daemon in network.daemons.values():
         assert len(daemon.known()) == peernetwork.COUNT
+
+
+@pytest.mark.parametrize("count", [36, 77])
+def test_states_between_data_centres_are_few_and_at_most_seconds_old(count):
+    # 77 daemons sent each other 5,000 states a second between data centres.
+    network = peernetwork.Network(count)
+    for daemon in network.daemons.values():
+        daemon.sync.update_new_daemons()
+    network.run(12)
+    network.far = 0
+    network.run(10)
+    # Two relays of each data centre send to two others each second.
+    assert network.far <= 2 * 2 * 3 * 10 + 12
+    everyone = {daemon.name for daemon in network.daemons.values()}
+    for daemon in network.daemons.values():
+        assert daemon.known() == everyone
+        oldest = min(
+            candidate.status_at
+            for candidate in daemon.directory.candidates_of_service("s")
+        )
+        assert network.now - oldest <= 2.0
--- a/tests/processes/test_rowsharing.py
+++ b/tests/processes/test_rowsharing.py
@@ -52,3 +52,14 @@
     _share_rows(network, "h:0")
     network.run(0.3)
     assert _receivers(network) == set(network.daemons) - first - {"h:0"}
+
+
+def test_rows_reach_the_daemons_of_a_narrower_deployment_by_relays():
+    network = peernetwork.Network(77)
+    for daemon in network.daemons.values():
+        daemon.sync.update_new_daemons()
+    network.run(12)
+    _share_rows(network, "h:0", involved={"h:1"})
+    assert network.far <= 2 * 2 + 1
+    network.run(0.3)
+    assert _receivers(network) == set(network.daemons) - {"h:0"}
--- a/tests/settings/test_config.py
+++ b/tests/settings/test_config.py
@@ -138,6 +138,7 @@
         "listen.ready": "10.1.0.8:8302",
         "app_addr": "10.1.0.8:8301",
         "limits.memory_mb|json": "300",
+        "limits.link_mbps|json": "10.0",
         "platform.address": "10.200.1.7:8309",
         "heartbeat_ms": "870",
         "grants": "heartbeat",
@@ -151,6 +152,7 @@
     assert settings.grace == 10.0
     assert settings.router_grants == "heartbeat"
     assert settings.message_memory == 100 * 1024 * 1024
+    assert settings.link_rate == 1_250_000
 
 
 @pytest.mark.parametrize("text", ["10.0.0.9:1", "10.0.0.9:65535"])
