--- a/tests/settings/test_config.py
+++ b/tests/settings/test_config.py
@@ -161,6 +161,7 @@
         "listen.ready": "10.1.0.8:8302",
         "app_addr": "10.1.0.8:8301",
         "limits.memory_mb|json": "300",
+        "limits.link_mbps|json": "10.0",
         "platform.address": "10.200.1.7:8309",
         "heartbeat_ms": "870",
         "grants": "heartbeat",
@@ -178,6 +179,7 @@
     assert settings.message_memory == 100 * 1024 * 1024
     assert settings.router_cold_overage == 1.5
     assert settings.router_cold_slack == 0.0
+    assert settings.link_rate == 1_250_000
 
 
 @pytest.mark.parametrize("text", ["10.0.0.9:1", "10.0.0.9:65535"])
