The way of calls counts: in the choice of a target, and as time for answers

The choice of target knew nothing of the way. A margin for the way back alone can't mend this: it is 1 to 3 ms at the median and 50 to 330 ms at the 90th percentile, wherever a link is full.

Change: each daemon averages how late calls of others arrive (scheduling/ways, from the lateness that is measured already) and tells it in its status; the balancer adds it to the expected time, relative to the call's objective. A daemon takes its own inbound lateness, at most a quarter of what is left, off the time that it gives to others, so that answers and refusals are back before its caller's deadline. Measurements of usage moved from admission and runner to scheduling/usage.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -183,6 +183,7 @@
             found to be.
         slowdown: How long work takes at the target at this moment, as a
             multiple of the usual time.
+        way: How late calls of other daemons arrive there, seconds.
     """
 
     service: types.ServiceName
@@ -199,6 +200,7 @@
     route_table_as_of: decoding.Count = 0
     calls_lost_before: decoding.Count = 0
     slowdown: decoding.Finite = 1.0
+    way: decoding.Finite = 0.0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -285,6 +285,7 @@
             self._route_tables.as_of_ms,
             self._route_tables.calls_lost_before_ms,
             round(queue.slowdown(self._timers.now), 2),
+            round(self._runner.way.late_s(self._timers.now), 3),
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -152,7 +152,6 @@
             self._receive,
         )
         self._lateness = lateness.LatenessMeter(now)
-        self._late_calls = latecalls.LateCalls(self.timers)
         self._crash_history = crashes.CrashHistory()
         self._target_handler = targethandler.TargetHandler(
             settings,
@@ -165,6 +164,7 @@
             self.budget,
         )
         self._runner = self._target_handler.runner
+        self._late_calls = latecalls.LateCalls(self.timers, self._runner.way)
         self._retry_budgets = retries.ServiceRetryBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
         )
--- a/tamarackgap/scheduling/admission.py
+++ b/tamarackgap/scheduling/admission.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from tamarackgap.scheduling import slowdowns
+from tamarackgap.scheduling import slowdowns, usage
 
 # A call with less time left than this share of its expected duration would be
 # stopped at its deadline without an answer.
@@ -31,19 +31,10 @@
 _CAPACITY_BACKOFF = 0.8
 _CAPACITY_RECOVERY = 0.02
 _MIN_CAPACITY_SHARE = 0.25
-# Half-life of the counts of offered and started calls of each kind.
-_SERVED_HALF_LIFE_S = 2.0
-# Served shares are rounded to this many steps, so that small differences don't
-# override the order by deadlines.
-_SHARE_STEPS = 10
-# Below this many offered calls a kind has no meaningful served share.
-_MIN_OFFERED_CALLS = 5
 # A caller that retried sooner would hardly find capacity free.
 _MIN_RETRY_AFTER_S = 0.05
 # Span for which the slowdown is reported to other daemons.
 _SLOWDOWN_REPORT_S = 0.25
-# Half-life of the measured capacity usage of each rank.
-_USAGE_HALF_LIFE_S = 1.0
 # Share of the capacity that each rank is assumed to get at least.
 _MIN_RANK_SHARE = 0.05
 # A call leaves the last free slot to more urgent calls if these would wait for
@@ -97,69 +88,13 @@
     refuse: Callable[[QueueRefusal], None]
 
 
-class _ServedShare:
-    """Measures the share of one kind's calls that were started in time."""
-
-    def __init__(self, now: float) -> None:
-        self._offered = 0.0
-        self._started = 0.0
-        self._updated_at = now
-
-    def record_offer(self, now: float) -> None:
-        """Counts a call that was offered to the queue."""
-        factor = 0.5 ** ((now - self._updated_at) / _SERVED_HALF_LIFE_S)
-        self._offered = self._offered * factor + 1
-        self._started *= factor
-        self._updated_at = now
-
-    def is_offered(self, now: float) -> bool:
-        """Returns whether calls of this kind arrive all the time."""
-        factor = 0.5 ** ((now - self._updated_at) / _SERVED_HALF_LIFE_S)
-        return self._offered * factor >= _MIN_OFFERED_CALLS
-
-    def record_start(self) -> None:
-        """Counts a call that was started in time for its soft deadline."""
-        self._started += 1
-
-    @property
-    def share(self) -> float:
-        """Recent share of calls that were started in time, rounded."""
-        if self._offered < _MIN_OFFERED_CALLS:
-            return 1.0
-        return (
-            round(self._started / self._offered * _SHARE_STEPS) / _SHARE_STEPS
-        )
-
-
-class _CapacityUsage:
-    """Measures how much of the capacity the calls of one rank take up."""
-
-    def __init__(self, now: float) -> None:
-        self._work_s = 0.0
-        self._updated_at = now
-
-    def record_start(self, duration: float, now: float) -> None:
-        """Counts a started call with its expected duration in seconds."""
-        self._work_s = self._decayed_work(now) + duration
-        self._updated_at = now
-
-    def running_calls(self, now: float) -> float:
-        """Returns how many calls run on average, by the recent starts."""
-        return self._decayed_work(now) * math.log(2) / _USAGE_HALF_LIFE_S
-
-    def _decayed_work(self, now: float) -> float:
-        return self._work_s * 0.5 ** (
-            (now - self._updated_at) / _USAGE_HALF_LIFE_S
-        )
-
-
 class AdmissionQueue:
     """Queues the calls for one target and limits how many run at once."""
 
     def __init__(self) -> None:
         # A kind is a rank and a latency objective.
-        self._share_by_kind: dict[tuple[int, float], _ServedShare] = {}
-        self._usage_by_rank: dict[int, _CapacityUsage] = {}
+        self._share_by_kind: dict[tuple[int, float], usage.ServedShare] = {}
+        self._usage_by_rank: dict[int, usage.CapacityUsage] = {}
         self._capacity = 0
         # Share of the capacity that is used.
         self._capacity_share = 1.0
@@ -373,20 +308,20 @@
     def _start(self, call: QueuedCall, now: float) -> None:
         if not self._is_late(call, now):
             self._served_share(call, now).record_start()
-        usage = self._usage_by_rank.get(call.rank)
-        if usage is None:
-            usage = self._usage_by_rank[call.rank] = _CapacityUsage(now)
-        usage.record_start(
+        used = self._usage_by_rank.get(call.rank)
+        if used is None:
+            used = self._usage_by_rank[call.rank] = usage.CapacityUsage(now)
+        used.record_start(
             self.expected_duration(call.latency_objective, now), now
         )
         self._running += 1
         call.start()
 
-    def _served_share(self, call: QueuedCall, now: float) -> _ServedShare:
+    def _served_share(self, call: QueuedCall, now: float) -> usage.ServedShare:
         kind = (call.rank, call.latency_objective)
         served = self._share_by_kind.get(kind)
         if served is None:
-            served = self._share_by_kind[kind] = _ServedShare(now)
+            served = self._share_by_kind[kind] = usage.ServedShare(now)
         return served
 
     def _is_late(self, call: QueuedCall, now: float) -> bool:
@@ -429,8 +364,8 @@
         subtracted even when none of them is queued.
         """
         used = sum(
-            usage.running_calls(now)
-            for other, usage in self._usage_by_rank.items()
+            rank_usage.running_calls(now)
+            for other, rank_usage in self._usage_by_rank.items()
             if other < rank
         )
         capacity = max(1, self.capacity)
--- a/tamarackgap/scheduling/balancer.py
+++ b/tamarackgap/scheduling/balancer.py
@@ -60,6 +60,7 @@
             seconds.
         slowdown: How long work takes there at this moment, as a multiple of
             the usual time.
+        way: How late calls arrive there, seconds.
     """
 
     incarnation: str
@@ -79,6 +80,7 @@
     successes: float = 0.0
     decayed_at: float = 0.0
     slowdown: float = 1.0
+    way: float = 0.0
 
     def failure_ratio(self, now: float) -> float:
         """Returns the recent number of failures per success.
@@ -119,13 +121,16 @@
         )
         return now - self.last_heard >= limit
 
-    def estimate(self, now: float, default_latency: float) -> float:
+    def estimate(
+        self, now: float, default_latency: float, latency_objective: float = 1.0
+    ) -> float:
         """Returns the expected time to an answer.
 
         Args:
             now: Monotonic time, seconds.
             default_latency: Relative latency to assume if the target has
                 answered no call.
+            latency_objective: The call's latency objective, seconds.
 
         Returns:
             The expected time divided by the latency objective of the call.
@@ -139,7 +144,8 @@
         durations += 0.2 * load / max(1, self.capacity)
         durations += _FAILURE_COST * self.failure_ratio(now)
         latency = self.relative_latency or default_latency
-        return latency * self.slowdown * durations
+        way = self.way / latency_objective
+        return latency * self.slowdown * durations + way
 
 
 def choose(
@@ -148,6 +154,7 @@
     now: float,
     rng: random.Random,
     data_centre: str = "",
+    latency_objective: float = 1.0,
 ) -> Candidate | None:
     """Returns the target to send a call to, or None.
 
@@ -160,6 +167,7 @@
         data_centre: The data centre that is preferred among targets that are
             about as good as the best, since traffic between data centres is
             costly.
+        latency_objective: The call's latency objective, seconds.
     """
     usable = [
         candidate
@@ -179,9 +187,14 @@
         else _INITIAL_RELATIVE_LATENCY
     )
     if len(usable) > _MAX_COMPARED:
-        usable = _draw_two(usable, now, default_latency, rng, data_centre)
+        usable = _draw_two(
+            usable, now, default_latency, rng, data_centre, latency_objective
+        )
     estimates = [
-        (candidate.estimate(now, default_latency), candidate)
+        (
+            candidate.estimate(now, default_latency, latency_objective),
+            candidate,
+        )
         for candidate in usable
     ]
     limit = min(estimate for estimate, _ in estimates) * (1 + _TIE_MARGIN)
@@ -198,6 +211,7 @@
     default_latency: float,
     rng: random.Random,
     data_centre: str,
+    latency_objective: float,
 ) -> list[Candidate]:
     """Draws two targets, weighted by how many calls each can serve.
 
@@ -205,8 +219,10 @@
     """
     weights = [
         candidate.capacity
-        / (candidate.relative_latency or default_latency)
-        / candidate.slowdown
+        / (
+            (candidate.relative_latency or default_latency) * candidate.slowdown
+            + candidate.way / latency_objective
+        )
         / (1.0 + _FAILURE_COST * candidate.failure_ratio(now))
         for candidate in usable
     ]
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -313,6 +313,7 @@
                 now,
                 self._rng,
                 self._data_centre,
+                pending.route.latency_objective,
             )
             if candidate is None:
                 reason = types.Reason.TARGET_ABSENT
@@ -354,20 +355,12 @@
         now: float,
     ) -> None:
         leg = next(self._leg_ids)
-        route = pending.route
-        dispatch = calls.Dispatch(
-            owner=types.Incarnation(candidate.incarnation),
-            leg=leg,
-            service=pending.service,
-            call=pending.call,
-            remaining=pending.deadline - now,
-            rank=route.rank,
-            idempotent=route.idempotent,
-            latency_objective=route.latency_objective,
-            objective_remaining=pending.received_at
-            + route.latency_objective
-            - now,
-            sent=now,
+        own_incarnation = self._core.incarnation
+        way_back = 0.0
+        if candidate.incarnation != own_incarnation:
+            way_back = self._runner.way.margin(pending.deadline - now, now)
+        dispatch = pendingrequests.dispatch(
+            pending, candidate.incarnation, leg, way_back, now
         )
         pending.leg = leg
         pending.candidate = candidate
@@ -375,7 +368,6 @@
         pending.runs += 1
         candidate.sent_since_report += 1
         self._by_leg[leg] = pending
-        own_incarnation = self._core.incarnation
         if candidate.incarnation == own_incarnation:
             self._runner.submit(
                 dispatch,
--- a/tamarackgap/traffic/latecalls.py
+++ b/tamarackgap/traffic/latecalls.py
@@ -10,6 +10,7 @@
 
 from tamarackgap.network import scheduler
 from tamarackgap.peers import calls
+from tamarackgap.scheduling import ways
 
 # A call that is later than this is held.
 _LATE_S = 0.2
@@ -23,9 +24,15 @@
 class LateCalls:
     """Shortens the time of late calls, and holds them for a moment."""
 
-    def __init__(self, timers: scheduler.Scheduler) -> None:
-        """Creates an instance that holds no call."""
+    def __init__(self, timers: scheduler.Scheduler, way: ways.Way) -> None:
+        """Creates an instance that holds no call.
+
+        Args:
+            timers: The loop's scheduler.
+            way: Is told how late each call is.
+        """
         self._timers = timers
+        self._way = way
         # By the incarnation that sent the call, and its leg.
         self._held: set[tuple[str, int]] = set()
 
@@ -44,6 +51,7 @@
             late_s: How late it is, seconds.
             submit: Called with the call, unless it is withdrawn before.
         """
+        self._way.record(late_s, self._timers.now)
         if late_s <= _LATE_S:
             submit(dispatch)
             return
--- a/tamarackgap/traffic/pendingrequests.py
+++ b/tamarackgap/traffic/pendingrequests.py
@@ -53,6 +53,41 @@
     earlier_legs: tuple[int, ...] = ()
 
 
+def dispatch(
+    pending: PendingRequest,
+    owner: str,
+    leg: int,
+    way_back: float,
+    now: float,
+) -> calls.Dispatch:
+    """Returns the message that has a request executed.
+
+    Args:
+        pending: The request.
+        owner: The incarnation that is asked.
+        leg: Id of the leg.
+        way_back: Time that the answer is likely to need to this daemon; the
+            owner gets as much less, seconds.
+        now: Monotonic time, seconds.
+    """
+    route = pending.route
+    return calls.Dispatch(
+        owner=types.Incarnation(owner),
+        leg=leg,
+        service=pending.service,
+        call=pending.call,
+        remaining=pending.deadline - way_back - now,
+        rank=route.rank,
+        idempotent=route.idempotent,
+        latency_objective=route.latency_objective,
+        objective_remaining=pending.received_at
+        + route.latency_objective
+        - way_back
+        - now,
+        sent=now,
+    )
+
+
 def final_completion(
     pending: PendingRequest,
     reason: types.Reason | None,
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -16,7 +16,7 @@
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls
 from tamarackgap.placement import loadstats, slots
-from tamarackgap.scheduling import admission
+from tamarackgap.scheduling import admission, usage, ways
 from tamarackgap.traffic import crashes, slotgrants
 
 # A target ends a call at its deadline; its answer takes a little longer.
@@ -33,8 +33,6 @@
 # An answer that was on its way when the target crashed may be read this much
 # later than the first connection broke.
 _LATE_ANSWER_S = 0.1
-# Time constant of the moving average of the utilisation.
-_UTILISATION_TIME_S = 0.4
 _REFUSE_LATE_INTERVAL_S = 0.02
 _SERVER_ERROR_STATUS = 500
 
@@ -128,6 +126,8 @@
         # after another one crashed while running it.
         self.on_fingerprint_cleared: Callable[[str], None] = _ignore_fingerprint
         self._admission = admission.AdmissionQueue()
+        # How late calls of other daemons arrive here.
+        self.way = ways.Way()
         self._legs: dict[tuple[str, int], Leg] = {}
         # Deadline of each request that the target has refused or failed, by
         # request id. It may come again until then, with the same id.
@@ -145,8 +145,7 @@
         self.on_finished: Callable[[types.Verdict, float], None] = _ignore
         # Monotonic time of the target's last answer, seconds.
         self.last_answered_at = float("-inf")
-        self._utilisation = 0.0
-        self._sampled_at = timers.now
+        self._utilisation = usage.Utilisation(timers.now)
         # Whether a check of the queued calls is scheduled.
         self._is_check_due = False
 
@@ -225,7 +224,7 @@
     @property
     def utilisation(self) -> float:
         """Recent average of the calls in progress divided by the capacity."""
-        return self._utilisation
+        return self._utilisation.average
 
     def refuse_late(self) -> None:
         """Refuses queued calls that can no longer start in time."""
@@ -237,11 +236,9 @@
 
     def sample_utilisation(self) -> None:
         """Updates the recent utilisation; to be called regularly."""
-        now = self._timers.now
-        sample = len(self._legs) / max(1, self._admission.capacity)
-        weight = 1 - math.exp((self._sampled_at - now) / _UTILISATION_TIME_S)
-        self._utilisation += (sample - self._utilisation) * weight
-        self._sampled_at = now
+        self._utilisation.sample(
+            len(self._legs), self._admission.capacity, self._timers.now
+        )
 
     def _refuse_late_soon(self) -> None:
         """Checks queued calls regularly while there are any."""
--- a/tamarackgap/traffic/targets.py
+++ b/tamarackgap/traffic/targets.py
@@ -84,6 +84,7 @@
         candidate.status_interval = status.interval
         candidate.capacity = status.capacity
         candidate.relative_latency = status.relative_latency
+        candidate.way = status.way
         candidate.status = status
         candidate.status_at = heard_at
         if heard_at >= candidate.last_heard:
--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -5,6 +5,7 @@
 from tamarackgap.peers import messages
 from tamarackgap.placement import records
 from tamarackgap.processes import peersync, rowsharing
+from tamarackgap.scheduling import ways
 from tamarackgap.traffic import targets
 
 COUNT = 120
@@ -120,9 +121,15 @@
         self.loads = {}
         self.directory = targets.TargetDirectory(core, network)
         queue = module_types.SimpleNamespace(
-            capacity=4, running=1, waiting=0, relative_latency=0.3
+            capacity=4,
+            running=1,
+            waiting=0,
+            relative_latency=0.3,
+            slowdown=lambda now: 1.0,
+        )
+        self.runner = module_types.SimpleNamespace(
+            queue=queue, accepting=True, way=ways.Way()
         )
-        self.runner = module_types.SimpleNamespace(queue=queue, accepting=True)
         self.sync = peersync.PeerSync(
             core,
             self,
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -21,6 +21,7 @@
 from tamarackgap.platform import operatorconfig
 from tamarackgap.platform import store as platform_store
 from tamarackgap.processes import peersync, routetables
+from tamarackgap.scheduling import ways
 from tamarackgap.traffic import targets
 
 STORE = "store"
@@ -253,12 +254,18 @@
             lambda table, source: self.versions.append(table.version),
         )
         queue = module_types.SimpleNamespace(
-            capacity=4, running=1, waiting=0, relative_latency=0.3
+            capacity=4,
+            running=1,
+            waiting=0,
+            relative_latency=0.3,
+            slowdown=lambda now: 1.0,
         )
         self.sync = peersync.PeerSync(
             core,
             self,
-            module_types.SimpleNamespace(queue=queue, accepting=True),
+            module_types.SimpleNamespace(
+                queue=queue, accepting=True, way=ways.Way()
+            ),
             self.directory,
             None,
             self.timers,
--- a/tests/traffic/test_dispatcher.py
+++ b/tests/traffic/test_dispatcher.py
@@ -5,6 +5,7 @@
 
 from tamarackgap import types
 from tamarackgap.peers import calls
+from tamarackgap.scheduling import ways
 from tamarackgap.traffic import crashes, dispatcher, routetable
 from tests.traffic import test_targets
 
@@ -35,12 +36,13 @@
                 )
             ),
         )
+        self.way = ways.Way()
         budget = module_types.SimpleNamespace(
             deposit=lambda: None, withdraw=lambda: may_rerun
         )
         self.dispatcher = dispatcher.Dispatcher(
             core,
-            None,
+            module_types.SimpleNamespace(way=self.way),
             module_types.SimpleNamespace(send=self._send),
             timers,
             module_types.SimpleNamespace(for_service=lambda service: budget),
@@ -199,3 +201,16 @@
         types.Verdict.NOT_RUN.value,
     ]
     assert process.dispatcher.in_flight == 0
+
+
+def test_another_daemon_gets_less_time_where_answers_arrive_late():
+    # Answers and refusals were sent in time there and late here.
+    prompt, late = DaemonProcess(), DaemonProcess()
+    for _ in range(50):
+        late.way.record(0.3, 100.0)
+    for process in (prompt, late):
+        process.send("r")
+    (usual,), (shortened,) = prompt.dispatches, late.dispatches
+    assert usual.remaining == pytest.approx(15.0)
+    assert shortened.remaining == pytest.approx(14.7, abs=0.01)
+    assert shortened.objective_remaining == pytest.approx(0.1, abs=0.01)
--- a/tests/traffic/test_latecalls.py
+++ b/tests/traffic/test_latecalls.py
@@ -1,6 +1,7 @@
 import pytest
 
 from tamarackgap.peers import calls
+from tamarackgap.scheduling import ways
 from tamarackgap.traffic import latecalls
 
 CALL = calls.Call("r1", "s", "GET", "/", b"", b"", None)
@@ -14,9 +15,11 @@
     """Late calls whose timers the test fires."""
 
     def __init__(self):
+        self.now = 0.0
         self.due = []
         self.submitted = []
-        self.calls = latecalls.LateCalls(self)
+        self.way = ways.Way()
+        self.calls = latecalls.LateCalls(self, self.way)
 
     def after(self, seconds, call):
         self.due.append((seconds, call))
@@ -55,3 +58,11 @@
     held.calls.withdraw("b", 2)
     held.fire()
     assert [call.leg for call in held.submitted] == [2]
+
+
+def test_the_lateness_of_calls_is_followed(held):
+    held.receive(dispatch(leg=1), 0.05)
+    assert 0 < held.way.late_s(0.0) < 0.05
+    for leg in range(2, 40):
+        held.receive(dispatch(leg=leg), 1.0)
+    assert held.way.late_s(0.0) == pytest.approx(1.0, rel=0.1)
