--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -185,6 +185,7 @@
             multiple of the usual time.
         speed: Work a second that the target can do, in the unit of the load;
             0 if that is not known.
+        way: How late calls of other daemons arrive there, seconds.
     """
 
     service: types.ServiceName
@@ -202,6 +203,7 @@
     calls_lost_before: decoding.Count = 0
     slowdown: decoding.Finite = 1.0
     speed: decoding.Finite = 0.0
+    way: decoding.Finite = 0.0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -153,7 +153,6 @@
             settings.link_rate,
         )
         self._lateness = lateness.LatenessMeter(now)
-        self._late_calls = latecalls.LateCalls(self.timers)
         self._crash_history = crashes.CrashHistory()
         self._target_handler = targethandler.TargetHandler(
             settings,
@@ -166,6 +165,7 @@
             self.budget,
         )
         self._runner = self._target_handler.runner
+        self._late_calls = latecalls.LateCalls(self.timers, self._runner.way)
         self._retry_budgets = retries.ServiceRetryBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
         )
--- a/tests/support/peernetwork.py
+++ b/tests/support/peernetwork.py
@@ -5,6 +5,7 @@
 from tamarackgap.peers import messages
 from tamarackgap.placement import records
 from tamarackgap.processes import peersync, rowsharing
+from tamarackgap.scheduling import ways
 from tamarackgap.traffic import targets
 
 COUNT = 120
@@ -127,7 +128,9 @@
             relative_latency=0.3,
             slowdown=lambda now: 1.0,
         )
-        self.runner = module_types.SimpleNamespace(queue=queue, accepting=True)
+        self.runner = module_types.SimpleNamespace(
+            queue=queue, accepting=True, way=ways.Way()
+        )
         self.sync = peersync.PeerSync(
             core,
             self,
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -21,6 +21,7 @@
 from tamarackgap.platform import operatorconfig
 from tamarackgap.platform import store as platform_store
 from tamarackgap.processes import peersync, routetables
+from tamarackgap.scheduling import ways
 from tamarackgap.traffic import targets
 
 STORE = "store"
@@ -263,7 +264,9 @@
         self.sync = peersync.PeerSync(
             core,
             self,
-            module_types.SimpleNamespace(queue=queue, accepting=True),
+            module_types.SimpleNamespace(
+                queue=queue, accepting=True, way=ways.Way()
+            ),
             self.directory,
             None,
             self.timers,
