Hot slots move to fast targets; members that changed are unknown

Change: a slot that is more than any share goes to a target that can do twice as much; a load is unknown from a change of its member's record to the next report; a speed is known from eight calls on, and a member without slots counts as half of the mean until then.

--- a/tamarackgap/ownership/loads.py
+++ b/tamarackgap/ownership/loads.py
@@ -1,6 +1,9 @@
 """Exchanges loads between members, and limits how many slots move."""
 
 import random
+from collections.abc import Callable
+
+import msgspec
 
 from tamarackgap.ownership import effects
 from tamarackgap.peers import messages
@@ -17,13 +20,32 @@
 _SECONDS_PER_MINUTE = 60.0
 
 
+class _Report(msgspec.Struct, frozen=True):
+    """A member's load, as it was reported.
+
+    Attributes:
+        rate: Requests per second, or None.
+        at: Monotonic time of the report, seconds.
+        speed: Work per second that its target can do; 0 if not known.
+        revision: Revision of its lease record known here at that time.
+    """
+
+    rate: float | None
+    at: float
+    speed: float
+    revision: int
+
+
+def _no_revision(incarnation: str) -> int:
+    del incarnation
+    return 0
+
+
 class MemberLoads:
     """The latest load that each member has reported."""
 
     def __init__(self) -> None:
-        # Requests per second, or None, the time of the report, and the
-        # target's speed.
-        self._reports: dict[str, tuple[float | None, float, float]] = {}
+        self._reports: dict[str, _Report] = {}
 
     def record(
         self,
@@ -31,6 +53,7 @@
         rate: float | None,
         now: float,
         speed: float = 0.0,
+        revision: int = 0,
     ) -> None:
         """Records a member's load, unless a later one is known.
 
@@ -40,38 +63,48 @@
                 tell because its slots have just changed.
             now: Monotonic time at which it was reported, seconds.
             speed: Work a second that its target can do; 0 if not known.
+            revision: Revision of its lease record that is known here.
         """
         known = self._reports.get(incarnation)
-        if known is None or known[1] <= now:
-            self._reports[incarnation] = (rate, now, speed)
+        if known is None or known.at <= now:
+            self._reports[incarnation] = _Report(rate, now, speed, revision)
 
-    def recent(self, now: float) -> dict[str, float]:
+    def recent(
+        self, now: float, revision_of: Callable[[str], int] = _no_revision
+    ) -> dict[str, float]:
         """Returns the loads that are not too old, and drops the others.
 
+        A load is left out if its member's slots have changed since.
+
+        Args:
+            now: Monotonic time, seconds.
+            revision_of: Returns the revision of an incarnation's lease record
+                that is known here.
+
         Returns:
             Requests per second by incarnation.
         """
         self._reports = {
             name: report
             for name, report in self._reports.items()
-            if now - report[1] <= _MAX_AGE_S
+            if now - report.at <= _MAX_AGE_S
         }
         return {
-            name: rate
-            for name, (rate, _, _) in self._reports.items()
-            if rate is not None
+            name: report.rate
+            for name, report in self._reports.items()
+            if report.rate is not None and report.revision == revision_of(name)
         }
 
     def ages(self, now: float) -> dict[str, float]:
         """Returns the time since each report, seconds."""
-        return {name: now - at for name, (_, at, _) in self._reports.items()}
+        return {name: now - report.at for name, report in self._reports.items()}
 
     def speeds(self) -> dict[str, float]:
         """Returns the speeds of the targets, as far as they are known."""
         return {
-            name: speed
-            for name, (_, _, speed) in self._reports.items()
-            if speed > 0
+            name: report.speed
+            for name, report in self._reports.items()
+            if report.speed > 0
         }
 
 
@@ -136,7 +169,7 @@
         self._view = view
         self._outbox = outbox
         self._rng = rng
-        self.member_loads = MemberLoads()
+        self._member_loads = MemberLoads()
         self.move_budget = MoveBudget(records.Policy().moves, now)
         # Requests per second of each slot served here.
         self.slot_loads: dict[int, float] = {}
@@ -168,7 +201,7 @@
         self.own_load = total
         self.reported_at = now
         own = self._outbox.incarnation
-        self.member_loads.record(own, total, now, self.own_speed)
+        self.record(own, total, now, self.own_speed)
         service = self._settings.service
         policy = self._view.policy(service, self._settings.data_centre)
         self.move_budget.resize(policy.moves, now)
@@ -182,3 +215,45 @@
                 record.peer_address,
                 messages.LoadReport(total, self.own_speed),
             )
+
+    def record(
+        self,
+        incarnation: str,
+        rate: float | None,
+        reported_at: float,
+        speed: float,
+    ) -> None:
+        """Records the load that a member reports.
+
+        Args:
+            incarnation: The member.
+            rate: Requests per second, or None if it can't tell.
+            reported_at: Monotonic time of the report, seconds.
+            speed: Work per second that its target can do; 0 if not known.
+        """
+        self._member_loads.record(
+            incarnation,
+            rate,
+            reported_at,
+            speed,
+            self._revision_of(incarnation),
+        )
+
+    def recent(self, now: float) -> dict[str, float]:
+        """Returns the loads of members whose slots are still the same.
+
+        Returns:
+            Requests per second by incarnation.
+        """
+        return self._member_loads.recent(now, self._revision_of)
+
+    def speeds(self) -> dict[str, float]:
+        """Returns the speeds of the members' targets, as far as known."""
+        return self._member_loads.speeds()
+
+    def ages(self, now: float) -> dict[str, float]:
+        """Returns the time since each member's report, seconds."""
+        return self._member_loads.ages(now)
+
+    def _revision_of(self, incarnation: str) -> int:
+        return self._view.revision(records.LEASE_PREFIX + incarnation)
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -337,9 +337,7 @@
             reported_at: Monotonic time of the report, seconds.
             speed: Work a second that its target can do; 0 if not known.
         """
-        self._load_exchange.member_loads.record(
-            incarnation, load, reported_at, speed
-        )
+        self._load_exchange.record(incarnation, load, reported_at, speed)
 
     def drain(self) -> None:
         """Starts moving all slots away, in order to leave."""
@@ -526,9 +524,7 @@
             case messages.Claim():
                 self._succession.handle_claim(sender, message)
             case messages.LoadReport(rate=rate, speed=speed):
-                self._load_exchange.member_loads.record(
-                    sender, rate, now, speed
-                )
+                self._load_exchange.record(sender, rate, now, speed)
         if answer is not None:
             # The sender of the answer is the incarnation that was asked,
             # even if it has ended: the owner knows its witness by that id.
@@ -708,9 +704,9 @@
             },
             is_pinned=self._is_pinned,
             rates=self._load_exchange.slot_loads,
-            loads=self._load_exchange.member_loads.recent(now),
-            speeds=self._load_exchange.member_loads.speeds(),
-            load_ages=self._load_exchange.member_loads.ages(now),
+            loads=self._load_exchange.recent(now),
+            speeds=self._load_exchange.speeds(),
+            load_ages=self._load_exchange.ages(now),
             max_moves=int(self._load_exchange.move_budget.tokens(now)),
             age=now - self._started_at,
             now=now,
--- a/tamarackgap/placement/loadstats.py
+++ b/tamarackgap/placement/loadstats.py
@@ -188,6 +188,11 @@
         self._calls = self._calls * factor + 1
         self._updated_at = now
 
+    @property
+    def is_known(self) -> bool:
+        """Whether enough calls have been measured for a pace of their own."""
+        return self._calls >= _PRIOR_CALLS
+
     @property
     def pace(self) -> float:
         """Time that calls take here, as a multiple of the usual time."""
--- a/tamarackgap/placement/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -29,6 +29,11 @@
 # A member gives slots away only if its rate exceeds its share by this many
 # standard deviations of the measurement.
 _MIN_DEVIATIONS = 3.0
+# A slot that is more than any member's share moves if another member's share
+# is this many times its owner's. An overloaded target seems slower than it is.
+_MIN_HOT_SLOT_GAIN = 2.0
+# It may go to members whose share is at least this fraction of the largest.
+_FAST_SHARE = 0.8
 # Fraction of the quota. It is lower than the tolerance for load, because
 # numbers of slots are exact.
 _COUNT_TOLERANCE = 0.02
@@ -216,6 +221,7 @@
             workload.shares(
                 [member.weight for member in participants],
                 [member.speed for member in participants],
+                [len(member.owned) for member in participants],
             ),
             strict=True,
         )
@@ -376,6 +382,12 @@
     remaining = sorted(source.owned)
     candidates = [m for m in members if m.weight and m is not source]
     cost_of = {slot: costs.slot_cost(slot, source) for slot in remaining}
+    hot_move = _hot_slot_move(source, candidates, cost_of, headroom, shares)
+    if hot_move is not None:
+        cost = cost_of[hot_move.slot]
+        headroom[source.incarnation] += cost
+        headroom[hot_move.destination] -= cost
+        return [hot_move]
     while remaining and candidates:
         excess = (
             -headroom[source.incarnation] if source.weight else float("inf")
@@ -409,6 +421,42 @@
     return moves
 
 
+def _hot_slot_move(
+    source: Member,
+    candidates: Sequence[Member],
+    cost_of: dict[int, float],
+    headroom: dict[str, float],
+    shares: dict[Member, float],
+) -> Move | None:
+    """Returns the move of a slot that is too hot for a slow target, or None.
+
+    Such a slot keeps any target busy, so it belongs to a fast one, which then
+    gives its other slots away, as its owner would have to do otherwise. The
+    calls refused meanwhile are hardly more than the owner refuses anyway.
+
+    Args:
+        source: The slot's owner.
+        candidates: Members that may get it.
+        cost_of: Costs of the owner's slots.
+        headroom: Share less cost of each incarnation.
+        shares: Shares of the members.
+    """
+    if not (source.weight and cost_of and candidates):
+        return None
+    slot = max(cost_of, key=cost_of.__getitem__)
+    largest = max(shares[member] for member in candidates)
+    if (
+        cost_of[slot] <= largest
+        or largest < shares[source] * _MIN_HOT_SLOT_GAIN
+    ):
+        return None
+    destination = max(
+        (m for m in candidates if shares[m] >= largest * _FAST_SHARE),
+        key=lambda member: (headroom[member.incarnation], member.name),
+    )
+    return Move(slot, source.incarnation, destination.incarnation, "hot-slot")
+
+
 def _best_block(
     owned: Sequence[int], cost_of: dict[int, float], wanted_cost: float
 ) -> list[int]:
--- a/tamarackgap/placement/workload.py
+++ b/tamarackgap/placement/workload.py
@@ -12,6 +12,9 @@
 # A target counts as at most this many times faster or slower than the mean, so
 # that a disturbance of some seconds does not take all slots from it.
 _MAX_SPEED_RATIO = 4.0
+# Speed of the target of a member without slots, relative to the mean, until it
+# is known: the target may have just started, and be slow.
+_NEW_TARGET_SPEED = 0.5
 # A slot's rate counts as much as this many requests at the mean rate of its
 # owner's slots that are added to it: with few requests, the slot that seems the
 # busiest is mostly one that got more by chance.
@@ -36,26 +39,36 @@
     load_age: float
 
 
-def shares(weights: Sequence[int], speeds: Sequence[float]) -> list[float]:
+def shares(
+    weights: Sequence[int],
+    speeds: Sequence[float],
+    slot_counts: Sequence[int],
+) -> list[float]:
     """Returns the share of the load that is due to each member.
 
     Shares follow the weights and what the targets can do, so that all are
-    equally busy. A target of unknown speed counts as one of mean speed.
+    equally busy. A target of unknown speed counts as one of mean speed, or of
+    less if its member has no slots yet.
 
     Args:
         weights: Weight of each member.
         speeds: Work a second that each member's target can do; 0 for unknown.
+        slot_counts: Number of slots of each member.
 
     Returns:
         Fractions in the order of the members; all 0 if no member has a weight.
     """
     known = [speed for speed in speeds if speed > 0]
     mean = sum(known) / len(known) if known else 1.0
-    parts = [
-        weight
-        * min(max(speed / mean or 1.0, 1 / _MAX_SPEED_RATIO), _MAX_SPEED_RATIO)
-        for weight, speed in zip(weights, speeds, strict=True)
-    ]
+    new_target_ratio = _NEW_TARGET_SPEED if known else 1.0
+    parts = []
+    for weight, speed, slot_count in zip(
+        weights, speeds, slot_counts, strict=True
+    ):
+        ratio = 1.0 if slot_count else new_target_ratio
+        if speed > 0:
+            ratio = max(speed / mean, 1 / _MAX_SPEED_RATIO)
+        parts.append(weight * min(ratio, _MAX_SPEED_RATIO))
     total = sum(parts)
     return [part / total if total else 0.0 for part in parts]
 
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -388,8 +388,8 @@
 
     @property
     def speed(self) -> float:
-        """Units of load a second that the target can do; 0 without one."""
-        if not self._instance:
+        """Units of load a second that the target can do; 0 if not known."""
+        if not (self._instance and self._pace_meter.is_known):
             return 0.0
         return self._capacity / (_LOAD_UNIT_S * self._pace_meter.pace)
 
--- a/tests/ownership/test_loads.py
+++ b/tests/ownership/test_loads.py
@@ -1,6 +1,19 @@
 from tamarackgap.ownership import loads
 
 
+def test_load_is_unknown_once_its_members_slots_have_changed():
+    member_loads = loads.MemberLoads()
+    member_loads.record("a", 5.0, 0.0, revision=7)
+    member_loads.record("b", 5.0, 0.0, revision=8)
+    revisions = {"a": 7, "b": 9}
+    assert member_loads.recent(1.0, revisions.__getitem__) == {"a": 5.0}
+    member_loads.record("b", 6.0, 0.5, revision=9)
+    assert member_loads.recent(1.0, revisions.__getitem__) == {
+        "a": 5.0,
+        "b": 6.0,
+    }
+
+
 def test_speeds_are_known_while_loads_are_not():
     member_loads = loads.MemberLoads()
     member_loads.record("a", None, 5.0, 140.0)
--- a/tests/placement/test_loadstats.py
+++ b/tests/placement/test_loadstats.py
@@ -53,6 +53,7 @@
     meter = loadstats.PaceMeter(0.0)
     meter.record(0.001, 0.2, True, 0.1)
     assert meter.pace > 0.8
+    assert not meter.is_known
 
 
 def test_pace_is_learnt_within_seconds():
@@ -60,6 +61,7 @@
     meter = loadstats.PaceMeter(0.0)
     for number in range(45):
         meter.record(0.2 / 0.6, 0.2, True, number / 15)
+    assert meter.is_known
     assert meter.pace == pytest.approx(1 / 0.6, rel=0.1)
 
 
--- a/tests/placement/test_workload.py
+++ b/tests/placement/test_workload.py
@@ -9,19 +9,25 @@
 
 
 def test_shares_follow_weights_and_speeds():
-    assert workload.shares([100, 100, 200], [50.0, 100.0, 50.0]) == [
+    assert workload.shares([100, 100, 200], [50.0, 100.0, 50.0], [1] * 3) == [
         pytest.approx(0.2),
         pytest.approx(0.4),
         pytest.approx(0.4),
     ]
-    assert workload.shares([1, 1], [0.0, 70.0]) == [0.5, 0.5]
-    assert workload.shares([1, 3], [0.0, 0.0]) == [0.25, 0.75]
-    assert workload.shares([0, 0], [5.0, 5.0]) == [0.0, 0.0]
+    assert workload.shares([1, 1], [0.0, 70.0], [4, 4]) == [0.5, 0.5]
+    assert workload.shares([1, 3], [0.0, 0.0], [0, 4]) == [0.25, 0.75]
+    assert workload.shares([0, 0], [5.0, 5.0], [4, 4]) == [0.0, 0.0]
+
+
+def test_a_target_that_has_just_joined_gets_less_than_a_mean_share():
+    # It may be cold; what others have above their shares can still follow.
+    shares = workload.shares([1] * 5, [0.0] + [70.0] * 4, [0] + [8] * 4)
+    assert shares[0] == pytest.approx(shares[1] / 2)
 
 
 def test_a_disturbed_target_keeps_a_part_of_its_share():
     # One of five targets is twelve times slower for some seconds.
-    slow = workload.shares([1] * 5, [100.0 / 12] + [100.0] * 4)[0]
+    slow = workload.shares([1] * 5, [100.0 / 12] + [100.0] * 4, [8] * 5)[0]
     assert slow == pytest.approx(0.2 / 4, rel=0.25)
 
 
@@ -162,6 +168,27 @@
     assert {move.source for move in moves} == {"0"}
 
 
+def test_a_hot_slot_of_a_slow_target_moves_to_a_fast_one():
+    # For 5 s one key gets a third of all requests, more than any target can do.
+    speeds = [24.0, 40.0, 64.0] * 6
+    slot_rates = [1.0] * len(speeds) * _SLOTS_PER_MEMBER
+    slot_rates[5] = sum(slot_rates) / 2
+    moves, owner = measured_plan(slot_rates, speeds, 1.0, 1)
+    assert speeds[owner[5]] == 64.0
+    # The fast target's other slots leave it next; the slow one keeps its own.
+    assert [move.slot for move in moves if move.source == "0"] == [5]
+
+
+@pytest.mark.parametrize("speed", [40.0, 64.0])
+def test_a_hot_slot_stays_where_hardly_another_target_is_faster(speed):
+    speeds = [speed] + [40.0, 64.0] * 9
+    slot_rates = [1.0] * len(speeds) * _SLOTS_PER_MEMBER
+    slot_rates[5] = sum(slot_rates) / 2
+    moves, owner = measured_plan(slot_rates, speeds, 1.0, 1)
+    assert owner[5] == 0
+    assert len(moves) >= _SLOTS_PER_MEMBER - 1
+
+
 def test_moves_name_the_loads_they_rest_on():
     members = [
         placement.Member("a", "a", "x", 100, tuple(range(8)), 900.0, 500.0),
