--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -25,7 +25,7 @@
 )
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import calls, lateness, messages, transport
-from tamarackgap.placement import records
+from tamarackgap.placement import records, workload
 from tamarackgap.processes import (
     ownershipsettings,
     peersync,
@@ -430,11 +430,17 @@
         )
 
     def _report_load(self) -> None:
+        rates = self._runner.slot_loads()
         self._core.has_low_load = (
             self._runner.utilisation < _LOW_LOAD_UTILISATION
+            or workload.is_idle(
+                sum(rates.values()),
+                self._runner.speed,
+                self._runner.queue.capacity,
+            )
         )
         self._core.report_load(
-            self._runner.slot_loads(),
+            rates,
             now(),
             self._runner.request_amount,
             self._runner.speed,
