A call leaves its data centre where that pays its caller

Cause: the second of two targets was drawn anywhere and taken for any gain above a tenth. Change: scheduling/zonepolicy.py compares when an answer would come from the better target here and elsewhere, travel included, by what that is worth to the caller, with the price of the bytes (setting router.far_price); a share of the calls that gain leaves, smaller by older loads.

--- a/bench/loads.py
+++ b/bench/loads.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from bench import report
-from tamarackgap.scheduling import admission, balancer
+from tamarackgap.scheduling import admission, balancer, zonepolicy
 
 _ARRIVALS_END_S = 20.0
 _TARGET_SLOTS = 6
@@ -28,6 +28,7 @@
 # How often a caller sends its call again after a refusal.
 _MAX_RETRIES = 1
 _ANSWER_LOSS_RATE = 0.05
+_ANSWER_BYTES = 5000
 
 
 class CallKind(msgspec.Struct, frozen=True):
@@ -265,10 +266,14 @@
             }
             for _ in range(scenario.entry_count)
         ]
-        self._data_centre_of_entry = {
-            id(view): _DATA_CENTRES[index % len(_DATA_CENTRES)]
-            if self._many_entries
-            else ""
+        self._policies = {
+            id(view): zonepolicy.ZonePolicy(
+                _DATA_CENTRES[index % len(_DATA_CENTRES)]
+                if self._many_entries
+                else "",
+                zonepolicy.DEFAULT_PRICE,
+                self._rng,
+            )
             for index, view in enumerate(self._views)
         }
 
@@ -345,7 +350,7 @@
         view: dict[str, balancer.Candidate],
         tried: frozenset[str],
     ) -> None:
-        target = self._choose(view, tried)
+        target = self._choose(kind, first_sent_at, arrived_at, view, tried)
         candidate = view[target.name]
         candidate.sent_since_report += 1
 
@@ -416,18 +421,29 @@
         )
 
     def _choose(
-        self, view: dict[str, balancer.Candidate], tried: frozenset[str]
+        self,
+        kind: CallKind,
+        first_sent_at: float,
+        arrived_at: float,
+        view: dict[str, balancer.Candidate],
+        tried: frozenset[str],
     ) -> _Target:
         joined = self._joined_targets()
         if not self._shipped:
             return joined[next(self._round_robin) % len(joined)]
-        chosen = balancer.choose(
+        choice = self._policies[id(view)].choose(
             (view[target.name] for target in joined),
             tried,
+            zonepolicy.CallNeeds(
+                kind.latency_objective,
+                first_sent_at + kind.latency_objective - self._now,
+                arrived_at + kind.deadline - self._now,
+                answer_bytes=_ANSWER_BYTES,
+            ),
+            "",
             self._now,
-            self._rng,
-            self._data_centre_of_entry[id(view)],
         )
+        chosen = choice.candidate
         return next(target for target in joined if view[target.name] is chosen)
 
     def _record_load(
--- a/tamarackgap/metrics.py
+++ b/tamarackgap/metrics.py
@@ -185,6 +185,7 @@
     "route_table_version": "Version of the route table in use.",
     "route_table_age_seconds": "Time since the route table in use was loaded.",
     "table_read_age_seconds": "Time since the table was last read.",
+    "calls_sent_to_other_zone": "Calls sent to other data centres.",
     "open_connections": "Open connections of callers.",
     "message_bytes": "Memory of all messages under way.",
     "messages_refused_for_memory": "Messages for which there was no memory.",
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -77,6 +77,8 @@
         retry_after: Time until there is likely to be room, seconds.
         running: Number of calls at the target.
         waiting: Number of calls in the daemon's queue.
+        took: Time from the receipt of the `Dispatch` to this message,
+            seconds; 0 if it was not measured.
     """
 
     leg: int
@@ -88,6 +90,7 @@
     retry_after: decoding.Finite = 0.0
     running: int = 0
     waiting: int = 0
+    took: decoding.Finite = 0.0
 
 
 class Withdraw(msgspec.Struct, tag="withdraw", array_like=True, frozen=True):
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -178,6 +178,7 @@
             self._rng,
             self._crash_history,
             settings.daemon_data_centre,
+            settings.router_far_price / 100,
         )
         self._core.is_reachable = self._request_dispatcher.is_reachable
         self._route_tables = routetables.RouteTableKeeper(
@@ -424,12 +425,15 @@
         self._runner.submit(
             dispatch,
             sender,
-            functools.partial(self._send_completion, address),
+            functools.partial(self._send_completion, address, now()),
         )
 
     def _send_completion(
-        self, address: str, completion: calls.Completion
+        self, address: str, received_at: float, completion: calls.Completion
     ) -> None:
+        completion = msgspec.structs.replace(
+            completion, took=now() - received_at
+        )
         # The connection to a daemon that has just started may not be made yet.
         self._transport.send_within(
             self._core.incarnation, address, completion, _COMPLETION_TIMEOUT_S
@@ -519,6 +523,9 @@
             "peer_bytes_sent": self._transport.sent_bytes,
             "peer_messages_dropped": self._transport.dropped_messages,
             "peer_frames_malformed": self._transport.malformed_frames,
+            "calls_sent_to_other_zone": (
+                self._request_dispatcher.zones.calls_sent_away
+            ),
             "open_connections": self._caller_server.connection_count,
             "message_bytes": self.budget.used,
             "messages_refused_for_memory": self.budget.refusals,
@@ -601,6 +608,9 @@
             case result.Success(config.Config() as settings):
                 self._settings = settings
                 self._target_handler.settings = settings
+                self._request_dispatcher.zones.price_per_megabyte = (
+                    settings.router_far_price / 100
+                )
                 self._retry_budgets.resize(
                     settings.router_reruns / 100, settings.router_extra_reruns
                 )
--- a/tamarackgap/scheduling/balancer.py
+++ b/tamarackgap/scheduling/balancer.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from tamarackgap.peers import calls
+from tamarackgap.scheduling import estimates
 
 # A daemon that has not reported for this long gets no new calls. If its report
 # interval is long, the limit is _SILENCE_INTERVALS of these intervals instead,
@@ -23,8 +24,9 @@
 _OUTCOME_HALF_LIFE_S = 2.0
 # A failure ratio of one adds this many usual durations to an estimate.
 _FAILURE_COST = 3.0
-# Relative latency that is assumed where no target has answered a call.
-_INITIAL_RELATIVE_LATENCY = 0.3
+# A target slows down as it fills, and its load is not known exactly; so a full
+# target counts as if its calls took this share longer.
+_FULL_TARGET_COST = 0.2
 # Estimates that exceed the best by up to this share count as equal to it.
 _TIE_MARGIN = 0.1
 # Of more targets than this, only two are drawn and compared. In bench/loads.py,
@@ -127,15 +129,32 @@
         Returns:
             The expected time divided by the latency objective of the call.
         """
-        load = self.reported_load + self.sent_since_report
-        queued = max(0, load + 1 - self.capacity)
-        # In units of the usual duration of a call.
-        durations = 1.0 + queued / max(1, self.capacity)
-        # A target slows down as it fills, and its load is not known exactly; so
-        # calls within the capacity count a little as well.
-        durations += 0.2 * load / max(1, self.capacity)
-        durations += _FAILURE_COST * self.failure_ratio(now)
-        return (self.relative_latency or default_latency) * durations
+        load = self.load(now, default_latency)
+        expected = estimates.estimate(load, 1.0)
+        calls_there = load.running + load.waiting
+        more_durations = _FULL_TARGET_COST * calls_there / max(
+            1, self.capacity
+        ) + _FAILURE_COST * self.failure_ratio(now)
+        return expected.total + expected.duration * more_durations
+
+    def load(
+        self, now: float, default_latency: float = 0.0
+    ) -> estimates.TargetLoad:
+        """Returns what is known of the target's load.
+
+        Args:
+            now: Monotonic time, seconds.
+            default_latency: Relative latency to assume if the target has
+                answered no call.
+        """
+        running = min(self.reported_load, self.capacity)
+        return estimates.TargetLoad(
+            self.capacity,
+            running,
+            self.reported_load - running + self.sent_since_report,
+            self.relative_latency or default_latency,
+            age=max(0.0, now - self.last_heard),
+        )
 
 
 def choose(
@@ -143,19 +162,16 @@
     tried: frozenset[str],
     now: float,
     rng: random.Random,
-    data_centre: str = "",
 ) -> Candidate | None:
     """Returns the target to send a call to, or None.
 
     Args:
-        candidates: Targets of the call's service.
+        candidates: Targets of the call's service, of data centres that are
+            equally far.
         tried: Incarnations that have been tried and are left out.
         now: Monotonic time, seconds.
         rng: Draws two of many targets and breaks ties, so that daemons do not
             all choose the same target.
-        data_centre: The data centre that is preferred among targets that are
-            about as good as the best, since traffic between data centres is
-            costly.
     """
     usable = [
         candidate
@@ -172,20 +188,16 @@
     default_latency = (
         sum(latencies) / len(latencies)
         if latencies
-        else _INITIAL_RELATIVE_LATENCY
+        else estimates.INITIAL_RELATIVE_LATENCY
     )
     if len(usable) > _MAX_COMPARED:
-        usable = _draw_two(usable, now, default_latency, rng, data_centre)
-    estimates = [
+        usable = _draw_two(usable, now, default_latency, rng)
+    expected = [
         (candidate.estimate(now, default_latency), candidate)
         for candidate in usable
     ]
-    limit = min(estimate for estimate, _ in estimates) * (1 + _TIE_MARGIN)
-    best = [candidate for estimate, candidate in estimates if estimate <= limit]
-    preferred = [
-        candidate for candidate in best if candidate.data_centre == data_centre
-    ]
-    return rng.choice(preferred or best)
+    limit = min(end for end, _ in expected) * (1 + _TIE_MARGIN)
+    return rng.choice([target for end, target in expected if end <= limit])
 
 
 def _draw_two(
@@ -193,26 +205,16 @@
     now: float,
     default_latency: float,
     rng: random.Random,
-    data_centre: str,
 ) -> list[Candidate]:
-    """Draws two targets, weighted by how many calls each can serve.
-
-    The first is drawn from the preferred data centre if any target is there.
-    """
+    """Draws two targets, weighted by how many calls each can serve."""
     weights = [
         candidate.capacity
         / (candidate.relative_latency or default_latency)
         / (1.0 + _FAILURE_COST * candidate.failure_ratio(now))
         for candidate in usable
     ]
-    preferred_weights = [
-        weight if candidate.data_centre == data_centre else 0.0
-        for candidate, weight in zip(usable, weights, strict=True)
-    ]
     indexes = range(len(usable))
-    first = rng.choices(
-        indexes, preferred_weights if any(preferred_weights) else weights
-    )[0]
+    first = rng.choices(indexes, weights)[0]
     weights[first] = 0.0
     second = rng.choices(indexes, weights)[0]
     return [usable[first], usable[second]]
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -47,6 +47,7 @@
     router_grace_s: int
     router_reruns: int
     router_extra_reruns: int
+    router_far_price: int
     table_address: str
     table_poll: int
     table_timeout: int
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -223,6 +223,17 @@
         "number of such repeats that are allowed in addition",
         rendered=True,
     ),
+    _integer_option(
+        "router",
+        "far_price",
+        1000,
+        0,
+        1_000_000,
+        "percent",
+        "price of 1 MB between data centres, as a share of the value of an"
+        " answer in time. With 1000, a call of 10 kB leaves its data centre if"
+        " its chance of an answer in time is 10 in 100 higher elsewhere",
+    ),
     Option("table", "address", Kind.ADDRESS, "the platform's table service"),
     _integer_option(
         "table",
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -16,7 +16,7 @@
 from tamarackgap.peers import calls, transport
 from tamarackgap.placement import slots
 from tamarackgap.requests import retries
-from tamarackgap.scheduling import balancer
+from tamarackgap.scheduling import balancer, zonepolicy
 from tamarackgap.traffic import (
     crashes,
     pendingrequests,
@@ -60,6 +60,7 @@
         rng: random.Random,
         crash_history: crashes.CrashHistory,
         data_centre: str,
+        far_price: float = zonepolicy.DEFAULT_PRICE,
     ) -> None:
         """Creates a dispatcher without requests.
 
@@ -74,8 +75,10 @@
             crash_history: Fingerprints of requests that targets ran when they
                 crashed.
             data_centre: The data centre of this daemon.
+            far_price: Price of a megabyte between data centres, as a share of
+                the value of an answer in time.
         """
-        self._data_centre = data_centre
+        self.zones = zonepolicy.ZonePolicy(data_centre, far_price, rng)
         self._core = core
         self._runner = local_runner
         self._peer_transport = peer_transport
@@ -218,6 +221,11 @@
             self._handle_earlier_leg(pending, completion)
             return
         pending.leg = 0
+        if completion.took and pending.candidate is not None:
+            self.zones.travel.record(
+                pending.candidate.data_centre,
+                self._timers.now - pending.leg_sent_at - completion.took,
+            )
         if completion.verdict is types.Verdict.ANSWERED:
             self._handle_answer(pending, completion)
         else:
@@ -307,13 +315,7 @@
                 return
             candidate = self._targets.candidate_of_owner(owner)
         else:
-            candidate = balancer.choose(
-                self._targets.candidates_of_service(pending.service),
-                pending.tried,
-                now,
-                self._rng,
-                self._data_centre,
-            )
+            candidate = self._choose_target(pending, now)
             if candidate is None:
                 reason = types.Reason.TARGET_ABSENT
                 if (
@@ -328,6 +330,42 @@
                 return
         self._dispatch(pending, candidate, now)
 
+    def _choose_target(
+        self, pending: pendingrequests.PendingRequest, now: float
+    ) -> balancer.Candidate | None:
+        objective = pending.route.latency_objective
+        choice = self.zones.choose(
+            self._targets.candidates_of_service(pending.service),
+            pending.tried,
+            zonepolicy.CallNeeds(
+                objective,
+                pending.received_at + objective - now,
+                pending.deadline - now,
+                len(pending.call.body),
+                self.zones.sizes.usual(pending.service),
+            ),
+            self._core.incarnation,
+            now,
+        )
+        if choice is None:
+            return None
+        if choice.leaves:
+            decision = choice.decision
+            logs.request_event(
+                "call_sent_to_other_zone",
+                False,
+                request=pending.call.request_id,
+                service=pending.service,
+                to=choice.candidate.data_centre,
+                here_ms=round(choice.end_here * 1000, 1),
+                there_ms=round(choice.end_there * 1000, 1),
+                gain=round(decision.gain, 3) if decision else None,
+                cost=round(decision.cost, 3) if decision else None,
+                share=round(decision.share, 3) if decision else None,
+                age_ms=round(choice.age * 1000),
+            )
+        return choice.candidate
+
     def _find_owner(
         self, pending: pendingrequests.PendingRequest
     ) -> tuple[str, types.Reason | None]:
@@ -370,6 +408,7 @@
             sent=now,
         )
         pending.leg = leg
+        pending.leg_sent_at = now
         pending.candidate = candidate
         pending.tried |= {candidate.incarnation}
         pending.runs += 1
@@ -406,6 +445,7 @@
     ) -> None:
         failed = completion.status >= _SERVER_ERROR_STATUS
         self._record_outcome(pending, failed)
+        self.zones.sizes.record(pending.service, len(completion.body))
         if (
             failed
             and pending.route.idempotent
--- a/tamarackgap/traffic/pendingrequests.py
+++ b/tamarackgap/traffic/pendingrequests.py
@@ -26,6 +26,7 @@
         deadline: Monotonic time by which it must be answered, seconds.
         on_done: Called once with the completion; None after that.
         leg: Id of the current leg; 0 if there is none.
+        leg_sent_at: Monotonic time at which the last leg was sent, seconds.
         candidate: The target that the last leg was sent to.
         tried: Incarnations that a leg was sent to.
         runs: Number of legs that may have reached a target.
@@ -44,6 +45,7 @@
     deadline: float
     on_done: DoneCallback | None
     leg: int = 0
+    leg_sent_at: float = 0.0
     candidate: balancer.Candidate | None = None
     tried: frozenset[str] = frozenset()
     runs: int = 0
--- a/tests/scheduling/test_balancer.py
+++ b/tests/scheduling/test_balancer.py
@@ -81,15 +81,6 @@
     assert choose(lossy, candidate("b", reported_load=6)) == "a"
 
 
-def test_target_in_same_data_centre_is_preferred_among_equals():
-    here = candidate("a", data_centre="north", reported_load=1)
-    there = candidate("b", data_centre="south")
-    chosen = balancer.choose(
-        [there, here], frozenset(), 0.0, random.Random(1), "north"
-    )
-    assert chosen is here
-
-
 def test_failing_target_of_many_gets_few_calls():
     many = [candidate(f"t{index}") for index in range(10)]
     for _ in range(4):
--- a/tests/traffic/test_dispatcher.py
+++ b/tests/traffic/test_dispatcher.py
@@ -199,3 +199,23 @@
         types.Verdict.NOT_RUN.value,
     ]
     assert process.dispatcher.in_flight == 0
+
+
+def test_travel_and_sizes_are_learnt_from_answers():
+    process = DaemonProcess()
+    process.send("r")
+    (dispatch,) = process.dispatches
+    process.timers.now += 0.1
+    process.dispatcher.handle_completion(
+        "other",
+        calls.Completion(
+            dispatch.leg,
+            types.Verdict.ANSWERED,
+            status=200,
+            body=b"a" * 700,
+            took=0.096,
+        ),
+    )
+    zones = process.dispatcher.zones
+    assert zones.travel.travel("north") == pytest.approx(0.004)
+    assert zones.sizes.usual("s") == 700
