--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -333,16 +333,11 @@
     def _choose_target(
         self, pending: pendingrequests.PendingRequest, now: float
     ) -> balancer.Candidate | None:
-        objective = pending.route.latency_objective
         choice = self.zones.choose(
             self._targets.candidates_of_service(pending.service),
             pending.tried,
-            zonepolicy.CallNeeds(
-                objective,
-                pending.received_at + objective - now,
-                pending.deadline - now,
-                len(pending.call.body),
-                self.zones.sizes.usual(pending.service),
+            pendingrequests.needs(
+                pending, self.zones.sizes.usual(pending.service), now
             ),
             self._core.incarnation,
             now,
@@ -350,20 +345,7 @@
         if choice is None:
             return None
         if choice.leaves:
-            decision = choice.decision
-            logs.request_event(
-                "call_sent_to_other_zone",
-                False,
-                request=pending.call.request_id,
-                service=pending.service,
-                to=choice.candidate.data_centre,
-                here_ms=round(choice.end_here * 1000, 1),
-                there_ms=round(choice.end_there * 1000, 1),
-                gain=round(decision.gain, 3) if decision else None,
-                cost=round(decision.cost, 3) if decision else None,
-                share=round(decision.share, 3) if decision else None,
-                age_ms=round(choice.age * 1000),
-            )
+            pendingrequests.log_leaving(pending, choice)
         return choice.candidate
 
     def _find_owner(
--- a/tamarackgap/traffic/pendingrequests.py
+++ b/tamarackgap/traffic/pendingrequests.py
@@ -7,7 +7,7 @@
 from tamarackgap import logs, types
 from tamarackgap.network import scheduler
 from tamarackgap.peers import calls
-from tamarackgap.scheduling import balancer
+from tamarackgap.scheduling import balancer, zonepolicy
 from tamarackgap.traffic import routetable
 
 _DEFAULT_RETRY_S = 0.1
@@ -87,6 +87,44 @@
     )
 
 
+def needs(
+    pending: PendingRequest, answer_bytes: float, now: float
+) -> zonepolicy.CallNeeds:
+    """Returns what the caller of a request waits for.
+
+    Args:
+        pending: The request.
+        answer_bytes: Expected size of its answer, bytes.
+        now: Monotonic time, seconds.
+    """
+    objective = pending.route.latency_objective
+    return zonepolicy.CallNeeds(
+        objective,
+        pending.received_at + objective - now,
+        pending.deadline - now,
+        len(pending.call.body),
+        answer_bytes,
+    )
+
+
+def log_leaving(pending: PendingRequest, choice: zonepolicy.Choice) -> None:
+    """Logs why a request is sent to another data centre."""
+    decision = choice.decision
+    logs.request_event(
+        "call_sent_to_other_zone",
+        False,
+        request=pending.call.request_id,
+        service=pending.service,
+        to=choice.candidate.data_centre,
+        here_ms=round(choice.end_here * 1000, 1),
+        there_ms=round(choice.end_there * 1000, 1),
+        gain=round(decision.gain, 3) if decision else None,
+        cost=round(decision.cost, 3) if decision else None,
+        share=round(decision.share, 3) if decision else None,
+        age_ms=round(choice.age * 1000),
+    )
+
+
 def log(
     pending: PendingRequest,
     completion: calls.Completion,
