explain-request tells where a request would go now, without sending it

The router's page /explain-request (processes/callpreview.py) finds the route, then the owner of the key, or all targets with load, its age, when an answer is expected and what leaving the data centre would gain and cost (zonepolicy.options and decide; nothing is drawn, counted or sent). tests/platform/test_operations.py asks real routers.

--- a/tamarackgap/commands/cmdline.py
+++ b/tamarackgap/commands/cmdline.py
@@ -13,7 +13,7 @@
 from tamarackgap.commands import control, env, policy
 from tamarackgap.ownership import reports
 from tamarackgap.placement import records
-from tamarackgap.processes import daemon
+from tamarackgap.processes import callpreview, daemon
 from tamarackgap.settings import config
 
 _EXIT_FAILED = 1
@@ -183,6 +183,73 @@
     _print_result(explanation, as_json, text)
 
 
+@cli.command("explain-request", epilog=_EXIT_CODES)
+@click.argument("host")
+@click.argument("path")
+@_daemon_option
+@click.option("--key", default=None, help="The request's key, if it has one.")
+@click.option("--bytes", "size", default=0, help="Size of its body, bytes.")
+@_json_option
+def explain_request(
+    host: str,
+    path: str,
+    address: str,
+    key: str | None,
+    size: int,
+    as_json: bool,
+) -> None:
+    """Print where a request for HOST and PATH would go now, and why.
+
+    Nothing is sent. The daemon answers at its metrics address.
+    """
+    fields = {"host": host, "path": path, "bytes": str(size)}
+    if key is not None:
+        fields["key"] = key
+    body = _get_page(
+        address, "/explain-request?" + urllib.parse.urlencode(fields)
+    )
+    shown = msgspec.json.decode(body, type=callpreview.Preview)
+    _print_result(shown, as_json, _preview_text(shown))
+
+
+def _preview_text(shown: callpreview.Preview) -> str:
+    lines = [
+        f"route {shown.route}, service {shown.service},"
+        f" latency objective {shown.objective_ms} ms"
+    ]
+    if shown.other_services:
+        lines.append(f"others go to: {', '.join(shown.other_services)}")
+    if shown.owner is not None:
+        owner = shown.owner
+        lines.append(
+            f"slot {owner.slot} is owned by"
+            f" {owner.daemon or 'no known daemon'} ({owner.owner}),"
+            f" fence {owner.fence}"
+        )
+    else:
+        lines.append(
+            f"here: {shown.near or 'no usable target'};"
+            f" elsewhere: {shown.far or 'no usable target'}"
+        )
+        lines.append(
+            f"leaving gains {shown.gain} and costs {shown.cost}:"
+            f" {shown.leaving_share:.0%} of such requests leave"
+        )
+    lines.append(
+        f"{'TARGET':20} {'DATA CENTRE':14} {'LOAD':>9} {'AGE MS':>7}"
+        f" {'ANSWER MS':>9} {'VALUE':>6}"
+    )
+    lines += [
+        f"{target.incarnation:20} {target.data_centre:14}"
+        f" {target.load:4}/{target.capacity:<4}"
+        f" {'-' if target.load_age_ms is None else target.load_age_ms:>7}"
+        f" {target.answer_ms:9} {target.value:6}"
+        + ("" if target.usable else " not usable")
+        for target in shown.targets
+    ]
+    return "\n".join(lines)
+
+
 @cli.command("lost", epilog=_EXIT_CODES)
 @click.argument("name")
 @_table_option
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -545,12 +545,17 @@
                     self._route_tables.version,
                     self._route_tables.in_force_since,
                 ),
+                find_route=self._find_route,
                 gauges=self._gauges,
                 peer_bytes=lambda: self._transport.sent_bytes_by_kind,
                 clock=now,
             )
         )
 
+    def _find_route(self, host: str, path: str) -> routetable.Route | None:
+        index = self._route_tables.index
+        return index.find(host, path) if index is not None else None
+
     # Readiness and shutdown.
 
     @property
--- a/tamarackgap/processes/routerpages.py
+++ b/tamarackgap/processes/routerpages.py
@@ -9,10 +9,12 @@
 from tamarackgap.network import httpserver
 from tamarackgap.ownership import ownership, reports
 from tamarackgap.placement import slots
+from tamarackgap.processes import callpreview
 from tamarackgap.traffic import (
     adapter,
     dispatcher,
     localtarget,
+    routetable,
     runner,
     slotgrants,
 )
@@ -39,6 +41,7 @@
         metrics: Counters and histograms.
         route_table: Returns the version of the route table in force, and
             since when it has been, seconds on this daemon's clock.
+        find_route: Returns the route of a host and path, if there is one.
         gauges: Returns further gauges by name.
         peer_bytes: Returns the bytes sent to other daemons by kind of message,
             and whether they went to daemons of the same data centre.
@@ -53,6 +56,7 @@
     store: adapter.Store
     metrics: metrics.Metrics
     route_table: Callable[[], tuple[int, float]]
+    find_route: Callable[[str, str], routetable.Route | None]
     gauges: Callable[[], dict[str, float]]
     peer_bytes: Callable[[], Mapping[tuple[str, bool], int]]
     clock: Callable[[], float]
@@ -117,6 +121,7 @@
             reports.owners(sources.core, query.get("service"))
         ),
         "/explain": lambda query: _json(_explain(sources, query)),
+        "/explain-request": lambda query: _json(_preview(sources, query)),
     }
 
     def handle(incoming: httpserver.IncomingRequest) -> None:
@@ -192,6 +197,22 @@
     return explanation
 
 
+def _preview(
+    sources: PageSources, query: dict[str, str]
+) -> callpreview.Preview:
+    route = sources.find_route(query["host"], query["path"])
+    if route is None:
+        raise ValueError(f"no route for {query['host']}{query['path']}")
+    return callpreview.preview(
+        sources.core,
+        sources.dispatcher,
+        route,
+        query.get("key"),
+        max(0, int(query.get("bytes", "0"))),
+        sources.clock(),
+    )
+
+
 def _metrics(sources: PageSources) -> adapter.Response:
     state = status(sources)
     values = {
--- a/tamarackgap/scheduling/zonepolicy.py
+++ b/tamarackgap/scheduling/zonepolicy.py
@@ -95,6 +95,24 @@
     age: float = 0.0
 
 
+class Option(msgspec.Struct, frozen=True):
+    """A target that a call could be sent to.
+
+    Attributes:
+        candidate: The target.
+        is_near: Whether it is in this daemon's data centre.
+        usable: Whether new calls may be sent to it.
+        end: Expected time until its answer arrives, seconds.
+        value: What that is worth to the caller; 1 for an answer in time.
+    """
+
+    candidate: balancer.Candidate
+    is_near: bool
+    usable: bool
+    end: float
+    value: float
+
+
 class TravelTimes:
     """Holds how long messages to data centres and back travel.
 
@@ -197,6 +215,34 @@
                 return self._compare(here, there, end_here, needs, now)
         return Choice(here, False)
 
+    def options(
+        self,
+        candidates: Iterable[balancer.Candidate],
+        needs: CallNeeds,
+        own: str,
+        now: float,
+    ) -> list[Option]:
+        """Returns what is expected of all targets, without a choice.
+
+        The usable ones come first, by when their answer is expected. The
+        arguments are those of `choose`.
+        """
+        options = []
+        for candidate in candidates:
+            end = self._end(candidate, needs, own, now)
+            options.append(
+                Option(
+                    candidate,
+                    candidate.data_centre == self._data_centre,
+                    candidate.is_usable(now),
+                    end,
+                    expected_value(end, needs),
+                )
+            )
+        return sorted(
+            options, key=lambda option: (not option.usable, option.end)
+        )
+
     def _compare(
         self,
         here: balancer.Candidate,
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -138,6 +138,14 @@
         for gone in self._targets.update_status(sender, address, status, age):
             self._drop_daemon(gone)
 
+    def is_keyed(self, service: str) -> bool:
+        """Returns whether each key of a service has one owner."""
+        return service in self._keyed
+
+    def targets_of(self, service: str) -> list[balancer.Candidate]:
+        """Returns the known targets of a service."""
+        return list(self._targets.candidates_of_service(service))
+
     def digest(self, data_centre: str) -> tuple[calls.HeardStatus, ...]:
         """Returns the last states of a data centre's targets."""
         return self._targets.digest(data_centre)
--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -156,6 +156,54 @@
     assert vm.name in owned
 
 
+def _explain_request(vm, *words):
+    return _run_command(
+        "explain-request", *words, "--daemon", vm.metrics_address
+    )
+
+
+def test_where_a_request_would_go_is_told_without_sending_it(cluster):
+    north, south = cluster.vms[:2]
+    calls_before = len(_lines(cluster, "call"))
+    code, here = _explain_request(north, "seats.example", "/browse/x")
+    assert code == 0
+    assert (here["route"], here["service"]) == ("browse", "seats")
+    assert (bool(here["near"]), here["far"]) == (True, "")
+    (target,) = here["targets"]
+    assert target["usable"]
+    assert target["data_centre"] == "north"
+    # The only target is in another data centre, so all requests leave.
+    code, there = _explain_request(south, "seats.example", "/browse/x")
+    assert (there["near"], there["far"]) == ("", here["near"])
+    assert there["leaving_share"] == 1.0
+    vm = next(vm for vm in cluster.vms if vm.server.holds(30_000))
+    code, keyed = _explain_request(
+        north, "money.example", "/pay", "--key", "30000"
+    )
+    assert keyed["owner"]["daemon"] == vm.name
+    assert [target["incarnation"] for target in keyed["targets"]] == [
+        keyed["owner"]["owner"]
+    ]
+    assert len(_lines(cluster, "call")) == calls_before
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("nobody.example", "/"),
+        ("money.example", "/pay"),
+        ("money.example", "/pay", "--key", "70000"),
+    ],
+)
+def test_a_request_without_route_or_key_is_reported_in_one_line(cluster, words):
+    address = cluster.vms[0].metrics_address
+    invocation = testing.CliRunner().invoke(
+        cmdline.cli, ["explain-request", *words, "--daemon", address]
+    )
+    assert invocation.exit_code != 0
+    assert len(invocation.output.splitlines()) == 1
+
+
 @pytest.mark.parametrize("key", ["70000", "x"])
 def test_an_invalid_key_is_reported_in_one_line(cluster, key):
     words = ["explain", key, "--service", "money", "--daemon"]
