--- a/tamarackgap/metrics.py
+++ b/tamarackgap/metrics.py
@@ -178,6 +178,7 @@
     "peer_messages_sent": "Messages sent to other daemons.",
     "peer_bytes_sent": "Bytes sent to other daemons.",
     "peer_messages_dropped": "Messages dropped for lack of a connection.",
+    "peer_messages_expired": "Messages that waited too long for the link.",
     "peer_frames_malformed": "Malformed or foreign frames from peers.",
     "renewal_lateness_seconds": "Largest delay of a renewal since the start.",
     "loop_pause_seconds": "Longest turn of the event loop since the start.",
--- a/tamarackgap/peers/transport.py
+++ b/tamarackgap/peers/transport.py
@@ -136,6 +136,11 @@
         # messages unread.
         timers.every(_POLL_INTERVAL_S, self._receive_frames)
 
+    @property
+    def expired_messages(self) -> int:
+        """Number of messages that waited too long for the link."""
+        return self._pacer.expired if self._pacer is not None else 0
+
     def set_peers(self, addresses: set[str]) -> None:
         """Connects to the given peers and closes all other connections.
 
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -522,6 +522,7 @@
             "peer_messages_sent": self._transport.sent_messages,
             "peer_bytes_sent": self._transport.sent_bytes,
             "peer_messages_dropped": self._transport.dropped_messages,
+            "peer_messages_expired": self._transport.expired_messages,
             "peer_frames_malformed": self._transport.malformed_frames,
             "calls_sent_to_other_zone": (
                 self._request_dispatcher.zones.calls_sent_away
