The bytes of a call count at most as half of an answer in time

A call with a large body never left for another data centre, even where it had no chance in its own: at the default price 200 kB cost two answers.

--- a/tamarackgap/scheduling/zonepolicy.py
+++ b/tamarackgap/scheduling/zonepolicy.py
@@ -30,6 +30,9 @@
 # Value of an answer after its latency objective, as a share of one in time. A
 # refusal and an answer after the deadline have none.
 _LATE_VALUE = 0.3
+# However large a call is, its bytes count at most as much: one that has no
+# chance here leaves if it has a good one elsewhere.
+_MAX_COST = 0.5
 # With a gain of this much beyond the costs, all calls leave.
 _FULL_GAIN = 0.3
 # With loads of this age, half of the calls leave that would with present ones.
@@ -313,10 +316,11 @@
         age: Age of the older one of both loads, seconds.
     """
     gain = expected_value(end_there, needs) - expected_value(end_here, needs)
-    cost = (
+    cost = min(
+        _MAX_COST,
         price_per_megabyte
         * (needs.request_bytes + needs.answer_bytes)
-        / _MEGABYTE
+        / _MEGABYTE,
     )
     net = gain - cost
     if net <= 0.0:
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -232,7 +232,8 @@
         "percent",
         "price of 1 MB between data centres, as a share of the value of an"
         " answer in time. With 1000, a call of 10 kB leaves its data centre if"
-        " its chance of an answer in time is 10 in 100 higher elsewhere",
+        " its chance of an answer in time is 10 in 100 higher elsewhere; bytes"
+        " count at most as half of an answer",
     ),
     Option("table", "address", Kind.ADDRESS, "the platform's table service"),
     _integer_option(
--- a/tests/scheduling/test_zonepolicy.py
+++ b/tests/scheduling/test_zonepolicy.py
@@ -47,6 +47,12 @@
     assert _decide(0.2, 0.1, size=60_000).share == 0.0
 
 
+def test_a_large_body_leaves_where_it_has_no_chance_here():
+    decision = _decide(5.0, 0.1, size=400_000)
+    assert decision.share > 0.0
+    assert decision.cost < decision.gain
+
+
 def test_old_loads_never_send_all_away():
     fresh, old = _decide(math.inf, 0.1), _decide(math.inf, 0.1, age=3.0)
     assert old.share <= fresh.share / 4
