--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -79,6 +79,8 @@
         waiting: Number of calls in the daemon's queue.
         slowdown: How long work takes at the target at this moment, as a
             multiple of the usual time; 0 if that is not known.
+        took: Time from the receipt of the `Dispatch` to this message,
+            seconds; 0 if it was not measured.
     """
 
     leg: int
@@ -91,6 +93,7 @@
     running: int = 0
     waiting: int = 0
     slowdown: decoding.Finite = 0.0
+    took: decoding.Finite = 0.0
 
 
 class Withdraw(msgspec.Struct, tag="withdraw", array_like=True, frozen=True):
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -49,6 +49,7 @@
     router_extra_reruns: int
     router_cold_overage: float
     router_cold_slack: float
+    router_far_price: int
     table_address: str
     table_poll: int
     table_timeout: int
--- a/tests/traffic/test_dispatcher.py
+++ b/tests/traffic/test_dispatcher.py
@@ -214,3 +214,23 @@
     assert usual.remaining == pytest.approx(15.0)
     assert shortened.remaining == pytest.approx(14.7, abs=0.01)
     assert shortened.objective_remaining == pytest.approx(0.1, abs=0.01)
+
+
+def test_travel_and_sizes_are_learnt_from_answers():
+    process = DaemonProcess()
+    process.send("r")
+    (dispatch,) = process.dispatches
+    process.timers.now += 0.1
+    process.dispatcher.handle_completion(
+        "other",
+        calls.Completion(
+            dispatch.leg,
+            types.Verdict.ANSWERED,
+            status=200,
+            body=b"a" * 700,
+            took=0.096,
+        ),
+    )
+    zones = process.dispatcher.zones
+    assert zones.travel.travel("north") == pytest.approx(0.004)
+    assert zones.sizes.usual("s") == 700
