An evacuated data centre's targets get no calls

Change: each daemon lets the target beside it be as if it were leaving while its data centre is evacuated, and takes it back as a cold one. Calls for keys that have not moved yet are run for 3 s, and such keys are given up after 2 s.

The stand-in store can remove rows; the simulated network has rows of evacuations, removals and a lost history.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -53,6 +53,10 @@
             self._write(table, "", key, encoded)
             self._changed.notify_all()
 
+    def remove(self, table: str, key: str) -> None:
+        """Removes a row, as the operators' tools do."""
+        self._commit({"remove": [{"table": table, "part": "", "key": key}]})
+
     def forget_history(self) -> None:
         """Drops the history, so that polls after older versions get 410."""
         with self._changed:
--- a/tamarackgap/metrics.py
+++ b/tamarackgap/metrics.py
@@ -169,6 +169,7 @@
     "open_connections": "Open connections of callers.",
     "message_bytes": "Memory of all messages under way.",
     "messages_refused_for_memory": "Messages for which there was no memory.",
+    "evacuated_data_centres": "Data centres whose targets are to get no calls.",
     "calls_held_for_cold_target": "Calls that had to wait, or were refused,"
     " since the target was cold.",
 }
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -178,6 +178,9 @@
         calls_lost_before: Calls to the store that any daemon sent before this
             time may be lost, milliseconds on the store's clock; 0 if none was
             found to be.
+        evacuated: Data centres whose targets are to get no calls.
+        evacuated_as_of: Revision of the store at which they were; 0 if nothing
+            is known.
     """
 
     service: types.ServiceName
@@ -193,6 +196,8 @@
     load: decoding.Finite | None = None
     route_table_as_of: decoding.Count = 0
     calls_lost_before: decoding.Count = 0
+    evacuated: tuple[types.DataCentre, ...] = ()
+    evacuated_as_of: decoding.Count = 0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/platform/names.py
+++ b/tamarackgap/platform/names.py
@@ -35,5 +35,7 @@
 # Table and key of the operator's newest configuration.
 OPERATOR_TABLE = "op"
 OPERATOR_KEY = "config"
+# Keys in that table that begin so name zones whose servers are to get nothing.
+EVACUATE_PREFIX = "evacuate/"
 # Table of this system's own rows.
 OWN_TABLE = "tamarackgap"
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from tamarackgap import types
 from tamarackgap.network import (
     bytebudget,
     exchanges,
@@ -22,7 +23,7 @@
     tablewatch,
     transactions,
 )
-from tamarackgap.traffic import routetable, storewatch
+from tamarackgap.traffic import evacuations, routetable, storewatch
 
 _IDLE_TIMEOUT_S = 20.0
 _UNACKED_TIMEOUT_MS = 2500
@@ -36,6 +37,10 @@
 _RESERVED_BYTES = 2 * _MAX_ANSWER_BYTES
 
 
+def _ignore_evacuations(state: evacuations.Evacuations) -> None:
+    del state
+
+
 def _ignore_time(time: float) -> None:
     del time
 
@@ -47,6 +52,8 @@
         on_poll_lost: Called when the store answers again after a poll got no
             answer, with the time at which it should have ended, seconds on the
             store's clock.
+        on_evacuations: Called after each read of the operators' table with the
+            evacuated zones, before any new route table is.
     """
 
     def __init__(
@@ -69,6 +76,10 @@
         self._timers = timers
         self._rng = rng or random.Random()
         self.on_poll_lost: Callable[[float], None] = _ignore_time
+        self.on_evacuations: Callable[[evacuations.Evacuations], None] = (
+            _ignore_evacuations
+        )
+        self._evacuated: frozenset[types.DataCentre] = frozenset()
         self._address = address
         self._pool = httppool.ConnectionPool(
             poller,
@@ -223,7 +234,7 @@
             rows: list[records.Row], revision: int, as_of: float
         ) -> None:
             nonlocal is_decoded
-            del revision
+            self._handle_evacuations(rows, revision)
             for row in rows:
                 if row.key != names.OPERATOR_KEY or row.value is None:
                     continue
@@ -245,6 +256,25 @@
         )
         self._operator_watch.read()
 
+    def _handle_evacuations(
+        self, rows: list[records.Row], revision: int
+    ) -> None:
+        """Applies the rows of evacuated zones; what they hold has no meaning.
+
+        Args:
+            rows: Rows of the operators' table that have changed.
+            revision: Revision up to which they are complete.
+        """
+        for row in rows:
+            zone = row.key.removeprefix(names.EVACUATE_PREFIX)
+            if not zone or zone == row.key:
+                continue
+            if row.value is None:
+                self._evacuated -= {types.DataCentre(zone)}
+            else:
+                self._evacuated |= {types.DataCentre(zone)}
+        self.on_evacuations(evacuations.Evacuations(self._evacuated, revision))
+
     def commit(
         self,
         transaction: records.Transaction,
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -10,6 +10,7 @@
 from tamarackgap.traffic import (
     crashes,
     dispatcher,
+    evacuations,
     relays,
     runner,
     statusintervals,
@@ -32,6 +33,7 @@
         crash_history: crashes.CrashHistory,
         timers: scheduler.Scheduler,
         route_tables: routetables.RouteTableKeeper,
+        evacuation_keeper: evacuations.EvacuationKeeper | None = None,
     ) -> None:
         """Creates an instance that has sent nothing, and schedules broadcasts.
 
@@ -44,6 +46,7 @@
             crash_history: Records which requests ran at targets that crashed.
             timers: The loop's scheduler.
             route_tables: Holds the route table in force here.
+            evacuation_keeper: Holds which data centres are evacuated.
         """
         self._core = core
         self._transport = peer_transport
@@ -52,6 +55,7 @@
         self._crash_history = crash_history
         self._timers = timers
         self._route_tables = route_tables
+        self._evacuations = evacuation_keeper or evacuations.EvacuationKeeper()
         # The incarnation at the start identifies the process, since each id is
         # used only once.
         self._process = core.incarnation
@@ -79,7 +83,7 @@
                     envelope.sender, envelope.address, status
                 )
                 self._record_load(envelope.sender, status, 0.0)
-                self._hear_route_table(status, envelope.address)
+                self._hear_operators(status, envelope.address)
             case calls.StatusDigest() as digest:
                 self._apply_digest(digest)
             case calls.TargetCrash() as crash:
@@ -141,7 +145,7 @@
                 heard.incarnation, heard.address, heard.status, heard.age
             )
             self._record_load(heard.incarnation, heard.status, heard.age)
-            self._hear_route_table(heard.status, heard.address)
+            self._hear_operators(heard.status, heard.address)
         if not digest.passes_on:
             return
         near = {
@@ -155,9 +159,14 @@
             calls.StatusDigest(digest.statuses, passes_on=False),
         )
 
-    def _hear_route_table(
-        self, status: calls.TargetStatus, address: str
-    ) -> None:
+    def _hear_operators(self, status: calls.TargetStatus, address: str) -> None:
+        """Handles what another daemon knows of the operators' table."""
+        self._evacuations.hear(
+            evacuations.Evacuations(
+                frozenset(status.evacuated), status.evacuated_as_of
+            ),
+            address,
+        )
         self._route_tables.hear_version(
             status.route_table_version, status.route_table_as_of, address
         )
@@ -270,6 +279,7 @@
             interval: Time until the receiver is sent the next one, seconds.
         """
         queue = self._runner.queue
+        evacuated = self._evacuations.newest
         return calls.TargetStatus(
             types.ServiceName(self._core.settings.service),
             self._runner.accepting,
@@ -284,6 +294,8 @@
             self._core.own_load,
             self._route_tables.as_of_ms,
             self._route_tables.calls_lost_before_ms,
+            tuple(sorted(evacuated.data_centres)),
+            evacuated.revision,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -40,6 +40,7 @@
     adapter,
     crashes,
     dispatcher,
+    evacuations,
     latecalls,
     pendingrequests,
     routetable,
@@ -189,6 +190,7 @@
             ),
             self._configure,
         )
+        self._evacuations = evacuations.EvacuationKeeper()
         self._peer_sync = peersync.PeerSync(
             self._core,
             self._transport,
@@ -197,7 +199,10 @@
             self._crash_history,
             self.timers,
             self._route_tables,
+            self._evacuations,
         )
+        self._evacuations.on_change = self._handle_evacuations
+        platform_adapter.store.on_evacuations = self._evacuations.handle_read
         self._route_tables.on_store_news = self._peer_sync.broadcast_status
         self._row_sharer = rowsharing.RowSharer(
             self._core, self._transport, self._request_dispatcher, self.timers
@@ -385,6 +390,27 @@
             lease_ms=round(self._core.lease_length * 1000),
         )
 
+    def _handle_evacuations(self, is_read: bool) -> None:
+        """Applies a change of the evacuated data centres.
+
+        Args:
+            is_read: Whether this daemon has read it from the store; all others
+                are then told, since only some of them follow the store.
+        """
+        evacuated = self._evacuations.newest.data_centres
+        own = self._settings.daemon_data_centre
+        self._target_handler.set_evacuated(own in evacuated)
+        if not is_read:
+            return
+        self._peer_sync.broadcast_status()
+        members = self._core.view.open_records()
+        # The own record may not be written yet.
+        known = {record.data_centre for record in members} | {own}
+        for name in sorted(evacuated - known if members else ()):
+            logs.unreadable_event(
+                "evacuation_of_unknown_data_centre", data_centre=name
+            )
+
     # Other daemons.
 
     def _receive(self, envelope: messages.Envelope) -> None:
@@ -517,6 +543,9 @@
             "open_connections": self._caller_server.connection_count,
             "message_bytes": self.budget.used,
             "messages_refused_for_memory": self.budget.refusals,
+            "evacuated_data_centres": len(
+                self._evacuations.newest.data_centres
+            ),
             "calls_held_for_cold_target": self._runner.queue.cold.held_count,
         }
 
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -1,6 +1,7 @@
 """Handles the local target: announcements, grants, releases and its end."""
 
 import functools
+import math
 from collections.abc import Callable
 
 from returns import result
@@ -37,6 +38,12 @@
 _UNACKED_TIMEOUT_MS = 3000
 _MAX_ORDER_ANSWER_BYTES = 65_536
 _STATUS_BAD_REQUEST = 400
+# The same for an evacuation, and how long calls for keys that have not moved
+# yet are run. Operators allow five seconds; to hear of it may take one.
+_EVACUATION_MOVE_TIMEOUT_S = 2.0
+_EVACUATION_DRAIN_S = 3.0
+# An announcement may be under way for this time where nothing is lost.
+_ANNOUNCEMENT_DELAY_S = 0.1
 
 
 def _do_nothing() -> None:
@@ -89,6 +96,10 @@
         self._timers = timers
         self._perform_effects = perform_effects
         self._calls_stopped = False
+        self._is_evacuated = False
+        # Until then an announcement may have been sent before the target's
+        # evacuation ended, seconds.
+        self._doubtful_until = 0.0
         # When the slots still owned are released without the table, seconds.
         self._release_at = 0.0
         # Number of times that the target was lost or silent.
@@ -142,7 +153,10 @@
     @property
     def is_serving(self) -> bool:
         """Whether the target serves, and is not about to leave."""
-        return self.target.phase is localtarget.Phase.SERVING
+        return (
+            self.target.phase is localtarget.Phase.SERVING
+            and not self._is_evacuated
+        )
 
     def is_pinned(self, slot: int) -> bool:
         """Returns whether a slot must not move, since its grant is open."""
@@ -170,6 +184,34 @@
         self.runner.detach()
         self._call_pool.close()
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Lets the target be as if it were leaving, or takes it back.
+
+        It may have turned cold meanwhile, so it is taken to be cold until it
+        says otherwise.
+
+        Args:
+            is_evacuated: Whether the target is to get no calls.
+        """
+        if is_evacuated is self._is_evacuated:
+            return
+        self._is_evacuated = is_evacuated
+        current_time = self._timers.now
+        if is_evacuated:
+            self.runner.drain(_EVACUATION_DRAIN_S)
+            self._release_at = current_time + _EVACUATION_MOVE_TIMEOUT_S
+        else:
+            self._doubtful_until = current_time + _ANNOUNCEMENT_DELAY_S
+            self.runner.queue.cold.set_cold(math.inf, current_time)
+            self._attach_if_serving()
+        logs.event(
+            "target_evacuated",
+            evacuated=is_evacuated,
+            instance=self.target.instance,
+            slots=len(self._core.owned),
+        )
+        self.on_status_changed()
+
     def check_silence(self) -> None:
         """Notices a target that no longer announces itself."""
         self._apply_transition(
@@ -184,7 +226,11 @@
         Args:
             draining: Whether the daemon leaves.
         """
-        if draining or self.target.phase is localtarget.Phase.LEAVING:
+        if (
+            draining
+            or self._is_evacuated
+            or self.target.phase is localtarget.Phase.LEAVING
+        ):
             self._release_without_table()
         else:
             self._release_at = self._timers.now + _MOVE_TIMEOUT_S
@@ -232,6 +278,8 @@
 
     def _set_cold(self, announcement: localtarget.Announcement) -> None:
         """Records for how long the target says that it is still cold."""
+        if self._timers.now < self._doubtful_until and not announcement.cold_s:
+            return
         cold = self.runner.queue.cold
         was_cold = cold.is_limiting(self._timers.now)
         cold.set_cold(announcement.cold_s, self._timers.now)
@@ -263,9 +311,12 @@
             self._answer_hold_report(announcement)
         )
         incoming.respond(response.status, response.headers, response.body)
+        self._attach_if_serving()
+        self._perform_effects()
+
+    def _attach_if_serving(self) -> None:
         if self.is_serving and not self._calls_stopped:
             self.runner.attach(self.target.instance, self.target.capacity)
-        self._perform_effects()
 
     def _answer_hold_report(
         self, announcement: localtarget.Announcement
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -183,16 +183,19 @@
         self._draining = False
         self._admission.resize(capacity, self._timers.now)
 
-    def drain(self) -> None:
+    def drain(self, seconds: float = _DRAIN_TIME_S) -> None:
         """Starts to refuse calls, since the target or its daemon is leaving.
 
-        Calls of a keyed service are run for _DRAIN_TIME_S more, since its keys
-        are still owned here; other calls are refused at once or when their
-        turn comes.
+        Calls of a keyed service are run for some time more, since its keys are
+        still owned here; other calls are refused at once or when their turn
+        comes.
+
+        Args:
+            seconds: That time, seconds.
         """
         if not self._draining:
             self._draining = True
-            self._drain_ends_at = self._timers.now + _DRAIN_TIME_S
+            self._drain_ends_at = self._timers.now + seconds
 
     def detach(self) -> None:
         """Stops using the target and refuses all queued calls.
--- a/tests/processes/test_targethandler.py
+++ b/tests/processes/test_targethandler.py
@@ -195,3 +195,72 @@
     announce(handler, 1, 3.0)
     handler.limit_cold_calls(routetable.Service("s", True, 16, None, 7.0))
     assert offered_capacity(handler) == 1
+
+
+def test_an_evacuated_target_is_as_if_leaving(handler_and_sent):
+    handler, _ = handler_and_sent
+    told = []
+    handler.on_status_changed = lambda: told.append(handler.runner.accepting)
+    announce(handler, 1, 0.0)
+    assert handler.is_serving
+    assert handler.runner.accepting
+    told.clear()
+    handler.set_evacuated(True)
+    handler.set_evacuated(True)
+    assert told == [False]
+    assert not handler.is_serving
+    # Announcements don't take it back.
+    announce(handler, 2, 0.0)
+    assert not handler.runner.accepting
+    handler.set_evacuated(False)
+    assert told == [False, True]
+    assert handler.is_serving
+    assert handler.runner.accepting
+
+
+def test_a_new_process_of_an_evacuated_target_gets_no_calls(handler_and_sent):
+    handler, _ = handler_and_sent
+    handler.set_evacuated(True)
+    announce(handler, 1, 0.0)
+    announce(handler, 1, 3.0, instance="i-2")
+    assert not handler.runner.accepting
+    handler.set_evacuated(False)
+    assert handler.runner.accepting
+
+
+def test_a_target_is_taken_to_be_cold_when_it_is_taken_back(handler_and_sent):
+    handler, _ = handler_and_sent
+    handler.limit_cold_calls(routetable.Service("s", True, 16, None, 7.0))
+    announce(handler, 1, 0.0)
+    handler.set_evacuated(True)
+    announce(handler, 2, 0.0)
+    handler.set_evacuated(False)
+    assert offered_capacity(handler) == 1
+    # It may have been sent before.
+    announce(handler, 3, 0.0)
+    assert offered_capacity(handler) == 1
+    handler._timers.now += 0.5
+    assert offered_capacity(handler) == 1
+    announce(handler, 4, 2.5)
+    assert offered_capacity(handler) == 1
+    handler._timers.now += 2.5
+    announce(handler, 5, 0.0)
+    assert offered_capacity(handler) == 4
+
+
+def test_a_leaving_target_is_not_used_when_its_data_centre_is_taken_back(
+    handler_and_sent,
+):
+    handler, _ = handler_and_sent
+    announce(handler, 1, 0.0)
+    handler.set_evacuated(True)
+    handler.handle_announcement(
+        module_types.SimpleNamespace(
+            announcement=localtarget.Announcement(
+                "i-1", "s", 4, leaving=True, sequence=2
+            ),
+            respond=lambda *unused: None,
+        )
+    )
+    handler.set_evacuated(False)
+    assert not handler.runner.accepting
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -21,7 +21,7 @@
 from tamarackgap.platform import operatorconfig
 from tamarackgap.platform import store as platform_store
 from tamarackgap.processes import peersync, routetables
-from tamarackgap.traffic import targets
+from tamarackgap.traffic import evacuations, targets
 
 STORE = "store"
 DATA_CENTRES = ["a", "b", "c"]
@@ -37,6 +37,7 @@
 # a change is in force after such a time.
 CONTACT_S = 3.0
 CONFIG_S = 2.0
+EVACUATION_S = 5.0
 
 
 class Timers:
@@ -252,6 +253,7 @@
             lambda address, message: self.send("", address, message),
             lambda table, source: self.versions.append(table.version),
         )
+        self.evacuations = evacuations.EvacuationKeeper()
         queue = module_types.SimpleNamespace(
             offered_capacity=lambda now: 4,
             running=1,
@@ -266,7 +268,12 @@
             None,
             self.timers,
             self.keeper,
+            self.evacuations,
         )
+        self.evacuations.on_change = lambda is_read: (
+            self.sync.broadcast_status() if is_read else None
+        )
+        self.store.on_evacuations = self.evacuations.handle_read
         self.keeper.on_store_news = self.sync.broadcast_status
         self.store.watch(self._apply_rows, lambda problem: None)
         self.keeper.start()
@@ -334,6 +341,7 @@
         store_calls: Number of calls that daemons have sent to the store.
         route_table_calls: Number of those that read the operators' table.
         acknowledged: Time and version of each change of the configuration.
+        evacuated: By data centre, whether it is, and since when.
         violations: What was not as the rules ask.
         unanswered: Messages to addresses that are no daemon's.
     """
@@ -346,6 +354,7 @@
         self.store_calls = 0
         self.route_table_calls = 0
         self.acknowledged = []
+        self.evacuated = {}
         self.violations = []
         self.unanswered = []
         self.unacked_timeout_s = _seconds("UNACKED_TIMEOUT_MS")
@@ -354,6 +363,7 @@
         self._order = itertools.count()
         self._revision = 1
         self._rows = {}
+        self._history_from = 0
         self._waiting = []
         self._is_silent = False
         self._failure_status = None
@@ -494,12 +504,27 @@
 
     def write(self, version, *resources):
         """Writes a version of the configuration, which is acknowledged."""
-        self._revision += 1
         source = platformcluster.configuration(
             version, *resources, *platformcluster.DEFAULT_RESOURCES
         )
-        self._rows["config"] = (self._revision, source)
         self.acknowledged.append((self.now, version))
+        self._put("config", source)
+
+    def evacuate(self, data_centre, is_evacuated=True):
+        """Writes the row of an evacuation, or removes it."""
+        if self.evacuated.get(data_centre, (False,))[0] is not is_evacuated:
+            self.evacuated[data_centre] = (is_evacuated, self.now)
+            self._put(
+                f"evacuate/{data_centre}", b"{}" if is_evacuated else None
+            )
+
+    def forget_history(self):
+        """Forgets all changes before the present state."""
+        self._history_from = self._revision
+
+    def _put(self, key, source):
+        self._revision += 1
+        self._rows[key] = (self._revision, source)
         waiting, self._waiting = self._waiting, []
         for state, table, after in waiting:
             if table == "op":
@@ -522,6 +547,9 @@
         table = fields["table"]
         after = int(fields.get("after", 0))
         wait_s = int(fields.get("wait_ms", 0)) / 1000
+        if path.endswith("feed") and after < self._history_from:
+            self._send(state, 410, {})
+            return
         if not wait_s or self._changes(table, after):
             self._answer(state, table, after)
             return
@@ -542,12 +570,12 @@
 
     def _answer(self, state, table, after):
         rows = [
-            {
-                "key": key,
-                "ver": revision,
-                "value": _base64(source),
-            }
+            {"key": key, "ver": revision, "value": _base64(source)}
+            if source is not None
+            else {"key": key, "ver": revision, "removed": True}
             for key, (revision, source) in self._changes(table, after).items()
+            # A read of the whole table has no removed rows.
+            if source is not None or after
         ]
         body = {
             "ver": self._revision,
@@ -598,6 +626,16 @@
             version = daemon.keeper.version
             if self.is_in_touch(daemon) and version < required:
                 self._record(daemon, "late", version, required)
+            is_evacuated, since = self.evacuated.get(
+                daemon.data_centre, (False, 0.0)
+            )
+            knows = daemon.data_centre in daemon.evacuations.newest.data_centres
+            if (
+                self.is_in_touch(daemon)
+                and self.now > since + EVACUATION_S
+                and knows is not is_evacuated
+            ):
+                self._record(daemon, "evacuation", knows, is_evacuated)
             if daemon.versions != sorted(daemon.versions):
                 self._record(daemon, "back", version, required)
             if (
