--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -250,3 +250,32 @@
         subject.end(number, broken=False, status=503)
         subject.timers.now += 1.0
     assert subject.runner.returned_request_count <= 12
+
+
+def test_calls_for_keys_are_run_for_the_time_given_to_a_drain():
+    subject = ControlledTargetHarness()
+    subject.runner.keyed = True
+    refusals = []
+    dispatch = calls.Dispatch(
+        "i",
+        1,
+        "s",
+        calls.Call("r", "s", "GET", "/", b"", b"", None),
+        9.0,
+        1,
+        True,
+        0.5,
+        0.5,
+    )
+    for seconds in (0.0, 2.9, 3.1):
+        subject.timers.now = 1.0 + seconds
+        subject.runner.drain(3.0)
+        subject.runner.submit(
+            dispatch, "i", lambda done: refusals.append(done.reason)
+        )
+    # Without a key, it is refused for that as long as it is not for the drain.
+    assert refusals == [
+        types.Reason.BAD_REQUEST,
+        types.Reason.BAD_REQUEST,
+        types.Reason.DRAINING,
+    ]
