--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -189,6 +189,9 @@
         speed: Work a second that the target can do, in the unit of the load;
             0 if that is not known.
         way: How late calls of other daemons arrive there, seconds.
+        evacuated: Data centres whose targets are to get no calls.
+        evacuated_as_of: Revision of the store at which they were; 0 if nothing
+            is known.
     """
 
     service: types.ServiceName
@@ -207,6 +210,8 @@
     slowdown: decoding.Finite = 1.0
     speed: decoding.Finite = 0.0
     way: decoding.Finite = 0.0
+    evacuated: tuple[types.DataCentre, ...] = ()
+    evacuated_as_of: decoding.Count = 0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
