A daemon that the store turns away makes one call at a time

Ruled out: rejoins, challenges and rereads after 410 (a few calls each).

While reads fail, one read at a time tries after drawn pauses of 0.4 s that grow to 2 s; the other watch and the daemon's transaction wait, and any answer lets them go. Transactions of unknown outcome have growing pauses that end when the table answers again. Only a daemon that would itself claim slots whose successor has ended too reads the table at once (ownership/leftslots.py; the rule for their fences moves there from planner.py unchanged).

Tests: the new case of test_routetables.py (5 of 12 daemons turned away for 9 s) failed on the code before with 327 calls of 270 allowed. tablenetwork.py learns to turn some daemons away. Existing checks are unchanged.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -10,10 +10,12 @@
 from tamarackgap import types
 from tamarackgap.ownership import (
     changes,
+    commitretry,
     effects,
     endedincarnations,
     epochchange,
     lease,
+    leftslots,
     liveness,
     loads,
     planner,
@@ -26,10 +28,6 @@
 from tamarackgap.peers import messages
 from tamarackgap.placement import records, rowmerge, slotowners, slots
 
-# Pause before a transaction with an unknown outcome is sent again.
-_COMMIT_RETRY_S = 0.2
-# A transaction without any result is sent again after this time.
-_COMMIT_TIMEOUT_S = 2.0
 # An expired lease is given up after this many lease lengths. Renewals are
 # sent every quarter of a length, so witnesses that still grant have answered
 # by then.
@@ -142,7 +140,7 @@
         self._renewer.lateness = lateness
         self._owned: dict[int, effects.OwnedSlot] = {}
         self._pending: changes.Change | None = None
-        self._commit_retry_at = 0.0
+        self._commit_retry = commitretry.CommitRetry(self._rng)
         self._epoch_change.end_release()
         self._epoch_change = epochchange.EpochChange(
             self._renewer, self._outbox, self._settings.ordered_keys
@@ -355,10 +353,19 @@
             now: Monotonic time, seconds.
             has_conflict: Whether a write failed since these rows have changed.
         """
+        if self._merge(rows, now, has_conflict):
+            self._read_before_claim()
+
+    def _merge(
+        self, rows: list[records.Row], now: float, has_conflict: bool
+    ) -> bool:
+        """Applies rows; returns whether a lease record has changed."""
         changed = rowmerge.merge_readable(self._view, rows, has_conflict)
+        has_lease = False
         for key in changed:
             if not key.startswith(records.LEASE_PREFIX):
                 continue
+            has_lease = True
             record = self._view.lease(key[len(records.LEASE_PREFIX) :])
             if record is None or not record.is_open:
                 # Slots may have become free to claim.
@@ -366,25 +373,15 @@
             if record is None:
                 continue
             self._slot_owners.update_from_record(record)
-            if self._needs_read_before_claim(record):
-                self._outbox.put(effects.ReadTable(urgent=True))
         if records.lease_key(self._incarnation) in changed:
             self._apply_own_record(now)
+        return has_lease
 
-    def _needs_read_before_claim(self, record: records.LeaseRecord) -> bool:
-        """Returns whether a table read has to show who may claim slots.
-
-        The closed record is newer than the last table read, so its
-        successors' records may have changed without being known here.
-        """
-        is_own_service = record.service == self._settings.service
-        is_unread = self._view.cursor < self._view.revision(record.key)
-        return (
-            is_own_service
-            and bool(record.runs)
-            and not record.is_open
-            and is_unread
-        )
+    def _read_before_claim(self) -> None:
+        if leftslots.needs_read(
+            self._view, self._incarnation, self._settings.service
+        ):
+            self._outbox.put(effects.ReadTable(urgent=True))
 
     def apply_table_read(
         self,
@@ -402,8 +399,10 @@
             as_of: Earliest time at which the table was in that state,
                 seconds; `now` if None.
         """
+        if not self._table_ok:
+            self._commit_retry.end_pause(now)
         self._table_ok = True
-        self.merge(rows, now)
+        self._merge(rows, now, False)
         # While this owner is challenged, its record may be closed right
         # after a read. So reads don't prolong the lease until the answer to
         # the challenge is in the table.
@@ -412,6 +411,7 @@
                 self._table_as_of, now if as_of is None else as_of
             )
         self._view.advance(types.Revision(revision))
+        self._read_before_claim()
         if any(
             record.runs
             and not record.is_open
@@ -452,10 +452,9 @@
         if change is None or change.transaction.change != change_id:
             return
         if state is effects.CommitState.UNKNOWN:
-            self._commit_retry_at = now + _COMMIT_RETRY_S * (
-                1 + self._rng.random()
-            )
+            self._commit_retry.record_unknown(now)
             return
+        self._commit_retry.record_outcome()
         self._pending = None
         incarnation = self._incarnation
         self.merge(rows, now, state is effects.CommitState.CONFLICT)
@@ -633,15 +632,13 @@
     # Changes of the table.
 
     def _repeat_unconfirmed(self, now: float) -> None:
-        if self._pending is not None and now >= self._commit_retry_at:
+        if self._pending is not None and self._commit_retry.is_due(now):
             self._commit(self._pending, now)
         self._succession.repeat_claims(now)
 
     def _commit(self, change: changes.Change, now: float) -> None:
         self._pending = change
-        # `handle_commit_result` sets it again. If that call is lost, the
-        # transaction is sent again at this time.
-        self._commit_retry_at = now + _COMMIT_TIMEOUT_S
+        self._commit_retry.record_try(now)
         self._outbox.put(effects.Commit(change))
 
     def _plan(self, now: float) -> None:
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from tamarackgap.ownership import changes, creation, effects, plannerinputs
+from tamarackgap.ownership import (
+    changes,
+    creation,
+    effects,
+    leftslots,
+    plannerinputs,
+)
 from tamarackgap.placement import placement, records, slots
 
 PLAN_INTERVAL_S = 0.2
@@ -213,41 +219,14 @@
         if assignment.successor == inputs.incarnation
     }
     if not record.is_open:
-        if record.service == inputs.settings.service:
-            fences.update(_fences_without_successor(inputs, record))
-        return fences or None
-    return fences
-
-
-def _fences_without_successor(
-    inputs: plannerinputs.PlannerInputs,
-    record: records.LeaseRecord,
-) -> dict[int, int]:
-    """Returns new fences of closed slots whose successor has ended too.
-
-    The successor may have served them under the next fence without recording
-    that in the table, so that fence is skipped. If the daemon that owned the
-    slots has been restarted, it gets them back, because its target has
-    served their keys.
-    """
-    view = inputs.view
-    if view.cursor < view.revision(record.key):
-        # The successor's record may not have been read yet.
-        return {}
-    members = [m for m in view.open_records(record.service) if m.can_own]
-    restarted = [m.incarnation for m in members if m.daemon == record.daemon]
-    candidates = restarted or [member.incarnation for member in members]
-    fences = {}
-    for slot_range in record.runs:
-        successor = view.lease(slot_range.successor)
-        if successor is not None and successor.is_open:
-            continue
         if (
-            placement.choose_by_rendezvous(slot_range.first, candidates)
-            == inputs.incarnation
+            record.service == inputs.settings.service
+            and not leftslots.is_unread(inputs.view, record)
         ):
-            for slot in range(slot_range.first, slot_range.last + 1):
-                fences[slot] = slot_range.fence + 2
+            fences.update(
+                leftslots.fences(inputs.view, inputs.incarnation, record)
+            )
+        return fences or None
     return fences
 
 
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -16,6 +16,7 @@
 from tamarackgap.ownership import effects
 from tamarackgap.placement import records
 from tamarackgap.platform import (
+    circuitbreaker,
     names,
     operatorconfig,
     requests,
@@ -80,6 +81,7 @@
             budget.reserve(_RESERVED_BYTES),
         )
         self._call_counts: dict[str, int] = {}
+        self._breaker = circuitbreaker.CircuitBreaker(timers, self._rng)
         self._own_watch: tablewatch.TableWatch | None = None
         self._operator_watch: tablewatch.TableWatch | None = None
         # Least value seen of this process's clock minus the store's, seconds.
@@ -130,6 +132,7 @@
             failed,
             lambda *times: self._handle_regained(self._own_watch, *times),
             self._rng,
+            self._breaker,
         )
         self._own_watch.read()
 
@@ -242,6 +245,7 @@
             lambda problem: None,
             lambda *times: self._handle_regained(self._operator_watch, *times),
             self._rng,
+            self._breaker,
         )
         self._operator_watch.read()
 
@@ -252,18 +256,27 @@
     ) -> None:
         """Commits a transaction; its outcome may stay unknown.
 
+        While this daemon's reads fail, it waits, and is sent when they have an
+        answer.
+
         Args:
             transaction: The checks and writes.
             done: Called once with the outcome and with rows: those written, or
                 after a conflict the checked rows as they are now.
         """
-        self.call(
-            "POST",
-            names.ROWS_TX,
-            transactions.encode(transaction),
-            _CALL_TIMEOUT_S,
-            functools.partial(transactions.handle_answer, transaction, done),
-        )
+
+        def send() -> None:
+            self.call(
+                "POST",
+                names.ROWS_TX,
+                transactions.encode(transaction),
+                _CALL_TIMEOUT_S,
+                functools.partial(
+                    transactions.handle_answer, transaction, done
+                ),
+            )
+
+        self._breaker.wait_to_commit(send)
 
     def call(
         self,
--- a/tamarackgap/platform/tablewatch.py
+++ b/tamarackgap/platform/tablewatch.py
@@ -10,18 +10,14 @@
 from tamarackgap import logs
 from tamarackgap.network import exchanges, httppool, scheduler
 from tamarackgap.placement import records
-from tamarackgap.platform import names, rowcodec
+from tamarackgap.platform import circuitbreaker, names, rowcodec
 from tamarackgap.traffic import storewatch
 
 _CALL_TIMEOUT_S = 2.0
 _LONG_POLL_MARGIN_S = 1.0
-_MIN_RETRY_PAUSE_S = 0.4
-_MAX_RETRY_PAUSE_S = 1.0
-# The least part of a pause or of a timeout that is drawn. Daemons whose calls
-# failed at the same moment would otherwise all call again at the same moments.
+# The least part of a time-out that is drawn. Daemons whose calls were lost at
+# the same moment would otherwise all call again at the same moments.
 _MIN_DRAWN_PART = 0.5
-# All daemons hear at about the same time that the store answers again.
-_MAX_NEWS_DELAY_S = 0.05
 # Shortest time between a call and a check that replaces it.
 _MIN_CHECK_INTERVAL_S = 0.5
 _STATUS_HISTORY_LOST = 410
@@ -81,6 +77,7 @@
         on_failure: Callable[[str], None],
         on_regained: OnRegained = lambda since, lost_at: None,
         rng: random.Random | None = None,
+        breaker: circuitbreaker.CircuitBreaker | None = None,
     ) -> None:
         """Creates a watch that has read nothing.
 
@@ -92,6 +89,8 @@
             on_failure: Called with the cause when a read has failed.
             on_regained: Called when the store answers again after a failure.
             rng: Spreads the calls of daemons that fail together.
+            breaker: Holds calls back while reads fail; shared by all watches
+                of the store. None if this is the only one.
         """
         self._store = store
         self._table = table
@@ -102,6 +101,9 @@
         self._on_failure = on_failure
         self._on_regained = on_regained
         self._rng = rng or random.Random()
+        self._breaker = breaker or circuitbreaker.CircuitBreaker(
+            store.timers, self._rng
+        )
         # All changes up to this revision have been read; None if the whole
         # table must be read.
         self._revision: int | None = None
@@ -111,11 +113,9 @@
         # The first page's answer: rows of it may have changed when the last
         # page is read, so only changes up to then are known to be complete.
         self._first_page: rowcodec.RowsAnswer | None = None
-        self._retry_pause_s = _MIN_RETRY_PAUSE_S
         self._is_failing = False
-        # Whether a call was made because others had an answer, since the last
-        # answer to this daemon.
-        self._has_used_news = False
+        # Whether the next call waits until the breaker lets it go.
+        self._is_held = False
         # The call under way, and the number of calls made. A call that was
         # replaced has a lower number than the last one.
         self._exchange: httppool.Exchange | None = None
@@ -161,21 +161,16 @@
     def handle_news(self, answered_at: float) -> None:
         """Calls again at once if others have had an answer since the last call.
 
-        That is done once after a failure: if it fails as well, the store turns
-        away this daemon only.
-
         Args:
             answered_at: When the store answered another daemon, seconds.
         """
         if (
-            not self._is_failing
-            or self._has_used_news
-            or answered_at <= self._sent_at
+            self._is_failing
+            and answered_at > self._sent_at
+            and self._breaker.use_news(answered_at)
         ):
-            return
-        self._has_used_news = True
-        self._drop_call()
-        self._schedule(self._rng.uniform(0.0, _MAX_NEWS_DELAY_S))
+            self._drop_call()
+            self.read()
 
     def check_if_sent(self, since: float, before: float) -> None:
         """Replaces the call under way if it was sent within a time.
@@ -188,17 +183,24 @@
             self._replace_poll()
 
     def _replace_poll(self) -> None:
-        if not self._is_failing and self._revision is not None:
+        is_following = not self._is_failing and not self._is_held
+        if is_following and self._revision is not None:
             self._poll(0.0)
 
     def read(self) -> None:
-        """Starts to read the whole table, or polls for its next changes."""
+        """Reads the whole table, or polls for changes, once it may call."""
         self._pause_timer = None
+        self._is_held = self._breaker.is_open
+        self._breaker.wait_to_read(self._table, self._read_now)
+
+    def _read_now(self) -> None:
+        was_held = self._is_held
+        self._is_held = False
         if self._revision is None:
             self._read_page("")
             return
         wait = 0.0
-        if self._plan.waits and not self._is_failing:
+        if self._plan.waits and not self._is_failing and not was_held:
             # Counted from the last read: owners rely on having read the table
             # at least once in each period.
             now = self._store.timers.now
@@ -223,14 +225,13 @@
             f"&after={self._revision}&wait_ms={wait_ms}"
         )
         timeout = max(_CALL_TIMEOUT_S, wait + _LONG_POLL_MARGIN_S)
-        if self._is_failing:
-            timeout = self._draw(_CALL_TIMEOUT_S)
+        if self._is_failing or self._breaker.is_open:
+            timeout = self._rng.uniform(
+                _MIN_DRAWN_PART * _CALL_TIMEOUT_S, _CALL_TIMEOUT_S
+            )
         self._poll_ends_at = self._store.timers.now + wait
         self._call(path, timeout, self._handle_feed)
 
-    def _draw(self, longest: float) -> float:
-        return self._rng.uniform(_MIN_DRAWN_PART * longest, longest)
-
     def _read_page(self, start: str) -> None:
         if not start:
             self._rows_so_far = []
@@ -290,7 +291,7 @@
         self.read()
 
     def _handle_failure(self, problem: str, has_waited: bool = False) -> None:
-        """Calls again after a pause, or at once after a time-out."""
+        """Calls again once the breaker lets it: at once after a time-out."""
         under_way_s = self._store.timers.now - self._sent_at
         if not self._is_failing:
             self._is_failing = True
@@ -303,15 +304,13 @@
             )
         self._poll_ends_at = float("-inf")
         self._on_failure(problem)
-        self._schedule(0.0 if has_waited else self._draw(self._retry_pause_s))
-        self._retry_pause_s = min(self._retry_pause_s * 2, _MAX_RETRY_PAUSE_S)
+        self._breaker.record_failure(self._table, has_waited)
+        self.read()
 
     def _schedule(self, pause: float) -> None:
         self._pause_timer = self._store.timers.after(pause, self.read)
 
     def _handle_success(self) -> None:
-        self._retry_pause_s = _MIN_RETRY_PAUSE_S
-        self._has_used_news = False
         self._poll_ends_at = float("-inf")
         since = self._answered_at
         self._answered_at = self._store.timers.now
@@ -323,6 +322,7 @@
                 ms=round((self._answered_at - since) * 1000),
             )
             self._on_regained(since, self._lost_at)
+        self._breaker.record_answer()
 
     def _handle_page(self, answer: httppool.Answer) -> bool:
         page = rowcodec.decode_answer(answer)
--- a/tests/platform/test_tablewatch.py
+++ b/tests/platform/test_tablewatch.py
@@ -221,6 +221,18 @@
     assert min(pauses) >= 0.2
 
 
+def test_a_failing_watch_whose_history_is_lost_reads_the_table(watch):
+    watch.answer()
+    watch.fire()
+    watch.fail(exchanges.Cause.CLOSED)
+    watch.fire()
+    watch.answer(status=LOST_HISTORY)
+    watch.fire()
+    assert watch.query["from"] == ""
+    watch.answer(row("a"))
+    assert watch.rows == {"a": "{}"}
+
+
 def test_a_failing_watch_calls_again_once_when_others_have_an_answer(watch):
     watch.answer()
     watch.fire()
--- a/tests/processes/test_routetables.py
+++ b/tests/processes/test_routetables.py
@@ -92,6 +92,42 @@
     assert (network.store_calls - before) / 64.0 <= CALM_CALLS_PER_S * 1.1
 
 
+@pytest.mark.parametrize("status", [429, 503, None])
+def test_store_that_turns_daemons_away_gets_twice_the_calm_calls_at_most(
+    status,
+):
+    network = tablenetwork.Network(1, 12)
+    network.run(20.0)
+    before = network.store_calls
+    # Calls under way are refused only once they are sent again.
+    network.reset_store_connections()
+    turned_away = list(network.daemons)[:5]
+    network.turn_away(9.0, turned_away, status)
+    network.run(9.0)
+    refused_until = network.now
+    network.write(2)
+    network.run(36.0)
+    assert network.store_calls - before <= 2 * CALM_CALLS_PER_S * 45.0
+    assert network.violations == []
+    for name in turned_away:
+        assert network.daemons[name].rows_as_of > refused_until
+
+
+@pytest.mark.parametrize("status", [429, None])
+def test_daemons_that_were_turned_away_read_again_soon(status):
+    network = tablenetwork.Network(2, 12)
+    network.run(20.0)
+    network.reset_store_connections()
+    turned_away = list(network.daemons)[:5]
+    network.turn_away(9.0, turned_away, status)
+    network.run(9.0)
+    allowed_at = network.now
+    network.run(tablenetwork.CONTACT_S)
+    for name in turned_away:
+        assert network.daemons[name].rows_as_of > allowed_at
+    assert network.violations == []
+
+
 def test_route_is_not_denied_by_a_table_that_could_not_all_be_read():
     network = tablenetwork.Network(1, 2)
     network.run(5.0)
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -354,6 +354,8 @@
         self._waiting = []
         self._is_silent = False
         self._failure_status = None
+        self._turned_away = ()
+        self._turned_away_status = None
         self._disturbed_at = 0.0
         self._clock_offset = 5000.0
         self.daemons = {}
@@ -398,6 +400,14 @@
             seconds, lambda: setattr(self, "_failure_status", None)
         )
 
+    def turn_away(self, seconds, names, status):
+        """Refuses all calls of some daemons; resets them if status is None."""
+        self._turned_away = names
+        self._turned_away_status = status
+        for name in names:
+            self.daemons[name].disturbed_at = self.now + seconds
+        self.after(seconds, lambda: setattr(self, "_turned_away", ()))
+
     def reset_store_connections(self):
         """Resets all connections to the store."""
         self._waiting = []
@@ -514,6 +524,17 @@
         if self._failure_status is not None:
             self._send(state, self._failure_status, {})
             return
+        if state.daemon.name in self._turned_away:
+            if self._turned_away_status is not None:
+                self._send(state, self._turned_away_status, {})
+                return
+            state.daemon.run(
+                state.life,
+                lambda: state.daemon.store._pool._fail(
+                    state.exchange, exchanges.Cause.CLOSED
+                ),
+            )
+            return
         path, _, query = target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         table = fields["table"]
