--- a/tamarackgap/ownership/commitretry.py
+++ b/tamarackgap/ownership/commitretry.py
@@ -3,7 +3,7 @@
 import random
 
 _MIN_PAUSE_S = 0.2
-# The store may refuse transactions for long, and each refusal costs.
+# The store may refuse all calls for long, and each refusal costs.
 _MAX_PAUSE_S = 1.6
 _PAUSE_GROWTH = 2.0
 # A transaction without any result is sent again after this time.
@@ -38,15 +38,18 @@
         self._is_pausing = False
         self._due_at = now + _TIMEOUT_S
 
-    def record_unknown(self, now: float) -> None:
+    def record_unknown(self, now: float, can_read: bool) -> None:
         """Records that a try has ended without an outcome.
 
         Args:
             now: Monotonic time, seconds.
+            can_read: Whether the table answers reads. The outcome was then lost
+                on the way and is asked for again soon: slots wait for it.
         """
         self._is_pausing = True
         self._due_at = now + self._pause_s * (1 + self._rng.random())
-        self._pause_s = min(self._pause_s * _PAUSE_GROWTH, _MAX_PAUSE_S)
+        if not can_read:
+            self._pause_s = min(self._pause_s * _PAUSE_GROWTH, _MAX_PAUSE_S)
 
     def end_pause(self, now: float) -> None:
         """Ends a pause, because the table answers again.
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -466,7 +466,7 @@
         if change is None or change.transaction.change != change_id:
             return
         if state is effects.CommitState.UNKNOWN:
-            self._commit_retry.record_unknown(now)
+            self._commit_retry.record_unknown(now, self._table_ok)
             return
         self._commit_retry.record_outcome()
         self._pending = None
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -193,6 +193,8 @@
             self._configure,
         )
         self._evacuations = evacuations.EvacuationKeeper()
+        # Those of all members so far; a member may lose its lease for a while.
+        self._data_centres: set[types.DataCentre] = set()
         self._peer_sync = peersync.PeerSync(
             self._core,
             self._transport,
@@ -335,6 +337,7 @@
         self._core.apply_table_read(rows, revision, now(), as_of)
         members = self._core.view.open_records()
         member_addresses = {record.peer_address for record in members}
+        self._data_centres |= {record.data_centre for record in members}
         self._transport.near = {
             record.peer_address
             for record in members
@@ -410,10 +413,9 @@
         if not is_read:
             return
         self._peer_sync.broadcast_status()
-        members = self._core.view.open_records()
         # The own record may not be written yet.
-        known = {record.data_centre for record in members} | {own}
-        for name in sorted(evacuated - known if members else ()):
+        known = self._data_centres | {own}
+        for name in sorted(evacuated - known if self._data_centres else ()):
             logs.unreadable_event(
                 "evacuation_of_unknown_data_centre", data_centre=name
             )
