Order under overload: in time by a long run, nested calls first

The queue judged "in time" by the mean and went by deadline, so calls at the edge went first and were late; late ones went oldest first. Calls that a target makes for a running request waited among new requests of their rank.

Change: a call counts as in time if a long run (usual duration and two mean differences, at most 0.7 of the objective) ends in time; of late calls the newest goes first, and they are refused beyond 0.22 (before 0.6) of the time left; a call is queued as in time only if it could wait half as long again. Calls from the daemon's own VM are nested calls of its target: first in their rank, not refused for being late.

test_target_stays_busy_and_refuses_early: it counted only refusals after submit; those at submit count now as well, with a delay of 0 (none came later any more, so its list was empty). test_utilisation reads `.average`.

--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -62,6 +62,7 @@
         headers: Header names in lower case, and values, in the order received.
         body: The body.
         memory: Memory that it takes, bytes.
+        is_local: Whether its caller is on this VM.
         is_served: Whether it has been passed to the server's handler.
         response: The response to it, while it waits for those to earlier
             requests of the connection.
@@ -73,6 +74,7 @@
         "_connection",
         "received_at",
         "body",
+        "is_local",
         "is_served",
         "memory",
         "on_disconnect",
@@ -87,6 +89,7 @@
         connection: "_Connection",
         received_at: float,
         request: requestparser.ParsedRequest,
+        is_local: bool = False,
     ) -> None:
         """Creates a request that was read from `connection`."""
         self._connection = connection
@@ -96,6 +99,7 @@
         self.headers = request.headers
         self.body = request.body
         self.memory = request.memory
+        self.is_local = is_local
         self.is_served = False
         self.response: _Response | None = None
         self.on_disconnect: Callable[[], None] | None = None
@@ -195,7 +199,7 @@
         del flags
         for _ in range(_ACCEPT_BATCH):
             try:
-                sock, _ = self._socket.accept()
+                sock, (caller, _) = self._socket.accept()
             except BlockingIOError:
                 return
             except OSError as error:
@@ -203,7 +207,8 @@
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._connections.add(_Connection(self, sock))
+            is_local = caller == sock.getsockname()[0]
+            self._connections.add(_Connection(self, sock, is_local))
 
     def _check_timeouts(self) -> None:
         now = self.timers.now
@@ -218,9 +223,12 @@
     served at the same time, so that none waits for the answer to another.
     """
 
-    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+    def __init__(
+        self, server: HttpServer, sock: socket.socket, is_local: bool
+    ) -> None:
         self._server = server
         self._sock = sock
+        self._is_local = is_local
         self._descriptor = sock.fileno()
         self._writer = sockets.Writer(server.poller, sock, True)
         self._parser = requestparser.RequestParser(
@@ -261,7 +269,9 @@
 
     def _queue_request(self, request: requestparser.ParsedRequest) -> None:
         self._keep_alive = request.keeps_connection
-        self._requests.append(IncomingRequest(self, self._active_at, request))
+        self._requests.append(
+            IncomingRequest(self, self._active_at, request, self._is_local)
+        )
         self._waiting_bytes += request.memory
 
     # Events of the socket.
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -21,6 +21,7 @@
         body: Whole body.
         position: Position of its key, below `slots.POSITION_COUNT`, or None
             if it has no key.
+        is_nested: Whether a target sent it for a request that it runs.
     """
 
     request_id: types.RequestId
@@ -30,6 +31,7 @@
     head: bytes
     body: bytes
     position: int | None
+    is_nested: bool = False
 
 
 class Dispatch(msgspec.Struct, tag="dispatch", array_like=True, frozen=True):
--- a/tamarackgap/platform/requests.py
+++ b/tamarackgap/platform/requests.py
@@ -100,6 +100,8 @@
         b"".join(header_lines),
         incoming.body,
         position,
+        # Servers call the process beside them; clients are elsewhere.
+        incoming.is_local,
     )
     host_name = host.decode("latin-1").partition(":")[0]
     return result.Success(adapter.DecodedRequest(host_name, call, timeout))
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -431,7 +431,7 @@
 
     def _report_load(self) -> None:
         self._core.has_low_load = (
-            self._runner.utilisation < _LOW_LOAD_UTILISATION
+            self._runner.utilisation.average < _LOW_LOAD_UTILISATION
         )
         self._core.report_load(
             self._runner.slot_loads(), now(), self._runner.request_amount
--- a/tamarackgap/scheduling/admission.py
+++ b/tamarackgap/scheduling/admission.py
@@ -4,11 +4,12 @@
 queue. The target's own queue stays empty, and a call that is refused has never
 reached the target.
 
-Within a rank, calls that can still be answered within their latency objective
-go first: a late answer is worth little and must not delay the next one as
-well. Among kinds of calls of one rank, the kind with the smallest served share
-goes first; otherwise the kind with the shortest objective would get all of the
-capacity.
+Within a rank, calls that a target makes for a request that it runs go first,
+since that run waits for them. Then come calls that can still be answered within
+their latency objective: a late answer is worth little and must not delay the
+next one as well. Among kinds of calls of one rank, the kind with the smallest
+served share goes first; otherwise the kind with the shortest objective would get
+all of the capacity.
 """
 
 import math
@@ -18,6 +19,12 @@
 
 from tamarackgap.scheduling import slowdowns, usage
 
+# A call is queued as one in time only if it could also wait for this multiple
+# of the expected time: one that is refused at once can come back in time.
+_WAIT_CAUTION = 1.5
+# A call's duration seldom exceeds the usual one by more mean differences.
+_LONG_DEVIATIONS = 2.0
+_MAX_LONG_SHARE = 0.7
 # A call with less time left than this share of its expected duration would be
 # stopped at its deadline without an answer.
 _MIN_DURATION_SHARE = 0.7
@@ -43,7 +50,7 @@
 # A call that is going to miss its soft deadline stays in the queue only if it
 # is expected to start within this share of the time left to its deadline:
 # calls that arrive later and can meet theirs will go before it.
-_LATE_WAIT_SHARE = 0.6
+_LATE_WAIT_SHARE = 0.22
 
 
 class QueueRefusal(msgspec.Struct, frozen=True):
@@ -78,6 +85,8 @@
         deadline: Monotonic time after which an answer is of no use, seconds.
         start: Called when the call is to be sent to the target.
         refuse: Called instead of `start` if the call can't start in time.
+        is_nested: Whether a target sent it for a request that it runs, which
+            fails with it.
     """
 
     rank: int
@@ -86,6 +95,7 @@
     deadline: float
     start: Callable[[], None]
     refuse: Callable[[QueueRefusal], None]
+    is_nested: bool = False
 
 
 class AdmissionQueue:
@@ -100,6 +110,8 @@
         self._capacity_share = 1.0
         self._running = 0
         self._relative_latency = 0.0
+        # Mean difference of a call's relative latency from the usual one.
+        self._latency_deviation = 0.0
         self._slowdown = slowdowns.Slowdown()
         self._queue: list[QueuedCall] = []
 
@@ -140,6 +152,19 @@
         ) * latency_objective
         return usual * self._slowdown.during(usual, now)
 
+    def _longest_duration(self, latency_objective: float, now: float) -> float:
+        """Returns the duration that few calls exceed, in seconds.
+
+        Where that is most of the objective, calls that have just arrived must
+        still be told from those that have waited.
+        """
+        usual = self.expected_duration(latency_objective, now)
+        if not self._relative_latency:
+            return usual
+        deviation = self._latency_deviation / self._relative_latency
+        longest = usual * (1 + _LONG_DEVIATIONS * deviation)
+        return max(usual, min(longest, latency_objective * _MAX_LONG_SHARE))
+
     def record_slowdown(self, slowdown: float, now: float) -> None:
         """Records how long work takes at the target at this moment.
 
@@ -173,6 +198,7 @@
     def reset_estimates(self) -> None:
         """Discards the measurements of a target that has been replaced."""
         self._relative_latency = 0.0
+        self._latency_deviation = 0.0
         self._capacity_share = 1.0
         self._slowdown = slowdowns.Slowdown()
 
@@ -188,7 +214,7 @@
             return
         wait = self._expected_wait(call, now)
         self._queue.append(call)
-        if not self._can_start_in_time(call, wait, now):
+        if not self._can_start_in_time(call, wait, now, _WAIT_CAUTION):
             self._refuse(call, self._retry_after(call, now), wait, now)
             return
         self.start_waiting(now)
@@ -211,8 +237,10 @@
                 / latency_objective
             )
             if self._relative_latency:
-                self._relative_latency += (
-                    measured - self._relative_latency
+                difference = measured - self._relative_latency
+                self._relative_latency += difference * _LATENCY_WEIGHT
+                self._latency_deviation += (
+                    abs(difference) - self._latency_deviation
                 ) * _LATENCY_WEIGHT
             else:
                 self._relative_latency = measured
@@ -325,20 +353,25 @@
         return served
 
     def _is_late(self, call: QueuedCall, now: float) -> bool:
-        """Returns whether a call that starts now misses its soft deadline."""
+        """Returns whether a call that starts now may miss its soft deadline.
+
+        Calls last unlike times. Judged by the usual one, those at the edge
+        would go first, and half of them would be late.
+        """
         return (
-            now + self.expected_duration(call.latency_objective, now)
+            now + self._longest_duration(call.latency_objective, now)
             > call.soft_deadline
         )
 
     def _sort_key(
         self, call: QueuedCall, now: float
-    ) -> tuple[int, bool, float, float]:
+    ) -> tuple[int, bool, bool, float, float]:
         """Returns the sort key of a call; the smallest starts next."""
         late = self._is_late(call, now)
         share = self._served_share(call, now).share
-        next_deadline = call.deadline if late else call.soft_deadline
-        return (call.rank, late, share, next_deadline)
+        # Of late calls, the one that has waited least may still be in time.
+        urgency = -call.soft_deadline if late else call.soft_deadline
+        return (call.rank, not call.is_nested, late, share, urgency)
 
     def _expected_wait(self, call: QueuedCall, now: float) -> float:
         """Returns the seconds that a call is likely to wait from now."""
@@ -391,7 +424,7 @@
         return now + shortest <= call.deadline
 
     def _can_start_in_time(
-        self, call: QueuedCall, wait: float, now: float
+        self, call: QueuedCall, wait: float, now: float, caution: float = 1.0
     ) -> bool:
         """Returns whether a call is likely to start in time.
 
@@ -399,6 +432,7 @@
             call: The call.
             wait: Seconds that it is expected to wait.
             now: Monotonic time, seconds.
+            caution: Multiple of the wait after which it must not be late.
         """
         longest_wait = (
             call.deadline
@@ -406,8 +440,10 @@
             - self.expected_duration(call.latency_objective, now)
             * _MIN_DURATION_SHARE
         )
-        if (
-            now + wait + self.expected_duration(call.latency_objective, now)
+        if not call.is_nested and (
+            now
+            + wait * caution
+            + self._longest_duration(call.latency_objective, now)
             > call.soft_deadline
         ):
             longest_wait *= _LATE_WAIT_SHARE
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -145,7 +145,7 @@
         self.on_finished: Callable[[types.Verdict, float], None] = _ignore
         # Monotonic time of the target's last answer, seconds.
         self.last_answered_at = float("-inf")
-        self._utilisation = usage.Utilisation(timers.now)
+        self.utilisation = usage.Utilisation(timers.now)
         # Whether a check of the queued calls is scheduled.
         self._is_check_due = False
 
@@ -221,11 +221,6 @@
         crashed_at = min((end for _, _, end in broken), default=0.0)
         return [run for run in broken if run[1] < crashed_at]
 
-    @property
-    def utilisation(self) -> float:
-        """Recent average of the calls in progress divided by the capacity."""
-        return self._utilisation.average
-
     def refuse_late(self) -> None:
         """Refuses queued calls that can no longer start in time."""
         now = self._timers.now
@@ -236,7 +231,7 @@
 
     def sample_utilisation(self) -> None:
         """Updates the recent utilisation; to be called regularly."""
-        self._utilisation.sample(
+        self.utilisation.sample(
             len(self._legs), self._admission.capacity, self._timers.now
         )
 
@@ -294,6 +289,7 @@
             leg.deadline,
             functools.partial(self._start, leg),
             functools.partial(self._refuse_queued, leg),
+            dispatch.call.is_nested,
         )
         self._admission.submit(leg.queued_call, now)
         self._refuse_late_soon()
--- a/tests/network/test_httpserver.py
+++ b/tests/network/test_httpserver.py
@@ -303,3 +303,16 @@
         server.poller.run()
     assert size > 8_000_000
     assert server.server.busy_connections == 0
+
+
+def test_a_caller_on_this_vm_is_told_from_others(server):
+    own = server.connect()
+    other = socket.socket()
+    other.bind(("127.0.0.2", 0))
+    other.connect(server.address)
+    other.setblocking(False)
+    server.callers.append(other)
+    for caller in (own, other):
+        server.send(caller, b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        server.poller.run()
+    assert [request.is_local for request in server.requests] == [True, False]
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -126,3 +126,14 @@
 )
 def test_a_shard_key_out_of_range_is_refused(key):
     assert isinstance(_decode_call(shard_key=key), result.Failure)
+
+
+def test_a_request_from_this_machine_is_a_call_of_its_server():
+    headers = [(b"host", b"h"), (b"x-tamarackgap-attempt-id", b"r1")]
+    parsed = requestparser.ParsedRequest(
+        "GET", "/x", headers, b"", keeps_connection=True, memory=0
+    )
+    for is_local in (False, True):
+        incoming = httpserver.IncomingRequest(None, 0.0, parsed, is_local)
+        decoded = requests.decode_call(incoming, types.ServiceName("s"))
+        assert decoded.unwrap().call.is_nested is is_local
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -173,12 +173,12 @@
     next_arrival = 0.0
     count = 0
     while target.now < 10.0:
+        before = len(target.refused)
         while next_arrival <= target.now:
             arrivals[count] = target.now
             target.submit(count, deadline=1.0)
             count += 1
             next_arrival += interval
-        before = len(target.refused)
         target.run(0.001)
         for name, _ in target.refused[before:]:
             refused_after[name] = target.now - arrivals[name]
--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -216,7 +216,7 @@
         for _ in range(round(1.0 / interval)):
             subject.timers.now += interval
             subject.runner.sample_utilisation()
-        samples.append(subject.runner.utilisation)
+        samples.append(subject.runner.utilisation.average)
     assert samples[0] == pytest.approx(samples[1])
 
 
