--- a/tamarackgap/scheduling/admission.py
+++ b/tamarackgap/scheduling/admission.py
@@ -8,8 +8,8 @@
 since that run waits for them. Then come calls that can still be answered within
 their latency objective: a late answer is worth little and must not delay the
 next one as well. Among kinds of calls of one rank, the kind with the smallest
-served share goes first; otherwise the kind with the shortest objective would get
-all of the capacity.
+served share goes first; otherwise the kind with the shortest objective would
+get all of the capacity.
 """
 
 import math
