--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -120,7 +120,7 @@
         del flags
         for _ in range(_ACCEPT_BATCH):
             try:
-                sock, _ = self._socket.accept()
+                sock, (caller, _) = self._socket.accept()
             except BlockingIOError:
                 return
             except OSError as error:
@@ -128,7 +128,8 @@
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._connections.add(_Connection(self, sock))
+            is_local = caller == sock.getsockname()[0]
+            self._connections.add(_Connection(self, sock, is_local))
 
     def _check_timeouts(self) -> None:
         now = self.timers.now
@@ -139,9 +140,12 @@
 class _Connection:
     """A caller's connection."""
 
-    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+    def __init__(
+        self, server: HttpServer, sock: socket.socket, is_local: bool
+    ) -> None:
         self._server = server
         self._sock = sock
+        self._is_local = is_local
         self._descriptor = sock.fileno()
         self._writer = sockets.Writer(server.poller, sock, True)
         self._parser = requestparser.RequestParser(
@@ -177,7 +181,9 @@
     def _queue_request(self, request: requestparser.ParsedRequest) -> None:
         self._keep_alive = request.keeps_connection
         self._pipeline.add(
-            IncomingRequest(self._send_responses, self._active_at, request)
+            IncomingRequest(
+                self._send_responses, self._active_at, request, self._is_local
+            )
         )
 
     # Events of the socket.
--- a/tamarackgap/network/pipeline.py
+++ b/tamarackgap/network/pipeline.py
@@ -38,6 +38,7 @@
         headers: Header names in lower case, and values, in the order received.
         body: The body.
         memory: Memory that it takes, bytes.
+        is_local: Whether its caller is on this VM.
         is_served: Whether it has been passed to the server's handler.
         response: The response to it, while it waits for those to earlier
             requests of the connection.
@@ -49,6 +50,7 @@
         "_on_response",
         "body",
         "headers",
+        "is_local",
         "is_served",
         "memory",
         "method",
@@ -63,6 +65,7 @@
         on_response: Callable[["IncomingRequest"], None],
         received_at: float,
         request: requestparser.ParsedRequest,
+        is_local: bool = False,
     ) -> None:
         """Creates a request without a response.
 
@@ -70,6 +73,7 @@
             on_response: Called with the request when the response is given.
             received_at: Monotonic time of its first byte, seconds.
             request: The request as it was read.
+            is_local: Whether its caller is on this VM.
         """
         self._on_response = on_response
         self.received_at = received_at
@@ -78,6 +82,7 @@
         self.headers = request.headers
         self.body = request.body
         self.memory = request.memory
+        self.is_local = is_local
         self.is_served = False
         self.response: Response | None = None
         self.on_disconnect: Callable[[], None] | None = None
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -471,7 +471,7 @@
     def _report_load(self) -> None:
         rates = self._runner.slot_loads()
         self._core.has_low_load = (
-            self._runner.utilisation < _LOW_LOAD_UTILISATION
+            self._runner.utilisation.average < _LOW_LOAD_UTILISATION
             or workload.is_idle(
                 sum(rates.values()),
                 self._runner.speed,
