Slots move from targets where calls wait, and a busy owner plans sooner

Cause: on small services a move cost more than it earned.

Change: a target is idle where the mean wait by the work offered, its speed and its calls at once is less than 0.3 of a duration (0.66, 0.80, 0.87 busy with 3, 7, 12 slots), in place of 0.6 busy; the momentary utilisation decides only while the speed isn't known. A busy owner plans after each measurement.

--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -706,6 +706,7 @@
             rates=self._load_exchange.slot_loads,
             loads=self._load_exchange.recent(now),
             speeds=self._load_exchange.speeds(),
+            load_measured_at=self._load_exchange.reported_at,
             load_ages=self._load_exchange.ages(now),
             max_moves=int(self._load_exchange.move_budget.tokens(now)),
             age=now - self._started_at,
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from tamarackgap.ownership import changes, creation, effects, plannerinputs
-from tamarackgap.placement import placement, records, slots, workload
+from tamarackgap.placement import placement, records, slots
 
 PLAN_INTERVAL_S = 0.2
 # While the signature of the inputs stays the same, the planner still runs
@@ -508,15 +508,14 @@
     members = placement_members(
         view, service, inputs.loads, inputs.speeds, inputs.load_ages
     )
-    is_idle = inputs.has_low_load or any(
-        workload.is_idle(member.rate, member.speed)
-        for member in members
-        if member.incarnation == inputs.incarnation
-    )
     has_member_without_slots = any(
         member.weight and not member.owned for member in members
     )
-    if is_idle and inputs.accepting and not has_member_without_slots:
+    if (
+        inputs.has_low_load
+        and inputs.accepting
+        and not has_member_without_slots
+    ):
         return ()
     planned = placement.plan_moves(
         service_record.slots,
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -27,6 +27,8 @@
         has_low_load: Whether the target has little load.
         ended: Earlier incarnations of this process that have ended.
         lease_length: Length of the lease in the next epoch, seconds.
+        load_measured_at: When the load of a target was measured that has more
+            than little of it, seconds; else 0.
         earlier_ended: Earlier processes at this address whose lease, and whose
             requests at the target, have ended.
     """
@@ -41,6 +43,7 @@
     has_low_load: bool
     ended: frozenset[str]
     lease_length: float
+    load_measured_at: float
     earlier_ended: frozenset[str]
 
 
@@ -81,6 +84,7 @@
             rates.
         speeds: Work a second that the target of each member can do, in the
             unit of the rates, as far as known.
+        load_measured_at: When this daemon's load was measured, seconds.
         load_ages: Time since each of these loads was reported, seconds.
         is_target_empty: Whether the target is known to hold no slot, also of
             earlier incarnations.
@@ -114,6 +118,7 @@
     request_amount: float = 1.0
     speeds: dict[str, float] = {}
     load_ages: dict[str, float] = {}
+    load_measured_at: float = 0.0
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
@@ -129,6 +134,7 @@
             self.has_low_load,
             self.ended,
             self.lease_length,
+            0.0 if self.has_low_load else self.load_measured_at,
             frozenset(
                 record.incarnation
                 for record in earlier_records(self)
--- a/tamarackgap/placement/workload.py
+++ b/tamarackgap/placement/workload.py
@@ -3,6 +3,7 @@
 Answers uneven targets, and demand that was counted for only seconds.
 """
 
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -19,8 +20,8 @@
 # owner's slots that are added to it: with few requests, the slot that seems the
 # busiest is mostly one that got more by chance.
 _PRIOR_REQUESTS = 2.0
-# Below this utilisation, hardly any call waits at a target.
-_MIN_UTILISATION = 0.6
+# Mean wait at an idle target, as a fraction of a call's duration.
+_MAX_IDLE_WAIT = 0.3
 
 
 class MoveBasis(msgspec.Struct, frozen=True):
@@ -93,14 +94,25 @@
     return {slot: mean + (rate - mean) * weight for slot, rate in rates.items()}
 
 
-def is_idle(rate: float | None, speed: float) -> bool:
-    """Returns whether a target has time for all work that is offered to it.
+def is_idle(rate: float, speed: float, capacity: int) -> bool:
+    """Returns whether calls hardly wait at a target for all that is offered.
 
     Moving its slots would then cost their callers more than it gains, also
-    where others have less to do.
+    where others have less to do: calls for a slot are refused from the order to
+    release it until the last one that runs has ended.
 
     Args:
-        rate: Work a second that is offered, or None if that is not known.
+        rate: Work a second that is offered.
         speed: Work a second that the target can do; 0 if that is not known.
+        capacity: Calls that it runs at once.
     """
-    return rate is not None and rate < speed * _MIN_UTILISATION
+    if speed <= 0 or capacity < 1:
+        return False
+    utilisation = rate / speed
+    if utilisation >= 1:
+        return False
+    # Sakasegawa's approximation of the wait in a queue with several servers.
+    wait = utilisation ** math.sqrt(2 * (capacity + 1)) / (
+        capacity * (1 - utilisation)
+    )
+    return wait < _MAX_IDLE_WAIT
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -25,7 +25,7 @@
 )
 from tamarackgap.ownership import effects, ownership
 from tamarackgap.peers import calls, lateness, messages, transport
-from tamarackgap.placement import records
+from tamarackgap.placement import records, workload
 from tamarackgap.processes import (
     ownershipsettings,
     peersync,
@@ -51,8 +51,9 @@
 _LOAD_HALF_LIFE_S = 2.0
 _LOAD_WARMUP_S = 0.5
 _MIN_TOLERANCE_PERCENT = 15
-# A target that uses less than this share of its capacity gives no slots away:
-# moving them would cost their callers more than it gains.
+# A target whose speed is not known, and that uses less than this share of its
+# capacity, gives no slots away: moving them would cost their callers more than
+# it gains.
 _LOW_LOAD_UTILISATION = 0.6
 # Callers keep arriving until the readiness check has failed twice in a row. A
 # draining process accepts their requests for this time.
@@ -430,14 +431,20 @@
         )
 
     def _report_load(self) -> None:
+        rates = self._runner.slot_loads()
+        speed = self._runner.speed
         self._core.has_low_load = (
-            self._runner.utilisation < _LOW_LOAD_UTILISATION
+            workload.is_idle(
+                sum(rates.values()), speed, self._runner.queue.capacity
+            )
+            if speed
+            else self._runner.utilisation < _LOW_LOAD_UTILISATION
         )
         self._core.report_load(
-            self._runner.slot_loads(),
+            rates,
             now(),
             self._runner.request_amount,
-            self._runner.speed,
+            speed,
         )
         self._perform_effects()
 
--- a/tests/placement/test_workload.py
+++ b/tests/placement/test_workload.py
@@ -6,6 +6,7 @@
 
 _HALF_LIFE_S = 2.0
 _SLOTS_PER_MEMBER = 16
+_CAPACITY = 7
 
 
 def test_shares_follow_weights_and_speeds():
@@ -45,10 +46,16 @@
 
 
 def test_target_of_unknown_speed_is_not_taken_for_idle():
-    assert not workload.is_idle(1.0, 0.0)
-    assert not workload.is_idle(None, 100.0)
-    assert workload.is_idle(50.0, 100.0)
-    assert not workload.is_idle(70.0, 100.0)
+    assert not workload.is_idle(1.0, 0.0, 7)
+    assert not workload.is_idle(1.0, 50.0, 0)
+    assert not workload.is_idle(70.0, 50.0, 7)
+
+
+def test_targets_with_more_slots_are_idle_up_to_a_higher_utilisation():
+    # About where the mean wait is 0.3 of a duration.
+    for capacity, bound in ((3, 0.66), (7, 0.80), (12, 0.87)):
+        assert workload.is_idle((bound - 0.05) * 100, 100.0, capacity)
+        assert not workload.is_idle((bound + 0.05) * 100, 100.0, capacity)
 
 
 def measured_plan(slot_rates, speeds, seconds, seed):
@@ -91,7 +98,7 @@
         )
     moves = []
     for index, member in enumerate(members):
-        if workload.is_idle(member.rate, member.speed):
+        if workload.is_idle(member.rate, member.speed, _CAPACITY):
             continue
         moves += [
             move
