The configuration is followed when the store comes back from a copy

A store that comes back from a copy some seconds old gives versions out again. A daemon whose poll was answered after the copy had caught up with the version that it had read missed what was written meanwhile, with no proof and 503 for unknown routes until the next change; or it saw an answer by an earlier state and called again until it got 410.

Answers' `Store-Era` is compared (platform/storeera.py), refusals included. After a rise, whatever call showed it, the operators' table is read whole; the newest table seen stays in force until the operators have written again. An era that falls or can't be read is one log line. Without the header all is as before.

The stand-in stores learn to go back to a copy.

Existing checks are unchanged.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -9,6 +9,8 @@
 import time
 import urllib.parse
 
+import msgspec
+
 from standins import httpd
 
 _MAX_ROWS_PER_READ = 500
@@ -19,6 +21,20 @@
 _LOST_CALL_S = 30.0
 
 
+class Copy(msgspec.Struct, frozen=True):
+    """The rows of a store at one moment, and what it has to tell of changes.
+
+    Attributes:
+        rows: Value and version of each row by table, part and key.
+        changes: The changes, as long polls tell them.
+        version: The newest version.
+    """
+
+    rows: dict[tuple[str, str, str], tuple[str, int]]
+    changes: list[dict[str, object]]
+    version: int
+
+
 class RowStore:
     """Rows in tables, where each change gets the next version.
 
@@ -27,6 +43,8 @@
         is_unresponsive: Whether calls get no answer until this is False.
         loses_calls: Whether calls that come now get no answer at all, on
             connections that stay open. Those that came before still do.
+        era: Number of the copy that it runs from, in the header `Store-Era` of
+            all answers; None if answers have no such header.
         call_counts: Number of calls by path.
         committed_transactions: Number of committed transactions, without the
             rows that `put` writes.
@@ -42,6 +60,7 @@
         self.failure_status: int | None = None
         self.is_unresponsive = False
         self.loses_calls = False
+        self.era: int | None = None
         self.call_counts: dict[str, int] = {}
         self.committed_transactions = 0
 
@@ -59,6 +78,24 @@
             self._history_start = self._version
             self._changes.clear()
 
+    def copy(self) -> Copy:
+        """Returns a copy of the present state."""
+        with self._changed:
+            return Copy(dict(self._rows), list(self._changes), self._version)
+
+    def restore(self, copy: Copy) -> None:
+        """Goes back to a copy: all that was written since is lost.
+
+        Polls that wait from a version that the copy does not have get 410. The
+        era rises.
+        """
+        with self._changed:
+            self._rows = dict(copy.rows)
+            self._changes = list(copy.changes)
+            self._version = copy.version
+            self.era = (self.era or 0) + 1
+            self._changed.notify_all()
+
     def value(self, table: str, key: str) -> bytes | None:
         """Returns the value of a row, or None if there is no such row."""
         with self._changed:
@@ -72,6 +109,13 @@
 
     def handle_request(self, request: httpd.Request) -> httpd.Response:
         """Handles a call of the store's HTTP API."""
+        response = self._answer(request)
+        if self.era is None or response.status is None:
+            return response
+        headers = {**response.headers, "Store_Era": str(self.era)}
+        return msgspec.structs.replace(response, headers=headers)
+
+    def _answer(self, request: httpd.Request) -> httpd.Response:
         path, _, query = request.path.partition("?")
         self.call_counts[path] = self.call_counts.get(path, 0) + 1
         if self.loses_calls:
@@ -168,7 +212,7 @@
         deadline = time.monotonic() + int(parameters["wait_ms"]) / 1000
         with self._changed:
             while True:
-                if after < self._history_start:
+                if not self._history_start <= after <= self._version:
                     return _json_response(410)
                 rows = [
                     change
--- a/standins/table.py
+++ b/standins/table.py
@@ -25,6 +25,16 @@
         """Revision of the last committed transaction."""
         return self._revision
 
+    def copy(self) -> tuple[dict[str, records.Row], int]:
+        """Returns the rows and the revision of this moment."""
+        with self._lock:
+            return dict(self._rows), self._revision
+
+    def restore(self, copy: tuple[dict[str, records.Row], int]) -> None:
+        """Goes back to a copy; later revisions are given out again."""
+        with self._lock:
+            self._rows, self._revision = dict(copy[0]), copy[1]
+
     def commit(
         self, transaction: records.Transaction
     ) -> tuple[bool, list[records.Row]]:
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -20,6 +20,7 @@
     names,
     operatorconfig,
     requests,
+    storeera,
     tablewatch,
     transactions,
 )
@@ -82,6 +83,7 @@
         )
         self._call_counts: dict[str, int] = {}
         self._breaker = circuitbreaker.CircuitBreaker(timers, self._rng)
+        self._era = storeera.EraFollower()
         self._own_watch: tablewatch.TableWatch | None = None
         self._operator_watch: tablewatch.TableWatch | None = None
         # Least value seen of this process's clock minus the store's, seconds.
@@ -313,9 +315,19 @@
                     raise AssertionError(outcome)
             self._call_counts[name] = self._call_counts.get(name, 0) + 1
             done(outcome)
+            if isinstance(outcome, result.Success):
+                self._follow_era(outcome.unwrap())
 
         return self._pool.send(lambda: data, timeout, handle_outcome)
 
+    def _follow_era(self, answer: httppool.Answer) -> None:
+        """Reads the configuration anew if the store is back from a copy.
+
+        Changes may come under versions that this daemon has read already.
+        """
+        if self._era.record(answer) and self._operator_watch is not None:
+            self._operator_watch.read_again()
+
     def cancel(self, exchange: httppool.Exchange) -> None:
         """Ends a call without an answer."""
         self._pool.cancel(exchange)
--- a/tamarackgap/platform/tablewatch.py
+++ b/tamarackgap/platform/tablewatch.py
@@ -144,6 +144,13 @@
             # Fewer daemons are left to notice that polls were lost.
             self.check()
 
+    def read_again(self) -> None:
+        """Reads the whole table: the store may have gone back to a copy."""
+        self._revision = None
+        is_following = not self._is_failing and not self._is_held
+        if is_following and self._calls:
+            self._call_now()
+
     def skip_pause(self) -> None:
         """Ends the pause after a change; a pause after a failure stays."""
         if self._pause_timer is None:
@@ -360,6 +367,10 @@
         return True
 
     def _handle_feed(self, answer: httppool.Answer) -> bool:
+        if self._revision is None:
+            # The store went back while this failing watch had a call under way.
+            self._schedule(0.0)
+            return True
         if answer.status == _STATUS_HISTORY_LOST:
             logs.event("store_history_lost", table=self._table)
             self._revision = None
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -69,3 +69,25 @@
     assert platformcluster.wait_until(
         CONTACT_S, lambda: _status(north, "/first/x") == 404
     )
+
+
+@pytest.mark.parametrize("age_s", [1.0, 4.0, 10.0])
+def test_operator_is_followed_after_the_store_went_back(cluster, age_s):
+    cluster.store.era = 1
+    time.sleep(CONTACT_S)
+    copy = cluster.store.copy()
+    _write(cluster, 2, "/first/")
+    time.sleep(max(age_s, CONFIG_S))
+    north = cluster.vms[0]
+    assert _status(north, "/first/x") == 200
+    cluster.store.failure_status = 503
+    time.sleep(0.3)
+    cluster.store.restore(copy)
+    cluster.store.failure_status = None
+    # The newest one that was seen stays in force until it is written again.
+    assert _status(north, "/first/x") == 200
+    _write(cluster, 2, "/first/")
+    _write(cluster, 3, "/second/")
+    time.sleep(max(CONFIG_S, CONTACT_S))
+    assert [_status(vm, "/second/x") for vm in cluster.vms] == [200] * 3
+    assert [_status(vm, "/third/x") for vm in cluster.vms] == [404] * 3
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -357,7 +357,10 @@
             ):
                 core.record_table_failure()
                 return
-            revision, rows = self.table.rows_since(core.view.cursor)
+            cursor = core.view.cursor
+            # A table that went back does not have that revision.
+            known = cursor if cursor <= self.table.revision else 0
+            revision, rows = self.table.rows_since(known)
             core.apply_table_read(rows, revision, daemon.clock(self.now))
 
         self.schedule(2 * self.table_delay, finish)
