--- a/tamarackgap/traffic/storewatch.py
+++ b/tamarackgap/traffic/storewatch.py
@@ -39,7 +39,7 @@
 # Only rows whose messages were lost have to be read from the table, after this
 # pause. It grows with the number of daemons to bound the reads of all of them.
 _MIN_PAUSE_S = 1.0
-_PAUSE_PER_DAEMON_S = 0.1
+_PAUSE_PER_DAEMON_S = 0.05
 
 
 class ReadPlan(msgspec.Struct, frozen=True):
