A later era of the store wins among states of evacuations

A store that comes back from an older copy gives revisions out again, so an older state with a higher revision won until the store had passed it. A state names the era of its revision now, and the era is compared first.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -194,6 +194,7 @@
         evacuated: Data centres whose targets are to get no calls.
         evacuated_as_of: Revision of the store at which they were; 0 if nothing
             is known.
+        evacuated_era: Era of the store that gave this revision.
     """
 
     service: types.ServiceName
@@ -214,6 +215,7 @@
     way: decoding.Finite = 0.0
     evacuated: tuple[types.DataCentre, ...] = ()
     evacuated_as_of: decoding.Count = 0
+    evacuated_era: decoding.Count = 0
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -279,7 +279,9 @@
                 self._evacuated -= {types.DataCentre(zone)}
             else:
                 self._evacuated |= {types.DataCentre(zone)}
-        self.on_evacuations(evacuations.Evacuations(self._evacuated, revision))
+        self.on_evacuations(
+            evacuations.Evacuations(self._evacuated, revision, self._era.era)
+        )
 
     def commit(
         self,
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -176,7 +176,9 @@
         """Handles what another daemon knows of the operators' table."""
         self._evacuations.hear(
             evacuations.Evacuations(
-                frozenset(status.evacuated), status.evacuated_as_of
+                frozenset(status.evacuated),
+                status.evacuated_as_of,
+                status.evacuated_era,
             ),
             address,
         )
@@ -316,6 +318,7 @@
             round(self._runner.way.late_s(self._timers.now), 3),
             tuple(sorted(evacuated.data_centres)),
             evacuated.revision,
+            evacuated.era,
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/traffic/evacuations.py
+++ b/tamarackgap/traffic/evacuations.py
@@ -10,16 +10,23 @@
 class Evacuations(msgspec.Struct, frozen=True):
     """All evacuated data centres, as they were at one revision of the store.
 
-    Revisions order all changes, so of two such states the one with the higher
-    revision is the newer one, also where it has fewer data centres.
+    Revisions order all changes within an era of the store. So of two such
+    states the one with the higher era is the newer one, and within an era the
+    one with the higher revision, also where it has fewer data centres.
 
     Attributes:
         data_centres: The evacuated data centres.
         revision: The revision; 0 if nothing is known.
+        era: The store's era, which rises when its revisions go back.
     """
 
     data_centres: frozenset[types.DataCentre] = frozenset()
     revision: int = 0
+    era: int = 0
+
+    def is_newer_than(self, other: "Evacuations") -> bool:
+        """Returns whether this state is later than another one."""
+        return (self.era, self.revision) > (other.era, other.revision)
 
 
 class EvacuationKeeper:
@@ -54,7 +61,7 @@
         self._apply(state, address)
 
     def _apply(self, state: Evacuations, source: str) -> None:
-        if state.revision <= self._newest.revision:
+        if not state.is_newer_than(self._newest):
             return
         before, self._newest = self._newest, state
         if state.data_centres == before.data_centres:
@@ -63,6 +70,7 @@
             "evacuations_changed",
             data_centres=",".join(sorted(state.data_centres)),
             revision=state.revision,
+            era=state.era,
             source=source,
         )
         self.on_change(source == "store")
--- a/tests/traffic/test_evacuations.py
+++ b/tests/traffic/test_evacuations.py
@@ -31,6 +31,16 @@
     assert keeper.newest == state(9)
 
 
+def test_a_later_era_wins_over_a_higher_revision():
+    # The store came back from a copy, and its revisions went back.
+    keeper = evacuations.EvacuationKeeper()
+    keeper.handle_read(state(90, "a"))
+    after = evacuations.Evacuations(frozenset({"b"}), 70, era=1)
+    keeper.handle_read(after)
+    keeper.hear(state(95, "a"), "h:1")
+    assert keeper.newest == after
+
+
 def know(network, data_centre):
     """Returns the daemons that know that a data centre is evacuated."""
     return {
