--- a/tamarackgap/scheduling/balancer.py
+++ b/tamarackgap/scheduling/balancer.py
@@ -162,6 +162,7 @@
     tried: frozenset[str],
     now: float,
     rng: random.Random,
+    service_targets: int = 0,
 ) -> Candidate | None:
     """Returns the target to send a call to, or None.
 
@@ -172,6 +173,9 @@
         now: Monotonic time, seconds.
         rng: Draws two of many targets and breaks ties, so that daemons do not
             all choose the same target.
+        service_targets: Number of targets of the service in all data centres,
+            if these are only some of them. The more there are, the more
+            daemons choose at the same time.
     """
     usable = [
         candidate
@@ -190,7 +194,7 @@
         if latencies
         else estimates.INITIAL_RELATIVE_LATENCY
     )
-    if len(usable) > _MAX_COMPARED:
+    if len(usable) > 2 and max(len(usable), service_targets) > _MAX_COMPARED:
         usable = _draw_two(usable, now, default_latency, rng)
     expected = [
         (candidate.estimate(now, default_latency), candidate)
--- a/tamarackgap/scheduling/zonepolicy.py
+++ b/tamarackgap/scheduling/zonepolicy.py
@@ -22,7 +22,7 @@
 
 # Price of a megabyte between data centres where the operators set none, as a
 # share of the value of an answer in time.
-DEFAULT_PRICE = 5.0
+DEFAULT_PRICE = 1.0
 # How sharply the chance of an answer in time falls around its limit. With 3, an
 # answer expected after half of the time left comes in time in 89 of 100 cases,
 # as where some calls take several times as long as usual.
@@ -203,9 +203,10 @@
         for candidate in candidates:
             is_near = candidate.data_centre == self._data_centre
             (near if is_near else far).append(candidate)
-        here = balancer.choose(near, tried, now, self._rng)
+        count = len(near) + len(far)
+        here = balancer.choose(near, tried, now, self._rng, count)
         if here is None:
-            there = balancer.choose(far, tried, now, self._rng)
+            there = balancer.choose(far, tried, now, self._rng, count)
             if there is None:
                 return None
             self.calls_sent_away += 1
@@ -213,7 +214,7 @@
         end_here = self._end(here, needs, own, now)
         # The best that any target elsewhere could do is no gain.
         if decide(end_here, 0.0, needs, self.price_per_megabyte, 0.0).share:
-            there = balancer.choose(far, tried, now, self._rng)
+            there = balancer.choose(far, tried, now, self._rng, count)
             if there is not None:
                 return self._compare(here, there, end_here, needs, now)
         return Choice(here, False)
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -226,13 +226,13 @@
     _integer_option(
         "router",
         "far_price",
-        500,
+        100,
         0,
         1_000_000,
         "percent",
         "price of 1 MB between data centres, as a share of the value of an"
-        " answer in time. With 500, a call of 10 kB leaves its data centre if"
-        " its chance of an answer in time is 5 in 100 higher elsewhere; bytes"
+        " answer in time. With 100, a call of 100 kB leaves its data centre if"
+        " its chance of an answer in time is 10 in 100 higher elsewhere; bytes"
         " count at most as half of an answer",
     ),
     Option("table", "address", Kind.ADDRESS, "the platform's table service"),
--- a/tests/scheduling/test_zonepolicy.py
+++ b/tests/scheduling/test_zonepolicy.py
@@ -213,3 +213,16 @@
         for there in (fresh, old)
     ]
     assert counts[1] < counts[0] / 2
+
+
+def test_a_few_near_targets_of_many_do_not_all_get_the_same_calls():
+    # Each of many daemons compared all five targets of its data centre, by the
+    # same reports, and all chose the same one.
+    near = [_target(f"n{index}", "north", load=3) for index in range(5)]
+    near[0].reported_load = 0
+    far = [_target(f"f{index}", "south", load=3) for index in range(10)]
+    _, choices = _choices(near + far, count=2000)
+    chosen = [choice.candidate for choice in choices]
+    # Each call compares two of the five, so it is compared for 2 in 5 calls.
+    assert chosen.count(near[0]) < 0.5 * len(chosen)
+    assert all(chosen.count(each) for each in near)
