--- a/tamarackgap/scheduling/balancer.py
+++ b/tamarackgap/scheduling/balancer.py
@@ -173,6 +173,7 @@
     now: float,
     rng: random.Random,
     latency_objective: float = 1.0,
+    service_targets: int = 0,
 ) -> Candidate | None:
     """Returns the target to send a call to, or None.
 
@@ -184,6 +185,9 @@
         rng: Draws two of many targets and breaks ties, so that daemons do not
             all choose the same target.
         latency_objective: The call's latency objective, seconds.
+        service_targets: Number of targets of the service in all data centres,
+            if these are only some of them. The more there are, the more
+            daemons choose at the same time.
     """
     usable = [
         candidate
@@ -202,7 +206,7 @@
         if latencies
         else estimates.INITIAL_RELATIVE_LATENCY
     )
-    if len(usable) > _MAX_COMPARED:
+    if len(usable) > 2 and max(len(usable), service_targets) > _MAX_COMPARED:
         usable = _draw_two(usable, now, default_latency, rng, latency_objective)
     expected = [
         (
