--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -80,6 +80,8 @@
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = b"0.2"
 _READ_PLAN_INTERVAL_S = 1.0
+# A daemon has read the records of all members this long after its start.
+_ALL_MEMBERS_KNOWN_S = 2.0
 
 
 def now() -> float:
@@ -194,6 +196,7 @@
             self._configure,
         )
         self._evacuations = evacuations.EvacuationKeeper()
+        self._started_at = now()
         # Those of all members so far; a member may lose its lease for a while.
         self._data_centres: set[types.DataCentre] = set()
         self._peer_sync = peersync.PeerSync(
@@ -414,8 +417,20 @@
         if not is_read:
             return
         self._peer_sync.broadcast_status()
+        wait = _ALL_MEMBERS_KNOWN_S - (now() - self._started_at)
+        if wait > 0:
+            self.timers.after(wait, self._log_unknown_evacuations)
+        else:
+            self._log_unknown_evacuations()
+
+    def _log_unknown_evacuations(self) -> None:
+        """Logs the evacuated data centres that no daemon is in.
+
+        A daemon that has just started may not have read of all others.
+        """
+        evacuated = self._evacuations.newest.data_centres
         # The own record may not be written yet.
-        known = self._data_centres | {own}
+        known = self._data_centres | {self._settings.daemon_data_centre}
         for name in sorted(evacuated - known if self._data_centres else ()):
             logs.unreadable_event(
                 "evacuation_of_unknown_data_centre", data_centre=name
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -216,6 +216,20 @@
     assert placement.plan_moves(16, members, dict.fromkeys(range(8), 3.0)) == []
 
 
+def test_member_without_slots_gets_some_however_uncertain_the_rates_are():
+    # A target that was taken back after an evacuation got nothing for 20 s,
+    # since the others' excess over their shares was within the noise.
+    members = [
+        loaded_member("a", range(8), 12.0),
+        loaded_member("b", range(8, 16), 12.0),
+        loaded_member("c", range(0), None),
+    ]
+    moves = placement.plan_moves(
+        16, members, dict.fromkeys(range(8), 1.5), half_life=2.0
+    )
+    assert {move.destination for move in moves if move.source == "a"} == {"c"}
+
+
 def test_rates_of_few_large_requests_are_less_certain():
     members = [
         loaded_member("a", range(8), 260.0),
