--- a/tamarackgap/placement/placement.py
+++ b/tamarackgap/placement/placement.py
@@ -231,16 +231,12 @@
         for member, share in shares.items()
     }
     before = dict(headroom)
-    has_empty_member = any(m.weight and not m.owned for m in participants)
     moves: list[Move] = []
     for source in sorted(participants, key=lambda member: member.name):
         share = shares[source]
         noise = _relative_noise(
             (source.rate or 0.0) / request_amount, half_life
         )
-        if has_empty_member:
-            # However uncertain the rates are, that one has too little.
-            noise = 0.0
         threshold = max(tolerance, noise) * share
         if source.weight and -headroom[source.incarnation] <= threshold:
             continue
