--- a/tamarackgap/scheduling/admission.py
+++ b/tamarackgap/scheduling/admission.py
@@ -24,6 +24,8 @@
 _WAIT_CAUTION = 1.5
 # A call's duration seldom exceeds the usual one by more mean differences.
 _LONG_DEVIATIONS = 2.0
+# A long duration counts as at most this share of the latency objective, since
+# else no call would be in time.
 _MAX_LONG_SHARE = 0.7
 # A call with less time left than this share of its expected duration would be
 # stopped at its deadline without an answer.
