--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,25 +1,32 @@
-"""A heartbeat that is late puts a server that has left into use again."""
+"""The store comes back from an older copy; two servers get the same keys."""
 
 import os
 import pathlib
+import random
+import signal
 import sys
 import threading
 import time
 
-from review.shared2 import deployment, proxy
+from review.shared2 import deployment, overlaps
 from standins import platformcluster
 
 _FOLDER = pathlib.Path(__file__).parent
-_HOST = "seats.example"
-_WORK_S = 0.078
-_TIMEOUT_MS = 1000
-# The last heartbeat arrives this late.
-_LATE_S = 3.5
-# How long the server serves on after its leaving was acknowledged.
-_STAY_S = 9.0
-_CLIENTS = 4
-_PAUSE_S = 0.05
-_READY_S = 20.0
+_HOST = "yards.example"
+_ZONES = ("norte", "sur", "salcedo")
+_KEYED = 2
+_WORK_S = 0.01
+_TIMEOUT_MS = 2141
+_OBJECTIVE_MS = 937
+_CLIENTS = 8
+_PAUSE_S = 0.005
+_READY_S = 25.0
+# The others give keys to a daemon that was restarted within this time.
+_REJOIN_S = 25.0
+_COPY_INTERVAL_S = 3.0
+# How long the store is away before it comes back.
+_AWAY_S = 1.0
+_ALL_KEYS = range(0, 65_536, 8_192)
 
 
 def main() -> int:
@@ -28,6 +35,7 @@
     record = deployment.Record(_FOLDER / "record.txt")
     record.add(f"TROUBLE={int(has_trouble)}")
     system = deployment.Deployment(record)
+    system.store.era = 1
     try:
         return _run(system, has_trouble)
     finally:
@@ -36,107 +44,150 @@
 
 def _run(system: deployment.Deployment, has_trouble: bool) -> int:
     record = system.record
-    front = system.add("front", "catalogo", "heredia")
-    leaver = system.add("desk-1", "reservas", "cartago")
-    system.add("desk-2", "reservas", "alajuela")
-    late = proxy.LateProxy(f"127.0.0.1:{system.take_ports(1)}", leaver.control)
-    leaver.heartbeats = late.address
     system.configure(
         1,
         platformcluster.route(
-            "reserve",
+            "release-order",
             _HOST,
-            "/seat-reserve/",
-            "reservas",
+            "/",
+            "patio-despacho",
             idempotent=False,
             timeout_ms=_TIMEOUT_MS,
-            target_latency_ms=250,
+            target_latency_ms=_OBJECTIVE_MS,
         ),
-        platformcluster.route("browse", _HOST, "/browse/", "catalogo"),
-        platformcluster.service("catalogo"),
-        platformcluster.service("reservas"),
+        platformcluster.service("patio-despacho", keyed=True),
+        platformcluster.service("archivo-inspeccion"),
     )
-    for machine in system.machines.values():
+    check = overlaps.OwnerCheck(record, [])
+    for index, zone in enumerate(_ZONES[:_KEYED]):
+        machine = system.add(f"patio-{index}", "patio-despacho", zone)
+        check.watch(machine.start_server(True, _WORK_S))
+        machine.start()
+    machines = list(system.machines.values())
+    for index, zone in enumerate(_ZONES):
+        machine = system.add(f"archivo-{index}", "archivo-inspeccion", zone)
         machine.start_server(False, _WORK_S)
         machine.start()
     if not platformcluster.wait_until(_READY_S, lambda: _serves(system)):
         record.add("the deployment does not serve")
         return 2
+    check.start()
     stop = threading.Event()
-    answers: dict[str, tuple[int, str]] = {}
     clients = [
         threading.Thread(
-            target=_send_requests, args=(system, front, stop, answers)
+            target=_send_requests, args=(system, number, stop), daemon=True
         )
-        for _ in range(_CLIENTS)
+        for number in range(_CLIENTS)
     ]
     for client in clients:
         client.start()
-    server = leaver.server
     time.sleep(3.0)
-    if not server.arrivals:
-        record.add("the server that is to leave gets no requests")
-        return 2
+    # Machines are stopped and started in turn: the first one.
+    _restart(system, machines[0])
+    copied_at = float("-inf")
+    giver = None
+    give_up_at = time.monotonic() + _REJOIN_S
+    # The last copy from before the move.
+    while giver is None:
+        if time.monotonic() > give_up_at:
+            record.add("no keys have moved to the machine that was restarted")
+            return 2
+        if time.monotonic() - copied_at > _COPY_INTERVAL_S:
+            copy = system.store.copy()
+            copied_at = time.monotonic()
+            held = _held_keys(machines)
+        time.sleep(0.05)
+        giver = _find_giver(machines, held)
+    record.add(f"{giver.name} has given keys away since the copy")
+    time.sleep(1.0)
     if has_trouble:
-        late.delay_s = _LATE_S
-    # One more heartbeat, and the server gives up waiting for its answer.
-    server.is_silent.set()
-    is_answered = server.send_heartbeat()
-    late.delay_s = 0.0
-    record.add(f"last heartbeat of {server.instance} answered: {is_answered}")
-    status = server.deregister(leaver.control)
-    record.add(f"{server.instance} leaves: {status}")
-    if server.acknowledged_at is None:
-        return 2
-    time.sleep(_STAY_S)
-    server.stop()
-    record.add(f"{server.instance} has ended")
-    time.sleep(2.0)
+        system.store.failure_status = 503
+        time.sleep(_AWAY_S)
+        system.store.restore(copy)
+        system.store.failure_status = None
+        age_s = time.monotonic() - copied_at
+        record.add(f"the store is back from a copy {age_s:.1f} s old")
+    else:
+        time.sleep(_AWAY_S)
+    time.sleep(4.0)
+    # The next one.
+    _restart(system, giver)
+    time.sleep(8.0)
     stop.set()
     for client in clients:
         client.join()
-    limit = server.acknowledged_at + deployment.DRAIN_S
-    broken = [arrival for arrival in server.arrivals if arrival[0] > limit]
-    for at, request_id, _ in broken:
-        record.add(
-            f"{request_id} reached {server.instance}"
-            f" {at - server.acknowledged_at:.3f} s after the acknowledgement,"
-            f" answer {answers.get(request_id)}"
-        )
-    lost = sum(
-        answers.get(request_id, (0, ""))[0] in (0, 502, 504)
-        for _, request_id, _ in broken
-    )
-    record.add(
-        f"DRAIN: {len(broken)} requests reached a server that had left more"
-        f" than {deployment.DRAIN_S} s before; {lost} of them were lost"
-    )
-    return 1 if broken else 0
+    check.stop()
+    record.add(f"OWNER: {dict(check.broken)}")
+    return 1 if check.broken else 0
+
+
+def _held_keys(machines: list[deployment.Machine]) -> dict[str, set[int]]:
+    """Returns which of evenly spread keys each server holds."""
+    return {
+        machine.name: {
+            key
+            for hold in machine.server.live_holds
+            for key in range(-(-hold.first // 256) * 256, hold.last + 1, 256)
+        }
+        for machine in machines
+    }
+
+
+def _find_giver(
+    machines: list[deployment.Machine], held: dict[str, set[int]]
+) -> deployment.Machine | None:
+    """Returns a machine that has given keys away, once the first one has some.
+
+    Args:
+        machines: All machines; the first one was restarted.
+        held: The keys that each of them held before.
+    """
+    now = _held_keys(machines)
+    if not now[machines[0].name]:
+        return None
+    given = {
+        machine.name: len(held[machine.name] - now[machine.name])
+        for machine in machines[1:]
+    }
+    most = max(machines[1:], key=lambda machine: given[machine.name])
+    return most if given[most.name] else None
+
+
+def _restart(
+    system: deployment.Deployment, machine: deployment.Machine
+) -> None:
+    """Stops a daemon as planned work does, and starts it again."""
+    system.record.add(f"SIGTERM to {machine.name}")
+    machine.process.send_signal(signal.SIGTERM)
+    machine.process.wait()
+    time.sleep(0.5)
+    machine.start()
+    system.record.add(f"{machine.name} started again")
+    platformcluster.wait_until(3.0, machine.is_ready)
 
 
 def _serves(system: deployment.Deployment) -> bool:
-    if not all(machine.is_ready() for machine in system.machines.values()):
-        return False
-    return all(
-        system.call(machine, _HOST, path)[0] == 200
-        for machine in system.machines.values()
-        for path in ("/seat-reserve/x", "/browse/x")
+    machines = system.machines.values()
+    return all(machine.is_ready() for machine in machines) and all(
+        system.call(machine, _HOST, "/x", key=key)[0] == 200
+        for machine in machines
+        for key in _ALL_KEYS
     )
 
 
 def _send_requests(
-    system: deployment.Deployment,
-    front: deployment.Machine,
-    stop: threading.Event,
-    answers: dict[str, tuple[int, str]],
+    system: deployment.Deployment, number: int, stop: threading.Event
 ) -> None:
+    rng = random.Random(number)
     while not stop.is_set():
+        machine = rng.choice(list(system.machines.values()))
+        key = rng.randrange(65_536)
         status, request_id, body = system.call(
-            front, _HOST, "/seat-reserve/seat", timeout_ms=_TIMEOUT_MS
+            machine, _HOST, "/release", key=key, timeout_ms=_TIMEOUT_MS
         )
-        answers[request_id] = (status, deployment.instance_of(body))
         system.record.add(
-            f"{request_id} answered {status} {answers[request_id][1]}"
+            f"{request_id} key {key} sent to {machine.name}, answered {status}"
+            f" {deployment.instance_of(body)}"
         )
         time.sleep(_PAUSE_S)
 
--- a/review/shared2/deployment.py
+++ b/review/shared2/deployment.py
@@ -21,9 +21,9 @@
 from standins import appserver, httpd, platformcluster, ports, rowstore
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-# Figures of the association's deployment.
+# Figures of the association's deployment; those of the cold yards are the same
+# but for the number of repeats.
 HEARTBEAT_S = 0.87
-DRAIN_S = 2.0
 GRACE_S = 6
 _SETTINGS = {
     "limits.memory_mb|json": "300",
