--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,6 +17,7 @@
     "standins.ports",
     "standins.rowstore",
     "review.shared2.deployment",
+    "review.shared2.memory",
     "review.shared2.overlaps",
     "review.shared2.proxy",
 ):
--- a/review/shared2/deployment.py
+++ b/review/shared2/deployment.py
@@ -257,6 +257,10 @@
         text = platformcluster.configuration(version, *resources)
         self.store.put("op", "config", text)
 
+    def new_id(self) -> str:
+        """Returns an id for a request."""
+        return f"r{next(self._ids):06d}"
+
     def call(
         self,
         machine: Machine,
@@ -271,7 +275,7 @@
         Returns:
             Status (0 for no answer), the request's id, and the body.
         """
-        request_id = f"r{next(self._ids):06d}"
+        request_id = self.new_id()
         headers = {
             "Host": host,
             "X-Tamarackgap-Attempt-Id": request_id,
@@ -307,6 +311,37 @@
         self._temporary.cleanup()
 
 
+class KeptConnection:
+    """A client's connection that is used for many requests."""
+
+    def __init__(self, machine: Machine, timeout_ms: int) -> None:
+        """Creates a connection that is opened with the first request."""
+        self._address = machine.callers
+        self._timeout_ms = timeout_ms
+        self._connection: http.client.HTTPConnection | None = None
+
+    def get(self, host: str, path: str, request_id: str) -> int:
+        """Sends a request; returns the status, 0 if there was no answer."""
+        if self._connection is None:
+            self._connection = http.client.HTTPConnection(
+                self._address, timeout=self._timeout_ms / 1000 + 1
+            )
+        headers = {
+            "Host": host,
+            "X-Tamarackgap-Attempt-Id": request_id,
+            "X-Tamarackgap-Timeout-Ms": str(self._timeout_ms),
+        }
+        try:
+            self._connection.request("GET", path, headers=headers)
+            response = self._connection.getresponse()
+            response.read()
+        except (OSError, http.client.HTTPException):
+            self._connection.close()
+            self._connection = None
+            return 0
+        return response.status
+
+
 def instance_of(body: bytes) -> str:
     """Returns the server that wrote an answer, "" if none did."""
     try:
