--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,7 +4,6 @@
 import pathlib
 import random
 import signal
-import sys
 import threading
 import time
 
@@ -193,4 +192,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    deployment.run(main)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,7 +2,6 @@
 
 import os
 import pathlib
-import sys
 import threading
 import time
 
@@ -154,4 +153,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    deployment.run(main)
--- a/review/shared2/deployment.py
+++ b/review/shared2/deployment.py
@@ -17,6 +17,8 @@
 import threading
 import time
 import tomllib
+import traceback
+from collections.abc import Callable
 
 from standins import appserver, httpd, platformcluster, ports, rowstore
 
@@ -342,6 +344,24 @@
         return response.status
 
 
+def run(main: Callable[[], int]) -> None:
+    """Ends this process with the status of a case.
+
+    It is 2 if the case fails in itself, or is told to stop; what it has started
+    is ended then as well.
+
+    Args:
+        main: Runs the case; returns 1 if the rule was broken, 0 if it held.
+    """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
+
+
 def instance_of(body: bytes) -> str:
     """Returns the server that wrote an answer, "" if none did."""
     try:
