--- a/review/shared2/deployment.py
+++ b/review/shared2/deployment.py
@@ -147,10 +147,12 @@
         self.process: subprocess.Popen | None = None
         self._lives = 0
 
-    def start_server(self, keyed: bool, work_s: float) -> Server:
+    def start_server(
+        self, keyed: bool, work_s: float, server_type: type[Server] = Server
+    ) -> Server:
         """Starts the next life of the server, under a new id."""
         self._lives += 1
-        self.server = Server(
+        self.server = server_type(
             f"{self.name}-{self._lives}",
             self.service,
             self.target,
@@ -189,6 +191,7 @@
         host, port = self.peers.split(":")
         values = {
             **_SETTINGS,
+            **self._deployment.settings,
             "node": self.name,
             "service": self.service,
             "zone": self.zone,
@@ -225,8 +228,17 @@
 class Deployment:
     """The store, the machines and the operator's configuration."""
 
-    def __init__(self, record: Record) -> None:
-        """Starts the store."""
+    def __init__(
+        self, record: Record, settings: dict[str, str] | None = None
+    ) -> None:
+        """Starts the store.
+
+        Args:
+            record: Where lines are written.
+            settings: Fields of the settings file that are not those of the
+                association's deployment.
+        """
+        self.settings = settings or {}
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
         self.record = record
