--- a/review/shared2/memory.py
+++ b/review/shared2/memory.py
@@ -22,8 +22,16 @@
         peaks_mb: Most memory that each daemon has used, MB.
     """
 
-    def __init__(self, system: deployment.Deployment) -> None:
-        """Creates a limit that watches nothing."""
+    def __init__(
+        self, system: deployment.Deployment, limit_mb: int = LIMIT_MB
+    ) -> None:
+        """Creates a limit that watches nothing.
+
+        Args:
+            system: Its daemons are watched.
+            limit_mb: Memory that a daemon may use, MB.
+        """
+        self._limit_mb = limit_mb
         self.ends = dict.fromkeys(system.machines, 0)
         self.peaks_mb = dict.fromkeys(system.machines, 0)
         self._system = system
@@ -51,7 +59,7 @@
             process = machine.process
             used_mb = _used_mb(process.pid)
             self.peaks_mb[name] = max(self.peaks_mb[name], used_mb)
-            if used_mb > LIMIT_MB:
+            if used_mb > self._limit_mb:
                 process.kill()
             elif process.poll() is None:
                 continue
