--- a/review/9/case.py
+++ b/review/9/case.py
@@ -26,14 +26,17 @@
     "bounds.cold_slack": "8",
 }
 _WORK_S = 0.09
+_SLOTS = 6
 _TIMEOUT_MS = 1200
 _OBJECTIVE_MS = 300
 _MEAN_BYTES = 5000
 _SPREAD = 0.6
 _MAX_BYTES = 30_000
-# Two requests of a connection are under way at a time.
-_DEPTH = 2
-_CLIENTS_PER_MACHINE = 3
+# Requests of a connection arise at random times, this far apart in the mean, so
+# 20 a second for a machine; at most so many are under way.
+_INTERVAL_S = 0.3
+_DEPTH = 3
+_CLIENTS_PER_MACHINE = 6
 _READ_BYTES_PER_S = 40_000
 _READ_BYTES = 2048
 # Small windows, as the links of the deployments have.
@@ -102,6 +105,8 @@
         self._machine = machine
         self._stop = stop
         self._rng = random.Random(seed)
+        # When the next request arises, monotonic seconds.
+        self._due_at = 0.0
         self._pending: list[_Sent] = []
         self._thread = threading.Thread(target=self._work, daemon=True)
         self._thread.start()
@@ -145,10 +150,10 @@
             unread = b""
             is_last = False
             while not is_last:
-                while len(self._pending) < _DEPTH and not self._stop.is_set():
-                    self._send(link)
                 if not self._pending:
-                    return
+                    if self._stop.is_set():
+                        return
+                    self._send(link)
                 head, unread = self._read_until_head(link, unread)
                 is_last = "connection: close" in head.lower()
                 length = int(
@@ -156,7 +161,8 @@
                 )
                 while len(unread) < length:
                     self._pending[0].received = len(unread)
-                    unread += self._read(link)
+                    # What is behind this answer has not been read yet.
+                    unread += self._read(link, is_last)
                 unread = unread[length:]
                 self._end_first(int(head.split()[1]))
         # What was sent behind a closing answer counts as not read.
@@ -166,6 +172,7 @@
 
     def _send(self, link: socket.socket) -> None:
         request = _Sent(self._system.new_id(), time.monotonic())
+        self._due_at = request.sent_at + self._rng.expovariate(1 / _INTERVAL_S)
         self._pending.append(request)
         link.sendall(
             f"GET /sorgu/lot HTTP/1.1\r\nHost: {_HOST}\r\n"
@@ -178,7 +185,21 @@
             f"{request.request_id} sent to {self._machine.name}"
         )
 
-    def _read(self, link: socket.socket) -> bytes:
+    def _read(self, link: socket.socket, is_last: bool) -> bytes:
+        """Sends the request that is due, if any, and reads some bytes.
+
+        Args:
+            link: The connection.
+            is_last: Whether a head has been read that closes the connection;
+                nothing more is sent then.
+        """
+        if (
+            not is_last
+            and len(self._pending) < _DEPTH
+            and time.monotonic() >= self._due_at
+            and not self._stop.is_set()
+        ):
+            self._send(link)
         time.sleep(_READ_BYTES / _READ_BYTES_PER_S)
         data = link.recv(_READ_BYTES)
         if not data:
@@ -191,7 +212,7 @@
         """Returns the head of the next answer, and what was read behind it."""
         while b"\r\n\r\n" not in unread:
             self._pending[0].received = len(unread)
-            unread += self._read(link)
+            unread += self._read(link, _has_close(unread))
         head, _, unread = unread.partition(b"\r\n\r\n")
         return head.decode("latin-1"), unread
 
@@ -203,6 +224,11 @@
         self._system.record.add(f"{request.request_id} answered {status}")
 
 
+def _has_close(text: bytes) -> bool:
+    """Returns whether a head, complete or not, says that it is the last one."""
+    return b"connection: close" in text.lower()
+
+
 def main() -> int:
     """Runs the case; returns the exit status."""
     has_trouble = os.environ.get("TROUBLE") != "0"
@@ -231,7 +257,8 @@
     )
     for number, zone in enumerate(_ZONES):
         machine = system.add(f"yard-{number}", _SERVICE, zone)
-        machine.start_server(True, _WORK_S, _StockServer)
+        server = machine.start_server(True, _WORK_S, _StockServer)
+        server.slots = _SLOTS
         machine.start()
     if not platformcluster.wait_until(_READY_S, lambda: _serves(system)):
         record.add("the deployment does not serve")
@@ -246,60 +273,85 @@
         for name, machine in system.machines.items()
     }
     time.sleep(_CALM_S)
-    stopped = system.machines["yard-0"]
-    begins_at = time.monotonic()
-    if has_trouble:
-        stopped.process.terminate()
-        record.add(f"SIGTERM to the daemon of {stopped.name}")
-        # Its clients get no further work after two misses.
-        _await_misses(stopped)
-        stops[stopped.name].set()
-        record.add(f"{stopped.name} is out after two misses")
-        status = stopped.process.wait(_GRACE_S + 2)
-        record.add(f"the daemon has ended with {status}")
-        time.sleep(_RESTART_S)
-        stopped.start()
-    time.sleep(max(0.0, begins_at + _GRACE_S - time.monotonic()))
+    signalled_at = {}
+    for name, machine in system.machines.items():
+        signalled_at[name] = time.monotonic()
+        if has_trouble:
+            _restart(system, machine, stops[name])
+        time.sleep(_CALM_S)
     for stop in stops.values():
         stop.set()
     for client in sum(clients.values(), []):
         client.join()
-    return _judge(
-        system,
-        [each for client in clients[stopped.name] for each in client.ended],
-        begins_at,
-    )
+    return _judge(system, clients, signalled_at)
+
+
+def _restart(
+    system: deployment.Deployment,
+    machine: deployment.Machine,
+    stop: threading.Event,
+) -> None:
+    """Stops a daemon as planned work does, and starts it again.
+
+    Args:
+        system: The deployment.
+        machine: The daemon's machine.
+        stop: Ends the machine's clients.
+    """
+    machine.process.terminate()
+    system.record.add(f"SIGTERM to the daemon of {machine.name}")
+    # Its clients get no further work after two misses.
+    _await_misses(machine)
+    stop.set()
+    system.record.add(f"{machine.name} is out after two misses")
+    status = machine.process.wait(_GRACE_S + 2)
+    system.record.add(f"the daemon has ended with {status}")
+    time.sleep(_RESTART_S)
+    machine.start()
+    platformcluster.wait_until(_READY_S, machine.is_ready)
 
 
 def _judge(
-    system: deployment.Deployment, ended: list[_Sent], begins_at: float
+    system: deployment.Deployment,
+    clients: dict[str, list[_Client]],
+    signalled_at: dict[str, float],
 ) -> int:
-    """Counts answers that were cut off; returns the exit status."""
-    servers = [machine.server for machine in system.machines.values()]
+    """Counts answers that were cut off; returns the exit status.
+
+    Args:
+        system: The deployment.
+        clients: The clients by machine.
+        signalled_at: When each machine was stopped, monotonic seconds.
+    """
     complete = {
         request_id
-        for server in servers
-        for request_id, _ in server.executed_requests
+        for machine in system.machines.values()
+        for request_id, _ in machine.server.executed_requests
     }
-    seen = [each for each in ended if each.ended_at > begins_at]
-    broken = [
-        each
-        for each in seen
-        if not each.status
-        and each.request_id in complete
-        and each.ended_at < each.sent_at + _TIMEOUT_MS / 1000
-        # Before the last sixth of the time until SIGKILL.
-        and each.ended_at < begins_at + _GRACE_S * 5 / 6
-    ]
-    for each in broken:
-        system.record.add(
-            f"{each.request_id}: sent {each.sent_at - begins_at:+.3f} s from"
-            " the signal, run to its end by a server, connection broken after"
-            f" {each.ended_at - each.sent_at:.3f} s and {each.received} bytes"
-        )
+    broken = seen = 0
+    for name, begins_at in signalled_at.items():
+        for each in sum((client.ended for client in clients[name]), []):
+            # Up to the last sixth of the time until SIGKILL.
+            if not begins_at < each.ended_at < begins_at + _GRACE_S * 5 / 6:
+                continue
+            seen += 1
+            if (
+                each.status
+                or each.request_id not in complete
+                or each.ended_at >= each.sent_at + _TIMEOUT_MS / 1000
+            ):
+                continue
+            broken += 1
+            system.record.add(
+                f"{each.request_id}: sent {each.sent_at - begins_at:+.3f} s"
+                f" from the signal to {name}, run to its end by a server,"
+                " connection broken after"
+                f" {each.ended_at - each.sent_at:.3f} s"
+                f" and {each.received} bytes"
+            )
     system.record.add(
-        f"LOST: {len(broken)} of {len(seen)} requests that ended then have no"
-        " complete answer though a server ran them to their end"
+        f"LOST: {broken} of {seen} requests that ended then have no complete"
+        " answer though a server ran them to their end"
     )
     if not seen:
         return 2
