--- a/standins/table.py
+++ b/standins/table.py
@@ -11,11 +11,14 @@
     Attributes:
         writes: Number of committed transactions.
         reads: Number of reads.
+        era: Rises when the table goes back to a copy.
     """
 
     def __init__(self) -> None:
-        self._rows: dict[str, records.Row] = {}
+        # By era and key.
+        self._rows: dict[tuple[int, str], records.Row] = {}
         self._revision = 0
+        self.era = 0
         self._lock = threading.Lock()
         self.writes = 0
         self.reads = 0
@@ -25,15 +28,18 @@
         """Revision of the last committed transaction."""
         return self._revision
 
-    def copy(self) -> tuple[dict[str, records.Row], int]:
+    def copy(self) -> tuple[dict[tuple[int, str], records.Row], int]:
         """Returns the rows and the revision of this moment."""
         with self._lock:
             return dict(self._rows), self._revision
 
-    def restore(self, copy: tuple[dict[str, records.Row], int]) -> None:
+    def restore(
+        self, copy: tuple[dict[tuple[int, str], records.Row], int]
+    ) -> None:
         """Goes back to a copy; later revisions are given out again."""
         with self._lock:
             self._rows, self._revision = dict(copy[0]), copy[1]
+            self.era += 1
 
     def commit(
         self, transaction: records.Transaction
@@ -46,13 +52,18 @@
         """
         with self._lock:
             checks_hold = all(
-                self._holds(check) for check in transaction.checks
+                self._holds(check, transaction.era)
+                for check in transaction.checks
             )
             if checks_hold:
                 self._apply(transaction)
             keys = {check.key for check in transaction.checks}
             keys |= {write.key for write in transaction.writes}
-            rows = [self._rows[key] for key in sorted(keys & set(self._rows))]
+            row_ids = {(transaction.era, key) for key in keys}
+            rows = [
+                self._rows[row_id]
+                for row_id in sorted(row_ids & set(self._rows))
+            ]
             return checks_hold, rows
 
     def rows_since(self, revision: int) -> tuple[int, list[records.Row]]:
@@ -64,8 +75,8 @@
             ]
             return self._revision, sorted(rows, key=lambda row: row.revision)
 
-    def _holds(self, check: records.Check) -> bool:
-        row = self._rows.get(check.key)
+    def _holds(self, check: records.Check, era: int) -> bool:
+        row = self._rows.get((era, check.key))
         current = row.revision if row and row.value is not None else 0
         return current == check.revision
 
@@ -73,6 +84,6 @@
         self._revision += 1
         self.writes += 1
         for write in transaction.writes:
-            self._rows[write.key] = records.Row(
-                write.key, write.value, self._revision
+            self._rows[transaction.era, write.key] = records.Row(
+                write.key, write.value, self._revision, transaction.era
             )
--- a/tamarackgap/ownership/changes.py
+++ b/tamarackgap/ownership/changes.py
@@ -18,6 +18,10 @@
 
     # Creates this daemon's record.
     JOIN = "join"
+    # Records in a new era of the table what this daemon owns.
+    CARRY = "carry"
+    # Records in a new era which slots belong to nobody.
+    SETTLE_ERA = "settle"
     # Updates the flags of this daemon's record.
     UPDATE_FLAGS = "flag"
     # Closes the records of incarnations that are known to be gone.
@@ -100,10 +104,21 @@
     ) -> None:
         """Closes a lease record, or deletes it if no slots are left in it.
 
+        A record of an earlier era is kept without slots, so that its owner's
+        own late write can't be committed. What is known of its other slots may
+        have changed since.
+
         Args:
             record: The record.
             left: The slots that stay in it until they are claimed.
         """
+        if not self._view.is_current(record.key):
+            self.put_record(
+                msgspec.structs.replace(
+                    record, state=types.RecordState.CLOSED, runs=()
+                )
+            )
+            return
         if left:
             closed = msgspec.structs.replace(
                 record,
@@ -116,7 +131,11 @@
         self._writes[record.key] = records.Write(record.key, None)
 
     def put_service_record(
-        self, service: str, slot_count: int, allocated: int
+        self,
+        service: str,
+        slot_count: int,
+        allocated: int,
+        phase: types.EraPhase = types.EraPhase.SETTLED,
     ) -> None:
         """Writes a service record, on condition that it has not changed."""
         key = records.service_key(service)
@@ -125,6 +144,7 @@
             slot_count,
             self._change_id,
             allocated if allocated < slot_count else None,
+            phase,
         )
         self._writes[key] = records.Write(key, records.encode(row))
 
@@ -161,6 +181,7 @@
             self._change_id,
             tuple(self._checks.values()),
             tuple(self._writes.values()),
+            self._view.era,
         )
         return Change(kind, transaction, reason, inputs)
 
@@ -187,6 +208,7 @@
     slot_count: int,
     change_id: str,
     in_ranges: bool = False,
+    fence: int = 1,
 ) -> Change:
     """Returns the change that gives the slots of a new service to owners.
 
@@ -199,15 +221,18 @@
             transaction can hold their records (`continue_creation` gives the
             other members theirs); otherwise this daemon gets all slots, and
             moves them to others later.
+        fence: Fence of all slots.
     """
     builder = Builder(view, change_id)
     members = view.open_records(own_record.service)
     allocated = slot_count
     if in_ranges:
-        allocated = _allocate_ranges(builder, view, own_record, 0, slot_count)
+        allocated = _allocate_ranges(
+            builder, view, own_record, 0, slot_count, fence
+        )
     else:
         assignments = {
-            types.Slot(slot): slots.SlotAssignment(1)
+            types.Slot(slot): slots.SlotAssignment(fence)
             for slot in range(slot_count)
         }
         builder.put_record(with_assignments(own_record, assignments, members))
@@ -225,6 +250,7 @@
     own_record: records.LeaseRecord,
     service_record: records.ServiceRecord,
     change_id: str,
+    fence: int = 1,
 ) -> Change:
     """Returns the change that gives further slots of a new service to owners.
 
@@ -236,6 +262,7 @@
         own_record: This daemon's record.
         service_record: The service's record.
         change_id: The id of the write.
+        fence: Fence of these slots.
     """
     builder = Builder(view, change_id)
     slot_count = service_record.slots
@@ -245,6 +272,7 @@
         own_record,
         slot_count - service_record.unallocated,
         slot_count,
+        fence,
     )
     builder.put_service_record(own_record.service, slot_count, allocated)
     return builder.build(
@@ -258,6 +286,7 @@
     own_record: records.LeaseRecord,
     start: int,
     end: int,
+    fence: int,
 ) -> int:
     """Gives slots in ranges of equal length to members without slots.
 
@@ -268,11 +297,12 @@
             member can own any.
         start: The first slot.
         end: The slot after the last one.
+        fence: Fence of these slots.
 
     Returns:
         The first slot that is left for another change, or `end`.
     """
-    members = view.open_records(own_record.service)
+    members = view.current_members(own_record.service)
     able = [record for record in members if record.can_own] or [own_record]
     owners = [record for record in able if not record.runs] or able
     range_end = start
@@ -283,7 +313,7 @@
         with_successors = placement.choose_successors(
             owner,
             {
-                types.Slot(slot): slots.SlotAssignment(1)
+                types.Slot(slot): slots.SlotAssignment(fence)
                 for slot in range(range_start, range_end)
             },
             members,
@@ -299,6 +329,7 @@
     own_record: records.LeaseRecord,
     claims: Iterable[SlotClaim],
     change_id: str,
+    checked: str | None = None,
 ) -> Change:
     """Returns the change that takes slots from ended epochs' records.
 
@@ -309,8 +340,11 @@
         own_record: The record of the daemon that takes the slots.
         claims: The slots to take.
         change_id: The id of the write.
+        checked: Key of another row that must not have changed, or None.
     """
     builder = Builder(view, change_id)
+    if checked is not None:
+        builder.check(checked)
     assignments = slots.expand(own_record.runs)
     sources = []
     for slot_claim in claims:
--- a/tamarackgap/ownership/creation.py
+++ b/tamarackgap/ownership/creation.py
@@ -1,6 +1,6 @@
 """Decides when a service's slots are first given to owners, and by whom."""
 
-from tamarackgap.ownership import changes, plannerinputs
+from tamarackgap.ownership import changes, erachange, plannerinputs
 from tamarackgap.placement import records
 
 # An ordered service is created with at least this many slots for each member,
@@ -24,7 +24,8 @@
         or inputs.age < settings.settle
         or not inputs.lease_valid
         or not inputs.accepting
-        or inputs.view.service_record(settings.service) is not None
+        or inputs.view.current_service_record(settings.service) is not None
+        or erachange.may_be_owned(inputs)
     ):
         return None
     if settings.ordered_keys and not _is_creator(inputs, own_record):
@@ -35,6 +36,7 @@
         _slot_count(inputs, own_record),
         change_id,
         settings.ordered_keys,
+        inputs.view.first_fence(settings.service),
     )
 
 
@@ -47,7 +49,7 @@
     incarnation id makes them, also if another one created the service.
     """
     own_record = inputs.own_record
-    service_record = inputs.view.service_record(inputs.settings.service)
+    service_record = inputs.view.current_service_record(inputs.settings.service)
     if (
         own_record is None
         or service_record is None
@@ -58,7 +60,7 @@
         return None
     able = [
         record.incarnation
-        for record in inputs.view.open_records(own_record.service)
+        for record in inputs.view.current_members(own_record.service)
         if record.can_own
         and (
             record.incarnation == inputs.incarnation
@@ -68,7 +70,11 @@
     if not able or min(able) != inputs.incarnation:
         return None
     return changes.continue_creation(
-        inputs.view, own_record, service_record, change_id
+        inputs.view,
+        own_record,
+        service_record,
+        change_id,
+        inputs.view.first_fence(own_record.service),
     )
 
 
@@ -81,7 +87,7 @@
     """
     count = inputs.settings.slot_count
     if inputs.settings.ordered_keys:
-        members = len(inputs.view.open_records(own_record.service))
+        members = len(inputs.view.current_members(own_record.service))
         while count < min(members * _MIN_SLOTS_PER_MEMBER, _MAX_SLOTS):
             count *= 2
     return count
@@ -95,7 +101,7 @@
     All members wait for those that can't own slots yet. Then the one with
     the lowest incarnation id goes first, so that not all write at once.
     """
-    members = inputs.view.open_records(own_record.service)
+    members = inputs.view.current_members(own_record.service)
     if any(not record.can_own for record in members):
         return inputs.age > _MAX_SETTLE_TIMES * inputs.settings.settle
     first = min(record.incarnation for record in members)
--- a/tamarackgap/ownership/leftslots.py
+++ b/tamarackgap/ownership/leftslots.py
@@ -18,7 +18,7 @@
         incarnation: The daemon.
         record: A closed record.
     """
-    members = [m for m in view.open_records(record.service) if m.can_own]
+    members = [m for m in view.current_members(record.service) if m.can_own]
     restarted = [m.incarnation for m in members if m.daemon == record.daemon]
     candidates = restarted or [member.incarnation for member in members]
     left = {}
@@ -65,5 +65,5 @@
         and record.service == service
         and is_unread(view, record)
         and fences(view, incarnation, record)
-        for record in view.leases()
+        for record in view.current_leases()
     )
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -4,6 +4,7 @@
 the effects that the protocol returns.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -14,6 +15,8 @@
     effects,
     endedincarnations,
     epochchange,
+    erachange,
+    eratransition,
     lease,
     leftslots,
     liveness,
@@ -42,10 +45,17 @@
         changes.ChangeKind.CLOSE_GONE,
         changes.ChangeKind.CLOSE_UNANSWERED,
         changes.ChangeKind.CREATE_SERVICE,
+        changes.ChangeKind.SETTLE_ERA,
     }
 )
 
 
+# These may begin an epoch that has been prepared.
+_KINDS_OF_EPOCHS = frozenset(
+    {changes.ChangeKind.RECONFIGURE, changes.ChangeKind.CARRY}
+)
+
+
 class Ownership:
     """The state of one daemon: what it owns, witnesses and takes over.
 
@@ -104,6 +114,7 @@
             self._renewer, self._outbox, settings.ordered_keys
         )
         self._ended = endedincarnations.EndedIncarnations()
+        self._era_begun_at = now
         self._liveness = liveness.LivenessTracker()
         self._rejoin_until = now
         self._start_incarnation(now)
@@ -139,6 +150,11 @@
         )
         self._renewer.lateness = lateness
         self._owned: dict[int, effects.OwnedSlot] = {}
+        self._transition = eratransition.EraTransition(
+            self._settings.anchor, self._era_begun_at
+        )
+        # When slots not recorded in the table's era are no longer served.
+        self._uncarried_until = math.inf
         self._pending: changes.Change | None = None
         self._commit_retry = commitretry.CommitRetry(self._rng)
         self._epoch_change.end_release()
@@ -248,12 +264,12 @@
         """Returns the end of the lease on this daemon's clock, seconds.
 
         If the anchor time is set, the lease also ends when the table has not
-        been read for that long.
+        been read for that long, in the era in which the slots are recorded.
         """
         until = self._renewer.own_lease.valid_until()
         if self._settings.anchor:
             until = min(until, self._table_as_of + self._settings.anchor)
-        return until
+        return min(until, self._uncarried_until)
 
     def grants(self) -> lease.EpochGrants:
         """Returns the grants of the current epoch."""
@@ -374,6 +390,16 @@
         self, rows: list[records.Row], now: float, has_conflict: bool
     ) -> bool:
         """Applies rows; returns whether a lease record has changed."""
+        newest = max((row.era for row in rows), default=0)
+        if newest > self._view.era:
+            self._begin_era(newest, now)
+        if self._transition.is_undecided:
+            own_key = records.lease_key(self._incarnation)
+            rows = [
+                row
+                for row in rows
+                if row.key != own_key or row.era == self._view.era
+            ]
         changed = rowmerge.merge_readable(self._view, rows, has_conflict)
         has_lease = False
         for key in changed:
@@ -403,24 +429,48 @@
         revision: int,
         now: float,
         as_of: float | None = None,
+        era: int = 0,
     ) -> None:
         """Applies a read of the table up to `revision`.
 
+        The first read in an era has to be of the whole table.
+
         Args:
             rows: The rows that have changed.
             revision: The table's revision.
             now: Monotonic time, seconds.
             as_of: Earliest time at which the table was in that state,
                 seconds; `now` if None.
+            era: The table's era.
         """
+        if era < self._view.era:
+            # Late, or the table has gone back since.
+            return
+        if era > self._view.era:
+            self._begin_era(era, now)
         if not self._table_ok:
             self._commit_retry.end_pause(now)
         self._table_ok = True
+        if self._view.is_read:
+            # Writes of earlier eras that land late hold for a state that the
+            # table has forgotten.
+            rows = [row for row in rows if row.era == era]
         self._merge(rows, now, False)
+        if self._view.has_earlier_rows and (
+            erachange.have_all_ended(
+                self._view, self._settings, self._era_age(now)
+            )
+            or (not self._view.is_read and erachange.is_settled(self._view))
+        ):
+            self._view.forget_earlier_rows()
         # While this owner is challenged, its record may be closed right
         # after a read. So reads don't prolong the lease until the answer to
-        # the challenge is in the table.
-        if self._incarnation not in self._view.challenges():
+        # the challenge is in the table. The same holds for an owner that has
+        # not recorded its slots in the table's era yet.
+        if (
+            self._incarnation not in self._view.challenges()
+            and self._record_to_carry() is None
+        ):
             self._table_as_of = max(
                 self._table_as_of, now if as_of is None else as_of
             )
@@ -489,7 +539,9 @@
             ):
                 self._plan_at = now
             self._outbox.share_rows(rows)
-        if change.kind is changes.ChangeKind.RECONFIGURE:
+        if change.kind is changes.ChangeKind.CARRY:
+            self._plan_at = now
+        if change.kind in _KINDS_OF_EPOCHS and self._record_to_carry() is None:
             self._epoch_change.finish()
         self._epoch_change.end_release()
 
@@ -542,6 +594,7 @@
         for record in self._report_silent_owners(now):
             self._suspect(record.incarnation, record.epoch, now)
         self._check_lapse(now)
+        self._check_era(now)
         self._advance_takeovers(now)
         self._repeat_unconfirmed(now)
         self._plan(now)
@@ -595,6 +648,8 @@
             self._lose_lease("left" if left else "record-closed", now)
             return
         self._joined = True
+        if self._view.is_current(record.key):
+            self._transition.record_carried(record)
         prepared = self._renewer.own_lease.next
         if prepared is not None and record.epoch == prepared.epoch:
             self._renewer.own_lease.promote()
@@ -620,6 +675,7 @@
                 owned=len(owned),
                 epoch=record.epoch,
             )
+        self._update_uncarried()
 
     def _to_owned_slot(
         self, slot: int, assignment: slots.SlotAssignment, now: float
@@ -642,6 +698,88 @@
         if len(self._succession.unrecorded) > before:
             self._slots_changed_at = now
             self.slots_version += 1
+            self._update_uncarried()
+
+    # Eras of the table.
+
+    def _begin_era(self, era: int, now: float) -> None:
+        """Goes on in a new era: the table has come back from an older copy."""
+        self._era_begun_at = now
+        if not self._view.is_read:
+            # This daemon has done nothing in an earlier era.
+            self._view.begin_era(era)
+            self._transition.begin(
+                self._view, self._incarnation, None, self._table_as_of, now
+            )
+            return
+        self._outbox.log(
+            "era_begun",
+            era=era,
+            known=self._view.era,
+            slots=len(self.owned),
+            pending=self._pending.kind.value if self._pending else "",
+        )
+        self._transition.begin(
+            self._view,
+            self._incarnation,
+            self._pending,
+            self._table_as_of,
+            now,
+        )
+        self._pending = None
+        self._commit_retry.record_outcome()
+        self._view.begin_era(era)
+        if self._transition.is_undecided:
+            kept = slots.expand(self._record_to_carry().runs)
+            self._owned = {
+                slot: owned
+                for slot, owned in self._owned.items()
+                if slot in kept
+            }
+            self._slots_changed_at = now
+            self.slots_version += 1
+        else:
+            self._epoch_change.finish()
+        self._update_uncarried()
+        self._plan_at = now
+        self._outbox.put(effects.ReadTable(urgent=True))
+
+    def _record_to_carry(self) -> records.LeaseRecord | None:
+        """Returns the record to write in the table's era, None if none is due.
+
+        It has the slots that this daemon owns by its records.
+        """
+        return self._transition.record_to_carry(self._view, self._incarnation)
+
+    def _update_uncarried(self) -> None:
+        """Updates until when slots without a record in the era are served."""
+        is_uncarried = (
+            self._record_to_carry() is not None
+            or self._view.has_earlier_rows
+            and self._succession.has_slots_of_earlier_era()
+        )
+        self._uncarried_until = (
+            self._transition.serves_until() if is_uncarried else math.inf
+        )
+
+    def _check_era(self, now: float) -> None:
+        """Ends the incarnation if its slots can't be recorded any more."""
+        if math.isinf(self._uncarried_until):
+            return
+        if now >= self._uncarried_until:
+            self._lose_lease("era-not-carried", now)
+        elif self.owned and self._is_era_settled():
+            self._lose_lease("era-settled", now)
+
+    def _is_era_settled(self) -> bool:
+        """Returns whether slots can't be recorded in the table's era."""
+        record = self._view.current_service_record(self._settings.service)
+        return record is not None and (
+            record.phase is not types.EraPhase.CARRYING
+        )
+
+    def _era_age(self, now: float) -> float:
+        return now - self._era_begun_at
 
     # Changes of the table.
 
@@ -658,7 +796,8 @@
     def _plan(self, now: float) -> None:
         if self._pending is not None:
             return
-        if self._epoch_change.is_under_way:
+        must_carry = self._record_to_carry() is not None
+        if self._epoch_change.is_under_way and not must_carry:
             self._continue_epoch_change(now)
             return
         if now < self._plan_at:
@@ -719,6 +858,10 @@
             ),
             challenged_for=self._liveness.challenge_durations(self._view, now),
             ended=self._ended.ended(self._view, now),
+            era_age=self._era_age(now),
+            carried=self._record_to_carry(),
+            doubtful_moves=self._transition.doubtful_moves,
+            former_owners=self._succession.former_owners(),
         )
 
     def _change_id(self) -> str:
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -2,10 +2,12 @@
 
 import msgspec
 
+from tamarackgap import types
 from tamarackgap.ownership import (
     changes,
     creation,
     effects,
+    erachange,
     leftslots,
     plannerinputs,
 )
@@ -81,12 +83,17 @@
     """
     if not inputs.view.is_read:
         return None
+    if erachange.needs_carry(inputs):
+        return erachange.carry(inputs, change_id)
     for step in (
         _join,
         _update_flags,
         _answer_challenge,
+        erachange.claim,
+        erachange.reclaim,
         _claim,
         _close_earlier,
+        erachange.settle,
         creation.create_service,
         creation.continue_creation,
         _leave,
@@ -184,7 +191,7 @@
         return None
     claims = [
         changes.SlotClaim(record, fences)
-        for record in inputs.view.leases()
+        for record in inputs.view.current_leases()
         if (fences := _claimable_fences(inputs, record)) is not None
     ]
     if not claims:
@@ -286,13 +293,13 @@
     if not inputs.settings.anchor or not inputs.table_ok:
         return None
     view = inputs.view
-    for record in view.leases():
+    for record in view.current_leases():
         unreachable_s = inputs.unreachable_for.get(record.incarnation, 0.0)
         if (
             record.is_open
             and unreachable_s > _CHALLENGE_AFTER_S
             and record.incarnation not in view.challenges()
-            and _is_responsible(inputs, record.incarnation)
+            and plannerinputs.is_responsible(inputs, record.incarnation)
         ):
             builder = changes.Builder(view, change_id)
             builder.challenge(record, inputs.incarnation)
@@ -310,7 +317,7 @@
     """
     view = inputs.view
     for name, challenge in view.challenges().items():
-        if not _is_responsible(inputs, name):
+        if not plannerinputs.is_responsible(inputs, name):
             continue
         record = view.lease(name)
         builder = changes.Builder(view, change_id)
@@ -331,19 +338,6 @@
     return None
 
 
-def _is_responsible(inputs: plannerinputs.PlannerInputs, item: str) -> bool:
-    """Returns whether this daemon has to do a task that only one should do.
-
-    Each daemon chooses by rendezvous hashing among those it can reach.
-    """
-    reachable = [
-        record.incarnation
-        for record in inputs.view.open_records()
-        if inputs.is_reachable(record.incarnation)
-    ]
-    return placement.choose_by_rendezvous(item, reachable) == inputs.incarnation
-
-
 def _leave(
     inputs: plannerinputs.PlannerInputs, change_id: str
 ) -> changes.Change | None:
@@ -459,7 +453,7 @@
             speed=(speeds or {}).get(record.incarnation, 0.0),
             load_age=(load_ages or {}).get(record.incarnation, 0.0),
         )
-        for record in view.open_records(service)
+        for record in view.current_members(service)
     ]
 
 
@@ -469,15 +463,21 @@
     """Returns the moves that this daemon should make now."""
     view = inputs.view
     service = inputs.settings.service
-    service_record = view.service_record(service)
+    service_record = view.current_service_record(service)
     if not inputs.keyed or service_record is None or inputs.unrecorded:
         return ()
+    if (
+        service_record.phase is not types.EraPhase.SETTLED
+        and not inputs.draining
+    ):
+        # Members that have not recorded their slots yet are not known.
+        return ()
     if service_record.unallocated:
         # Members without slots get theirs without moves.
         return ()
     has_unclaimed = any(
         record.runs and not record.is_open and record.service == service
-        for record in view.leases()
+        for record in view.current_leases()
     )
     if has_unclaimed:
         # Claims come first, because they may balance the slots by themselves.
@@ -559,6 +559,7 @@
         for move in release.moves
         if (record := inputs.view.lease(move.destination)) is not None
         and record.is_open
+        and inputs.view.is_current(record.key)
     )
     if intent.reason == "moves" and not moves:
         return None
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -6,7 +6,7 @@
 
 from tamarackgap import types
 from tamarackgap.ownership import effects, lease, takeover
-from tamarackgap.placement import records
+from tamarackgap.placement import placement, records
 
 # A witness is replaced if it has not answered for this many lease lengths.
 _SILENT_AFTER_LEASES = 2.0
@@ -47,6 +47,20 @@
     earlier_ended: frozenset[str]
 
 
+class DoubtfulMove(msgspec.Struct, frozen=True):
+    """Slots that this daemon has moved by a write that may have been lost.
+
+    Attributes:
+        destination: Incarnation that the slots have moved to, if any.
+        epoch: Its epoch then. It can give slots away only in a later one.
+        fences: Fence of each slot here, by slot.
+    """
+
+    destination: types.Incarnation
+    epoch: types.Epoch
+    fences: dict[types.Slot, int]
+
+
 class PlannerInputs(msgspec.Struct, frozen=True):
     """Everything that the planner's decision depends on.
 
@@ -88,6 +102,11 @@
         load_ages: Time since each of these loads was reported, seconds.
         is_target_empty: Whether the target is known to hold no slot, also of
             earlier incarnations.
+        era_age: Time since this daemon learnt of the table's era, seconds.
+        carried: Record to write in the table's era for this daemon, if it has
+            none there and has owned slots in an earlier one.
+        doubtful_moves: Moves of an earlier era whose outcome is not known.
+        former_owners: Incarnation that each unrecorded slot was taken from.
     """
 
     view: records.TableView
@@ -119,6 +138,10 @@
     speeds: dict[str, float] = {}
     load_ages: dict[str, float] = {}
     load_measured_at: float = 0.0
+    era_age: float = 0.0
+    carried: records.LeaseRecord | None = None
+    doubtful_moves: tuple[DoubtfulMove, ...] = ()
+    former_owners: dict[int, str] = {}
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
@@ -152,7 +175,7 @@
     """Returns the open records of earlier incarnations at the own address."""
     return [
         record
-        for record in inputs.view.leases()
+        for record in inputs.view.current_leases()
         if record.is_open
         and record.peer_address == inputs.settings.peer_address
         and record.incarnation != inputs.incarnation
@@ -174,6 +197,19 @@
     )
 
 
+def is_responsible(inputs: PlannerInputs, item: str) -> bool:
+    """Returns whether this daemon has to do a task that only one should do.
+
+    Each daemon chooses by rendezvous hashing among those it can reach.
+    """
+    reachable = [
+        record.incarnation
+        for record in inputs.view.open_records()
+        if inputs.is_reachable(record.incarnation)
+    ]
+    return placement.choose_by_rendezvous(item, reachable) == inputs.incarnation
+
+
 def unresponsive_witnesses(inputs: PlannerInputs) -> set[str]:
     """Returns the witnesses that do not answer or refuse to renew."""
     grants = inputs.grants
--- a/tamarackgap/ownership/succession.py
+++ b/tamarackgap/ownership/succession.py
@@ -44,6 +44,8 @@
         self._seal_here = seal_here
         self._attempts: dict[tuple[str, int], takeover.Takeover] = {}
         self._unrecorded: dict[int, effects.OwnedSlot] = {}
+        # Incarnation that each of these slots was taken from.
+        self._former_owners: dict[int, str] = {}
         self._claim_at = 0.0
 
     @property
@@ -60,9 +62,21 @@
         """Returns a slot that is owned through seals, or None."""
         return self._unrecorded.get(slot)
 
+    def former_owners(self) -> dict[int, str]:
+        """Returns the incarnation that each unrecorded slot was taken from."""
+        return dict(self._former_owners)
+
+    def has_slots_of_earlier_era(self) -> bool:
+        """Returns whether owned slots have no record in the table's era."""
+        return any(
+            not self._view.has_slot(owner, slot)
+            for slot, owner in self._former_owners.items()
+        )
+
     def mark_recorded(self, slot: int) -> None:
         """Drops a slot that the table now records as this daemon's."""
         self._unrecorded.pop(slot, None)
+        self._former_owners.pop(slot, None)
 
     def suspect(self, owner: str, epoch: int, now: float) -> None:
         """Starts or continues an attempt to end an epoch.
@@ -102,6 +116,9 @@
         any_ended = False
         for (owner, epoch), attempt in list(self._attempts.items()):
             record = self._view.lease(owner)
+            if record is not None and record.is_bare and not attempt.has_ended:
+                # Another successor has recorded its own slots in a new era.
+                record = attempt.record
             if record is None or not record.is_open or record.epoch != epoch:
                 del self._attempts[owner, epoch]
             elif attempt.mode() is takeover.Mode.SUPERSEDED:
@@ -178,6 +195,7 @@
             if assignment.successor == own:
                 fence = assignment.fence + 1
                 self._unrecorded[slot] = effects.OwnedSlot(fence, now)
+                self._former_owners[slot] = record.incarnation
                 new_owner = slotowners.SlotOwner(own, fence)
                 self._slot_owners.update(record.service, slot, new_owner)
         self._outbox.log(
--- a/tamarackgap/placement/records.py
+++ b/tamarackgap/placement/records.py
@@ -70,6 +70,11 @@
         """Whether the epoch may still be in use."""
         return self.state is types.RecordState.OPEN
 
+    @property
+    def is_bare(self) -> bool:
+        """Whether it only shows that a record of an earlier era has ended."""
+        return not self.is_open and not self.runs
+
     @property
     def can_own(self) -> bool:
         """Whether the daemon may be given slots.
@@ -115,11 +120,13 @@
         change: Id of the write that made this row.
         allocated: The slots below this number have been given to owners; None
             for all slots.
+        phase: Which owners of an earlier era may still record their slots.
     """
 
     slots: decoding.Count
     change: str = ""
     allocated: decoding.Count | None = None
+    phase: types.EraPhase = types.EraPhase.SETTLED
 
     @property
     def unallocated(self) -> int:
@@ -158,11 +165,14 @@
         key: Key of the row.
         value: JSON text of the row, or None if it was deleted.
         revision: Revision of the table at the row's last change.
+        era: Era in which the row was written. It rises when the table comes
+            back from an older copy; revisions are then given out again.
     """
 
     key: str
     value: str | None
     revision: decoding.Count
+    era: decoding.Count = 0
 
 
 class Check(msgspec.Struct, frozen=True):
@@ -196,11 +206,13 @@
         change: Fresh id, which is also written into the rows.
         checks: Conditions of the commit.
         writes: Rows to write.
+        era: Era of the rows that it checks and writes.
     """
 
     change: str
     checks: tuple[Check, ...]
     writes: tuple[Write, ...]
+    era: int = 0
 
 
 def lease_key(incarnation: str) -> str:
@@ -233,6 +245,11 @@
     return msgspec.json.encode(row).decode("utf-8")
 
 
+def decode_lease(value: str) -> LeaseRecord:
+    """Returns a lease record from the JSON text that this process wrote."""
+    return msgspec.json.decode(value, type=LeaseRecord)
+
+
 def _decode(key: str, value: str) -> msgspec.Struct | None:
     for prefix, row_type in _ROW_TYPES:
         if key.startswith(prefix):
@@ -258,16 +275,33 @@
 )
 
 
+# Rows that have a meaning in their era only.
+_ERA_PREFIXES = (LEASE_PREFIX, SERVICE_PREFIX, CHALLENGE_PREFIX)
+# The table may have forgotten so many changes of a slot's owner at most each
+# time that it went back. Each takes a transaction of some milliseconds.
+_FORGOTTEN_FENCES = 65_536
+# Era, revision and value of a row that is not known.
+_NO_ROW = (0, 0, None)
+
+
 class TableView:
-    """Keeps the newest revision of each row that is known here.
+    """Keeps the newest state of each row that is known here.
 
     Rows come from reads of the table and from peers, in any order. A row is
-    only ever replaced by one of a higher revision, and a deletion is kept
-    like any other revision.
+    only ever replaced by one of a later era, or of the same era and a higher
+    revision; a deletion is kept like any other state.
+
+    After the era has risen, rows of earlier eras tell who may still own slots
+    and answer messages. No change relies on them: `check` takes them for
+    absent.
     """
 
     def __init__(self) -> None:
-        self._rows: dict[str, tuple[int, msgspec.Struct | None]] = {}
+        # Era, revision and value of each row.
+        self._rows: dict[str, tuple[int, int, msgspec.Struct | None]] = {}
+        self._era = 0
+        # Fences above those in rows of earlier eras that were dropped.
+        self._fence_floors: dict[str, int] = {}
         # All rows up to this revision were read from the table itself.
         self._cursor = types.Revision(0)
         self._leases: dict[str, LeaseRecord] = {}
@@ -282,6 +316,11 @@
         """Number of changes to rows so far."""
         return self._version
 
+    @property
+    def era(self) -> int:
+        """The table's era, as far as it is known here."""
+        return self._era
+
     @property
     def is_read(self) -> bool:
         """Whether the table has been read at least once."""
@@ -289,9 +328,47 @@
 
     @property
     def cursor(self) -> types.Revision:
-        """Revision up to which the table has been read."""
+        """Revision up to which the table has been read in its era."""
         return self._cursor
 
+    @property
+    def has_earlier_rows(self) -> bool:
+        """Whether leases or services of an earlier era are known."""
+        return bool(self._era) and any(
+            era < self._era and key.startswith(_ERA_PREFIXES)
+            for key, (era, _, _) in self._rows.items()
+        )
+
+    def begin_era(self, era: int) -> None:
+        """Records that the table has come back from an older copy."""
+        self._era = era
+        self._cursor = types.Revision(0)
+        self._version += 1
+
+    def forget_earlier_rows(self) -> None:
+        """Drops leases, challenges and services of earlier eras.
+
+        Policies stay in force.
+        """
+        for service in {record.service for record in self._leases.values()}:
+            self._fence_floors[service] = self.first_fence(service)
+        for key, (era, _, _) in list(self._rows.items()):
+            if era < self._era and key.startswith(_ERA_PREFIXES):
+                del self._rows[key]
+                self._index_lease(key, None)
+        self._version += 1
+
+    def first_fence(self, service: str) -> int:
+        """Returns a fence above all that a service's slots have had."""
+        fence = self._fence_floors.get(service, 1)
+        for record in self._leases.values():
+            if record.service != service or not record.runs:
+                continue
+            known = max(slot_range.fence for slot_range in record.runs)
+            eras = self._era - self._rows[record.key][0]
+            fence = max(fence, known + _FORGOTTEN_FENCES * eras)
+        return fence
+
     def merge(self, rows: Iterable[Row]) -> list[str]:
         """Adds or replaces the rows that are newer than those known here.
 
@@ -305,12 +382,13 @@
         """
         changed = []
         for row in rows:
-            if row.revision <= self.revision(row.key):
+            known_era, known_revision, _ = self._rows.get(row.key, _NO_ROW)
+            if (row.era, row.revision) <= (known_era, known_revision):
                 continue
             value = None
             if row.value is not None:
                 value = _decode(row.key, row.value)
-            self._rows[row.key] = (row.revision, value)
+            self._rows[row.key] = (row.era, row.revision, value)
             self._index_lease(row.key, value)
             changed.append(row.key)
         self._version += len(changed)
@@ -323,12 +401,26 @@
 
     def revision(self, key: str) -> int:
         """Returns a row's newest known revision, or 0 if it is not known."""
-        return self._rows.get(key, (0, None))[0]
+        return self._rows.get(key, _NO_ROW)[1]
+
+    def is_current(self, key: str) -> bool:
+        """Returns whether a row, or its deletion, is of the table's era."""
+        return key in self._rows and self._rows[key][0] == self._era
+
+    def has_slot(self, incarnation: str, slot: int) -> bool:
+        """Returns whether a record of the table's era has a slot."""
+        record = self._leases.get(incarnation)
+        return (
+            record is not None
+            and self.is_current(record.key)
+            and any(each.first <= slot <= each.last for each in record.runs)
+        )
 
     def check(self, key: str) -> Check:
         """Returns the condition that a row is still as known here."""
-        revision, value = self._rows.get(key, (0, None))
-        return Check(key, revision if value is not None else 0)
+        era, revision, value = self._rows.get(key, _NO_ROW)
+        is_present = value is not None and era == self._era
+        return Check(key, revision if is_present else 0)
 
     def lease(self, incarnation: str) -> LeaseRecord | None:
         """Returns the lease record of an incarnation, or None."""
@@ -338,17 +430,31 @@
         """Returns an iterator over all lease records, closed ones too."""
         return iter(list(self._leases.values()))
 
+    def current_leases(self) -> Iterator[LeaseRecord]:
+        """Returns an iterator over the lease records of the table's era."""
+        return (
+            record for record in self.leases() if self.is_current(record.key)
+        )
+
     def service_record(self, service: str) -> ServiceRecord | None:
-        """Returns the record of a service, or None."""
-        return self._rows.get(service_key(service), (0, None))[1]
+        """Returns the record of a service, of whatever era, or None."""
+        return self._rows.get(service_key(service), _NO_ROW)[2]
+
+    def current_service_record(self, service: str) -> ServiceRecord | None:
+        """Returns the record of a service in the table's era, or None."""
+        if not self.is_current(service_key(service)):
+            return None
+        return self.service_record(service)
 
     def challenges(self) -> dict[str, Challenge]:
-        """Returns all challenges, by challenged incarnation."""
+        """Returns the challenges of the table's era, by incarnation."""
         prefix_length = len(CHALLENGE_PREFIX)
         return {
             key[prefix_length:]: value
-            for key, (_, value) in self._rows.items()
-            if key.startswith(CHALLENGE_PREFIX) and value is not None
+            for key, (era, _, value) in self._rows.items()
+            if key.startswith(CHALLENGE_PREFIX)
+            and value is not None
+            and era == self._era
         }
 
     def services(self) -> set[str]:
@@ -356,7 +462,7 @@
         prefix_length = len(SERVICE_PREFIX)
         return {
             key[prefix_length:]
-            for key, (_, value) in self._rows.items()
+            for key, (_, _, value) in self._rows.items()
             if key.startswith(SERVICE_PREFIX) and value is not None
         }
 
@@ -367,7 +473,7 @@
         `*`, and without that the default one.
         """
         for name in (data_centre, "*"):
-            row = self._rows.get(policy_key(service, name), (0, None))[1]
+            row = self._rows.get(policy_key(service, name), _NO_ROW)[2]
             if row is not None:
                 return row
         return Policy()
@@ -390,6 +496,14 @@
             )
         return list(open_records)
 
+    def current_members(self, service: str) -> list[LeaseRecord]:
+        """Returns a service's open records of the table's era, sorted."""
+        return [
+            record
+            for record in self.open_records(service)
+            if self.is_current(record.key)
+        ]
+
     def _index_lease(self, key: str, value: msgspec.Struct | None) -> None:
         if not key.startswith(LEASE_PREFIX):
             return
--- a/tamarackgap/placement/rowmerge.py
+++ b/tamarackgap/placement/rowmerge.py
@@ -40,6 +40,6 @@
                 error=str(error),
             )
             if has_conflict and row.key.startswith(records.LEASE_PREFIX):
-                deleted = records.Row(row.key, None, row.revision)
+                deleted = msgspec.structs.replace(row, value=None)
                 changed += view.merge((deleted,))
     return changed
--- a/tamarackgap/platform/rowcodec.py
+++ b/tamarackgap/platform/rowcodec.py
@@ -1,6 +1,7 @@
 """Encodes and decodes rows of the platform's store."""
 
 import base64
+import re
 
 import msgspec
 
@@ -9,6 +10,8 @@
 from tamarackgap.placement import records
 
 _STATUS_OK = 200
+# Of a row that belongs to an era, the store's key begins with the era.
+_ERA_KEY = re.compile(r"@([1-9][0-9]{0,14})/(.*)", re.DOTALL)
 
 
 class _Row(msgspec.Struct):
@@ -45,8 +48,8 @@
     Attributes:
         readable: The rows whose key and revision can be decoded. A value that
             can't be is empty.
-        keys: Keys of all rows whose key can be decoded, in the page's order,
-            except those of removed rows.
+        keys: The store's keys of all rows whose key can be decoded, in the
+            page's order, except those of removed rows.
     """
 
     readable: list[records.Row]
@@ -83,7 +86,7 @@
             )
         else:
             value = None if row.removed else _decode_value(row)
-            rows.readable.append(records.Row(key, value, row.ver))
+            rows.readable.append(decode_row(key, value, row.ver))
             if row.removed:
                 continue
         if key is not None:
@@ -91,6 +94,27 @@
     return rows
 
 
+def encode_key(key: str, era: int) -> str:
+    """Returns the store's key of a row.
+
+    An earlier era's transaction that is carried out late then changes no row of
+    a later one.
+
+    Args:
+        key: The row's key.
+        era: The store's era; 0 if the store names none.
+    """
+    return f"@{era}/{key}" if era else key
+
+
+def decode_row(key: str, value: str | None, revision: int) -> records.Row:
+    """Returns a row from the store's key, its value and its revision."""
+    match = _ERA_KEY.fullmatch(key)
+    if match is None:
+        return records.Row(key, value, revision)
+    return records.Row(match[2], value, revision, int(match[1]))
+
+
 def encode_value(value: str) -> str:
     """Returns a row's value as the store takes it."""
     return base64.b64encode(value.encode("utf-8")).decode("ascii")
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -1,12 +1,11 @@
 """Client of the platform's store: reads, long polls and transactions."""
 
-import functools
 import random
 from collections.abc import Callable
 
 from returns import result
 
-from tamarackgap import types
+from tamarackgap import logs, types
 from tamarackgap.network import (
     bytebudget,
     exchanges,
@@ -146,6 +145,7 @@
             lambda *times: self._handle_regained(self._own_watch, *times),
             self._rng,
             self._breaker,
+            follows_era=True,
         )
         self._own_watch.read()
 
@@ -236,9 +236,10 @@
         is_decoded = False
 
         def handle_rows(
-            rows: list[records.Row], revision: int, as_of: float
+            rows: list[records.Row], revision: int, as_of: float, era: int
         ) -> None:
             nonlocal is_decoded
+            del era
             self._handle_evacuations(rows, revision)
             for row in rows:
                 if row.key != names.OPERATOR_KEY or row.value is None:
@@ -291,7 +292,8 @@
         """Commits a transaction; its outcome may stay unknown.
 
         While this daemon's reads fail, it waits, and is sent when they have an
-        answer.
+        answer. An answer of another era than the transaction's tells nothing:
+        what was committed before may be forgotten.
 
         Args:
             transaction: The checks and writes.
@@ -299,15 +301,24 @@
                 after a conflict the checked rows as they are now.
         """
 
+        def handle_outcome(
+            outcome: result.Result[httppool.Answer, exchanges.Failure],
+        ) -> None:
+            if isinstance(outcome, result.Success) and (
+                transaction.era != self._era.era
+            ):
+                logs.event("commit_unknown", era=self._era.era)
+                done(effects.CommitState.UNKNOWN, [])
+                return
+            transactions.handle_answer(transaction, done, outcome)
+
         def send() -> None:
             self.call(
                 "POST",
                 names.ROWS_TX,
                 transactions.encode(transaction),
                 _CALL_TIMEOUT_S,
-                functools.partial(
-                    transactions.handle_answer, transaction, done
-                ),
+                handle_outcome,
             )
 
         self._breaker.wait_to_commit(send)
@@ -346,24 +357,36 @@
                 case _:
                     raise AssertionError(outcome)
             self._call_counts[name] = self._call_counts.get(name, 0) + 1
-            done(outcome)
             if isinstance(outcome, result.Success):
                 self._follow_era(outcome.unwrap())
+            done(outcome)
 
         return self._pool.send(lambda: data, timeout, handle_outcome)
 
     def _follow_era(self, answer: httppool.Answer) -> None:
-        """Reads the configuration anew if the store is back from a copy.
+        """Reads both tables anew if the store is back from a copy.
 
         Changes may come under versions that this daemon has read already.
         """
-        if self._era.record(answer) and self._operator_watch is not None:
-            self._operator_watch.read_again()
+        if not self._era.record(answer):
+            return
+        for watch in (self._own_watch, self._operator_watch):
+            if watch is not None:
+                watch.read_again()
 
     def cancel(self, exchange: httppool.Exchange) -> None:
         """Ends a call without an answer."""
         self._pool.cancel(exchange)
 
+    @property
+    def era(self) -> int:
+        """The store's era; 0 if it has named none."""
+        return self._era.era
+
+    def is_late(self, answer: httppool.Answer) -> bool:
+        """Returns whether an answer is of an era that has ended."""
+        return self._era.is_late(answer)
+
     @property
     def timers(self) -> scheduler.Scheduler:
         """The loop's scheduler."""
--- a/tamarackgap/platform/storeera.py
+++ b/tamarackgap/platform/storeera.py
@@ -26,6 +26,11 @@
         """The highest era of an answer; 0 if no answer has named one."""
         return self._era or 0
 
+    def is_late(self, answer: httppool.Answer) -> bool:
+        """Returns whether an answer names an era that has ended."""
+        era = _decode(answer)
+        return era is not None and era < self.era
+
     def record(self, answer: httppool.Answer) -> bool:
         """Records an answer's era.
 
--- a/tamarackgap/platform/tablewatch.py
+++ b/tamarackgap/platform/tablewatch.py
@@ -22,9 +22,10 @@
 _MIN_CHECK_INTERVAL_S = 0.5
 _STATUS_HISTORY_LOST = 410
 
-# Called with rows, the revision up to which they are complete, and the time on
-# this process's clock at which the table had that state, seconds.
-OnRows = Callable[[list[records.Row], int, float], None]
+# Called with rows, the revision up to which they are complete, the time on this
+# process's clock at which the table had that state, seconds, and the store's
+# era.
+OnRows = Callable[[list[records.Row], int, float, int], None]
 # Called with the time of the last answer before a failure, and with the time at
 # which a poll should have ended that got no answer, None if none was lost so.
 # Both are in seconds on this process's clock.
@@ -38,6 +39,13 @@
     def timers(self) -> scheduler.Scheduler:
         """The loop's scheduler."""
 
+    @property
+    def era(self) -> int:
+        """The store's era, 0 if it has named none."""
+
+    def is_late(self, answer: httppool.Answer) -> bool:
+        """Returns whether an answer is of an era that has ended."""
+
     def call(
         self,
         method: str,
@@ -78,6 +86,7 @@
         on_regained: OnRegained = lambda since, lost_at: None,
         rng: random.Random | None = None,
         breaker: circuitbreaker.CircuitBreaker | None = None,
+        follows_era: bool = False,
     ) -> None:
         """Creates a watch that has read nothing.
 
@@ -91,6 +100,8 @@
             rng: Spreads the calls of daemons that fail together.
             breaker: Holds calls back while reads fail; shared by all watches
                 of the store. None if this is the only one.
+            follows_era: Whether answers of eras that have ended count as
+                failures.
         """
         self._store = store
         self._table = table
@@ -98,6 +109,7 @@
         # Length of the pause before the next poll, seconds.
         self._next_pause_s = 0.0
         self._on_rows = on_rows
+        self._follows_era = follows_era
         self._on_failure = on_failure
         self._on_regained = on_regained
         self._rng = rng or random.Random()
@@ -113,6 +125,8 @@
         # The first page's answer: rows of it may have changed when the last
         # page is read, so only changes up to then are known to be complete.
         self._first_page: rowcodec.RowsAnswer | None = None
+        # The store's era when the first page was answered.
+        self._pages_era = 0
         self._is_failing = False
         # Whether the next call waits until the breaker lets it go.
         self._is_held = False
@@ -331,10 +345,20 @@
             self._on_regained(since, self._lost_at)
         self._breaker.record_answer()
 
+    def _is_late(self, answer: httppool.Answer) -> bool:
+        """Returns whether an answer is of an era that has ended."""
+        return self._follows_era and self._store.is_late(answer)
+
     def _handle_page(self, answer: httppool.Answer) -> bool:
         page = rowcodec.decode_answer(answer)
-        if page is None:
+        if page is None or self._is_late(answer):
             return False
+        if self._first_page is None:
+            self._pages_era = self._store.era
+        elif self._pages_era != self._store.era:
+            # The pages before are of a state that the store has forgotten.
+            self._schedule(0.0)
+            return True
         first_page = self._first_page or page
         self._first_page = first_page
         decoded = rowcodec.decode_rows(page)
@@ -353,7 +377,7 @@
         self._rows_so_far = []
         self._keys_so_far = []
         removed = [
-            records.Row(key, None, first_page.ver)
+            rowcodec.decode_row(key, None, first_page.ver)
             for key in self._known_keys - present_keys
         ]
         self._known_keys = present_keys
@@ -362,6 +386,7 @@
             rows + removed,
             first_page.ver,
             self._store.to_local_clock(first_page.now_ms),
+            self._store.era,
         )
         self._schedule(0.0)
         return True
@@ -378,14 +403,19 @@
             return True
         page = rowcodec.decode_answer(answer)
         # An answer by a state from before the last read proves nothing.
-        if page is None or page.ver < self._revision:
+        if page is None or page.ver < self._revision or self._is_late(answer):
             return False
         self._handle_success()
         decoded = rowcodec.decode_rows(page)
         rows = decoded.readable
         self._known_keys |= set(decoded.keys)
         self._revision = page.ver
-        self._on_rows(rows, page.ver, self._store.to_local_clock(page.now_ms))
+        self._on_rows(
+            rows,
+            page.ver,
+            self._store.to_local_clock(page.now_ms),
+            self._store.era,
+        )
         if not self._skip_next_pause and (rows or not self._plan.waits):
             self._next_pause_s = min(self._plan.pause, self._plan.period)
         self._schedule(self._next_pause_s)
--- a/tamarackgap/platform/transactions.py
+++ b/tamarackgap/platform/transactions.py
@@ -46,23 +46,29 @@
 
 def encode(transaction: records.Transaction) -> bytes:
     """Returns the body of the call that commits a transaction."""
+
+    def encode_key(key: str) -> str:
+        return rowcodec.encode_key(key, transaction.era)
+
     body = _Transaction(
         [
-            _Condition(names.OWN_TABLE, "", check.key, check.revision)
+            _Condition(
+                names.OWN_TABLE, "", encode_key(check.key), check.revision
+            )
             for check in transaction.checks
         ],
         [
             _RowWrite(
                 names.OWN_TABLE,
                 "",
-                write.key,
+                encode_key(write.key),
                 rowcodec.encode_value(write.value),
             )
             for write in transaction.writes
             if write.value is not None
         ],
         [
-            _RowKey(names.OWN_TABLE, "", write.key)
+            _RowKey(names.OWN_TABLE, "", encode_key(write.key))
             for write in transaction.writes
             if write.value is None
         ],
@@ -90,7 +96,9 @@
             )
             if page is not None and status == _STATUS_OK:
                 rows = [
-                    records.Row(write.key, write.value, page.ver)
+                    records.Row(
+                        write.key, write.value, page.ver, transaction.era
+                    )
                     for write in transaction.writes
                 ]
                 done(effects.CommitState.COMMITTED, rows)
@@ -112,9 +120,10 @@
 ) -> list[records.Row]:
     """Returns the checked rows as they are now; absent ones have no value."""
     rows = rowcodec.decode_rows(page)
+    era = transaction.era
     present_keys = set(rows.keys)
     return rows.readable + [
-        records.Row(check.key, None, page.ver)
+        records.Row(check.key, None, page.ver, era)
         for check in transaction.checks
-        if check.key not in present_keys and page.ver
+        if rowcodec.encode_key(check.key, era) not in present_keys and page.ver
     ]
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -336,9 +336,13 @@
     # The store.
 
     def _apply_rows(
-        self, rows: list[records.Row], revision: int, as_of: float
+        self,
+        rows: list[records.Row],
+        revision: int,
+        as_of: float,
+        era: int,
     ) -> None:
-        self._core.apply_table_read(rows, revision, now(), as_of)
+        self._core.apply_table_read(rows, revision, now(), as_of, era)
         members = self._core.view.open_records()
         member_addresses = {record.peer_address for record in members}
         self._data_centres |= {record.data_centre for record in members}
--- a/tamarackgap/processes/rowsharing.py
+++ b/tamarackgap/processes/rowsharing.py
@@ -33,10 +33,10 @@
         self._transport = peer_transport
         self._dispatcher = request_dispatcher
         self._timers = timers
-        # Key and revision of the first row of each update that has reached this
-        # data centre.
-        self._heard: collections.deque[tuple[str, int]] = collections.deque(
-            maxlen=_UPDATES_KEPT
+        # Key, era and revision of the first row of each update that has reached
+        # this data centre.
+        self._heard: collections.deque[tuple[str, int, int]] = (
+            collections.deque(maxlen=_UPDATES_KEPT)
         )
 
     def share(self, effect: effects.ShareRows) -> None:
@@ -79,7 +79,8 @@
         """
         if not update.rows:
             return
-        first = (update.rows[0].key, update.rows[0].revision)
+        row = update.rows[0]
+        first = (row.key, row.era, row.revision)
         if update.pass_on_after is None:
             self._heard.append(first)
             return
--- a/tamarackgap/traffic/adapter.py
+++ b/tamarackgap/traffic/adapter.py
@@ -58,15 +58,15 @@
 
     def watch(
         self,
-        rows: Callable[[list[records.Row], int, float], None],
+        rows: Callable[[list[records.Row], int, float, int], None],
         failed: Callable[[str], None],
     ) -> None:
         """Starts to read all rows and then each change, without end.
 
         Args:
             rows: Called after each read with the rows read, the revision up to
-                which all changes are known, and the monotonic time in seconds
-                at which that was so.
+                which all changes are known, the monotonic time in seconds at
+                which that was so, and the store's era.
             failed: Called with the cause when a read has failed.
         """
 
--- a/tamarackgap/types.py
+++ b/tamarackgap/types.py
@@ -70,6 +70,17 @@
     CLOSED = "closed"
 
 
+class EraPhase(enum.Enum):
+    """States how far a service's slots are recorded in the table's era."""
+
+    # Owners of the era before record the slots that they still serve.
+    CARRYING = "carrying"
+    # No owner may record any more: what is not recorded belongs to nobody.
+    CLOSED = "closed"
+    # All slots are recorded.
+    SETTLED = "settled"
+
+
 class WitnessState(enum.Enum):
     """State of an owner's epoch at one of its witnesses."""
 
--- a/tests/placement/test_records.py
+++ b/tests/placement/test_records.py
@@ -4,7 +4,7 @@
 import pytest
 
 from tamarackgap import types
-from tamarackgap.placement import records
+from tamarackgap.placement import records, slots
 
 
 def lease_row(incarnation, revision, **values):
@@ -155,3 +155,28 @@
 def test_a_policy_with_a_value_out_of_range_is_rejected(name, value):
     with pytest.raises(msgspec.MsgspecError):
         merge("policy/s/*", json.dumps({name: value}))
+
+
+def test_a_row_of_a_later_era_replaces_one_of_a_higher_revision():
+    view = records.TableView()
+    policy = '{"weight": %d}'
+    view.merge([records.Row("policy/s/*", policy % 1, 90, 1)])
+    view.begin_era(2)
+    assert view.policy("s", "a").weight == 1
+    assert view.check("policy/s/*") == records.Check("policy/s/*", 0)
+    view.merge([records.Row("policy/s/*", policy % 2, 4, 2)])
+    view.merge([records.Row("policy/s/*", policy % 3, 95, 1)])
+    assert view.policy("s", "a").weight == 2
+    assert view.check("policy/s/*") == records.Check("policy/s/*", 4)
+
+
+def test_fences_stay_above_those_of_rows_that_were_dropped():
+    view = records.TableView()
+    row = lease_row("i", 5, runs=(slots.SlotRange(0, 3, 9),))
+    view.merge([msgspec.structs.replace(row, era=1)])
+    view.begin_era(2)
+    fence = view.first_fence("s")
+    assert fence > 9
+    view.forget_earlier_rows()
+    assert not view.has_earlier_rows
+    assert view.first_fence("s") == fence
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -48,7 +48,7 @@
         )
         self.store.call = self._call
         self.store.watch(
-            lambda rows, revision, as_of: self.read_times.append(as_of),
+            lambda rows, revision, as_of, era: self.read_times.append(as_of),
             lambda problem: None,
         )
         self.answer()
--- a/tests/platform/test_storeera.py
+++ b/tests/platform/test_storeera.py
@@ -1,4 +1,4 @@
-"""The configuration is followed when the store comes back from a copy."""
+"""Tables are followed when the store comes back from a copy."""
 
 import base64
 import json
@@ -9,6 +9,8 @@
 
 from standins import platformcluster
 from tamarackgap.network import bytebudget, exchanges, httppool
+from tamarackgap.ownership import effects
+from tamarackgap.placement import records
 from tamarackgap.platform import store, storeera
 
 
@@ -66,7 +68,7 @@
 
 
 class Client:
-    """A client that follows the configuration; its rows are never answered."""
+    """A client that follows both tables."""
 
     def __init__(self):
         self.now = 100.0
@@ -77,7 +79,11 @@
             None, self, "127.0.0.1:1", bytebudget.ByteBudget()
         )
         self.pool = self.store._pool = Pool()
-        self.store.watch(lambda *rows: None, lambda problem: None)
+        self.reads = []
+        self.store.watch(
+            lambda rows, ver, as_of, era: self.reads.append((rows, ver, era)),
+            lambda problem: None,
+        )
         self.store.watch_route_table(
             lambda table: self.versions.append(table.version), self._check
         )
@@ -100,6 +106,11 @@
         """The last call for the configuration."""
         return [c for c in self.pool.calls if "table=op" in c.path][-1]
 
+    @property
+    def own_call(self):
+        """The last call for the system's own rows."""
+        return [c for c in self.pool.calls if "table=tam" in c.path][-1]
+
     def respond(self, given, call=None):
         (call or self.call).done(result.Success(given))
         self.fire()
@@ -166,3 +177,71 @@
     client.respond(answer(b"2", 410))
     client.respond(answer(b"2", **config(4, 12)))
     assert client.checks == checks + 1
+
+
+def own_rows(ver, *keys):
+    value = base64.b64encode(b"{}").decode()
+    return {
+        "ver": ver,
+        "rows": [{"key": key, "ver": ver, "value": value} for key in keys],
+    }
+
+
+def test_the_systems_rows_are_read_whole_after_the_era_has_risen(client):
+    client.respond(answer(b"1", **own_rows(20, "@1/lease/a")), client.own_call)
+    assert "after=20" in client.own_call.path
+    client.respond(answer(b"2", ver=25), client.own_call)
+    assert "rows-get" in client.own_call.path
+    rows = own_rows(25, "@1/lease/a", "@2/lease/a", "lease/b")
+    client.respond(answer(b"2", **rows), client.own_call)
+    read, ver, era = client.reads[-1]
+    assert (ver, era) == (25, 2)
+    assert [(row.key, row.era) for row in read] == [
+        ("lease/a", 1),
+        ("lease/a", 2),
+        ("lease/b", 0),
+    ]
+
+
+def test_rows_of_an_ended_era_are_no_answer(client):
+    client.respond(answer(b"2", ver=30), client.own_call)
+    client.respond(answer(b"2", ver=30), client.own_call)
+    count = len(client.reads)
+    client.respond(answer(b"1", ver=40), client.own_call)
+    assert len(client.reads) == count
+
+
+def test_pages_of_two_eras_are_not_put_together(client):
+    page = {**own_rows(20, "@1/lease/a"), "has_more": True}
+    client.respond(answer(b"1", **page), client.own_call)
+    client.respond(answer(b"2", **own_rows(12, "@1/z")), client.own_call)
+    assert client.reads == []
+    client.respond(answer(b"2", **own_rows(12, "@1/z")), client.own_call)
+    assert [row.key for row in client.reads[-1][0]] == ["z"]
+
+
+@pytest.mark.parametrize("status", [200, 412])
+def test_the_outcome_of_an_earlier_eras_transaction_is_unknown(client, status):
+    outcomes = []
+    transaction = records.Transaction(
+        "c", (records.Check("a", 3),), (records.Write("a", "{}"),), 1
+    )
+    client.store.commit(transaction, lambda *each: outcomes.append(each))
+    client.respond(answer(b"2", status), client.pool.calls[-1])
+    assert outcomes == [(effects.CommitState.UNKNOWN, [])]
+
+
+def test_rows_are_written_under_the_transactions_era(client):
+    bodies = []
+    client.store.call = lambda *call: bodies.append(json.loads(call[2]))
+    transaction = records.Transaction(
+        "c",
+        (records.Check("a", 3),),
+        (records.Write("a", "{}"), records.Write("b", None)),
+        7,
+    )
+    client.store.commit(transaction, lambda *each: None)
+    (body,) = bodies
+    assert [row["key"] for row in body["expected_revision"]] == ["@7/a"]
+    assert [row["key"] for row in body["put"]] == ["@7/a"]
+    assert [row["key"] for row in body["remove"]] == ["@7/b"]
--- a/tests/platform/test_tablewatch.py
+++ b/tests/platform/test_tablewatch.py
@@ -61,6 +61,11 @@
         self.due.append((seconds, call))
         return module_types.SimpleNamespace(cancel=lambda: None)
 
+    era = 0
+
+    def is_late(self, answer):
+        return False
+
     def to_local_clock(self, store_ms):
         return store_ms / 1000
 
@@ -75,7 +80,7 @@
         self.calls.append((path, query, done))
         return len(self.calls)
 
-    def _apply(self, rows, revision, as_of):
+    def _apply(self, rows, revision, as_of, era):
         for each in rows:
             self.rows[each.key] = each.value
 
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -82,6 +82,8 @@
         table_up: Whether the table answers.
         answer_loss_rate: Share of writes whose answer is lost.
         table_delay: Time from a daemon to the table or back, seconds.
+        late_writes: Share of writes that the table carries out late, and the
+            longest delay, seconds. Their outcome is not told.
         message_loss_rate: Share of messages between daemons that are lost.
         targets_release: Whether targets release slots that are to be moved.
         max_message_delay: Longest delay of a message, seconds.
@@ -104,6 +106,7 @@
         self.largest_transaction = 0
         self.answer_loss_rate = 0.0
         self.table_delay = 0.002
+        self.late_writes = (0.0, 0.0)
         self.message_loss_rate = 0.0
         self.targets_release = True
         self.max_message_delay = 0.004
@@ -331,6 +334,11 @@
                 self.schedule(0.05, lambda: deliver_answer(unknown, []))
                 return
             committed, rows = self.table.commit(transaction)
+            if transaction.era != self.table.era:
+                # What an earlier era's write did is not told.
+                unknown = effects.CommitState.UNKNOWN
+                self.schedule(0.05, lambda: deliver_answer(unknown, []))
+                return
             state = (
                 effects.CommitState.COMMITTED
                 if committed
@@ -340,6 +348,15 @@
                 state, rows = effects.CommitState.UNKNOWN, []
             self.schedule(self.table_delay, lambda: deliver_answer(state, rows))
 
+        share, longest = self.late_writes
+        if share and self.rng.random() < share:
+            unknown = effects.CommitState.UNKNOWN
+            self.schedule(0.05, lambda: deliver_answer(unknown, []))
+            self.schedule(
+                self.rng.uniform(0.0, longest),
+                lambda: self.table.commit(transaction),
+            )
+            return
         self.schedule(self.table_delay, apply)
 
     def _read(self, daemon):
@@ -357,11 +374,15 @@
             ):
                 core.record_table_failure()
                 return
-            cursor = core.view.cursor
-            # A table that went back does not have that revision.
-            known = cursor if cursor <= self.table.revision else 0
+            is_known = core.view.era == self.table.era
+            known = core.view.cursor if is_known else 0
             revision, rows = self.table.rows_since(known)
-            core.apply_table_read(rows, revision, daemon.clock(self.now))
+            core.apply_table_read(
+                rows,
+                revision,
+                daemon.clock(self.now),
+                era=self.table.era,
+            )
 
         self.schedule(2 * self.table_delay, finish)
 
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -285,7 +285,7 @@
         self.sync.update_new_daemons()
         self.timers.after(READ_PLAN_INTERVAL_S, self._set_read_plans)
 
-    def _apply_rows(self, rows, revision, as_of):
+    def _apply_rows(self, rows, revision, as_of, era):
         self.rows_as_of = as_of - self.clock_offset
 
     def _set_read_plans(self):
