The last response of a connection is delivered before it is closed

Cause: the connection was closed once the kernel had taken the last response. The next request then reached a closed socket; the kernel answers that with a reset and drops what it had not delivered.

Change: an ended connection has its sending side shut down, and what comes is read and dropped until the caller closes, or acknowledges nothing for the idle time-out. The same holds for connections that are ended when the server stops listening, and by the idle time-out. A process waits for responses that are not delivered yet (SIOCOUTQ), up to its exit deadline as before. An ended connection holds no memory for messages.

test_a_server_is_busy_until_its_response_is_sent asked for an idle server right after the caller had read all. The caller's system may acknowledge that up to 0.2 s later, so the test now waits so long for it; that the process is busy until then is what the new tests ask for.

--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -20,8 +20,9 @@
 # A connection is not read while pipelined requests that take more memory than
 # this wait on it.
 _MAX_PIPELINED_BYTES = 1_048_576
-# A caller that is sent an error while it still sends a request is read for this
-# long, since closing at once could take the response from it.
+# A caller that was sent an error while it still sent a request is read for this
+# long after it has the response, since it may send without an end. Closing at
+# once could take the response from it.
 _LINGER_S = 1.0
 _STATUS_TIMED_OUT = 408
 _STATUS_NO_ROOM = 503
@@ -96,7 +97,7 @@
 
     @property
     def busy_connections(self) -> int:
-        """Number of connections with an unanswered or incomplete request."""
+        """Number of connections whose callers still await something."""
         return sum(connection.is_busy for connection in self._connections)
 
     @property
@@ -105,12 +106,12 @@
         return self._socket.fileno() >= 0
 
     def close(self) -> None:
-        """Stops listening, and closes the connections that have no request."""
+        """Stops listening, and ends the connections that have no request."""
         self.poller.unwatch(self._socket.fileno())
         self._socket.close()
         for connection in list(self._connections):
             if not connection.is_busy:
-                connection.close()
+                connection.end()
 
     def discard(self, connection: "_Connection") -> None:
         """Removes a closed connection."""
@@ -155,7 +156,12 @@
         self._charge = bytebudget.Charge(server.budget)
         self._is_paused = False
         self._is_serving = False
+        # Whether the last response has been given: what comes is not read.
         self._closing = False
+        # Whether the sending side has been shut down.
+        self._ended = False
+        # Bytes not yet delivered when that was last checked.
+        self._undelivered = 0
         self._closed = False
         # Whether the request received last leaves the connection open.
         self._keep_alive = True
@@ -166,7 +172,13 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is partly received, or a response not yet sent."""
+        """Whether the caller still awaits a response, or a part of one.
+
+        After the end of the connection it does so until the caller's system has
+        the whole response.
+        """
+        if self._ended:
+            return not self._is_delivered()
         return (
             bool(self._pipeline)
             or self._parser.is_receiving
@@ -196,7 +208,7 @@
                 return
             self._update_charge()
             if self._closing and not self._writer.unsent:
-                self._end()
+                self.end()
                 return
         if flags & sockets.PEER_CLOSED:
             self._handle_disconnect()
@@ -308,15 +320,38 @@
         """Closes the connection after all bytes have been sent."""
         self._closing = True
         if not self._writer.unsent:
-            self._end()
+            self.end()
 
-    def _end(self) -> None:
-        """Closes the connection, or only its sending side after an error."""
-        if not self._parser.error_status:
-            self.close()
+    def end(self) -> None:
+        """Closes the sending side; the caller closes the connection.
+
+        What the caller sends meanwhile is dropped, and counts as not read.
+        """
+        if self._ended or self._closed:
             return
+        self._closing = True
+        self._ended = True
+        self._active_at = self._server.timers.now
+        self._charge.release()
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
+        if self._is_paused:
+            # Bytes left unread would bring the reset at the close.
+            self._is_paused = False
+            self._writer.set_reading(True)
+
+    def _is_delivered(self) -> bool:
+        """Returns whether the caller's system has all that was sent to it.
+
+        Where that can't be told, it is taken to have it after some time.
+        """
+        left = sockets.undelivered(self._sock)
+        if left is None:
+            return self._server.timers.now - self._active_at > _LINGER_S
+        if left != self._undelivered:
+            self._undelivered = left
+            self._active_at = self._server.timers.now
+        return not left
 
     def check_timeout(self, now: float) -> None:
         """Closes the connection if its caller is idle or too slow."""
@@ -324,14 +359,28 @@
             return
         limits = self._server.limits
         quiet_s = now - self._active_at
-        if self._closing and not self._writer.unsent:
-            if quiet_s > _LINGER_S:
-                self.close()
+        if self._ended:
+            self._close_after_linger(limits)
         elif self._parser.is_receiving and not self._closing:
             if quiet_s > limits.request_timeout_s:
                 self._parser.refuse(_STATUS_TIMED_OUT)
                 self._respond_error(_STATUS_TIMED_OUT)
         elif quiet_s > limits.idle_timeout_s:
+            if self._writer.unsent:
+                self.close()
+            else:
+                self.end()
+
+    def _close_after_linger(self, limits: Limits) -> None:
+        """Closes an ended connection that its caller has left open.
+
+        A caller that was sent an error may go on sending without an end.
+        """
+        is_delivered = self._is_delivered()
+        quiet_s = self._server.timers.now - self._active_at
+        is_error = bool(self._parser.error_status)
+        is_short = is_error and is_delivered
+        if quiet_s > (_LINGER_S if is_short else limits.idle_timeout_s):
             self.close()
 
     def _handle_disconnect(self) -> None:
--- a/tamarackgap/network/sockets.py
+++ b/tamarackgap/network/sockets.py
@@ -2,8 +2,11 @@
 
 import collections
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 import circuits
@@ -121,6 +124,19 @@
     return sock
 
 
+def undelivered(sock: socket.socket) -> int | None:
+    """Returns how much the other side has not acknowledged yet, bytes.
+
+    It includes the end of the stream, once that has been sent. None if the
+    system does not tell.
+    """
+    try:
+        answer = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return None
+    return struct.unpack("i", answer)[0]
+
+
 class Writer:
     """Sends bytes on a non-blocking socket, and buffers what can't be sent yet.
 
--- a/tests/network/test_httpserver.py
+++ b/tests/network/test_httpserver.py
@@ -289,6 +289,19 @@
     assert data.endswith(body)
 
 
+# The caller's system may acknowledge so late what it has received.
+DELAYED_ACK_S = 0.2
+
+
+def is_idle_soon(server):
+    give_up_at = time.monotonic() + DELAYED_ACK_S
+    while server.server.busy_connections:
+        if time.monotonic() > give_up_at:
+            return False
+        time.sleep(0.005)
+    return True
+
+
 def test_a_server_is_busy_until_its_response_is_sent(server):
     # A process that was told to stop ended before slow callers had read theirs.
     caller = server.connect(receive_buffer=4096)
@@ -302,7 +315,7 @@
         size += len(part)
         server.poller.run()
     assert size > 8_000_000
-    assert server.server.busy_connections == 0
+    assert is_idle_soon(server)
 
 
 def test_a_caller_on_this_vm_is_told_from_others(server):
@@ -316,3 +329,93 @@
         server.send(caller, b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
         server.poller.run()
     assert [request.is_local for request in server.requests] == [True, False]
+
+
+RESPONSE = b"a" * 60_000
+
+
+def _give_last_response(server, caller):
+    server.send(caller, GET)
+    server.server.draining = True
+    server.requests.pop(0).respond(200, [], RESPONSE)
+
+
+def _respond_before_close(server, caller):
+    server.send(caller, GET)
+    server.requests.pop(0).respond(200, [], RESPONSE)
+    server.server.close()
+
+
+def _respond_before_idle_timeout(server, caller):
+    server.send(caller, GET)
+    server.requests.pop(0).respond(200, [], RESPONSE)
+    server.pass_time(server.server.limits.idle_timeout_s + 0.1)
+
+
+def _respond_before_asked_close(server, caller):
+    server.send(caller, GET.replace(b"host", b"connection: close\r\nhost"))
+    server.requests.pop(0).respond(200, [], RESPONSE)
+
+
+ENDS = [
+    _give_last_response,
+    _respond_before_close,
+    _respond_before_idle_timeout,
+    _respond_before_asked_close,
+]
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_caller_that_sends_on_loses_nothing_of_the_last_response(server, end):
+    # The next request reached a closed socket: the reset that answered it
+    # dropped what the system had not delivered yet.
+    caller = server.connect(receive_buffer=4096)
+    end(server, caller)
+    data = caller.recv(100)
+    for _ in range(3):
+        server.send(caller, GET)
+        server.poller.run()
+    while part := received(caller):
+        data += part
+    assert data.endswith(RESPONSE)
+    assert server.requests == []
+    caller.close()
+    server.poller.run()
+    assert server.server.connection_count == 0
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_server_is_busy_until_the_last_response_is_delivered(server, end):
+    caller = server.connect(receive_buffer=4096)
+    end(server, caller)
+    if end is not _respond_before_close:
+        server.server.close()
+    assert server.server.busy_connections == 1
+    while received(caller):
+        server.poller.run()
+    assert is_idle_soon(server)
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_an_ended_connection_takes_no_memory_and_is_closed(server, end):
+    caller = server.connect(receive_buffer=4096)
+    end(server, caller)
+    assert server.budget.used == 0
+    server.send(caller, b"a" * 100_000)
+    assert server.budget.used == 0
+    server.pass_time(server.server.limits.idle_timeout_s + 0.1)
+    server.pass_time(server.server.limits.idle_timeout_s + 0.1)
+    assert server.server.connection_count == 0
+
+
+def test_a_response_is_delivered_to_a_caller_that_reads_it_very_slowly(server):
+    caller = server.connect(receive_buffer=4096)
+    _give_last_response(server, caller)
+    data = b""
+    while not data.endswith(RESPONSE):
+        server.pass_time(server.server.limits.idle_timeout_s * 0.2)
+        server.send(caller, b"x")
+        try:
+            data += caller.recv(3000)
+        except BlockingIOError:
+            time.sleep(0.01)
