A target that has left stays so when its daemon starts anew

A server deregistered and was acknowledged; its daemon was killed and started anew, and a late heartbeat of before put the server into use again.

Cause: that a process has left was known to its daemon's process alone, as a phase that silence, a refused connection or a new start of the daemon ended.

Change: a leaving is final for one process (id and birth). It is acknowledged once three of four other daemons have confirmed that they know of it; a daemon that starts asks them, and holds back announcements of its target until three have answered. No store and no disk is needed for it.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -163,6 +163,48 @@
     addresses: tuple[str, ...]
 
 
+class TargetProcess(msgspec.Struct, array_like=True, frozen=True):
+    """A process of a target.
+
+    Attributes:
+        instance: The target's id.
+        born_ms: Start time of the process, milliseconds; 0 if not known.
+    """
+
+    instance: str
+    born_ms: int = 0
+
+
+class TargetLeft(
+    msgspec.Struct, tag="target-left", array_like=True, frozen=True
+):
+    """Tells a daemon that the target of the sender has left.
+
+    Attributes:
+        process: The process of the target.
+    """
+
+    process: TargetProcess
+
+
+class TargetLeftQuery(
+    msgspec.Struct, tag="target-left-asked", array_like=True, frozen=True
+):
+    """Asks which processes of the sender's target have left."""
+
+
+class TargetLeftAnswer(
+    msgspec.Struct, tag="target-left-known", array_like=True, frozen=True
+):
+    """Answers `TargetLeft` and `TargetLeftQuery`.
+
+    Attributes:
+        left: The last processes of the receiver's target that have left.
+    """
+
+    left: tuple[TargetProcess, ...]
+
+
 class TargetStatus(msgspec.Struct, tag="status", array_like=True, frozen=True):
     """Reports the state of a daemon and its target to other daemons.
 
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -285,6 +285,9 @@
     | calls.Withdraw
     | calls.TargetCrash
     | calls.FingerprintCleared
+    | calls.TargetLeft
+    | calls.TargetLeftQuery
+    | calls.TargetLeftAnswer
     | calls.TargetStatus
     | calls.StatusDigest
     | calls.RouteTableRequest
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -53,6 +53,11 @@
     freed: list[tuple[_Key, _Key, str]] = []
 
 
+class _Leaving(msgspec.Struct):
+    # As in a heartbeat.
+    born: Annotated[int, msgspec.Meta(ge=0, le=_LAST_MILLISECOND)] = 0
+
+
 class _HoldsBody(msgspec.Struct):
     # First and last key, fence, and handover or "", of each range.
     holds: list[tuple[int, int, int, str]]
@@ -86,7 +91,9 @@
     if not slash or not _INSTANCE_PATTERN.fullmatch(instance):
         return None
     if "/" + action == names.DEREGISTER:
-        return localtarget.Announcement(instance, final=True)
+        return localtarget.Announcement(
+            instance, born_ms=_decode_birth(incoming.body), final=True
+        )
     if "/" + action != names.HEARTBEAT:
         return None
     try:
@@ -117,6 +124,14 @@
     )
 
 
+def _decode_birth(body: bytes) -> int:
+    """Returns when a server that leaves was started, 0 if it does not say."""
+    try:
+        return decoding.decode(body, _Leaving).born
+    except msgspec.MsgspecError:
+        return 0
+
+
 def _check(heartbeat: _Heartbeat) -> None:
     """Raises msgspec.ValidationError if a heartbeat names no usable server."""
     if heartbeat.state not in _LEAVING_BY_STATE:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -42,6 +42,7 @@
     dispatcher,
     evacuations,
     latecalls,
+    leavings,
     pendingrequests,
     routetable,
 )
@@ -169,6 +170,23 @@
             self.budget,
         )
         self._runner = self._target_handler.runner
+        self._leaving_memory = leavings.LeavingMemory()
+        self._leaving_recorder = leavings.LeavingRecorder(
+            settings.daemon_peer_address,
+            self._send_about_leaving,
+            self.timers,
+            self._known_peers,
+        )
+        self._target_handler.confirm_leaving = self._leaving_recorder.confirm
+        self._target_handler.await_leavings()
+        self._leaving_query = leavings.LeavingQuery(
+            settings.daemon_peer_address,
+            self._send_about_leaving,
+            self.timers,
+            self._known_peers,
+            self._target_handler.record_left,
+            self._target_handler.begin_use,
+        )
         self._late_calls = latecalls.LateCalls(self.timers, self._runner.way)
         self._retry_budgets = retries.ServiceRetryBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
@@ -354,6 +372,7 @@
         self._transport.set_peers(
             member_addresses | self._request_dispatcher.addresses()
         )
+        self._leaving_query.handle_new_peers()
         self._set_read_plans()
         self._retry_budgets.set_daemon_count(len(members))
         self._perform_effects()
@@ -461,6 +480,14 @@
                 self._runner.withdraw(sender, leg)
             case calls.RouteTableUpdate() as update:
                 self._route_tables.handle_update(update, envelope.address)
+            case calls.TargetLeft(process=process):
+                self._leaving_memory.record(envelope.address, process)
+                self._answer_about_leavings(envelope.address)
+            case calls.TargetLeftQuery():
+                self._answer_about_leavings(envelope.address)
+            case calls.TargetLeftAnswer() as answer:
+                self._leaving_recorder.handle_answer(envelope.address, answer)
+                self._leaving_query.handle_answer(envelope.address, answer)
             case _:
                 if isinstance(envelope.message, messages.RowUpdates):
                     self._row_sharer.pass_on(envelope.message)
@@ -468,6 +495,27 @@
                     self._core.receive(envelope, now())
                     self._perform_effects()
 
+    def _known_peers(self) -> leavings.Peers:
+        addresses = {
+            record.peer_address for record in self._core.view.open_records()
+        }
+        addresses |= self._request_dispatcher.addresses()
+        return leavings.Peers(
+            frozenset(addresses - {self._settings.daemon_peer_address}),
+            self._core.view.is_read,
+        )
+
+    def _answer_about_leavings(self, address: str) -> None:
+        self._send_about_leaving(
+            address,
+            calls.TargetLeftAnswer(self._leaving_memory.find(address)),
+        )
+
+    def _send_about_leaving(
+        self, address: str, message: leavings.Message
+    ) -> None:
+        self._transport.send(self._core.incarnation, address, message)
+
     def _submit_call(
         self, sender: str, address: str, dispatch: calls.Dispatch
     ) -> None:
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -16,6 +16,7 @@
     sockets,
 )
 from tamarackgap.ownership import ownership
+from tamarackgap.peers import calls
 from tamarackgap.scheduling import coldstart
 from tamarackgap.settings import config
 from tamarackgap.traffic import (
@@ -38,6 +39,7 @@
 _UNACKED_TIMEOUT_MS = 3000
 _MAX_ORDER_ANSWER_BYTES = 65_536
 _STATUS_BAD_REQUEST = 400
+_STATUS_UNAVAILABLE = 503
 # The same for an evacuation, and how long calls for keys that have not moved
 # yet are run. Operators allow five seconds; to hear of it may take one.
 _EVACUATION_MOVE_TIMEOUT_S = 2.0
@@ -46,10 +48,23 @@
 _ANNOUNCEMENT_DELAY_S = 0.1
 
 
+# Has other daemons confirm that a process has left, and calls back with whether
+# they have.
+ConfirmLeaving = Callable[[calls.TargetProcess, Callable[[bool], None]], None]
+
+
 def _do_nothing() -> None:
     """Is called where nobody is to be told."""
 
 
+def _confirm_alone(
+    process: calls.TargetProcess, done: Callable[[bool], None]
+) -> None:
+    """Confirms a leaving where there are no other daemons."""
+    del process
+    done(True)
+
+
 class TargetHandler:
     """Keeps the local target supplied with calls and grants.
 
@@ -61,6 +76,7 @@
         on_crash: Called when the target's process has ended, before other
             daemons learn of its new state.
         on_status_changed: Called when the target's state has changed.
+        confirm_leaving: Called before a leaving is acknowledged.
     """
 
     def __init__(
@@ -90,12 +106,17 @@
         self.settings = settings
         self.on_crash: Callable[[], None] = _do_nothing
         self.on_status_changed: Callable[[], None] = _do_nothing
+        self.confirm_leaving: ConfirmLeaving = _confirm_alone
         self._service = types.ServiceName(settings.daemon_service)
         self._adapter = platform_adapter
         self._core = core
         self._timers = timers
         self._perform_effects = perform_effects
         self._calls_stopped = False
+        # Whether it is known which processes of the target have left.
+        self._knows_leavings = True
+        # The latest announcement that waits for that.
+        self._held_announcement: localtarget.Announcement | None = None
         self._is_evacuated = False
         # Until then an announcement may have been sent before the target's
         # evacuation ended, seconds.
@@ -299,6 +320,53 @@
         if announcement is None:
             incoming.respond(_STATUS_BAD_REQUEST, [], b"")
             return
+        is_leaving = announcement.leaving or announcement.final
+        if is_leaving or self._knows_leavings:
+            self._apply_announcement(announcement)
+        else:
+            self._hold_announcement(announcement)
+        if is_leaving:
+            process = self.target.leaving_process(announcement)
+            self.confirm_leaving(
+                process,
+                functools.partial(
+                    self._acknowledge_leaving, incoming, announcement
+                ),
+            )
+        else:
+            self._acknowledge(incoming, announcement)
+        self._attach_if_serving()
+        self._perform_effects()
+
+    def _acknowledge(
+        self,
+        incoming: httpserver.IncomingRequest,
+        announcement: localtarget.Announcement,
+    ) -> None:
+        response = self._adapter.encode_hold_list(
+            self._answer_hold_report(announcement)
+        )
+        incoming.respond(response.status, response.headers, response.body)
+
+    def _acknowledge_leaving(
+        self,
+        incoming: httpserver.IncomingRequest,
+        announcement: localtarget.Announcement,
+        is_known: bool,
+    ) -> None:
+        """Acknowledges a leaving if other daemons know of it.
+
+        This process may end at any moment. What it alone knows would then not
+        bind the next one.
+        """
+        if is_known:
+            self._acknowledge(incoming, announcement)
+        else:
+            incoming.respond(_STATUS_UNAVAILABLE, [], b"")
+
+    def _apply_announcement(
+        self, announcement: localtarget.Announcement
+    ) -> None:
         self._apply_transition(
             self.target.handle_announcement(announcement, self._timers.now)
         )
@@ -307,12 +375,40 @@
             self._set_cold(announcement)
         if self.is_serving:
             self.slot_grants.resume()
-        response = self._adapter.encode_hold_list(
-            self._answer_hold_report(announcement)
+
+    def await_leavings(self) -> None:
+        """Holds back announcements until it is known who has left."""
+        self._knows_leavings = False
+
+    def begin_use(self) -> None:
+        """Applies the announcement that was held back."""
+        self._knows_leavings = True
+        held = self._held_announcement
+        self._held_announcement = None
+        if held is not None:
+            self._apply_announcement(held)
+            self._attach_if_serving()
+            self._perform_effects()
+
+    def record_left(self, process: calls.TargetProcess) -> None:
+        """Records that a process of the target has left, as others know."""
+        self._apply_transition(
+            self.target.record_left(process, self._timers.now)
         )
-        incoming.respond(response.status, response.headers, response.body)
-        self._attach_if_serving()
-        self._perform_effects()
+
+    def _hold_announcement(
+        self, announcement: localtarget.Announcement
+    ) -> None:
+        held = self._held_announcement
+        if (
+            held is None
+            or held.process.born_ms < announcement.process.born_ms
+            or (
+                held.process == announcement.process
+                and held.sequence < announcement.sequence
+            )
+        ):
+            self._held_announcement = announcement
 
     def _attach_if_serving(self) -> None:
         if self.is_serving and not self._calls_stopped:
--- a/tamarackgap/traffic/localtarget.py
+++ b/tamarackgap/traffic/localtarget.py
@@ -1,15 +1,21 @@
 """Follows the state of the local target from its announcements."""
 
 import enum
+import math
 
 import msgspec
 
+from tamarackgap.peers import calls
 from tamarackgap.traffic import heartbeatorders
 
 # A target is regarded as gone if it has sent no announcement for this many
 # announce intervals and has not answered a call within _RECENT_ANSWER_S either.
 _SILENCE_INTERVALS = 3.5
 _RECENT_ANSWER_S = 1.0
+# A process whose birth is not known counts as one that has left for this long:
+# a later one under the same id can't be told from it.
+_UNBORN_LEFT_S = 30.0
+_MAX_LEFT = 16
 
 
 class Phase(enum.Enum):
@@ -48,6 +54,11 @@
     final: bool = False
     report: heartbeatorders.HoldReport = heartbeatorders.HoldReport()
 
+    @property
+    def process(self) -> calls.TargetProcess:
+        """The process that has sent it."""
+        return calls.TargetProcess(self.instance, self.born_ms)
+
 
 class Transition(enum.Enum):
     """What an announcement, a refused connection or silence has changed."""
@@ -83,6 +94,8 @@
         self._silence_timeout = interval * _SILENCE_INTERVALS
         self._last_heard = now
         self._latest = Announcement("")
+        # Processes that have left, and until when they count so, seconds.
+        self._left: dict[calls.TargetProcess, float] = {}
         self.phase = Phase.ABSENT
 
     @property
@@ -106,7 +119,8 @@
 
         An announcement is ignored if it is for another service or without
         capacity, or if a later one of the same process, or one of a later
-        process, has been received.
+        process, has been received. A process that has left never serves again,
+        whatever it announces.
 
         Args:
             announcement: The announcement.
@@ -117,13 +131,12 @@
         """
         latest = self._latest
         if announcement.final:
-            return self._handle_final(announcement)
+            return self._handle_final(announcement, now)
         if announcement.service != self._service or announcement.capacity < 1:
             return Transition.NONE
-        is_same_process = (announcement.instance, announcement.born_ms) == (
-            latest.instance,
-            latest.born_ms,
-        )
+        if announcement.leaving:
+            self._add_left(announcement.process, now)
+        is_same_process = announcement.process == latest.process
         if is_same_process and announcement.sequence <= latest.sequence:
             return Transition.NONE
         if not is_same_process and announcement.born_ms < latest.born_ms:
@@ -131,7 +144,7 @@
         self._latest = announcement
         self._last_heard = now
         previous = self.phase
-        if announcement.leaving:
+        if announcement.leaving or self.has_left(announcement.process, now):
             self.phase = Phase.LEAVING
             return (
                 Transition.NEW_PROCESS
@@ -147,6 +160,56 @@
             Transition.RETURNED if previous is Phase.ABSENT else Transition.NONE
         )
 
+    def leaving_process(
+        self, announcement: Announcement
+    ) -> calls.TargetProcess:
+        """Returns the process that an announcement says to leave.
+
+        A last announcement need not say when the process was started.
+        """
+        process = announcement.process
+        latest = self._latest.process
+        if process.instance == latest.instance and not process.born_ms:
+            return latest
+        return process
+
+    def has_left(self, process: calls.TargetProcess, now: float) -> bool:
+        """Returns whether a process has said that it leaves.
+
+        Args:
+            process: The process.
+            now: Monotonic time, seconds.
+        """
+        unborn = calls.TargetProcess(process.instance)
+        return any(
+            self._left.get(each, -math.inf) > now for each in (process, unborn)
+        )
+
+    def record_left(
+        self, process: calls.TargetProcess, now: float
+    ) -> Transition:
+        """Records that a process has left, as others know.
+
+        Args:
+            process: The process.
+            now: Monotonic time, seconds.
+
+        Returns:
+            What that has changed.
+        """
+        self._add_left(process, now)
+        if process != self._latest.process or self.phase is not Phase.SERVING:
+            return Transition.NONE
+        self.phase = Phase.LEAVING
+        return Transition.LEAVING
+
+    def _add_left(self, process: calls.TargetProcess, now: float) -> None:
+        self._left[process] = (
+            math.inf if process.born_ms else (now + _UNBORN_LEFT_S)
+        )
+        for oldest in list(self._left)[:-_MAX_LEFT]:
+            del self._left[oldest]
+
     def handle_connection_refused(self) -> Transition:
         """Records that the target refuses connections.
 
@@ -180,10 +243,7 @@
             Transition.NONE if previous is Phase.LEAVING else Transition.LEAVING
         )
 
-    def _handle_final(self, announcement: Announcement) -> Transition:
-        if announcement.instance != self._latest.instance:
-            return Transition.NONE
-        if self.phase is not Phase.SERVING:
-            return Transition.NONE
-        self.phase = Phase.LEAVING
-        return Transition.LEAVING
+    def _handle_final(
+        self, announcement: Announcement, now: float
+    ) -> Transition:
+        return self.record_left(self.leaving_process(announcement), now)
--- a/tests/processes/test_targethandler.py
+++ b/tests/processes/test_targethandler.py
@@ -264,3 +264,58 @@
     )
     handler.set_evacuated(False)
     assert not handler.runner.accepting
+
+
+class _Incoming:
+    def __init__(self, **fields):
+        self.announcement = localtarget.Announcement(
+            "i-1", "s", 4, **{"born_ms": 100, **fields}
+        )
+        self.statuses = []
+
+    def respond(self, status, headers, body):
+        self.statuses.append(status)
+
+
+def test_a_target_is_not_used_before_its_leavings_are_known(handler_and_sent):
+    handler, _ = handler_and_sent
+    handler.await_leavings()
+    late = _Incoming(sequence=7)
+    handler.handle_announcement(late)
+    handler.handle_announcement(_Incoming(sequence=5))
+    assert late.statuses == [200]
+    assert not handler.is_serving
+    handler.record_left(late.announcement.process)
+    handler.begin_use()
+    assert not handler.is_serving
+    assert not handler.runner.accepting
+
+
+def test_a_target_that_has_not_left_is_used_once_that_is_known(
+    handler_and_sent,
+):
+    handler, _ = handler_and_sent
+    handler.await_leavings()
+    handler.handle_announcement(_Incoming(sequence=7))
+    handler.begin_use()
+    assert handler.is_serving
+    assert handler.runner.accepting
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+@pytest.mark.parametrize("fields", [{"leaving": True}, {"final": True}])
+def test_a_leaving_is_acknowledged_once_others_know_it(
+    handler_and_sent, fields, is_known
+):
+    handler, _ = handler_and_sent
+    asked = []
+    handler.confirm_leaving = lambda *each: asked.append(each)
+    handler.handle_announcement(_Incoming(sequence=1))
+    leaving = _Incoming(sequence=2, **fields)
+    handler.handle_announcement(leaving)
+    assert leaving.statuses == []
+    assert not handler.is_serving
+    ((process, done),) = asked
+    assert process == leaving.announcement.process
+    done(is_known)
+    assert leaving.statuses == [200 if is_known else 503]
--- a/tests/traffic/test_localtarget.py
+++ b/tests/traffic/test_localtarget.py
@@ -1,3 +1,5 @@
+import pytest
+
 from tamarackgap.traffic import localtarget
 
 Transition = localtarget.Transition
@@ -100,3 +102,68 @@
     target.handle_announcement(announcement(1), 0.0)
     assert target.handle_connection_refused() is Transition.LOST
     assert target.handle_connection_refused() is Transition.NONE
+
+
+def _be_silent(target):
+    assert target.check_silence(0.0, 10.0) is Transition.SILENT
+
+
+def _lose(target):
+    assert target.handle_connection_refused() is Transition.LOST
+
+
+def _go_on(target):
+    pass
+
+
+@pytest.mark.parametrize("pause", [_be_silent, _lose, _go_on])
+@pytest.mark.parametrize("final", [True, False])
+def test_a_process_that_has_left_never_serves_again(pause, final):
+    # After a silence the daemon took a late announcement for a return.
+    target = new_target()
+    target.handle_announcement(announcement(1), 0.0)
+    if final:
+        last = localtarget.Announcement("i-1", final=True)
+    else:
+        last = announcement(3, leaving=True)
+    target.handle_announcement(last, 0.5)
+    pause(target)
+    for sequence in (2, 4, 5):
+        target.handle_announcement(announcement(sequence), 11.0)
+        assert target.phase is not localtarget.Phase.SERVING
+
+
+@pytest.mark.parametrize("born", [0, 100])
+def test_a_leaving_before_the_first_announcement_binds(born):
+    target = new_target()
+    target.handle_announcement(
+        localtarget.Announcement("i-1", born_ms=born, final=True), 0.0
+    )
+    target.handle_announcement(announcement(4), 0.1)
+    assert target.phase is localtarget.Phase.LEAVING
+
+
+def test_a_later_process_under_the_id_of_one_that_has_left_serves():
+    target = new_target()
+    target.handle_announcement(
+        localtarget.Announcement("i-1", born_ms=100, final=True), 0.0
+    )
+    target.handle_announcement(announcement(1, born=200), 0.1)
+    assert target.phase is localtarget.Phase.SERVING
+
+
+def test_the_leaving_of_an_earlier_process_leaves_a_later_one_in_use():
+    target = new_target()
+    target.handle_announcement(announcement(1, born=200), 0.0)
+    earlier = localtarget.Announcement("i-1", born_ms=100, final=True)
+    assert target.handle_announcement(earlier, 0.1) is Transition.NONE
+    assert target.phase is localtarget.Phase.SERVING
+
+
+def test_a_leaving_that_others_know_of_ends_the_use():
+    target = new_target()
+    first = announcement(1)
+    target.handle_announcement(first, 0.0)
+    assert target.record_left(first.process, 0.1) is Transition.LEAVING
+    assert target.record_left(first.process, 0.2) is Transition.NONE
+    assert target.phase is localtarget.Phase.LEAVING
