--- a/tests/processes/test_routetables.py
+++ b/tests/processes/test_routetables.py
@@ -55,6 +55,25 @@
     assert network.violations == []
 
 
+@pytest.mark.parametrize("count", [2, 5, 12, 36])
+@pytest.mark.parametrize("share", [0.3, 0.7, 1.0])
+@pytest.mark.parametrize("pause_s", [0.5, 3.0, 4.5])
+def test_a_change_is_in_force_though_connections_went_silent_for_good(
+    count, share, pause_s
+):
+    # Nothing tells a daemon that its poll gets no answer any more.
+    network = tablenetwork.Network(count, count)
+    network.run(9.0)
+    network.silence_store_connections(share)
+    network.run(pause_s)
+    network.write(2)
+    network.run(0.5)
+    network.write(3)
+    network.run(10.0)
+    assert network.violations == []
+    assert {each.keeper.version for each in network.daemons.values()} == {3}
+
+
 @pytest.mark.parametrize("count", [1, 2, 5, 12, 36])
 @pytest.mark.parametrize("silent_s", [0.5, 1.5, 4.0])
 def test_rows_are_read_again_soon_after_a_reset_and_a_silence(count, silent_s):
--- a/tests/support/tablenetwork.py
+++ b/tests/support/tablenetwork.py
@@ -439,10 +439,16 @@
             )
         self._disturb_store(0.0, lambda: None)
 
-    def silence_store_connections(self):
-        """Makes all open connections to the store silent, for good."""
+    def silence_store_connections(self, share=1.0):
+        """Makes open connections to the store silent, for good.
+
+        Args:
+            share: Share of the daemons whose connections these are.
+        """
+        names = sorted(self.daemons)
+        chosen = self.rng.sample(names, round(len(names) * share))
         for state in self._open_exchanges():
-            state.lost = True
+            state.lost |= state.daemon.name in chosen
         self._disturb_store(0.0, lambda: None)
 
     def cut(self, seconds, pairs):
