Reading: how safely a leaving is kept, and a test's name

Pages and comments said that a leaving is forgotten only if three of its four keepers end. It is two: counted over all choices of three that confirm and three that answer. After 0.7 s one confirmation is enough for the acknowledgement, and then one lost keeper is.

--- a/tamarackgap/ownership/erachange.py
+++ b/tamarackgap/ownership/erachange.py
@@ -20,7 +20,10 @@
 
 
 def may_be_owned(inputs: plannerinputs.PlannerInputs) -> bool:
-    """Returns whether owners of an earlier era may still serve."""
+    """Returns whether owners of an earlier era may still serve.
+
+    A daemon that knows of none must not found a service before that.
+    """
     return inputs.view.has_earlier_rows and not have_all_ended(
         inputs.view, inputs.settings, inputs.era_age
     )
@@ -29,7 +32,7 @@
 def have_all_ended(
     view: records.TableView, settings: effects.Settings, era_age: float
 ) -> bool:
-    """Returns whether owners without a record in the era have stopped.
+    """Returns whether owners with no record in the table's era have ended.
 
     An owner serves for the anchor time after its last read in an earlier era,
     which came before this daemon learnt of the new one.
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -377,7 +377,10 @@
             self.slot_grants.resume()
 
     def await_leavings(self) -> None:
-        """Holds back announcements until it is known who has left."""
+        """Holds back announcements until `begin_use` is called.
+
+        Those that say that the target leaves are applied at once.
+        """
         self._knows_leavings = False
 
     def begin_use(self) -> None:
--- a/tamarackgap/traffic/leavings.py
+++ b/tamarackgap/traffic/leavings.py
@@ -17,13 +17,14 @@
 from tamarackgap.peers import calls
 from tamarackgap.placement import placement
 
-# Daemons that are told of a leaving. That many of them confirm it, and that
-# many answer one that starts: the two have a daemon in common, also if one of
-# them has started anew meanwhile.
+# Daemons that are told of a leaving, and how many of them have to confirm it
+# and to answer a daemon that starts. Any two quorums share two daemons, so one
+# of these may start anew meanwhile.
 KEEPERS = 4
 QUORUM = 3
 _RETRY_S = 0.05
-# Targets take an acknowledgement for lost after a second.
+# Then one confirmation is enough: targets take an acknowledgement for lost
+# after a second.
 _CONFIRM_TIMEOUT_S = 0.7
 # Without answers of enough keepers a daemon uses its target this long after it
 # has read the table, or after its start where the table can't be read.
--- a/tests/ownership/test_erachange.py
+++ b/tests/ownership/test_erachange.py
@@ -81,7 +81,7 @@
     assert max(cluster.longest_gap.values(), default=0.0) <= SERVED_S
 
 
-def test_only_the_slots_of_an_owner_cut_off_from_all_wait():
+def test_slots_of_other_owners_do_not_wait_for_one_that_is_cut_off():
     cluster = _start()
     copy = cluster.table.copy()
     cluster.run(3.0)
