--- /dev/null
+++ b/review/shared3/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the cases 11 to 15."""
