--- a/review/shared3/cluster.py
+++ b/review/shared3/cluster.py
@@ -282,10 +282,14 @@
             f"server {server.instance} runs {request_id} key {shard_key}"
         )
 
-    def start(self):
-        """Starts all servers and routers, and waits until all are ready."""
+    def start(self, **attributes):
+        """Starts all servers and routers, and waits until all are ready.
+
+        Args:
+            **attributes: Further attributes of the servers.
+        """
         for vm in self.vms:
-            vm.start_server(on_run_started=self.note_run)
+            vm.start_server(on_run_started=self.note_run, **attributes)
             vm.start_router()
         if not wait_until(
             _READY_TIMEOUT_S, lambda: all(vm.is_ready() for vm in self.vms)
