--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,83 +1,118 @@
-"""A request that crashes servers, where there is little other traffic."""
+"""The store comes back from a copy older than a service with keys.
+
+The routers of that service are killed meanwhile; the others run on.
+"""
 
 import threading
 import time
 
 from review.shared3 import cluster
 
-HOST = "stock.example"
-POISON = "/browse/poison"
-# The server is back some seconds after its crash.
-BACK_S = 3.0
-# The client sends the request again after so long.
-RETRY_S = 5.0
-RETRIES = 9
-# Another request is sent so long after each of them.
-OTHER_AFTER_S = 2.5
-CRASHES_BEFORE = 3
-MAX_LATE_RETRIES = 3
+HOST = "money.example"
+OLD_MACHINES = 6
+NEW_MACHINES = 5
+# The system runs for so long before the new service is added, seconds.
+OLD_AGE_S = 5.0
+KEYS = range(0, 65_536, 4096)
+# The copy is taken so long before the drill, seconds.
+COPY_AGE_S = 4.0
+AWAY_S = 0.6
+BACK_AFTER_S = 0.3
+WATCHED_S = 12.0
+OBJECTIVE_MS = 1700
 
 
 def play(vms, record):
     """Returns what was broken."""
-    for _ in range(3):
-        vms.add("stock")
-    vms.configure(
-        1,
-        cluster.route("browse", HOST, "/browse/", "stock"),
-        cluster.service("stock"),
-    )
-    vms.start()
-    time.sleep(4.0)
-    crash_path = POISON if cluster.HAS_TROUBLE else ""
-    stopping = threading.Event()
+    lock = threading.Lock()
+    # End of the latest hold by server, first and last key, and token.
+    taken = {}
+    broken = {}
 
-    def keep_servers_up():
-        down_since = {}
-        while not stopping.wait(0.02):
-            for vm in vms.vms:
-                if not vm.server.is_stopped:
+    def check_hold(server, hold):
+        now = time.monotonic()
+        new = (server, hold.first, hold.last, hold.fence)
+        with lock:
+            for (other, first, last, fence), until in taken.items():
+                if other is server or first > hold.last or last < hold.first:
                     continue
-                since = down_since.setdefault(vm.name, time.monotonic())
-                if time.monotonic() - since >= BACK_S:
-                    del down_since[vm.name]
-                    vm.start_server(
-                        on_run_started=vms.note_run, crash_path=crash_path
+                if hold.fence <= fence and new not in broken:
+                    left = max(0.0, until - now)
+                    broken[new] = (
+                        f"{server.instance} takes {hold.first} to {hold.last}"
+                        f" with {hold.fence}, {other.instance} had"
+                        f" {first} to {last} with {fence}, for"
+                        f" {left:.2f} s more"
                     )
+            taken[new] = hold.until
+        record.add(
+            f"server {server.instance} takes {hold.first} to {hold.last}"
+            f" with {hold.fence}"
+        )
 
-    for vm in vms.vms:
-        vm.server.crash_path = crash_path
-    keeper = threading.Thread(target=keep_servers_up)
-    keeper.start()
-    attempts = []
-    try:
-        for number in range(RETRIES):
-            sent_at = time.monotonic()
-            request_id, status = vms.call(vms.vms[number % 3], HOST, POISON)
-            attempts.append((sent_at, request_id, status))
-            time.sleep(max(0.0, sent_at + OTHER_AFTER_S - time.monotonic()))
-            vms.call(vms.vms[(number + 1) % 3], HOST, f"/browse/{number}")
-            time.sleep(max(0.0, sent_at + RETRY_S - time.monotonic()))
-    finally:
-        stopping.set()
-        keeper.join()
-    crashes = sorted(
-        at
-        for _, request_id, _ in attempts
-        for at, _ in vms.arrivals.get(request_id, ())
+    old = [vms.add("seats") for _ in range(OLD_MACHINES)]
+    new = [vms.add("money", keyed=True) for _ in range(NEW_MACHINES)]
+    vms.store.era = 7
+    resources = (
+        cluster.route("browse", "seats.example", "/", "seats"),
+        cluster.service("seats"),
     )
-    record.add(f"runs of the request: {len(crashes)}", True)
-    if not crash_path or len(crashes) < CRASHES_BEFORE:
-        return ""
-    since = crashes[CRASHES_BEFORE - 1] + cluster.CONTACT_S
-    late = [
-        request_id
-        for sent_at, request_id, _ in attempts
-        if sent_at > since and vms.arrivals.get(request_id)
-    ]
-    record.add(f"retries that reached servers later: {len(late)}", True)
-    if len(late) > MAX_LATE_RETRIES:
-        return f"BUDGET: {len(late)} later retries reached servers"
+    vms.configure(1, *resources)
+    vms.start(old)
+    time.sleep(OLD_AGE_S)
+    vms.configure(
+        2,
+        *resources,
+        cluster.route(
+            "pay",
+            HOST,
+            "/",
+            "money",
+            idempotent=False,
+            timeout_ms=6000,
+            target_latency_ms=OBJECTIVE_MS,
+        ),
+        cluster.service("money", keyed=True),
+    )
+    copy = vms.store.copy()
+    copied_at = time.monotonic()
+    vms.start(new, on_hold_taken=check_hold)
+    if not cluster.wait_until(
+        COPY_AGE_S,
+        lambda: all(
+            vms.call(vms.vms[0], HOST, f"/pay/{key}", key, "POST")[1] == 200
+            for key in KEYS
+        ),
+    ):
+        raise cluster.CouldNotRunError("the keys are not served")
+    time.sleep(max(0.0, copied_at + COPY_AGE_S - time.monotonic()))
+
+    if cluster.HAS_TROUBLE:
+        record.add(
+            f"the store is away; its copy is"
+            f" {time.monotonic() - copied_at:.1f} s old",
+            True,
+        )
+        vms.store.failure_status = 503
+        away_at = time.monotonic()
+        for vm in new:
+            vm.kill_router()
+        time.sleep(BACK_AFTER_S)
+        for vm in new:
+            vm.start_router()
+        time.sleep(max(0.0, away_at + AWAY_S - time.monotonic()))
+        vms.store.restore(copy)
+        vms.store.failure_status = None
+        record.add("the store is back from the copy", True)
+    ends_at = time.monotonic() + WATCHED_S
+    while time.monotonic() < ends_at:
+        for key in KEYS:
+            vms.call(vms.vms[0], HOST, f"/pay/{key}", key, "POST", 500)
+        time.sleep(0.2)
+    for text in broken.values():
+        record.add(text, True)
+    if broken:
+        return f"OWNER: {len(broken)} ranges taken under a token seen before"
     return ""
 
 
--- a/review/shared3/cluster.py
+++ b/review/shared3/cluster.py
@@ -282,17 +282,19 @@
             f"server {server.instance} runs {request_id} key {shard_key}"
         )
 
-    def start(self, **attributes):
-        """Starts all servers and routers, and waits until all are ready.
+    def start(self, machines=None, **attributes):
+        """Starts servers and routers, and waits until all are ready.
 
         Args:
+            machines: Their machines; all if None.
             **attributes: Further attributes of the servers.
         """
-        for vm in self.vms:
+        machines = self.vms if machines is None else machines
+        for vm in machines:
             vm.start_server(on_run_started=self.note_run, **attributes)
             vm.start_router()
         if not wait_until(
-            _READY_TIMEOUT_S, lambda: all(vm.is_ready() for vm in self.vms)
+            _READY_TIMEOUT_S, lambda: all(vm.is_ready() for vm in machines)
         ):
             raise CouldNotRunError("the routers do not get ready")
 
