--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 export PYTHONPATH="$PWD/target/deps:$PWD"
-exec timeout --kill-after=2 115 python3 review/11/case.py
+exec timeout --preserve-status --kill-after=2 115 python3 review/11/case.py
--- a/review/shared3/cluster.py
+++ b/review/shared3/cluster.py
@@ -22,6 +22,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 import msgspec
 
@@ -438,7 +439,15 @@
         record.add(f"broken: {broken}" if broken else "held", True)
     except CouldNotRunError as error:
         record.add(f"could not run: {error}", True)
-    finally:
+    except Exception:
+        # Without it an error of the case would end as a broken rule does.
+        record.add(f"could not run: {traceback.format_exc()}", True)
+    try:
         if cluster is not None:
             cluster.stop()
-    sys.exit(status)
+    except Exception:
+        record.add(f"could not stop: {traceback.format_exc()}", True)
+        status = 2
+    sys.stdout.flush()
+    # Threads of the case may still wait for answers.
+    os._exit(status)
