A leaving that was acknowledged outlasts all daemons

Cause: leavings were kept in memories of daemons only. After a kill of all, the daemons that had just started told each other that they knew of none, and three such answers counted as evidence.

Change: before the acknowledgement the leaving is written to the store, and others are told as before; one of both is needed after 0.7 s. After a start evidence is the store, unless it came back from a copy or failed before; daemons that knew an earlier process of this one or started well before it; or an announcement that came to an address named by this process (heartbeat_addr). Without any an announcement counts 10 s after the start. Transactions of two callers no longer replace each other while the store is away. TargetProcess moves to types, since rows hold it.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -110,6 +110,8 @@
         # Shard keys of the requests being executed.
         self._running_keys: list[int | None] = []
         self._daemon = daemon
+        # Where an answer has asked for later heartbeats, until one fails there.
+        self._heartbeat_address = daemon
         self._keyed = keyed
         self._started_at_ms = int(time.time() * 1000)
         self._sequence = 0
@@ -170,12 +172,14 @@
             freed = body["freed"] = list(self._freed)
         sent_at = time.monotonic()
         path = f"/-/instances/{self.instance}/heartbeat"
-        connection = http.client.HTTPConnection(self._daemon, timeout=1)
+        address = self._heartbeat_address
+        connection = http.client.HTTPConnection(address, timeout=1)
         try:
             connection.request("POST", path, json.dumps(body))
             response = connection.getresponse()
             answer = response.read()
         except (OSError, http.client.HTTPException):
+            self._heartbeat_address = self._daemon
             return False
         finally:
             connection.close()
@@ -183,8 +187,10 @@
             return response.status == 200
         assert len(answer) <= _MAX_ANSWER_BYTES
         self._freed = [part for part in self._freed if part not in freed]
-        if answer and self._grants == "heartbeat":
-            self._apply_hold_list(json.loads(answer), sent_at)
+        fields = json.loads(answer) if answer else {}
+        self._heartbeat_address = fields.get("heartbeat_addr", address)
+        if self._grants == "heartbeat":
+            self._apply_hold_list(fields, sent_at)
         return True
 
     def _reported_holds(self) -> list[tuple[int, int, int]]:
--- a/tamarackgap/ownership/erachange.py
+++ b/tamarackgap/ownership/erachange.py
@@ -71,7 +71,9 @@
         return None
     view = inputs.view
     builder = changes.Builder(view, change_id)
-    builder.put_record(record)
+    builder.put_record(
+        msgspec.structs.replace(record, knows_leavings=inputs.knows_leavings)
+    )
     if record.runs:
         service_record = view.service_record(record.service)
         if service_record is None:
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -103,6 +103,8 @@
         # Returns whether an incarnation has sent a message recently. A witness
         # that can't be reached would never grant the epoch that names it.
         self.is_reachable: Callable[[str], bool] = lambda name: True
+        # Returns whether the table's era has all leavings of local targets.
+        self.knows_leavings: Callable[[], bool] = lambda: False
         # Increases with each change of the owned slots.
         self.slots_version = 0
         self._renewer = renewal.LeaseRenewer(
@@ -859,6 +861,7 @@
             challenged_for=self._liveness.challenge_durations(self._view, now),
             ended=self._ended.ended(self._view, now),
             era_age=self._era_age(now),
+            knows_leavings=self.knows_leavings(),
             carried=self._record_to_carry(),
             doubtful_moves=self._transition.doubtful_moves,
             former_owners=self._succession.former_owners(),
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -107,6 +107,8 @@
             none there and has owned slots in an earlier one.
         doubtful_moves: Moves of an earlier era whose outcome is not known.
         former_owners: Incarnation that each unrecorded slot was taken from.
+        knows_leavings: Whether the table's era has all leavings of the targets
+            beside this daemon that were acknowledged so far.
     """
 
     view: records.TableView
@@ -142,6 +144,7 @@
     carried: records.LeaseRecord | None = None
     doubtful_moves: tuple[DoubtfulMove, ...] = ()
     former_owners: dict[int, str] = {}
+    knows_leavings: bool = False
 
     def signature(self) -> InputsSignature:
         """Returns the inputs whose change makes the planner run again."""
--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -163,18 +163,6 @@
     addresses: tuple[str, ...]
 
 
-class TargetProcess(msgspec.Struct, array_like=True, frozen=True):
-    """A process of a target.
-
-    Attributes:
-        instance: The target's id.
-        born_ms: Start time of the process, milliseconds; 0 if not known.
-    """
-
-    instance: str
-    born_ms: int = 0
-
-
 class TargetLeft(
     msgspec.Struct, tag="target-left", array_like=True, frozen=True
 ):
@@ -184,13 +172,21 @@
         process: The process of the target.
     """
 
-    process: TargetProcess
+    process: types.TargetProcess
 
 
 class TargetLeftQuery(
     msgspec.Struct, tag="target-left-asked", array_like=True, frozen=True
 ):
-    """Asks which processes of the sender's target have left."""
+    """Asks which processes of the sender's target have left.
+
+    Attributes:
+        process: Id of the sender's process.
+        age: Time since it began to ask, seconds.
+    """
+
+    process: str = ""
+    age: decoding.Finite = 0.0
 
 
 class TargetLeftAnswer(
@@ -200,9 +196,11 @@
 
     Attributes:
         left: The last processes of the receiver's target that have left.
+        is_evidence: Whether the sender can't have missed an earlier leaving.
     """
 
-    left: tuple[TargetProcess, ...]
+    left: tuple[types.TargetProcess, ...]
+    is_evidence: bool = False
 
 
 class TargetStatus(msgspec.Struct, tag="status", array_like=True, frozen=True):
@@ -237,6 +235,7 @@
         evacuated_as_of: Revision of the store at which they were; 0 if nothing
             is known.
         evacuated_era: Era of the store that gave this revision.
+        left: The last processes of the target that have left.
     """
 
     service: types.ServiceName
@@ -258,6 +257,7 @@
     evacuated: tuple[types.DataCentre, ...] = ()
     evacuated_as_of: decoding.Count = 0
     evacuated_era: decoding.Count = 0
+    left: tuple[types.TargetProcess, ...] = ()
 
 
 class HeardStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/tamarackgap/placement/records.py
+++ b/tamarackgap/placement/records.py
@@ -16,6 +16,7 @@
 SERVICE_PREFIX = "founded/"
 POLICY_PREFIX = "policy/"
 CHALLENGE_PREFIX = "challenge/"
+LEFT_PREFIX = "left/"
 
 
 class LeaseRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -42,6 +43,8 @@
             as a witness.
         state: Whether the epoch may be in use.
         change: Id of the write that made this row.
+        knows_leavings: Whether the table's era has all leavings of the targets
+            beside the daemon that were acknowledged before.
     """
 
     service: types.ServiceName
@@ -59,6 +62,7 @@
     leaving: bool = False
     state: types.RecordState = types.RecordState.OPEN
     change: str = ""
+    knows_leavings: bool = False
 
     @property
     def key(self) -> str:
@@ -158,6 +162,16 @@
     change: str = ""
 
 
+class LeftRecord(msgspec.Struct, frozen=True):
+    """Records which processes of the target beside a daemon have left.
+
+    Attributes:
+        left: The last ones.
+    """
+
+    left: tuple[types.TargetProcess, ...]
+
+
 class Row(msgspec.Struct, frozen=True):
     """A row as the table returns it.
 
@@ -240,6 +254,11 @@
     return CHALLENGE_PREFIX + incarnation
 
 
+def left_key(address: str) -> str:
+    """Returns the key of the leavings at the daemon with an `ip:port`."""
+    return LEFT_PREFIX + address
+
+
 def encode(row: msgspec.Struct) -> str:
     """Returns the JSON text of a row."""
     return msgspec.json.encode(row).decode("utf-8")
@@ -272,6 +291,7 @@
     (SERVICE_PREFIX, ServiceRecord),
     (POLICY_PREFIX, Policy),
     (CHALLENGE_PREFIX, Challenge),
+    (LEFT_PREFIX, LeftRecord),
 )
 
 
@@ -309,6 +329,7 @@
         # lease record.
         self._members: dict[str | None, list[LeaseRecord]] = {}
         self._is_read = False
+        self._is_restored = False
         self._version = 0
 
     @property
@@ -326,6 +347,11 @@
         """Whether the table has been read at least once."""
         return self._is_read
 
+    @property
+    def is_restored(self) -> bool:
+        """Whether the table is known to have come back from an older copy."""
+        return self._is_restored
+
     @property
     def cursor(self) -> types.Revision:
         """Revision up to which the table has been read in its era."""
@@ -342,6 +368,7 @@
     def begin_era(self, era: int) -> None:
         """Records that the table has come back from an older copy."""
         self._era = era
+        self._is_restored = self._is_restored or bool(self._rows)
         self._cursor = types.Revision(0)
         self._version += 1
 
@@ -382,6 +409,7 @@
         """
         changed = []
         for row in rows:
+            self._is_restored = self._is_restored or row.era < self._era
             known_era, known_revision, _ = self._rows.get(row.key, _NO_ROW)
             if (row.era, row.revision) <= (known_era, known_revision):
                 continue
@@ -446,6 +474,10 @@
             return None
         return self.service_record(service)
 
+    def left_record(self, key: str) -> LeftRecord | None:
+        """Returns a row of leavings, of whatever era, or None."""
+        return self._rows.get(key, _NO_ROW)[2]
+
     def challenges(self) -> dict[str, Challenge]:
         """Returns the challenges of the table's era, by incarnation."""
         prefix_length = len(CHALLENGE_PREFIX)
--- a/tamarackgap/platform/__main__.py
+++ b/tamarackgap/platform/__main__.py
@@ -52,7 +52,7 @@
             encode_order=servers.encode_order,
             is_order_answer=servers.is_order_answer,
             decode_order_answer=servers.decode_order_answer,
-            encode_hold_list=servers.encode_hold_list,
+            encode_announcement_answer=servers.encode_heartbeat_answer,
             max_hold_ranges=servers.MAX_HOLD_RANGES,
             decode_announcement=servers.decode_announcement,
             decode_table=operatorconfig.decode,
--- a/tamarackgap/platform/circuitbreaker.py
+++ b/tamarackgap/platform/circuitbreaker.py
@@ -42,10 +42,10 @@
         self._is_open = False
         self._pause_s = _MIN_PAUSE_S
         # Reads that wait, by the name of their caller, in the order in which
-        # they began to; and the last transaction. A daemon has one under way,
-        # and sends it again itself.
+        # they began to; and transactions, by the name of theirs. Each has one
+        # under way, and sends it again itself.
         self._reads: dict[str, Call] = {}
-        self._commit: Call | None = None
+        self._commits: dict[str, Call] = {}
         # The name of the read that tries, and when it was let go.
         self._trying: str | None = None
         self._tried_at = float("-inf")
@@ -76,14 +76,16 @@
         if self._timer is None and self._trying is None:
             self._let_try()
 
-    def wait_to_commit(self, call: Call) -> None:
+    def wait_to_commit(self, call: Call, name: str = "") -> None:
         """Lets a transaction go once it may: at once, unless reads fail.
 
         Args:
-            call: Sends it; called once, unless a later transaction replaces it.
+            call: Sends it; called once, unless a later transaction of the same
+                caller replaces it.
+            name: The caller.
         """
         if self._is_open:
-            self._commit = call
+            self._commits[name] = call
         else:
             call()
 
@@ -117,11 +119,9 @@
             return
         self._is_open = False
         self._cancel_timer()
-        waiting = list(self._reads.values())
-        if self._commit is not None:
-            waiting.append(self._commit)
+        waiting = [*self._reads.values(), *self._commits.values()]
         self._reads = {}
-        self._commit = None
+        self._commits = {}
         for call in waiting:
             call()
 
--- a/tamarackgap/platform/servers.py
+++ b/tamarackgap/platform/servers.py
@@ -58,10 +58,11 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=_LAST_MILLISECOND)] = 0
 
 
-class _HoldsBody(msgspec.Struct):
+class _AnswerBody(msgspec.Struct, omit_defaults=True):
     # First and last key, fence, and handover or "", of each range.
-    holds: list[tuple[int, int, int, str]]
-    hold_ms: int
+    holds: list[tuple[int, int, int, str]] | None = None
+    hold_ms: int | None = None
+    heartbeat_addr: str = ""
 
 
 class _GrantBody(msgspec.Struct, rename={"first": "from", "last": "target"}):
@@ -151,27 +152,35 @@
     return ""
 
 
-def encode_hold_list(
-    hold_list: heartbeatorders.HoldList | None,
+def encode_heartbeat_answer(
+    hold_list: heartbeatorders.HoldList | None, address: str = ""
 ) -> adapter.Response:
     """Returns the answer to a heartbeat.
 
     Handovers are left out if the answer would become too large with them: they
     only spare the server some slow seconds.
+
+    Args:
+        hold_list: What the server is to hold; None for nothing to be said.
+        address: Where it is to send its later heartbeats; "" for no change.
     """
-    if hold_list is None:
+    if hold_list is None and not address:
         return adapter.Response(_STATUS_OK, [], b"")
-    body = _encode_holds(hold_list, with_handovers=True)
+    body = _encode_answer(hold_list, address, with_handovers=True)
     if len(body) > _MAX_ANSWER_BYTES:
-        body = _encode_holds(hold_list, with_handovers=False)
+        body = _encode_answer(hold_list, address, with_handovers=False)
     return adapter.Response(
         _STATUS_OK, [(b"content-type", b"application/json")], body
     )
 
 
-def _encode_holds(
-    hold_list: heartbeatorders.HoldList, with_handovers: bool
+def _encode_answer(
+    hold_list: heartbeatorders.HoldList | None,
+    address: str,
+    with_handovers: bool,
 ) -> bytes:
+    if hold_list is None:
+        return msgspec.json.encode(_AnswerBody(heartbeat_addr=address))
     rows = [
         (
             grant.first,
@@ -181,7 +190,9 @@
         )
         for grant in hold_list.grants
     ]
-    return msgspec.json.encode(_HoldsBody(rows, int(hold_list.hold_s * 1000)))
+    return msgspec.json.encode(
+        _AnswerBody(rows, int(hold_list.hold_s * 1000), address)
+    )
 
 
 def encode_order(order: orders.Grant | orders.Release) -> bytes:
--- a/tamarackgap/platform/store.py
+++ b/tamarackgap/platform/store.py
@@ -288,6 +288,7 @@
         self,
         transaction: records.Transaction,
         done: Callable[[effects.CommitState, list[records.Row]], None],
+        name: str = "",
     ) -> None:
         """Commits a transaction; its outcome may stay unknown.
 
@@ -299,6 +300,7 @@
             transaction: The checks and writes.
             done: Called once with the outcome and with rows: those written, or
                 after a conflict the checked rows as they are now.
+            name: Who commits; of the same one, only the last transaction waits.
         """
 
         def handle_outcome(
@@ -321,7 +323,7 @@
                 handle_outcome,
             )
 
-        self._breaker.wait_to_commit(send)
+        self._breaker.wait_to_commit(send, name)
 
     def call(
         self,
--- a/tamarackgap/processes/peersync.py
+++ b/tamarackgap/processes/peersync.py
@@ -1,5 +1,7 @@
 """Exchanges target status, crash reports and route tables between routers."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from tamarackgap import logs, types
@@ -11,6 +13,7 @@
     crashes,
     dispatcher,
     evacuations,
+    leavings,
     relays,
     runner,
     statusintervals,
@@ -34,6 +37,8 @@
         timers: scheduler.Scheduler,
         route_tables: routetables.RouteTableKeeper,
         evacuation_keeper: evacuations.EvacuationKeeper | None = None,
+        leaving_memory: leavings.LeavingMemory | None = None,
+        get_left: Callable[[], tuple[types.TargetProcess, ...]] = tuple,
     ) -> None:
         """Creates an instance that has sent nothing, and schedules broadcasts.
 
@@ -47,6 +52,8 @@
             timers: The loop's scheduler.
             route_tables: Holds the route table in force here.
             evacuation_keeper: Holds which data centres are evacuated.
+            leaving_memory: Holds which targets of other daemons have left.
+            get_left: Returns the processes of the local target that have left.
         """
         self._core = core
         self._transport = peer_transport
@@ -56,6 +63,8 @@
         self._timers = timers
         self._route_tables = route_tables
         self._evacuations = evacuation_keeper or evacuations.EvacuationKeeper()
+        self._leavings = leaving_memory or leavings.LeavingMemory(timers)
+        self._get_left = get_left
         # The incarnation at the start identifies the process, since each id is
         # used only once.
         self._process = core.incarnation
@@ -82,6 +91,7 @@
                 self._dispatcher.update_status(
                     envelope.sender, envelope.address, status
                 )
+                self._leavings.hear(envelope.address, status)
                 self._record_load(envelope.sender, status, 0.0)
                 self._hear_operators(status, envelope.address)
             case calls.StatusDigest() as digest:
@@ -319,6 +329,7 @@
             tuple(sorted(evacuated.data_centres)),
             evacuated.revision,
             evacuated.era,
+            self._get_left(),
         )
 
     def _record_crash(self, crash: calls.TargetCrash) -> None:
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -42,7 +42,9 @@
     dispatcher,
     evacuations,
     latecalls,
+    leavingquery,
     leavings,
+    leavingtable,
     pendingrequests,
     routetable,
 )
@@ -81,6 +83,8 @@
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = b"0.2"
 _READ_PLAN_INTERVAL_S = 1.0
+# Ports above the one for other daemons that the deployment leaves to daemons.
+_FRESH_PORTS = 15
 # A daemon has read the records of all members this long after its start.
 _ALL_MEMBERS_KNOWN_S = 2.0
 
@@ -170,23 +174,39 @@
             self.budget,
         )
         self._runner = self._target_handler.runner
-        self._leaving_memory = leavings.LeavingMemory()
+        self._leaving_memory = leavings.LeavingMemory(self.timers)
+        self._leaving_table = leavingtable.LeavingTable(
+            settings.daemon_peer_address,
+            self._core.view,
+            functools.partial(platform_adapter.store.commit, name="leavings"),
+            lambda rows: self._core.merge(rows, now()),
+            self.timers,
+        )
         self._leaving_recorder = leavings.LeavingRecorder(
             settings.daemon_peer_address,
             self._send_about_leaving,
             self.timers,
             self._known_peers,
+            self._leaving_table,
         )
         self._target_handler.confirm_leaving = self._leaving_recorder.confirm
         self._target_handler.await_leavings()
-        self._leaving_query = leavings.LeavingQuery(
+        self._leaving_query = leavingquery.LeavingQuery(
             settings.daemon_peer_address,
+            self._core.incarnation,
             self._send_about_leaving,
             self.timers,
             self._known_peers,
+            lambda: leavingtable.read_evidence(
+                self._core.view, settings.daemon_peer_address
+            ),
             self._target_handler.record_left,
             self._target_handler.begin_use,
         )
+        self._leaving_query.on_no_evidence = self._open_fresh_address
+        self._target_handler.on_fresh_announcement = (
+            self._leaving_query.handle_fresh_announcement
+        )
         self._late_calls = latecalls.LateCalls(self.timers, self._runner.way)
         self._retry_budgets = retries.ServiceRetryBudgets(
             settings.router_reruns / 100, settings.router_extra_reruns
@@ -202,6 +222,9 @@
             settings.daemon_data_centre,
             settings.router_far_price / 100,
         )
+        self._core.knows_leavings = lambda: (
+            self._leaving_query.is_answered and self._leaving_table.is_complete
+        )
         self._core.is_reachable = self._request_dispatcher.is_reachable
         self._route_tables = routetables.RouteTableKeeper(
             platform_adapter.store,
@@ -226,6 +249,8 @@
             self.timers,
             self._route_tables,
             self._evacuations,
+            self._leaving_memory,
+            lambda: self._target_handler.target.left,
         )
         self._evacuations.on_change = self._handle_evacuations
         platform_adapter.store.on_evacuations = self._evacuations.handle_read
@@ -280,6 +305,24 @@
         server.limits = _CONTROL_LIMITS
         return server
 
+    def _open_fresh_address(self) -> None:
+        """Listens where no earlier process has asked the target to announce.
+
+        The port is drawn anew by each process.
+        """
+        ip, _, port = self._settings.daemon_peer_address.rpartition(":")
+        offset = self._rng.randint(1, _FRESH_PORTS)
+        address = f"{ip}:{int(port) + offset}"
+        try:
+            self._listen(
+                address, self._target_handler.handle_fresh_announcement
+            )
+        except OSError as error:
+            logs.event("fresh_address_taken", address=address, error=str(error))
+            return
+        logs.event("fresh_address", address=address)
+        self._target_handler.fresh_address = address
+
     # Callers.
 
     def _handle_request(self, incoming: httpserver.IncomingRequest) -> None:
@@ -372,7 +415,8 @@
         self._transport.set_peers(
             member_addresses | self._request_dispatcher.addresses()
         )
-        self._leaving_query.handle_new_peers()
+        self._leaving_table.write_if_due()
+        self._leaving_query.handle_table_read()
         self._set_read_plans()
         self._retry_budgets.set_daemon_count(len(members))
         self._perform_effects()
@@ -391,6 +435,7 @@
 
     def _handle_read_failure(self, problem: str) -> None:
         del problem
+        self._leaving_query.handle_table_failure()
         self._core.record_table_failure()
 
     def _handle_commit_result(
@@ -482,9 +527,11 @@
                 self._route_tables.handle_update(update, envelope.address)
             case calls.TargetLeft(process=process):
                 self._leaving_memory.record(envelope.address, process)
-                self._answer_about_leavings(envelope.address)
-            case calls.TargetLeftQuery():
-                self._answer_about_leavings(envelope.address)
+                self._answer_about_leavings(
+                    envelope.address, calls.TargetLeftQuery()
+                )
+            case calls.TargetLeftQuery() as query:
+                self._answer_about_leavings(envelope.address, query)
             case calls.TargetLeftAnswer() as answer:
                 self._leaving_recorder.handle_answer(envelope.address, answer)
                 self._leaving_query.handle_answer(envelope.address, answer)
@@ -505,10 +552,11 @@
             self._core.view.is_read,
         )
 
-    def _answer_about_leavings(self, address: str) -> None:
+    def _answer_about_leavings(
+        self, address: str, query: calls.TargetLeftQuery
+    ) -> None:
         self._send_about_leaving(
-            address,
-            calls.TargetLeftAnswer(self._leaving_memory.find(address)),
+            address, self._leaving_memory.answer(address, query)
         )
 
     def _send_about_leaving(
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -16,7 +16,6 @@
     sockets,
 )
 from tamarackgap.ownership import ownership
-from tamarackgap.peers import calls
 from tamarackgap.scheduling import coldstart
 from tamarackgap.settings import config
 from tamarackgap.traffic import (
@@ -50,7 +49,7 @@
 
 # Has other daemons confirm that a process has left, and calls back with whether
 # they have.
-ConfirmLeaving = Callable[[calls.TargetProcess, Callable[[bool], None]], None]
+ConfirmLeaving = Callable[[types.TargetProcess, Callable[[bool], None]], None]
 
 
 def _do_nothing() -> None:
@@ -58,7 +57,7 @@
 
 
 def _confirm_alone(
-    process: calls.TargetProcess, done: Callable[[bool], None]
+    process: types.TargetProcess, done: Callable[[bool], None]
 ) -> None:
     """Confirms a leaving where there are no other daemons."""
     del process
@@ -77,6 +76,10 @@
             daemons learn of its new state.
         on_status_changed: Called when the target's state has changed.
         confirm_leaving: Called before a leaving is acknowledged.
+        fresh_address: Where the target is to announce itself from now on, so
+            that what it says is known to be new; "" for no change.
+        on_fresh_announcement: Called with each such announcement that does not
+            say that the target leaves.
     """
 
     def __init__(
@@ -107,6 +110,8 @@
         self.on_crash: Callable[[], None] = _do_nothing
         self.on_status_changed: Callable[[], None] = _do_nothing
         self.confirm_leaving: ConfirmLeaving = _confirm_alone
+        self.fresh_address = ""
+        self.on_fresh_announcement: Callable[[], None] = _do_nothing
         self._service = types.ServiceName(settings.daemon_service)
         self._adapter = platform_adapter
         self._core = core
@@ -314,13 +319,28 @@
             if self.runner.accepting:
                 self.on_status_changed()
 
-    def handle_announcement(self, incoming: httpserver.IncomingRequest) -> None:
-        """Handles a request of the target that announces itself."""
+    def handle_fresh_announcement(
+        self, incoming: httpserver.IncomingRequest
+    ) -> None:
+        """Handles an announcement at the address named by this process."""
+        self.handle_announcement(incoming, is_fresh=True)
+
+    def handle_announcement(
+        self, incoming: httpserver.IncomingRequest, is_fresh: bool = False
+    ) -> None:
+        """Handles a request of the target that announces itself.
+
+        Args:
+            incoming: The request.
+            is_fresh: Whether it can't have been sent before this process began.
+        """
         announcement = self._adapter.decode_announcement(incoming)
         if announcement is None:
             incoming.respond(_STATUS_BAD_REQUEST, [], b"")
             return
         is_leaving = announcement.leaving or announcement.final
+        if is_fresh and not is_leaving:
+            self.on_fresh_announcement()
         if is_leaving or self._knows_leavings:
             self._apply_announcement(announcement)
         else:
@@ -343,8 +363,9 @@
         incoming: httpserver.IncomingRequest,
         announcement: localtarget.Announcement,
     ) -> None:
-        response = self._adapter.encode_hold_list(
-            self._answer_hold_report(announcement)
+        response = self._adapter.encode_announcement_answer(
+            self._answer_hold_report(announcement),
+            "" if self._knows_leavings else self.fresh_address,
         )
         incoming.respond(response.status, response.headers, response.body)
 
@@ -383,17 +404,21 @@
         """
         self._knows_leavings = False
 
-    def begin_use(self) -> None:
-        """Applies the announcement that was held back."""
+    def begin_use(self, with_held: bool = True) -> None:
+        """Lets the target be used as soon as it announces itself.
+
+        Args:
+            with_held: Whether the announcement that was held back counts.
+        """
         self._knows_leavings = True
         held = self._held_announcement
         self._held_announcement = None
-        if held is not None:
+        if held is not None and with_held:
             self._apply_announcement(held)
             self._attach_if_serving()
             self._perform_effects()
 
-    def record_left(self, process: calls.TargetProcess) -> None:
+    def record_left(self, process: types.TargetProcess) -> None:
         """Records that a process of the target has left, as others know."""
         self._apply_transition(
             self.target.record_left(process, self._timers.now)
--- a/tamarackgap/traffic/adapter.py
+++ b/tamarackgap/traffic/adapter.py
@@ -119,6 +119,7 @@
         self,
         transaction: records.Transaction,
         done: Callable[[effects.CommitState, list[records.Row]], None],
+        name: str = "",
     ) -> None:
         """Commits a transaction.
 
@@ -127,6 +128,8 @@
             done: Called with the outcome and with rows: those written if it was
                 committed, the current ones if there was a conflict, none if
                 the outcome is unknown.
+            name: Who commits; a transaction that waits may be replaced by a
+                later one of the same name.
         """
 
     def call_counts(self) -> dict[str, int]:
@@ -148,8 +151,9 @@
             to an order, and not a copy of one to an earlier order.
         decode_order_answer: Returns the outcome of an order from the target's
             answer.
-        encode_hold_list: Returns the answer to an announcement that tells the
-            target what it is to hold; takes None if nothing is said of it.
+        encode_announcement_answer: Returns the answer to an announcement. It
+            tells the target what it is to hold, None for nothing to be said,
+            and where it is to announce itself later, "" for no change.
         max_hold_ranges: Largest number of ranges in such an answer.
         decode_announcement: Decodes a target's announcement; returns None for
             any other request.
@@ -169,7 +173,9 @@
         [orders.Grant | orders.Release, httppool.Answer], bool
     ]
     decode_order_answer: Callable[[httppool.Answer], orders.OrderResult]
-    encode_hold_list: Callable[[heartbeatorders.HoldList | None], Response]
+    encode_announcement_answer: Callable[
+        [heartbeatorders.HoldList | None, str], Response
+    ]
     max_hold_ranges: int
     decode_announcement: Callable[
         [httpserver.IncomingRequest], localtarget.Announcement | None
--- a/tamarackgap/traffic/leavings.py
+++ b/tamarackgap/traffic/leavings.py
@@ -1,10 +1,10 @@
-"""Keeps the leaving of targets in mind after their daemons have ended.
+"""Makes the leaving of a target binding before it is acknowledged.
 
 The process of a target leaves for good. Its daemon forgets that when it starts
-anew, and a late announcement would put the target into use again. So a daemon
-has some other daemons, the keepers, confirm that they know of a leaving before
-it acknowledges it, and one that starts asks its keepers before it uses a
-target.
+anew, and a late announcement would put the target into use again. So before a
+daemon acknowledges a leaving, it writes it into the table, and some other
+daemons, the keepers, confirm that they know of it: the table may not answer,
+and it may come back from an older copy. `leavingquery` asks both.
 """
 
 import collections
@@ -12,26 +12,22 @@
 
 import msgspec
 
-from tamarackgap import logs
+from tamarackgap import logs, types
 from tamarackgap.network import scheduler
 from tamarackgap.peers import calls
 from tamarackgap.placement import placement
+from tamarackgap.traffic import leavingtable
 
-# Daemons that are told of a leaving, and how many of them have to confirm it
-# and to answer a daemon that starts. Any two quorums share two daemons, so one
-# of these may start anew meanwhile.
+# Daemons that are told of a leaving, and how many of them have to confirm it.
 KEEPERS = 4
 QUORUM = 3
-_RETRY_S = 0.05
-# Then one confirmation is enough: targets take an acknowledgement for lost
-# after a second.
+RETRY_S = 0.05
+# Then the table or one confirmation is enough: targets take an acknowledgement
+# for lost after a second.
 _CONFIRM_TIMEOUT_S = 0.7
-# Without answers of enough keepers a daemon uses its target this long after it
-# has read the table, or after its start where the table can't be read.
-_ANSWER_TIMEOUT_S = 1.0
-_UNREAD_TIMEOUT_S = 2.5
-_MAX_LEAVINGS_PER_DAEMON = 4
 _MAX_DAEMONS = 4096
+# Longest time for which an announcement may be under way.
+LONGEST_DELAY_S = 10.0
 
 Message = calls.TargetLeft | calls.TargetLeftQuery | calls.TargetLeftAnswer
 Send = Callable[[str, Message], None]
@@ -64,36 +60,92 @@
     return ranked[:KEEPERS]
 
 
+class _Remembered(msgspec.Struct):
+    """What is remembered of one daemon.
+
+    Attributes:
+        left: The last processes of its target that have left.
+        first_process: The daemon's process that was heard first; "" before.
+    """
+
+    left: tuple[types.TargetProcess, ...] = ()
+    first_process: str = ""
+
+
 class LeavingMemory:
     """What this daemon knows of the targets of other daemons that have left."""
 
-    def __init__(self) -> None:
-        """Creates a memory of nothing."""
-        self._leavings: collections.OrderedDict[
-            str, tuple[calls.TargetProcess, ...]
-        ] = collections.OrderedDict()
+    def __init__(self, timers: scheduler.Scheduler) -> None:
+        """Creates a memory of nothing.
+
+        Args:
+            timers: The loop's scheduler.
+        """
+        self._timers = timers
+        self._started_at = timers.now
+        self._daemons: collections.OrderedDict[str, _Remembered] = (
+            collections.OrderedDict()
+        )
 
-    def record(self, address: str, process: calls.TargetProcess) -> None:
-        """Records that a daemon's target has left.
+    def record(self, address: str, *left: types.TargetProcess) -> None:
+        """Records that processes of a daemon's target have left.
 
         Args:
             address: The daemon's `ip:port`.
-            process: The process of the target.
+            *left: The processes.
+        """
+        remembered = self._get(address)
+        for process in left:
+            remembered.left = leavingtable.add_process(remembered.left, process)
+
+    def hear(self, address: str, status: calls.TargetStatus) -> None:
+        """Records what a daemon says of itself and of its target's leavings.
+
+        Args:
+            address: The daemon's `ip:port`.
+            status: Its status, as it has sent it to this daemon itself.
         """
-        known = self._leavings.pop(address, ())
-        if process not in known:
-            known = (*known, process)[-_MAX_LEAVINGS_PER_DAEMON:]
-        self._leavings[address] = known
-        if len(self._leavings) > _MAX_DAEMONS:
-            self._leavings.popitem(last=False)
-
-    def find(self, address: str) -> tuple[calls.TargetProcess, ...]:
+        remembered = self._get(address)
+        remembered.first_process = remembered.first_process or status.process
+        self.record(address, *status.left)
+
+    def answer(
+        self, address: str, query: calls.TargetLeftQuery
+    ) -> calls.TargetLeftAnswer:
+        """Returns what is known of a daemon's target.
+
+        The answer is evidence if this daemon has heard an earlier process of
+        that daemon, which has told it of all leavings, or if it has started so
+        long before the one that asks that earlier announcements have arrived.
+        One that has started at about the same time knows nothing of before.
+
+        Args:
+            address: The daemon's `ip:port`.
+            query: What it asks.
+        """
+        remembered = self._get(address)
+        head_start = self._timers.now - self._started_at - query.age
+        return calls.TargetLeftAnswer(
+            remembered.left,
+            remembered.first_process not in ("", query.process)
+            or head_start > LONGEST_DELAY_S,
+        )
+
+    def find(self, address: str) -> tuple[types.TargetProcess, ...]:
         """Returns the last processes of a daemon's target that have left."""
-        return self._leavings.get(address, ())
+        remembered = self._daemons.get(address)
+        return remembered.left if remembered is not None else ()
+
+    def _get(self, address: str) -> _Remembered:
+        remembered = self._daemons.setdefault(address, _Remembered())
+        self._daemons.move_to_end(address)
+        if len(self._daemons) > _MAX_DAEMONS:
+            self._daemons.popitem(last=False)
+        return remembered
 
 
 class LeavingRecorder:
-    """Has other daemons confirm the leaving of the local target."""
+    """Records that the local target leaves, before that is acknowledged."""
 
     def __init__(
         self,
@@ -101,6 +153,7 @@
         send: Send,
         timers: scheduler.Scheduler,
         get_peers: Callable[[], Peers],
+        table: leavingtable.LeavingTable,
     ) -> None:
         """Creates an instance that has told nothing.
 
@@ -109,25 +162,27 @@
             send: Sends a message to a daemon.
             timers: The loop's scheduler.
             get_peers: Returns the other daemons.
+            table: Writes leavings into the table.
         """
         self._address = address
         self._send = send
         self._timers = timers
         self._get_peers = get_peers
-        self._confirmed_by: dict[calls.TargetProcess, set[str]] = {}
+        self._table = table
+        table.on_recorded = self._handle_recorded
+        self._confirmed_by: dict[types.TargetProcess, set[str]] = {}
         self._waiting: dict[
-            calls.TargetProcess, list[Callable[[bool], None]]
+            types.TargetProcess, list[Callable[[bool], None]]
         ] = {}
 
     def confirm(
-        self, process: calls.TargetProcess, done: Callable[[bool], None]
+        self, process: types.TargetProcess, done: Callable[[bool], None]
     ) -> None:
-        """Tells the keepers that the local target has left.
+        """Records that the local target has left, in the table and at keepers.
 
         Args:
             process: The process of the target.
-            done: Called once with whether the leaving is known to others, or
-                there are none.
+            done: Called once with whether the leaving outlasts this process.
         """
         if self._is_confirmed(process):
             done(True)
@@ -136,6 +191,7 @@
         self._waiting.setdefault(process, []).append(done)
         if is_new:
             self._confirmed_by.setdefault(process, set())
+            self._table.record(process)
             self._tell(process, self._timers.now + _CONFIRM_TIMEOUT_S)
 
     def handle_answer(
@@ -145,142 +201,50 @@
         for process in answer.left:
             if process in self._confirmed_by:
                 self._confirmed_by[process].add(address)
-                if self._is_confirmed(process):
-                    self._finish(process, True)
+                self._finish_if_confirmed(process)
+
+    def _handle_recorded(self) -> None:
+        for process in list(self._waiting):
+            self._finish_if_confirmed(process)
 
-    def _is_confirmed(self, process: calls.TargetProcess) -> bool:
+    def _is_confirmed(self, process: types.TargetProcess) -> bool:
+        if not self._table.is_recorded(process):
+            return False
         confirmed_by = self._confirmed_by.get(process)
         if confirmed_by is None:
             return False
-        peers = self._get_peers()
-        return len(confirmed_by) >= min(QUORUM, len(peers.addresses)) and (
-            bool(confirmed_by) or peers.are_all_known
+        return len(confirmed_by) >= min(
+            QUORUM, len(self._get_peers().addresses)
         )
 
-    def _tell(self, process: calls.TargetProcess, give_up_at: float) -> None:
+    def _tell(self, process: types.TargetProcess, give_up_at: float) -> None:
         if process not in self._waiting:
             return
-        if self._is_confirmed(process):
-            self._finish(process, True)
+        if self._finish_if_confirmed(process):
             return
         confirmed_by = self._confirmed_by[process]
         if self._timers.now >= give_up_at:
+            is_recorded = self._table.is_recorded(process)
             logs.event(
                 "leaving_unconfirmed",
                 instance=process.instance,
                 confirmed=len(confirmed_by),
+                recorded=is_recorded,
             )
-            self._finish(process, bool(confirmed_by))
+            self._finish(process, is_recorded or bool(confirmed_by))
             return
         keepers = choose_keepers(self._address, self._get_peers().addresses)
         for keeper in keepers:
             if keeper not in confirmed_by:
                 self._send(keeper, calls.TargetLeft(process))
-        self._timers.after(_RETRY_S, lambda: self._tell(process, give_up_at))
+        self._timers.after(RETRY_S, lambda: self._tell(process, give_up_at))
 
-    def _finish(self, process: calls.TargetProcess, is_known: bool) -> None:
+    def _finish_if_confirmed(self, process: types.TargetProcess) -> bool:
+        is_confirmed = self._is_confirmed(process)
+        if is_confirmed:
+            self._finish(process, True)
+        return is_confirmed
+
+    def _finish(self, process: types.TargetProcess, is_known: bool) -> None:
         for done in self._waiting.pop(process, ()):
             done(is_known)
-
-
-class LeavingQuery:
-    """Asks other daemons which processes of the local target have left.
-
-    Attributes:
-        is_answered: Whether the local target may be used, as far as that goes.
-    """
-
-    def __init__(
-        self,
-        address: str,
-        send: Send,
-        timers: scheduler.Scheduler,
-        get_peers: Callable[[], Peers],
-        on_left: Callable[[calls.TargetProcess], None],
-        on_answered: Callable[[], None],
-    ) -> None:
-        """Begins to ask, since this daemon has just started.
-
-        Args:
-            address: This daemon's `ip:port` for other daemons.
-            send: Sends a message to a daemon.
-            timers: The loop's scheduler.
-            get_peers: Returns the other daemons.
-            on_left: Called with each process that has left.
-            on_answered: Called once when enough daemons have answered, or none
-                can be expected to.
-        """
-        self._address = address
-        self._send = send
-        self._timers = timers
-        self._get_peers = get_peers
-        self._on_left = on_left
-        self._on_answered = on_answered
-        self._started_at = timers.now
-        # When the table was first seen to be read, seconds.
-        self._read_at: float | None = None
-        self._asked_at: dict[str, float] = {}
-        self._answered_by: set[str] = set()
-        self.is_answered = False
-        timers.after(0.0, self._ask)
-
-    def handle_answer(
-        self, address: str, answer: calls.TargetLeftAnswer
-    ) -> None:
-        """Applies what a daemon knows."""
-        self._answered_by.add(address)
-        for process in answer.left:
-            self._on_left(process)
-        self._check()
-
-    def handle_new_peers(self) -> None:
-        """Asks daemons that have just become known."""
-        if not self.is_answered:
-            self._ask_new()
-
-    def _ask(self) -> None:
-        if self.is_answered:
-            return
-        self._asked_at.clear()
-        self._ask_new()
-        self._timers.after(_RETRY_S, self._ask)
-
-    def _ask_new(self) -> None:
-        peers = self._get_peers()
-        if peers.are_all_known and self._read_at is None:
-            self._read_at = self._timers.now
-        asked = (
-            choose_keepers(self._address, peers.addresses)
-            if peers.are_all_known
-            else peers.addresses
-        )
-        for address in asked:
-            if address not in self._asked_at and (
-                address not in self._answered_by
-            ):
-                self._asked_at[address] = self._timers.now
-                self._send(address, calls.TargetLeftQuery())
-        self._check()
-
-    def _check(self) -> None:
-        if self.is_answered:
-            return
-        now = self._timers.now
-        peers = self._get_peers()
-        if self._read_at is None:
-            is_over = now - self._started_at > _UNREAD_TIMEOUT_S
-        else:
-            keepers = choose_keepers(self._address, peers.addresses)
-            answers = len(self._answered_by.intersection(keepers))
-            is_over = (
-                answers >= min(QUORUM, len(keepers))
-                or now - self._read_at > _ANSWER_TIMEOUT_S
-            )
-        if is_over:
-            self.is_answered = True
-            logs.event(
-                "leavings_asked",
-                answers=len(self._answered_by),
-                ms=round((now - self._started_at) * 1000),
-            )
-            self._on_answered()
--- a/tamarackgap/traffic/localtarget.py
+++ b/tamarackgap/traffic/localtarget.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from tamarackgap.peers import calls
+from tamarackgap import types
 from tamarackgap.traffic import heartbeatorders
 
 # A target is regarded as gone if it has sent no announcement for this many
@@ -55,9 +55,9 @@
     report: heartbeatorders.HoldReport = heartbeatorders.HoldReport()
 
     @property
-    def process(self) -> calls.TargetProcess:
+    def process(self) -> types.TargetProcess:
         """The process that has sent it."""
-        return calls.TargetProcess(self.instance, self.born_ms)
+        return types.TargetProcess(self.instance, self.born_ms)
 
 
 class Transition(enum.Enum):
@@ -95,9 +95,14 @@
         self._last_heard = now
         self._latest = Announcement("")
         # Processes that have left, and until when they count so, seconds.
-        self._left: dict[calls.TargetProcess, float] = {}
+        self._left: dict[types.TargetProcess, float] = {}
         self.phase = Phase.ABSENT
 
+    @property
+    def left(self) -> tuple[types.TargetProcess, ...]:
+        """The processes that have left."""
+        return tuple(self._left)
+
     @property
     def instance(self) -> str:
         """Id of the target; "" before its first announcement."""
@@ -162,7 +167,7 @@
 
     def leaving_process(
         self, announcement: Announcement
-    ) -> calls.TargetProcess:
+    ) -> types.TargetProcess:
         """Returns the process that an announcement says to leave.
 
         A last announcement need not say when the process was started.
@@ -173,20 +178,20 @@
             return latest
         return process
 
-    def has_left(self, process: calls.TargetProcess, now: float) -> bool:
+    def has_left(self, process: types.TargetProcess, now: float) -> bool:
         """Returns whether a process has said that it leaves.
 
         Args:
             process: The process.
             now: Monotonic time, seconds.
         """
-        unborn = calls.TargetProcess(process.instance)
+        unborn = types.TargetProcess(process.instance)
         return any(
             self._left.get(each, -math.inf) > now for each in (process, unborn)
         )
 
     def record_left(
-        self, process: calls.TargetProcess, now: float
+        self, process: types.TargetProcess, now: float
     ) -> Transition:
         """Records that a process has left, as others know.
 
@@ -203,7 +208,7 @@
         self.phase = Phase.LEAVING
         return Transition.LEAVING
 
-    def _add_left(self, process: calls.TargetProcess, now: float) -> None:
+    def _add_left(self, process: types.TargetProcess, now: float) -> None:
         self._left[process] = (
             math.inf if process.born_ms else (now + _UNBORN_LEFT_S)
         )
--- a/tamarackgap/types.py
+++ b/tamarackgap/types.py
@@ -3,6 +3,8 @@
 import enum
 from typing import NewType
 
+import msgspec
+
 ServiceName = NewType("ServiceName", str)
 DataCentre = NewType("DataCentre", str)
 DaemonName = NewType("DaemonName", str)
@@ -96,3 +98,15 @@
     CLOSED = "closed"
     # The witness has seen a later epoch of this owner.
     SUPERSEDED = "superseded"
+
+
+class TargetProcess(msgspec.Struct, array_like=True, frozen=True):
+    """A process of a target.
+
+    Attributes:
+        instance: The target's id.
+        born_ms: Start time of the process, milliseconds; 0 if not known.
+    """
+
+    instance: str
+    born_ms: int = 0
--- a/tests/platform/test_circuitbreaker.py
+++ b/tests/platform/test_circuitbreaker.py
@@ -38,8 +38,8 @@
     def read(self, name):
         self.breaker.wait_to_read(name, lambda: self.calls.append(name))
 
-    def commit(self, name):
-        self.breaker.wait_to_commit(lambda: self.calls.append(name))
+    def commit(self, name, caller=""):
+        self.breaker.wait_to_commit(lambda: self.calls.append(name), caller)
 
     def fail(self, name, has_waited=False):
         self.breaker.record_failure(name, has_waited)
@@ -51,6 +51,14 @@
     return Callers()
 
 
+def test_transactions_of_different_callers_do_not_replace_each_other(callers):
+    callers.fail("rows")
+    for name, caller in (("a", "x"), ("b", "y"), ("c", "x")):
+        callers.commit(name, caller)
+    callers.breaker.record_answer()
+    assert set(callers.calls) == {"rows", "b", "c"}
+
+
 def test_all_calls_pass_while_the_store_answers(callers):
     for name in ("rows", "op"):
         callers.read(name)
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -47,10 +47,12 @@
 
 
 @pytest.mark.parametrize("is_draining", [True, False])
+@pytest.mark.parametrize("killed", [1, 7])
 def test_a_server_that_has_left_gets_nothing_after_its_daemon_was_killed(
-    cluster, is_draining
+    cluster, is_draining, killed
 ):
-    # The new process took a late heartbeat for the present state.
+    # The new process took a late heartbeat for the present state; where all
+    # daemons were killed, nobody was left who knew of the leaving.
     vm = cluster.vms[0]
     vm.server.send_heartbeat = lambda: True
     time.sleep(0.5)
@@ -59,9 +61,11 @@
     else:
         assert _post(vm, "deregister") == 200
     left_at = time.monotonic()
-    vm.kill()
-    vm.start()
-    assert platformcluster.wait_until(READY_S, vm.is_ready)
+    for each in cluster.vms[:killed]:
+        each.kill()
+    for each in cluster.vms[:killed]:
+        each.start()
+    assert platformcluster.wait_until(READY_S, cluster.serves_all_routes)
     time.sleep(max(0.0, left_at + DRAIN_S - time.monotonic()))
     for sequence in (998, 999):
         assert _announce(vm, sequence, "ready") == 200
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -67,7 +67,7 @@
 
 
 def test_answer_lists_ranges_and_hold_time():
-    answer = servers.encode_hold_list(
+    answer = servers.encode_heartbeat_answer(
         heartbeatorders.HoldList(
             (make_grant(0, 4095, 7), make_grant(9000, 9999, 12, "7a21")), 2.5
         )
@@ -80,7 +80,12 @@
 
 
 def test_answer_without_hold_list_renews_nothing():
-    assert servers.encode_hold_list(None).body == b""
+    assert servers.encode_heartbeat_answer(None).body == b""
+
+
+def test_answer_names_an_address_for_later_heartbeats():
+    answer = servers.encode_heartbeat_answer(None, "10.0.0.1:7625")
+    assert json.loads(answer.body) == {"heartbeat_addr": "10.0.0.1:7625"}
 
 
 def test_largest_answer_is_accepted_by_servers():
@@ -88,7 +93,7 @@
         make_grant(60_000 + index, 65_535, 10**8 + index, "f" * 16)
         for index in range(servers.MAX_HOLD_RANGES)
     ]
-    answer = servers.encode_hold_list(
+    answer = servers.encode_heartbeat_answer(
         heartbeatorders.HoldList(tuple(grants), 9.999)
     )
     assert len(answer.body) <= 4096
--- a/tests/processes/test_targethandler.py
+++ b/tests/processes/test_targethandler.py
@@ -75,7 +75,9 @@
     )
     adapter = module_types.SimpleNamespace(
         decode_announcement=lambda incoming: incoming.announcement,
-        encode_hold_list=lambda holds: adapterstructs.Response(200, [], b""),
+        encode_announcement_answer=lambda holds, address: (
+            adapterstructs.Response(200, [], address.encode())
+        ),
         max_hold_ranges=10,
         codec=runner.Codec(None, None, None),
         encode_order=lambda order: order,
@@ -272,9 +274,11 @@
             "i-1", "s", 4, **{"born_ms": 100, **fields}
         )
         self.statuses = []
+        self.bodies = []
 
     def respond(self, status, headers, body):
         self.statuses.append(status)
+        self.bodies.append(body)
 
 
 def test_a_target_is_not_used_before_its_leavings_are_known(handler_and_sent):
@@ -302,6 +306,35 @@
     assert handler.runner.accepting
 
 
+def test_an_announcement_at_the_address_named_by_this_process_counts(
+    handler_and_sent,
+):
+    # Nothing else shows that it was not sent before all daemons were killed.
+    handler, _ = handler_and_sent
+    handler.await_leavings()
+    handler.fresh_address = "h:7625"
+    handler.on_fresh_announcement = lambda: handler.begin_use(False)
+    late = _Incoming(sequence=7)
+    handler.handle_announcement(late)
+    assert late.bodies == [b"h:7625"]
+    handler.handle_fresh_announcement(_Incoming(sequence=8, leaving=True))
+    assert not handler.is_serving
+    later = _Incoming(sequence=1, born_ms=10**13)
+    handler.handle_fresh_announcement(later)
+    assert handler.is_serving
+    assert later.bodies == [b""]
+
+
+def test_an_announcement_that_was_held_back_may_not_count(handler_and_sent):
+    handler, _ = handler_and_sent
+    handler.await_leavings()
+    handler.handle_announcement(_Incoming(sequence=7))
+    handler.begin_use(with_held=False)
+    assert not handler.is_serving
+    handler.handle_announcement(_Incoming(sequence=8))
+    assert handler.is_serving
+
+
 @pytest.mark.parametrize("is_known", [True, False])
 @pytest.mark.parametrize("fields", [{"leaving": True}, {"final": True}])
 def test_a_leaving_is_acknowledged_once_others_know_it(
--- a/tests/support/targetsimulation.py
+++ b/tests/support/targetsimulation.py
@@ -277,7 +277,9 @@
         encode_order=targets.encode_order,
         is_order_answer=targets.is_order_answer,
         decode_order_answer=targets.decode_order_answer,
-        encode_hold_list=lambda hold_list: adapter.Response(200, [], hold_list),
+        encode_announcement_answer=lambda hold_list, address: adapter.Response(
+            200, [], hold_list
+        ),
         max_hold_ranges=100,
         decode_announcement=lambda incoming: incoming.announcement,
         decode_table=cannot,
