A service founded after the copy gets fences above all, and soon

Cause: the first fence was 1 in every era for a daemon that knows no earlier row. None was left to be seen: the six others had written their records in the new era, which replaced those of the copy in the view of the daemons that started. They founded the service at once. Others replace a slot's owner by one with a higher fence only, so the second founding did not count for them.

Change: an era's first fences lie above all of earlier eras. A table counts as restored if rows of an earlier era were seen at all, or a record says that its daemon joined in one. Daemons of the service ask all others for the rows that the table lacks, and wait for one lease once every daemon that anyone knows is accounted for; the anchor time is left as the upper limit. Slots taken over through seals are served in a new era once they are recorded there. Witnesses and successors are not chosen among processes whose place another has taken.

--- a/tamarackgap/ownership/creation.py
+++ b/tamarackgap/ownership/creation.py
@@ -1,6 +1,6 @@
 """Decides when a service's slots are first given to owners, and by whom."""
 
-from tamarackgap.ownership import changes, erachange, plannerinputs
+from tamarackgap.ownership import changes, plannerinputs
 from tamarackgap.placement import records
 
 # An ordered service is created with at least this many slots for each member,
@@ -21,11 +21,11 @@
     if (
         own_record is None
         or not inputs.keyed
-        or inputs.age < settings.settle
+        or inputs.age < _settle_time(inputs)
         or not inputs.lease_valid
         or not inputs.accepting
         or inputs.view.current_service_record(settings.service) is not None
-        or erachange.may_be_owned(inputs)
+        or not inputs.earlier_owners_ended
     ):
         return None
     if settings.ordered_keys and not _is_creator(inputs, own_record):
@@ -40,6 +40,20 @@
     )
 
 
+def _settle_time(inputs: plannerinputs.PlannerInputs) -> float:
+    """Returns the age from which on a daemon may create the service, seconds.
+
+    A table that names an era may have come back from a copy that is older than
+    all of its rows. Then earlier owners may have ended just before this daemon
+    started, and their targets hold their slots for as long as their leases.
+    """
+    settings = inputs.settings
+    if not inputs.view.era:
+        return settings.settle
+    lease = inputs.lease_length or settings.lease
+    return max(settings.settle, lease * (1 + settings.drift) + settings.linger)
+
+
 def continue_creation(
     inputs: plannerinputs.PlannerInputs, change_id: str
 ) -> changes.Change | None:
--- a/tamarackgap/ownership/endedincarnations.py
+++ b/tamarackgap/ownership/endedincarnations.py
@@ -34,6 +34,13 @@
         """Returns the witness of an ended incarnation, or None."""
         return self._witnesses.get(name)
 
+    def has_unknown_owner(self, now: float) -> bool:
+        """Returns whether an owner that renews here has no known record."""
+        return any(
+            witness.has_unknown_owner(now)
+            for witness in self._witnesses.values()
+        )
+
     def report_silent_owners(
         self, outbox: effects.Outbox, now: float
     ) -> list[records.LeaseRecord]:
--- a/tamarackgap/ownership/erachange.py
+++ b/tamarackgap/ownership/erachange.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tamarackgap import types
-from tamarackgap.ownership import changes, effects, plannerinputs, takeover
+from tamarackgap.ownership import changes, plannerinputs, takeover
 from tamarackgap.placement import placement, records, slots
 
 _CARRYING = types.EraPhase.CARRYING
@@ -19,36 +19,6 @@
     return inputs.carried is not None
 
 
-def may_be_owned(inputs: plannerinputs.PlannerInputs) -> bool:
-    """Returns whether owners of an earlier era may still serve.
-
-    A daemon that knows of none must not found a service before that.
-    """
-    return inputs.view.has_earlier_rows and not have_all_ended(
-        inputs.view, inputs.settings, inputs.era_age
-    )
-
-
-def have_all_ended(
-    view: records.TableView, settings: effects.Settings, era_age: float
-) -> bool:
-    """Returns whether owners with no record in the table's era have ended.
-
-    An owner serves for the anchor time after its last read in an earlier era,
-    which came before this daemon learnt of the new one.
-
-    Args:
-        view: This daemon's copy of the table.
-        settings: The daemon's settings; without an anchor time nobody stops.
-        era_age: Time since this daemon learnt of the era, seconds.
-    """
-    lengths = [record.lease_ms / 1000 for record in view.leases()]
-    limit = effects.challenge_timeout(
-        settings, max(lengths, default=settings.lease)
-    )
-    return bool(settings.anchor) and era_age > limit
-
-
 def is_settled(view: records.TableView) -> bool:
     """Returns whether all services' slots are recorded in the table's era."""
     services = [view.current_service_record(name) for name in view.services()]
@@ -231,7 +201,9 @@
             continue
         if service_record.phase is types.EraPhase.SETTLED:
             continue
-        if not plannerinputs.is_responsible(inputs, service):
+        if not plannerinputs.is_responsible(inputs, service) and not (
+            service == inputs.settings.service and _is_first_member(inputs)
+        ):
             continue
         change = _settle(inputs, service, service_record, change_id)
         if change is not None:
@@ -254,7 +226,12 @@
     builder = changes.Builder(view, change_id)
     phase = types.EraPhase.SETTLED
     if service_record.phase is _CARRYING and left:
-        if not have_all_ended(view, inputs.settings, inputs.era_age):
+        is_own = service == inputs.settings.service
+        if not (
+            inputs.earlier_owners_ended
+            if is_own
+            else inputs.all_earlier_owners_ended
+        ):
             return None
         phase = types.EraPhase.CLOSED
     elif left:
@@ -269,6 +246,22 @@
     )
 
 
+def _is_first_member(inputs: plannerinputs.PlannerInputs) -> bool:
+    """Returns whether this is the first reachable owner of its service."""
+    return inputs.incarnation == min(
+        (
+            record.incarnation
+            for record in inputs.view.current_members(inputs.settings.service)
+            if record.can_own
+            and (
+                record.incarnation == inputs.incarnation
+                or inputs.is_reachable(record.incarnation)
+            )
+        ),
+        default=None,
+    )
+
+
 def _is_all_read(view: records.TableView, service: str) -> bool:
     """Returns whether the rows known here are those of one moment.
 
--- a/tamarackgap/ownership/ownership.py
+++ b/tamarackgap/ownership/ownership.py
@@ -12,6 +12,7 @@
 from tamarackgap.ownership import (
     changes,
     commitretry,
+    earlierowners,
     effects,
     endedincarnations,
     epochchange,
@@ -116,9 +117,13 @@
             self._renewer, self._outbox, settings.ordered_keys
         )
         self._ended = endedincarnations.EndedIncarnations()
+        self._earlier_owners = earlierowners.EarlierOwners(
+            settings, self._view, self._outbox, now
+        )
         self._era_begun_at = now
         self._liveness = liveness.LivenessTracker()
         self._rejoin_until = now
+        self._have_earlier_owners_ended = False
         self._start_incarnation(now)
 
     def _start_incarnation(self, now: float) -> None:
@@ -222,8 +227,16 @@
 
     @property
     def owned(self) -> dict[int, effects.OwnedSlot]:
-        """All owned slots, recorded in the table or not."""
-        return {**self._owned, **self._succession.unrecorded}
+        """All slots that may be served, recorded in the table or not."""
+        unrecorded = self._succession.unrecorded
+        return {
+            **self._owned,
+            **{
+                slot: owned
+                for slot, owned in unrecorded.items()
+                if not self._succession.is_of_earlier_era(slot)
+            },
+        }
 
     @property
     def unrecorded(self) -> dict[int, effects.OwnedSlot]:
@@ -278,8 +291,11 @@
         return self._renewer.own_lease.current
 
     def find_slot(self, slot: int) -> effects.OwnedSlot | None:
-        """Returns a slot if this daemon owns it, or None."""
-        return self._succession.find_slot(slot) or self._owned.get(slot)
+        """Returns a slot if this daemon may serve it, or None."""
+        taken = self._succession.find_slot(slot)
+        if taken is not None and not self._succession.is_of_earlier_era(slot):
+            return taken
+        return self._owned.get(slot)
 
     def refusal(self, slot: int, now: float) -> types.Reason | None:
         """Returns why a slot can't be served now, or None if it can."""
@@ -459,9 +475,7 @@
             rows = [row for row in rows if row.era == era]
         self._merge(rows, now, False)
         if self._view.has_earlier_rows and (
-            erachange.have_all_ended(
-                self._view, self._settings, self._era_age(now)
-            )
+            self._earlier_owners.have_all_ended(now)
             or (not self._view.is_read and erachange.is_settled(self._view))
         ):
             self._view.forget_earlier_rows()
@@ -574,6 +588,13 @@
                 witness.release(sender, message)
             case messages.RowUpdates():
                 self.merge(list(message.rows), now)
+            case messages.EarlierOwnersQuery():
+                answer = self._earlier_owners.answer(
+                    message, self._has_unknown_owner(now), now
+                )
+            case messages.EarlierOwnersAnswer():
+                self._merge(list(message.rows), now, False)
+                self._earlier_owners.handle_answer(sender, message)
             case messages.Claim():
                 self._succession.handle_claim(sender, message)
             case messages.LoadReport(rate=rate, speed=speed):
@@ -581,9 +602,15 @@
         if answer is not None:
             # The sender of the answer is the incarnation that was asked,
             # even if it has ended: the owner knows its witness by that id.
-            self._outbox.put(effects.Send(witness_id, envelope.address, answer))
+            name = witness_id or self._incarnation
+            self._outbox.put(effects.Send(name, envelope.address, answer))
         self._advance_takeovers(now)
 
+    def _has_unknown_owner(self, now: float) -> bool:
+        return self._own_witness.has_unknown_owner(
+            now
+        ) or self._ended.has_unknown_owner(now)
+
     def _find_witness(self, name: str) -> witnesshandler.WitnessHandler | None:
         """Returns the witness of this process under an id, or None."""
         if name == self._incarnation:
@@ -597,6 +624,7 @@
             self._suspect(record.incarnation, record.epoch, now)
         self._check_lapse(now)
         self._check_era(now)
+        self._ask_about_earlier_owners(now)
         self._advance_takeovers(now)
         self._repeat_unconfirmed(now)
         self._plan(now)
@@ -707,6 +735,7 @@
     def _begin_era(self, era: int, now: float) -> None:
         """Goes on in a new era: the table has come back from an older copy."""
         self._era_begun_at = now
+        self._earlier_owners.begin_era(now)
         if not self._view.is_read:
             # This daemon has done nothing in an earlier era.
             self._view.begin_era(era)
@@ -780,8 +809,24 @@
             record.phase is not types.EraPhase.CARRYING
         )
 
-    def _era_age(self, now: float) -> float:
-        return now - self._era_begun_at
+    def _ask_about_earlier_owners(self, now: float) -> None:
+        """Asks others, while the service here has no settled record."""
+        self._have_earlier_owners_ended = False
+        if not self.keyed or not self._view.is_read or self._is_settled():
+            return
+        self._have_earlier_owners_ended = self._earlier_owners.have_ended(
+            now, self.lease_length
+        )
+        if self._have_earlier_owners_ended:
+            self._earlier_owners.log_end(now)
+        else:
+            self._earlier_owners.ask(now)
+            # The planner's next run must not wait for a change of its inputs.
+            self._idle_signature = None
+
+    def _is_settled(self) -> bool:
+        record = self._view.current_service_record(self._settings.service)
+        return record is not None and record.phase is types.EraPhase.SETTLED
 
     # Changes of the table.
 
@@ -860,7 +905,8 @@
             ),
             challenged_for=self._liveness.challenge_durations(self._view, now),
             ended=self._ended.ended(self._view, now),
-            era_age=self._era_age(now),
+            earlier_owners_ended=self._have_earlier_owners_ended,
+            all_earlier_owners_ended=self._earlier_owners.have_all_ended(now),
             knows_leavings=self.knows_leavings(),
             carried=self._record_to_carry(),
             doubtful_moves=self._transition.doubtful_moves,
--- a/tamarackgap/ownership/planner.py
+++ b/tamarackgap/ownership/planner.py
@@ -124,6 +124,7 @@
         lease_ms=round(inputs.lease_length * 1000),
         linger_ms=round(linger * 1000),
         accepting=inputs.accepting,
+        first_era=inputs.view.era,
         knows_leavings=inputs.knows_leavings,
     )
     builder = changes.Builder(inputs.view, change_id)
--- a/tamarackgap/ownership/plannerinputs.py
+++ b/tamarackgap/ownership/plannerinputs.py
@@ -102,7 +102,9 @@
         load_ages: Time since each of these loads was reported, seconds.
         is_target_empty: Whether the target is known to hold no slot, also of
             earlier incarnations.
-        era_age: Time since this daemon learnt of the table's era, seconds.
+        earlier_owners_ended: Whether nobody serves what it owned of the service
+            here in an earlier era, unless that is recorded in the table's era.
+        all_earlier_owners_ended: The same for all services.
         carried: Record to write in the table's era for this daemon, if it has
             none there and has owned slots in an earlier one.
         doubtful_moves: Moves of an earlier era whose outcome is not known.
@@ -140,7 +142,8 @@
     speeds: dict[str, float] = {}
     load_ages: dict[str, float] = {}
     load_measured_at: float = 0.0
-    era_age: float = 0.0
+    earlier_owners_ended: bool = True
+    all_earlier_owners_ended: bool = True
     carried: records.LeaseRecord | None = None
     doubtful_moves: tuple[DoubtfulMove, ...] = ()
     former_owners: dict[int, str] = {}
--- a/tamarackgap/ownership/succession.py
+++ b/tamarackgap/ownership/succession.py
@@ -68,9 +68,16 @@
 
     def has_slots_of_earlier_era(self) -> bool:
         """Returns whether owned slots have no record in the table's era."""
-        return any(
-            not self._view.has_slot(owner, slot)
-            for slot, owner in self._former_owners.items()
+        return any(map(self.is_of_earlier_era, self._former_owners))
+
+    def is_of_earlier_era(self, slot: int) -> bool:
+        """Returns whether a slot owned here has no record in the table's era.
+
+        Others may be given it there. So it is not served until that era has
+        it as this daemon's.
+        """
+        return self._view.is_restored and not self._view.has_slot(
+            self._former_owners[slot], slot
         )
 
     def mark_recorded(self, slot: int) -> None:
--- a/tamarackgap/ownership/witness.py
+++ b/tamarackgap/ownership/witness.py
@@ -154,6 +154,17 @@
         if epoch_state is not None:
             epoch_state.released = True
 
+    def granted_since(self, since: float) -> list[str]:
+        """Returns the owners that have had a grant since a time, seconds."""
+        return [
+            owner
+            for owner, epochs in self._epoch_states.items()
+            if any(
+                state.granted_at is not None and state.granted_at >= since
+                for state in epochs.values()
+            )
+        ]
+
     def suspicions(self, now: types.Seconds) -> list[Suspicion]:
         """Returns epochs whose last grant is old or whose owner gave them up.
 
--- a/tamarackgap/ownership/witnesshandler.py
+++ b/tamarackgap/ownership/witnesshandler.py
@@ -81,6 +81,14 @@
         )
         return messages.SealReply(message.owner, message.epoch, state, sent_age)
 
+    def has_unknown_owner(self, now: float) -> bool:
+        """Returns whether an owner that renews here has no known record."""
+        since = now - self._base_length * _SUSPECT_AFTER_LEASES
+        return any(
+            self._view.lease(owner) is None
+            for owner in self._witness.granted_since(since)
+        )
+
     def report_silent_owners(self, now: float) -> list[records.LeaseRecord]:
         """Notifies the successors of owners that have stopped renewing.
 
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -167,6 +167,36 @@
     runs: tuple[slots.SlotRange, ...]
 
 
+class EarlierOwnersQuery(
+    msgspec.Struct, tag="earlier-asked", array_like=True, frozen=True
+):
+    """Asks who owned slots before the table came back from an older copy.
+
+    Attributes:
+        service: Service of the slots.
+        era: The table's era.
+    """
+
+    service: str
+    era: decoding.Count
+
+
+class EarlierOwnersAnswer(
+    msgspec.Struct, tag="earlier-known", array_like=True, frozen=True
+):
+    """Answers `EarlierOwnersQuery`.
+
+    Attributes:
+        era: The table's era.
+        rows: Rows of earlier eras that have not been written in this one.
+        have_all_ended: Whether all owners of earlier eras have ended.
+    """
+
+    era: decoding.Count
+    rows: tuple[records.Row, ...]
+    have_all_ended: bool
+
+
 class Forward(msgspec.Struct, tag="forward", array_like=True, frozen=True):
     """Asks the owner of a key to have its target execute a request.
 
@@ -275,6 +305,8 @@
     | Release
     | RowUpdates
     | Claim
+    | EarlierOwnersQuery
+    | EarlierOwnersAnswer
     | Forward
     | ForwardReply
     | Cancel
@@ -314,7 +346,7 @@
 
 
 # Their fields repeat; bodies of calls can't be made smaller.
-_COMPRESSED = (RowUpdates, calls.StatusDigest)
+_COMPRESSED = (RowUpdates, EarlierOwnersAnswer, calls.StatusDigest)
 _MIN_COMPRESSED_BYTES = 256
 _COMPRESSION_LEVEL = 1
 # First byte of what zlib writes; MessagePack begins an envelope with another.
--- a/tamarackgap/placement/records.py
+++ b/tamarackgap/placement/records.py
@@ -43,6 +43,7 @@
             as a witness.
         state: Whether the epoch may be in use.
         change: Id of the write that made this row.
+        first_era: The table's era when the incarnation joined.
         knows_leavings: Whether the table's era has all leavings of the targets
             beside the daemon that were acknowledged before.
     """
@@ -62,6 +63,7 @@
     leaving: bool = False
     state: types.RecordState = types.RecordState.OPEN
     change: str = ""
+    first_era: decoding.Count = 0
     knows_leavings: bool = False
 
     @property
@@ -300,6 +302,11 @@
 # The table may have forgotten so many changes of a slot's owner at most each
 # time that it went back. Each takes a transaction of some milliseconds.
 _FORGOTTEN_FENCES = 65_536
+# Fences that are given out first in an era lie above all of earlier eras, also
+# where nobody is left who knows those. Targets are sent multiples of fences as
+# integers of 64 bits, which leaves room for so many eras.
+_FENCES_PER_ERA = 2**20
+_MAX_ERA_OF_FENCES = 2**22
 # Era, revision and value of a row that is not known.
 _NO_ROW = (0, 0, None)
 
@@ -370,6 +377,7 @@
         self._era = era
         self._is_restored = self._is_restored or bool(self._rows)
         self._cursor = types.Revision(0)
+        self._members.clear()
         self._version += 1
 
     def forget_earlier_rows(self) -> None:
@@ -388,6 +396,8 @@
     def first_fence(self, service: str) -> int:
         """Returns a fence above all that a service's slots have had."""
         fence = self._fence_floors.get(service, 1)
+        if self._era <= _MAX_ERA_OF_FENCES:
+            fence = max(fence, self._era * _FENCES_PER_ERA + 1)
         for record in self._leases.values():
             if record.service != service or not record.runs:
                 continue
@@ -416,6 +426,8 @@
             value = None
             if row.value is not None:
                 value = _decode(row.key, row.value)
+            if isinstance(value, LeaseRecord) and value.first_era < row.era:
+                self._is_restored = True
             self._rows[row.key] = (row.era, row.revision, value)
             self._index_lease(row.key, value)
             changed.append(row.key)
@@ -464,6 +476,23 @@
             record for record in self.leases() if self.is_current(record.key)
         )
 
+    def earlier_rows(self, service: str) -> Iterator[Row]:
+        """Yields a service's rows of earlier eras.
+
+        These are its record, and the open lease records, as far as they were
+        not written in the table's era.
+        """
+        keys = [service_key(service)]
+        keys += [
+            record.key
+            for record in self._leases.values()
+            if record.is_open and record.service == service
+        ]
+        for key in keys:
+            era, revision, value = self._rows.get(key, _NO_ROW)
+            if value is not None and era < self._era:
+                yield Row(key, encode(value), revision, era)
+
     def service_record(self, service: str) -> ServiceRecord | None:
         """Returns the record of a service, of whatever era, or None."""
         return self._rows.get(service_key(service), _NO_ROW)[2]
@@ -513,16 +542,29 @@
     def open_records(self, service: str | None = None) -> list[LeaseRecord]:
         """Returns the open lease records, sorted by incarnation.
 
+        Those of earlier eras are left out if another process at their address
+        has an open record in the table's era: they have ended.
+
         Args:
             service: Service of the records; None for all services.
         """
         open_records = self._members.get(service)
         if open_records is None:
+            current = {
+                record.peer_address
+                for record in self.current_leases()
+                if record.is_open
+            }
             open_records = self._members[service] = sorted(
                 (
                     record
                     for record in self._leases.values()
-                    if record.is_open and service in (None, record.service)
+                    if record.is_open
+                    and service in (None, record.service)
+                    and (
+                        self.is_current(record.key)
+                        or record.peer_address not in current
+                    )
                 ),
                 key=lambda record: record.incarnation,
             )
--- a/tests/ownership/test_erachange.py
+++ b/tests/ownership/test_erachange.py
@@ -257,3 +257,25 @@
     story.play()
     assert story.cluster.run(45, story.cluster.all_slots_served) is not None
     assert story.cluster.violations == []
+
+
+class _FoundingStory(_Story):
+    """The same, while a further service is founded."""
+
+    def _inject_one(self):
+        if self._rng.random() < 0.75:
+            super()._inject_one()
+            return
+        count = len(self.cluster.daemons)
+        self.cluster.add_daemon(f"new-{count}", self._rng.choice("abc"), "new")
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_service_has_one_founder_whatever_happens_around_drills(seed):
+    story = _FoundingStory(seed)
+    story.cluster.deploy(3, service="new")
+    story.play()
+    cluster = story.cluster
+    assert cluster.run(45, cluster.all_slots_served) is not None
+    assert cluster.run(45, lambda: cluster.all_slots_served("new")) is not None
+    assert cluster.violations == []
--- a/tests/placement/test_records.py
+++ b/tests/placement/test_records.py
@@ -1,3 +1,4 @@
+import itertools
 import json
 
 import msgspec
@@ -5,6 +6,7 @@
 
 from tamarackgap import types
 from tamarackgap.placement import records, slots
+from tamarackgap.traffic import holds
 
 
 def lease_row(incarnation, revision, **values):
@@ -180,3 +182,47 @@
     view.forget_earlier_rows()
     assert not view.has_earlier_rows
     assert view.first_fence("s") == fence
+
+
+def test_first_fences_of_an_era_lie_above_all_of_earlier_ones():
+    # A daemon that knew no row gave out the fences that others had.
+    view = records.TableView()
+    assert view.first_fence("s") == 1
+    fences = []
+    for era in (1, 2, 7, 9, records._MAX_ERA_OF_FENCES):
+        view.begin_era(era)
+        fences.append(view.first_fence("s"))
+    assert all(
+        later - fence >= records._FENCES_PER_ERA
+        for fence, later in itertools.pairwise(fences)
+    )
+    # Orders carry a multiple of it.
+    last = fences[-1] + records._FENCES_PER_ERA
+    assert (last + 1) * holds.FENCE_STEP < 2**63
+
+
+def test_fences_stay_above_known_ones_in_eras_beyond_the_largest():
+    view = records.TableView()
+    view.begin_era(10**14)
+    row = lease_row("i", 5, runs=(slots.SlotRange(0, 3, 9),))
+    view.merge([msgspec.structs.replace(row, era=10**14)])
+    assert 9 <= view.first_fence("s") < 2**43
+
+
+def test_records_of_an_earlier_era_end_where_another_process_has_joined():
+    view = records.TableView()
+    view.merge([msgspec.structs.replace(lease_row("i", 5), era=1)])
+    view.begin_era(2)
+    assert [each.incarnation for each in view.open_records()] == ["i"]
+    view.merge([msgspec.structs.replace(lease_row("j", 3), era=2)])
+    assert [each.incarnation for each in view.open_records()] == ["j"]
+    assert [row.key for row in view.earlier_rows("s")] == ["lease/i"]
+
+
+@pytest.mark.parametrize("first_era", [7, 8])
+def test_a_record_carried_from_an_earlier_era_shows_a_restored_table(first_era):
+    view = records.TableView()
+    view.begin_era(8)
+    row = lease_row("i", 5, first_era=first_era)
+    view.merge([msgspec.structs.replace(row, era=8)])
+    assert view.is_restored is (first_era < 8)
