--- a/tamarackgap/traffic/leavingquery.py
+++ b/tamarackgap/traffic/leavingquery.py
@@ -1,9 +1,11 @@
 """Finds out which processes of the local target have left, after a start.
 
 Evidence is the table, as far as it can't have lost a leaving, and the answers
-of daemons that have not just started themselves. Where there is neither, an
-announcement counts if it can't have been sent before this process started: it
-comes to an address that only this process has named, or late enough.
+of daemons that have not just started themselves. A leaving may have been
+acknowledged before the table took it, so others are asked in any case. Where
+there is no evidence, an announcement counts if it can't have been sent before
+this process started: it comes to an address that only this process has named,
+or late enough.
 """
 
 from collections.abc import Callable
@@ -74,7 +76,8 @@
         # acknowledged that it does not have.
         self._has_table_failed = False
         self._asked: set[str] = set()
-        # Daemons that can't have missed a leaving.
+        self._answered_by: set[str] = set()
+        # Those of them that can't have missed a leaving.
         self._witnesses: set[str] = set()
         self._lacks_evidence = False
         self.is_answered = False
@@ -87,6 +90,7 @@
         """Applies what a daemon knows."""
         for process in answer.left:
             self._on_left(process)
+        self._answered_by.add(address)
         if answer.is_evidence:
             self._witnesses.add(address)
         self._check()
@@ -125,7 +129,10 @@
         query = calls.TargetLeftQuery(
             self._process, self._timers.now - self._started_at
         )
-        for address in peers.addresses - self._asked - self._witnesses:
+        addresses = peers.addresses
+        if self._is_table_evidence():
+            addresses = leavings.choose_keepers(self._address, addresses)
+        for address in set(addresses) - self._asked - self._answered_by:
             self._asked.add(address)
             self._send(address, query)
 
@@ -141,6 +148,7 @@
         elif (
             not self._lacks_evidence
             and self._read_at is not None
+            and not self._is_table_evidence()
             and now - self._read_at > _FRESH_ADDRESS_AFTER_S
         ):
             self._lacks_evidence = True
@@ -151,17 +159,27 @@
         if self._read_at is None:
             is_late = now - self._started_at > _UNREAD_TIMEOUT_S
         else:
-            if not self._has_table_failed and self._read_table().is_complete:
-                return "table"
+            is_late = now - self._read_at > _ANSWER_TIMEOUT_S
             keepers = leavings.choose_keepers(
                 self._address, self._get_peers().addresses
             )
-            answers = len(self._witnesses.intersection(keepers))
-            if answers and answers >= min(leavings.QUORUM, len(keepers)):
+            quorum = min(leavings.QUORUM, len(keepers))
+            if self._is_table_evidence() and (
+                is_late
+                or len(self._answered_by.intersection(keepers)) >= quorum
+            ):
+                return "table"
+            if len(self._witnesses.intersection(keepers)) >= max(1, quorum):
                 return "keepers"
-            is_late = now - self._read_at > _ANSWER_TIMEOUT_S
         return "witnesses" if is_late and self._witnesses else ""
 
+    def _is_table_evidence(self) -> bool:
+        return (
+            self._read_at is not None
+            and not self._has_table_failed
+            and self._read_table().is_complete
+        )
+
     def _finish(self, evidence: str, holds_before: bool) -> None:
         self.is_answered = True
         logs.event(
--- a/tests/traffic/test_leavings.py
+++ b/tests/traffic/test_leavings.py
@@ -296,14 +296,33 @@
     assert network.answered
 
 
-def test_a_daemon_uses_its_target_at_once_where_the_table_has_lost_nothing():
+def test_a_daemon_that_gets_no_answers_uses_its_target_after_a_second():
+    # The table has lost nothing.
     network = Network()
     network.cut = set(network.memories)
-    network.timers.run(0.1)
-    assert network.answered == [(50.0, True)]
+    network.timers.run(0.9)
+    assert not network.answered
+    network.timers.run(0.3)
+    assert network.answered
     assert not network.left
 
 
+def test_a_leaving_that_the_table_lacks_is_known_by_others():
+    # It was acknowledged while the table was away; the daemon was killed, and
+    # starts once the table is back.
+    network = Network()
+    network.table.is_away = True
+    network.leave()
+    network.timers.run(0.8)
+    assert network.confirmed == [True]
+    network.leaving_table.write_if_due = lambda: None
+    network.table.is_away = False
+    network.start()
+    network.timers.run(0.1)
+    assert GONE in network.left
+    assert network.answered
+
+
 def restored(others=(), **lease):
     """Returns a network whose table lost a leaving while all were killed."""
     network = Network()
