The address for new announcements is opened where a deployment has spare ports

A daemon without evidence of its target's leavings opened a port drawn from the 15 above its own for other daemons.

--- a/bench/restarts.py
+++ b/bench/restarts.py
@@ -122,6 +122,7 @@
 @click.command()
 @click.option("--killed", default="none", help="none, one, keyed, four or all")
 @click.option("--drill", is_flag=True, help="The store goes back to a copy.")
+@click.option("--store-away", is_flag=True, help="It comes back as it was.")
 @click.option("--copy-age", default=4.0, help="Age of the copy, seconds.")
 @click.option("--before-keys", is_flag=True, help="The copy has no rows.")
 @click.option("--away", default=0.6, help="Time without a store, seconds.")
@@ -130,6 +131,7 @@
 def main(
     killed: str,
     drill: bool,
+    store_away: bool,
     copy_age: float,
     before_keys: bool,
     away: float,
@@ -155,7 +157,7 @@
             "four": keyed[:-1],
             "all": vms.vms,
         }[killed]
-        if drill:
+        if drill or store_away:
             vms.store.failure_status = 503
         away_at = time.monotonic()
         for vm in chosen:
@@ -164,9 +166,10 @@
         for vm in chosen:
             vm.start_router()
         since = time.monotonic()
-        if drill:
+        if drill or store_away:
             time.sleep(max(0.0, away_at + away - time.monotonic()))
-            vms.store.restore(copy)
+            if drill:
+                vms.store.restore(copy)
             vms.store.failure_status = None
             since = time.monotonic()
         time.sleep(watched + _TIMEOUT_MS / 1000)
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -83,8 +83,6 @@
 _STATUS_UNAVAILABLE = 503
 _RETRY_AFTER_S = b"0.2"
 _READ_PLAN_INTERVAL_S = 1.0
-# Ports above the one for other daemons that the deployment leaves to daemons.
-_FRESH_PORTS = 15
 # A daemon has read the records of all members this long after its start.
 _ALL_MEMBERS_KNOWN_S = 2.0
 
@@ -310,8 +308,11 @@
 
         The port is drawn anew by each process.
         """
+        count = self._settings.router_spare_ports
+        if not count:
+            return
         ip, _, port = self._settings.daemon_peer_address.rpartition(":")
-        offset = self._rng.randint(1, _FRESH_PORTS)
+        offset = self._rng.randint(1, count)
         address = f"{ip}:{int(port) + offset}"
         try:
             self._listen(
--- a/tamarackgap/settings/config.py
+++ b/tamarackgap/settings/config.py
@@ -50,6 +50,7 @@
     router_cold_overage: float
     router_cold_slack: float
     router_far_price: int
+    router_spare_ports: int
     table_address: str
     table_poll: int
     table_timeout: int
--- a/tamarackgap/settings/options.py
+++ b/tamarackgap/settings/options.py
@@ -260,6 +260,17 @@
         " its chance of an answer in time is 10 in 100 higher elsewhere; bytes"
         " count at most as half of an answer",
     ),
+    _integer_option(
+        "router",
+        "spare_ports",
+        0,
+        0,
+        1000,
+        "ports",
+        "ports right above that of daemon.peer_address that nothing else uses."
+        " One of them is named to the target where a daemon has to know that"
+        " an announcement is new; 0 if there are none",
+    ),
     Option("table", "address", Kind.ADDRESS, "the platform's table service"),
     _integer_option(
         "table",
