--- a/tamarackgap/traffic/leavings.py
+++ b/tamarackgap/traffic/leavings.py
@@ -131,11 +131,6 @@
             or head_start > LONGEST_DELAY_S,
         )
 
-    def find(self, address: str) -> tuple[types.TargetProcess, ...]:
-        """Returns the last processes of a daemon's target that have left."""
-        remembered = self._daemons.get(address)
-        return remembered.left if remembered is not None else ()
-
     def _get(self, address: str) -> _Remembered:
         remembered = self._daemons.setdefault(address, _Remembered())
         self._daemons.move_to_end(address)
--- a/tests/traffic/test_leavings.py
+++ b/tests/traffic/test_leavings.py
@@ -467,8 +467,9 @@
     for process in processes:
         memory.record("a", process)
         memory.record("a", process)
-    assert memory.find("a") == tuple(processes[-4:])
-    assert memory.find("b") == ()
+    query = calls.TargetLeftQuery()
+    assert memory.answer("a", query).left == tuple(processes[-4:])
+    assert memory.answer("b", query).left == ()
 
 
 def test_leavings_are_heard_with_the_status():
