Review cases 1 to 5: values for the settings' newer fields

The first review's cases ended with code 2 before any daemon was started: their function that renders deploy/settings.ini raised KeyError 'bounds.cold_overage'. Since the version that was reviewed the template has gained bounds.cold_overage and bounds.cold_slack, which this site does not set, and limits.memory_mb|json and limits.link_mbps|json. The pattern did not match the last two, so they would have reached the daemon as text.

The four get the site's values (300 MB, 1,000 Mbit/s, and nothing), and the pattern matches a placeholder with |json.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -34,7 +34,13 @@
     "max_hold_ms": 10_000,
     "grace_s": GRACE_S,
     "retry_budget_extra": 62,
+    # Not set on this site.
+    "cold_overage": "",
+    "cold_slack": "",
 }
+# Of a machine of the site.
+_MEMORY_MB = 300
+_LINK_MBPS = 1000.0
 _HEARTBEAT_TIMEOUT_S = 1.0
 _READY_S = 20.0
 _STOP_POLL_S = 0.01
@@ -365,10 +371,12 @@
             "heartbeat_ms": round(HEARTBEAT_S * 1000),
             "grants": "call",
             "platform.address": self.store_address,
+            "limits.memory_mb|json": json.dumps(_MEMORY_MB),
+            "limits.link_mbps|json": json.dumps(_LINK_MBPS),
             **{f"bounds.{key}": value for key, value in _BOUNDS.items()},
         }
         return re.sub(
-            r"\{\{([a-z_.]+)\}\}", lambda match: str(values[match[1]]), text
+            r"\{\{([a-z_.|]+)\}\}", lambda match: str(values[match[1]]), text
         )
 
     def is_ready(self):
