Parts of messages that have no end are limited, and counted in the budget

Cause: the HTTP parser keeps a field until it is complete, in a new copy for each read. Only heads had a limit on that (64 KB); a trailer had the answer's (4 MB), and a request's trailer or chunk extension had none. The budget of messages counted nothing of it. What was kept lasted longer than its connection, since the HTTP parser and its owner refer to each other: until a cyclic garbage collection, which counts objects and not bytes.

Fix: partialinput.PartialInput counts what a parser was fed since it last passed something on. More than a head may have is refused at once (431), or given up, wherever it occurs: first lines, fields, chunk sizes and extensions, trailers; from callers, targets and the store. Whole trailers have the limit of heads. The bytes count in the budget. A parser whose connection ends is dropped with all that it holds.

Two expectations of test_bytes_without_end_take_bounded_memory are stricter: a chunk extension and a trailer without an end, which were read until the request's time was over, are refused (431 instead of 0).

--- a/tamarackgap/network/answerparser.py
+++ b/tamarackgap/network/answerparser.py
@@ -5,7 +5,7 @@
 import httptools
 
 from tamarackgap import logs
-from tamarackgap.network import bytebudget
+from tamarackgap.network import bytebudget, partialinput
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -13,6 +13,8 @@
 _FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _LAST_STATUS = 599
+# Largest head, largest trailer, and most bytes that the HTTP parser is fed
+# before it passes something on.
 _MAX_HEAD_BYTES = 65_536
 # Memory of a header field beside its characters: a tuple and two objects.
 FIELD_OVERHEAD_BYTES = 160
@@ -61,11 +63,17 @@
         self._on_answer = on_answer
         self._charge = bytebudget.Charge(budget)
         self._has_room = True
-        self._is_closed = False
-        self._parser = httptools.HttpResponseParser(self)
+        self._input = partialinput.PartialInput()
+        # None once the connection is closed: it refers back to this object, so
+        # that what it holds would last until a cyclic garbage collection.
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self._headers: Headers = []
         # Memory of the headers, bytes.
         self._headers_size = 0
+        # Size of the fields of the trailer, bytes.
+        self._trailer_size = 0
         # Small chunks take little more memory here than on the wire.
         self._body = bytearray()
         self._has_framing = False
@@ -88,7 +96,11 @@
 
         Its own limits are on the bytes received, the budget's on the memory.
         """
-        if not self._has_room:
+        if (
+            not self._has_room
+            or self._trailer_size > _MAX_HEAD_BYTES
+            or self._input.since_complete > _MAX_HEAD_BYTES
+        ):
             return True
         limit = self._max_bytes if self._is_head_complete else _MAX_HEAD_BYTES
         return self._received_bytes > limit
@@ -110,15 +122,20 @@
             self._charge.release()
             return False
         self._received_bytes += len(data)
-        if self._is_closed:
+        self._input.record_read(len(data))
+        if self._parser is None:
             # Closed by a callback; what was parsed since is of no use.
             self._drop()
-        self._has_room = self._charge.hold(self._headers_size + len(self._body))
+        if self._parser is None or not self._is_receiving:
+            self._input.clear()
+        self._has_room = self._charge.hold(
+            self._headers_size + len(self._body) + self._input.held
+        )
         return True
 
     def close(self) -> None:
         """Drops what has been received, when the connection is closed."""
-        self._is_closed = True
+        self._parser = None
         self._drop()
         self._charge.release()
 
@@ -143,31 +160,46 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field; those of a trailer are ignored."""
+        size = len(name) + len(value)
+        self._input.record_complete(size)
         if self._is_head_complete:
+            # The separator and the line end have 2 bytes each.
+            self._trailer_size += size + 4
             return
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
             self._has_framing = True
         self._headers.append((name, value))
-        self._headers_size += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        self._headers_size += size + FIELD_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Ends the head."""
+        self._input.record_complete()
         self._is_head_complete = True
+        if self._parser is None:
+            return
         status = self._parser.get_status_code()
         if not _FIRST_STATUS <= status <= _LAST_STATUS:
             self._has_bad_status = True
             logs.unreadable_event("answer_status_invalid", status=status)
 
+    def on_chunk_header(self) -> None:
+        """Passes over the size of a chunk."""
+        self._input.record_complete()
+
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
+        self._input.record_complete(len(body))
         self._body += body
 
     def on_message_complete(self) -> None:
         """Passes on the answer, unless it is an interim one."""
+        self._input.record_complete()
         self._is_receiving = False
         headers, body = self._headers, bytes(self._body)
         self._drop()
+        if self._parser is None:
+            return
         status = self._parser.get_status_code()
         if status >= _FIRST_FINAL_STATUS and not self._has_bad_status:
             self._on_answer(status, headers, body)
@@ -175,4 +207,5 @@
     def _drop(self) -> None:
         self._headers = []
         self._headers_size = 0
+        self._trailer_size = 0
         self._body = bytearray()
--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -332,6 +332,7 @@
         self._closing = True
         self._ended = True
         self._active_at = self._server.timers.now
+        self._parser.close()
         self._charge.release()
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
@@ -398,6 +399,7 @@
             return
         self._closed = True
         self._pipeline.clear()
+        self._parser.close()
         self._charge.release()
         self._server.poller.unwatch(self._descriptor)
         self._server.discard(self)
--- a/tamarackgap/network/requestparser.py
+++ b/tamarackgap/network/requestparser.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from tamarackgap import logs
-from tamarackgap.network import answerparser
+from tamarackgap.network import answerparser, partialinput
 
 # Largest size of a request's first line. Its headers have a limit of their own.
 _MAX_REQUEST_LINE_BYTES = 65_536
@@ -80,7 +80,11 @@
         self._limits = limits
         self._on_begin = on_begin
         self._on_request = on_request
-        self._parser = httptools.HttpRequestParser(self)
+        # None once the connection is closed: it refers back to this object, so
+        # that what it holds would last until a cyclic garbage collection.
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self.error_status = 0
         self._is_receiving = False
         self._is_head_complete = False
@@ -89,7 +93,10 @@
         # Size of the head so far, without the bytes that were read together
         # with its begin.
         self._head_size = 0
+        # Size of the fields of the head, or of the trailer once that is
+        # complete.
         self._header_size = 0
+        self._input = partialinput.PartialInput()
         self._memory = 0
         self._target = b""
         self._headers: Headers = []
@@ -104,7 +111,7 @@
     @property
     def memory(self) -> int:
         """Memory that the request being received takes, bytes."""
-        return self._memory
+        return self._memory + self._input.held
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -118,7 +125,11 @@
         except httptools.HttpParserError as error:
             logs.event("caller_sent_no_request", error=str(error))
             self.refuse(_STATUS_BAD_REQUEST)
-        self._check_head_size(len(data))
+        self._input.record_read(len(data))
+        if self.error_status or not self._is_receiving:
+            self._input.clear()
+        else:
+            self._check_head_size(len(data))
 
     def refuse(self, status: int) -> None:
         """Drops the request being received, and ends parsing.
@@ -127,24 +138,24 @@
             status: Status of the response, unless there was an error before.
         """
         self.error_status = self.error_status or status
+        self._parser = None
+        self._drop()
+
+    def close(self) -> None:
+        """Drops what has been received, when the connection is closed."""
+        self._parser = None
         self._drop()
 
     def _check_head_size(self, received: int) -> None:
-        """Refuses a head without end.
+        """Refuses a head, or another part of a request, without end.
 
         The HTTP parser passes a field on only when it is complete, and keeps
         what it has of it.
         """
-        if (
-            not self._is_receiving
-            or self._is_head_complete
-            or self._has_begun
-            or self.error_status
-        ):
-            return
-        self._head_size += received
+        if not (self._is_head_complete or self._has_begun):
+            self._head_size += received
         limit = self._limits().max_header_bytes + _MAX_REQUEST_LINE_BYTES
-        if self._head_size > limit:
+        if max(self._head_size, self._input.since_complete) > limit:
             self.refuse(_STATUS_HEAD_TOO_LARGE)
 
     def _drop(self) -> None:
@@ -152,6 +163,7 @@
         self._target = b""
         self._headers = []
         self._body = bytearray()
+        self._input.clear()
 
     # Callbacks of the HTTP parser.
 
@@ -168,6 +180,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Adds a part of the path and query."""
+        self._input.record_complete(len(url))
         if self.error_status:
             return
         if len(self._target) + len(url) > _MAX_REQUEST_LINE_BYTES:
@@ -178,7 +191,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field; those of a trailer are ignored."""
-        if self._is_head_complete or self.error_status:
+        self._input.record_complete(len(name) + len(value))
+        if self.error_status:
             return
         # The separator and the line end have 2 bytes each.
         size = len(name) + len(value) + 4
@@ -186,15 +200,24 @@
         if self._header_size > self._limits().max_header_bytes:
             self.refuse(_STATUS_HEAD_TOO_LARGE)
             return
+        if self._is_head_complete:
+            return
         self._memory += size + answerparser.FIELD_OVERHEAD_BYTES
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Ends the head."""
+        self._input.record_complete()
         self._is_head_complete = True
+        self._header_size = 0
+
+    def on_chunk_header(self) -> None:
+        """Passes over the size of a chunk."""
+        self._input.record_complete()
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
+        self._input.record_complete(len(body))
         if self.error_status:
             return
         if len(self._body) + len(body) > self._limits().max_body_bytes:
@@ -205,6 +228,7 @@
 
     def on_message_complete(self) -> None:
         """Passes on the request, unless there was an error."""
+        self._input.record_complete()
         self._is_receiving = False
         if self.error_status:
             return
--- a/tests/network/test_answerparser.py
+++ b/tests/network/test_answerparser.py
@@ -1,3 +1,4 @@
+import gc
 import tracemalloc
 
 import pytest
@@ -74,6 +75,79 @@
     assert budget.used == 0
 
 
+# A field of a trailer was kept up to the limit of a body, in ever new copies
+# that no budget saw: twelve answers at once ended the process.
+@pytest.mark.parametrize(
+    ("begin", "endless"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"a"),
+        (b"HTTP/1.1 200 OK\r\na: ", b"a"),
+        (CHUNKED, b"0"),
+        (CHUNKED + b"2;", b"a"),
+        (CHUNKED + b"2\r\nab\r\n0\r\n", b"a"),
+        (CHUNKED + b"2\r\nab\r\n0\r\na: ", b"a"),
+        (CHUNKED + b"2\r\nab\r\n0\r\n", b"a: b\r\n"),
+    ],
+)
+def test_a_part_without_end_is_given_up_as_early_as_a_head(begin, endless):
+    answers = Answers(4_000_000)
+    block = endless * (16_384 // len(endless))
+    answers.parser.feed(begin)
+    fed = 0
+    while fed < 200_000 and not answers.parser.is_too_large:
+        if not answers.parser.feed(block):
+            break
+        fed += len(block)
+    assert fed < 100_000
+    assert answers.received == []
+
+
+def test_parts_that_are_not_complete_share_the_memory_of_the_process():
+    budget = bytebudget.ByteBudget(200_000)
+    all_answers = [Answers(4_000_000, budget) for _ in range(20)]
+    for answers in all_answers:
+        answers.parser.feed(CHUNKED + b"0\r\nx-a: ")
+        answers.parser.feed(b"a" * 40_000)
+    assert sum(answers.parser.is_too_large for answers in all_answers) >= 15
+    assert budget.used >= 20 * 40_000
+    for answers in all_answers:
+        answers.parser.close()
+    assert budget.used == 0
+
+
+def test_a_trailer_is_as_long_as_a_head_may_be():
+    answers = Answers(200_000)
+    for byte in CHUNKED + b"2;x=y\r\nab\r\n0\r\n":
+        assert answers.parser.feed(bytes([byte]))
+    for _ in range(12):
+        assert answers.parser.feed(b"x-a: " + b"a" * 5000 + b"\r\n")
+        assert not answers.parser.is_too_large
+    assert answers.parser.feed(b"\r\n")
+    assert answers.received == [b"ab"]
+    assert answers.budget.used == 0
+
+
+@pytest.mark.parametrize(
+    "begin", [CHUNKED + b"0\r\nx-a: ", CHUNKED + b"ffffff\r\n"]
+)
+def test_an_answer_whose_connection_was_closed_keeps_nothing(begin):
+    # It lasted until a cyclic garbage collection, which counts objects.
+    answers = Answers(4_000_000)
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        answers.parser.feed(begin)
+        for _ in range(4):
+            answers.parser.feed(b"a" * 65_536)
+        answers.parser.close()
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert held < 10_000
+
+
 def test_bytes_after_a_parser_was_closed_take_no_memory():
     budget = bytebudget.ByteBudget()
     parser = answerparser.AnswerParser(
--- a/tests/network/test_requestparser.py
+++ b/tests/network/test_requestparser.py
@@ -1,3 +1,4 @@
+import gc
 import tracemalloc
 
 import pytest
@@ -39,8 +40,10 @@
         (HEAD + b"content-length: 99999999\r\n\r\n", b"a", 413),
         (CHUNKED, b"2\r\nab\r\n", 0),
         (CHUNKED, b"400\r\n" + b"a" * 1024 + b"\r\n", 413),
-        (CHUNKED + b"1;", b"a", 0),
-        (CHUNKED + b"0\r\n", b"x-a: b\r\n", 0),
+        (CHUNKED + b"1;", b"a", 431),
+        (CHUNKED + b"0\r\n", b"x-a: b\r\n", 431),
+        (CHUNKED + b"0\r\nx-a", b"a", 431),
+        (CHUNKED + b"0\r\nx-a: ", b"a", 431),
     ],
 )
 def test_bytes_without_end_take_bounded_memory(begin, endless, status):
@@ -57,6 +60,48 @@
     assert caller.requests == []
 
 
+@pytest.mark.parametrize(
+    "begin", [HEAD + b"x-a: ", CHUNKED + b"0\r\nx-a: ", CHUNKED + b"0\r\nx-a"]
+)
+def test_memory_includes_a_field_that_is_not_complete(begin):
+    # No budget saw what the HTTP parser keeps of a field.
+    caller = Caller()
+    caller.parser.feed(begin)
+    caller.parser.feed(b"a" * 3000)
+    assert 3000 <= caller.parser.memory < 4000
+    caller.parser.feed(b"\r\n\r\n")
+    assert caller.parser.memory <= 2 * caller.parser.is_receiving * 4000
+
+
+def test_a_trailer_may_be_as_large_as_the_headers():
+    caller = Caller()
+    field = b"x-a: %b\r\n" % (b"v" * 3900)
+    caller.parser.feed(HEAD + field + b"transfer-encoding: chunked\r\n\r\n")
+    for byte in b"2;ext\r\nab\r\n0\r\n" + field + b"\r\n":
+        caller.parser.feed(bytes([byte]))
+    (request,) = caller.requests
+    assert request.body == b"ab"
+
+
+@pytest.mark.parametrize("end", ["close", "refuse"])
+def test_a_parser_that_has_ended_keeps_nothing(end):
+    # What it had received lasted until a cyclic garbage collection.
+    caller = Caller()
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        caller.parser.feed(HEAD + b"content-length: 999999\r\n\r\n")
+        caller.parser.feed(b"a" * 900_000)
+        caller.parser.close() if end == "close" else caller.parser.refuse(503)
+        caller.parser = None
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert held < 10_000
+
+
 def test_memory_is_at_least_what_small_fields_take():
     caller = Caller()
     caller.parser.feed(HEAD + b"a:\r\n" * 500)
