Tests of the budget of messages on the whole path

Nothing that ran the real program showed that many messages at once share the memory of the process.

Two tests do now, with routers that may use 100 MB: sixty callers that each send a half of a body, and eighty requests to servers whose answers have no end. The most memory that the router has used stays within its limit, it serves other requests, and those without room are refused with 503.

--- a/standins/appserver.py
+++ b/standins/appserver.py
@@ -16,6 +16,9 @@
 _RELEASING_INTERVAL_S = 0.05
 _STOP_POLL_S = 0.01
 _WORK_POLL_S = 0.002
+# An answer repeats no more than this of the request's body.
+_MAX_ECHO_BYTES = 100_000
+_ENDLESS_CHUNK = bytes(16_384)
 _KEY_COUNT = 65_536
 _REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nX-Tamarackgap-Not-Executed: 1\r\n"
@@ -42,9 +45,10 @@
         fault: Fault to inject: `full` refuses requests; `misdirect-once`
             refuses the next one as if its key had just moved; `cut` closes the
             connection, `cut-head` closes it within the head of the answer,
-            `error` answers 500, `unsigned` answers without a signature and
-            `refusal-again` sends a refusal without an id first, each after the
-            execution. Empty for no fault.
+            `error` answers 500, `unsigned` answers without a signature,
+            `endless` sends an answer without an end and `refusal-again` sends a
+            refusal without an id first, each after the execution. Empty for no
+            fault.
         on_run_started: Called with this server, the request's id and its shard
             key before each execution.
         on_hold_taken: Called with this server and each hold that it takes;
@@ -353,7 +357,7 @@
             "path": request.path,
             "origin": request.headers.get("x-tamarackgap-caller-service"),
             "left_ms": request.headers.get("x-tamarackgap-timeout-ms"),
-            "body": request.body.decode("latin-1"),
+            "body": request.body[:_MAX_ECHO_BYTES].decode("latin-1"),
         }
         return httpd.Response(
             status,
@@ -361,6 +365,7 @@
             {**id_header, "X-Tamarackgap-Response-Signature": "signed"},
             ends_in_head=self.fault == "cut-head",
             surplus=_REFUSAL if self.fault == "refusal-again" else b"",
+            endless=_ENDLESS_CHUNK if self.fault == "endless" else b"",
         )
 
 
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -45,6 +45,8 @@
         ends_in_head: Whether the connection is closed before the head is
             complete, as a fault.
         surplus: Bytes sent before the response, as a fault.
+        endless: Bytes sent again and again in place of the body, in a chunk
+            each, until the client closes the connection, as a fault.
     """
 
     status: int | None
@@ -53,6 +55,7 @@
     length: int | None = None
     ends_in_head: bool = False
     surplus: bytes = b""
+    endless: bytes = b""
 
 
 def json_response(value: object, status: int = 200, **headers: str) -> Response:
@@ -152,6 +155,9 @@
                 self.wfile.flush()
                 self.close_connection = True
                 return
+            if response.endless:
+                self._send_endlessly(response.endless)
+                return
             self.send_header("Content-Length", str(length))
             self.end_headers()
             self.wfile.write(response.body)
@@ -159,6 +165,15 @@
             if length != len(response.body):
                 self.close_connection = True
 
+        def _send_endlessly(self, data: bytes) -> None:
+            self.close_connection = True
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+            chunk = b"%x\r\n%b\r\n" % (len(data), data)
+            with contextlib.suppress(OSError):
+                while True:
+                    self.wfile.write(chunk)
+
         do_GET = do_POST = do_PUT = do_DELETE = _handle  # noqa: N815
 
         def log_message(self, *args: object) -> None:
--- a/standins/platformcluster.py
+++ b/standins/platformcluster.py
@@ -106,6 +106,8 @@
         server: The current server, None before the first start.
         process: The daemon's process, None before the first start.
         log: File for the daemon's log.
+        memory_mb: Memory that the daemon may use, megabytes; 0 leaves its
+            default.
     """
 
     def __init__(self, cluster, name, service_name, keyed):
@@ -132,6 +134,7 @@
         self.server = None
         self.process = None
         self.log = cluster.folder / f"{name}.log"
+        self.memory_mb = 0
 
     def create_server(self, same_id=False):
         """Creates the next incarnation of the server, without starting it.
@@ -166,6 +169,7 @@
 http_address = {self.caller_address}
 peer_address = {self.peer_address}
 log = stdout
+memory = {self.memory_mb or ""}
 [router]
 announce_address = {self.announce_address}
 ready_address = {self.ready_address}
