A body is released when its call has ended

Cause: a leg, its queued call and its exchange refer to each other, so that its body was kept after the answer until a cyclic garbage collection. That counts objects, and an upload makes few. The budget of messages had counted the body as released. The same holds for bytes that a connection had not sent when it was closed, as it and its parser refer to each other.

Fix: a leg that has ended drops its queued call and its exchange, also one that failed before the exchange was returned; a connection that is closed drops what it has not sent. Nothing waits for the collector any more.

Without the change in the runner the five cases of test_nothing_keeps_a_body_once_its_call_has_ended fail, without that in the pool test_a_request_that_was_not_sent_in_full_is_not_kept does.

--- a/tamarackgap/network/httpclient.py
+++ b/tamarackgap/network/httpclient.py
@@ -233,6 +233,7 @@
             return
         with contextlib.suppress(ValueError):
             self._idle[connection.address].remove(connection)
+        connection.unsent = b""
         if connection.parser is not None:
             connection.parser.close()
         self._poller.discard(connection.sock)
--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -405,6 +405,7 @@
             return
         self._closed = True
         self._parser.close()
+        self._writer.drop_unsent()
         self._pool.poller.unwatch(self._descriptor)
         self._pool.discard(self)
         self._sock.close()
--- a/tamarackgap/network/httpserver.py
+++ b/tamarackgap/network/httpserver.py
@@ -400,6 +400,7 @@
         self._closed = True
         self._pipeline.clear()
         self._parser.close()
+        self._writer.drop_unsent()
         self._charge.release()
         self._server.poller.unwatch(self._descriptor)
         self._server.discard(self)
--- a/tamarackgap/network/sockets.py
+++ b/tamarackgap/network/sockets.py
@@ -219,6 +219,11 @@
             self._update_flags()
         return True
 
+    def drop_unsent(self) -> None:
+        """Drops the buffered bytes, when the connection is closed."""
+        self._unsent.clear()
+        self._unsent_bytes = 0
+
     def _update_flags(self) -> None:
         flags = self._read_flags
         if self._unsent or not self._connected:
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -329,8 +329,7 @@
             if leg.queued_call is not None and self._admission.withdraw(
                 leg.queued_call
             ):
-                self._legs.pop((sender, leg_id), None)
-                leg.charge.release()
+                self._drop(leg)
         elif leg.dispatch.idempotent:
             self._pool.cancel(leg.exchange)
 
@@ -408,7 +407,7 @@
             return
         leg.sent_at = now
         request_id = dispatch.call.request_id
-        leg.exchange = self._pool.send(
+        exchange = self._pool.send(
             functools.partial(self._encode, leg, self._instance),
             left + _ANSWER_GRACE_S,
             functools.partial(self._handle_outcome, leg),
@@ -416,6 +415,8 @@
             # A copy of its first answer would have its id as well.
             exclusive=request_id in self._returned_requests,
         )
+        if self._legs.get((leg.sender, dispatch.leg)) is leg:
+            leg.exchange = exchange
 
     def _encode(self, leg: Leg, instance: str) -> bytes:
         """Returns the bytes of a call; none if its time has run out."""
@@ -533,9 +534,19 @@
         self._log(leg, completion, self._timers.now, refusal)
         self._finish(leg, completion)
 
-    def _finish(self, leg: Leg, completion: calls.Completion) -> None:
+    def _drop(self, leg: Leg) -> None:
+        """Forgets a leg.
+
+        Its queued call and its exchange refer back to it, so that its body
+        would be kept until a cyclic garbage collection.
+        """
         self._legs.pop((leg.sender, leg.dispatch.leg), None)
         leg.charge.release()
+        leg.queued_call = None
+        leg.exchange = None
+
+    def _finish(self, leg: Leg, completion: calls.Completion) -> None:
+        self._drop(leg)
         reply = leg.reply
         leg.reply = None
         if reply is not None:
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -1,5 +1,7 @@
+import gc
 import socket
 import struct
+import sys
 import time
 
 import pytest
@@ -502,6 +504,24 @@
     assert isinstance(outcomes[0], result.Success)
 
 
+def test_a_request_that_was_not_sent_in_full_is_not_kept(
+    poller_and_pool, target
+):
+    # It lasted until a cyclic garbage collection.
+    poller, pool = poller_and_pool
+    request = bytes(50_000_000)
+    exchange = pool.send(lambda: request, 1.0, lambda outcome: None)
+    before = sys.getrefcount(request)
+    gc.disable()
+    try:
+        _connect(poller)
+        assert sys.getrefcount(request) > before
+        pool.cancel(exchange)
+        assert sys.getrefcount(request) == before
+    finally:
+        gc.enable()
+
+
 def test_a_connection_is_closed_after_an_exclusive_exchange(sender):
     sender.send(b"a", exclusive=True)
     sender.connect()
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -11,6 +11,8 @@
 READY_S = 20
 MEMORY_MB = 100
 MAX_BODY_BYTES = 8_000_000
+UPLOAD_BYTES = 5_000_000
+UPLOADS = 20
 # Callers that each send a half of a body; together these exceed the memory.
 CALLERS = 60
 HALF_BODY = bytes(2_000_000)
@@ -74,6 +76,16 @@
     return int(line.split()[1]) / 1024
 
 
+def test_uploads_one_after_another_take_no_more_than_a_few(vm):
+    # Each body was kept until a cyclic garbage collection.
+    statuses = [
+        _status(vm, method="POST", body=bytes(UPLOAD_BYTES))
+        for _ in range(UPLOADS)
+    ]
+    assert _peak_mb(vm) < MEMORY_MB
+    assert set(statuses) == {200}
+
+
 def test_bodies_at_once_share_the_memory(vm):
     head = (
         "POST /browse/x HTTP/1.1\r\nHost: seats.example\r\n"
--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -1,4 +1,6 @@
 import functools
+import gc
+import sys
 import types as module_types
 
 import pytest
@@ -121,10 +123,11 @@
     def _send(self, build, timeout, done, is_answer, exclusive):
         self.sent.append(done)
         self.exclusive.append(exclusive)
-        return object()
+        # An exchange refers to the call in the same way.
+        return module_types.SimpleNamespace(build=build, done=done)
 
-    def call(self, path, owner="i", request_id="r"):
-        call = calls.Call(request_id, "s", "GET", path, b"", b"", None)
+    def call(self, path, owner="i", request_id="r", body=b""):
+        call = calls.Call(request_id, "s", "GET", path, b"", body, None)
         leg = len(self.completions) + 1
         self.completions.append(None)
         self.runner.submit(
@@ -252,6 +255,66 @@
     assert subject.runner.returned_request_count <= 12
 
 
+def _answer(subject):
+    subject.end(CAPACITY, broken=False)
+
+
+def _break(subject):
+    subject.end(CAPACITY, broken=True)
+
+
+def _withdraw_queued(subject):
+    subject.runner.withdraw("i", CAPACITY + 1)
+
+
+def _refuse_queued(subject):
+    subject.runner.detach()
+
+
+def _fail_at_once(subject):
+    """Lets the next exchange fail before its send returns."""
+    send = subject._send
+
+    def fail(build, timeout, done, is_answer, exclusive):
+        exchange = send(build, timeout, done, is_answer, exclusive)
+        done(result.Failure(exchanges.Failure(exchanges.Cause.CLOSED, False)))
+        return exchange
+
+    subject.runner._pool.send = fail
+    subject.end(0, broken=False)
+
+
+# Bodies were kept until a cyclic garbage collection, which counts objects: a
+# few uploads, one after another, took daemons over their memory.
+@pytest.mark.parametrize(
+    ("end", "starts"),
+    [
+        (_answer, True),
+        (_break, True),
+        (_withdraw_queued, False),
+        (_refuse_queued, False),
+        (_fail_at_once, False),
+    ],
+)
+def test_nothing_keeps_a_body_once_its_call_has_ended(end, starts):
+    subject = ControlledTargetHarness()
+    for _ in range(CAPACITY):
+        subject.call("/runs")
+    body = bytes(1000)
+    before = sys.getrefcount(body)
+    gc.disable()
+    try:
+        subject.call("/upload", body=body)
+        if starts:
+            subject.end(0, broken=False)
+        assert sys.getrefcount(body) > before
+        end(subject)
+        subject.sent.clear()
+        assert sys.getrefcount(body) == before
+    finally:
+        gc.enable()
+
+
 def test_calls_for_keys_are_run_for_the_time_given_to_a_drain():
     subject = ControlledTargetHarness()
     subject.runner.keyed = True
