Large bodies reach other daemons in parts, as fast as these can hold them

Cause: a call and its body were one message. The receiver accepts messages up to two settings of the product's own interface, and drops the connection at a larger one; nobody tells the sender. A larger limit would have let every receiver hold a body several times over without any budget.

Fix: a body over 256 KB is announced with its size. The receiver refuses the call at once if it would not run it or has no room for the whole body in its budget, else asks for parts; at most 1 MB of a body is on its way.

--- a/tamarackgap/peers/calls.py
+++ b/tamarackgap/peers/calls.py
@@ -64,6 +64,46 @@
     sent: decoding.Finite = 0.0
 
 
+class Upload(msgspec.Struct, tag="upload", array_like=True, frozen=True):
+    """Announces a call whose body follows in parts.
+
+    Attributes:
+        dispatch: The call without its body.
+        size: Size of the body, bytes.
+    """
+
+    dispatch: Dispatch
+    size: decoding.Count
+
+
+class BodyPart(msgspec.Struct, tag="body-part", array_like=True, frozen=True):
+    """Sends the next part of the body of an `Upload`.
+
+    Attributes:
+        leg: Id of the leg.
+        offset: Position of its first byte in the body.
+        data: The bytes.
+    """
+
+    leg: int
+    offset: decoding.Count
+    data: bytes
+
+
+class BodyCredit(
+    msgspec.Struct, tag="body-credit", array_like=True, frozen=True
+):
+    """Asks for further parts of the body of an `Upload`.
+
+    Attributes:
+        leg: Id of the leg.
+        received: Number of bytes that have arrived.
+    """
+
+    leg: int
+    received: decoding.Count
+
+
 class Completion(
     msgspec.Struct, tag="completion", array_like=True, frozen=True
 ):
--- a/tamarackgap/peers/messages.py
+++ b/tamarackgap/peers/messages.py
@@ -313,6 +313,9 @@
     | CrashReport
     | LoadReport
     | calls.Dispatch
+    | calls.Upload
+    | calls.BodyPart
+    | calls.BodyCredit
     | calls.Completion
     | calls.Withdraw
     | calls.TargetCrash
--- a/tamarackgap/processes/router.py
+++ b/tamarackgap/processes/router.py
@@ -41,10 +41,12 @@
     crashes,
     dispatcher,
     evacuations,
+    incomingbodies,
     latecalls,
     leavingquery,
     leavings,
     leavingtable,
+    outgoingbodies,
     pendingrequests,
     routetable,
 )
@@ -76,7 +78,7 @@
 # Limits of all addresses that are not for callers.
 _CONTROL_LIMITS = httpserver.Limits(max_body_bytes=262_144)
 # An answer for another daemon waits this long for a connection to it.
-_COMPLETION_TIMEOUT_S = 2.0
+_REPLY_TIMEOUT_S = 2.0
 _STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
 _STATUS_BAD_REQUEST = 400
@@ -153,7 +155,7 @@
             self.timers,
             settings.daemon_deployment,
             settings.daemon_peer_address,
-            settings.requests_body
+            max(settings.requests_body, outgoingbodies.PART_BYTES)
             + settings.requests_answer
             + _ENVELOPE_OVERHEAD_BYTES,
             self._receive,
@@ -219,6 +221,10 @@
             self._crash_history,
             settings.daemon_data_centre,
             settings.router_far_price / 100,
+            self.budget,
+        )
+        self._incoming_bodies = incomingbodies.IncomingBodies(
+            self.timers, self.budget, self._runner
         )
         self._core.knows_leavings = lambda: (
             self._leaving_query.is_answered and self._leaving_table.is_complete
@@ -511,17 +517,34 @@
         sender = envelope.sender
         match envelope.message:
             case calls.Dispatch() as dispatch:
-                self._late_calls.receive(
-                    dispatch,
+                self._receive_call(
                     sender,
+                    envelope.address,
                     self._lateness.measure(sender, dispatch.sent),
+                    dispatch,
+                )
+            case calls.Upload() as upload:
+                late_s = self._lateness.measure(sender, upload.dispatch.sent)
+                self._incoming_bodies.begin(
+                    sender,
+                    upload,
                     functools.partial(
-                        self._submit_call, sender, envelope.address
+                        self._receive_call, sender, envelope.address, late_s
                     ),
+                    functools.partial(self._reply, envelope.address),
+                )
+            case calls.BodyPart() as part:
+                self._incoming_bodies.add(
+                    sender,
+                    part,
+                    functools.partial(self._reply, envelope.address),
                 )
+            case calls.BodyCredit() as credit:
+                self._request_dispatcher.bodies.handle_credit(credit)
             case calls.Completion() as completion:
                 self._request_dispatcher.handle_completion(sender, completion)
             case calls.Withdraw(leg=leg):
+                self._incoming_bodies.withdraw(sender, leg)
                 self._late_calls.withdraw(sender, leg)
                 self._runner.withdraw(sender, leg)
             case calls.RouteTableUpdate() as update:
@@ -565,6 +588,20 @@
     ) -> None:
         self._transport.send(self._core.incarnation, address, message)
 
+    def _receive_call(
+        self,
+        sender: str,
+        address: str,
+        late_s: float,
+        dispatch: calls.Dispatch,
+    ) -> None:
+        self._late_calls.receive(
+            dispatch,
+            sender,
+            late_s,
+            functools.partial(self._submit_call, sender, address),
+        )
+
     def _submit_call(
         self, sender: str, address: str, dispatch: calls.Dispatch
     ) -> None:
@@ -577,12 +614,17 @@
     def _send_completion(
         self, address: str, received_at: float, completion: calls.Completion
     ) -> None:
-        completion = msgspec.structs.replace(
-            completion, took=now() - received_at
+        self._reply(
+            address,
+            msgspec.structs.replace(completion, took=now() - received_at),
         )
+
+    def _reply(
+        self, address: str, message: calls.BodyCredit | calls.Completion
+    ) -> None:
         # The connection to a daemon that has just started may not be made yet.
         self._transport.send_within(
-            self._core.incarnation, address, completion, _COMPLETION_TIMEOUT_S
+            self._core.incarnation, address, message, _REPLY_TIMEOUT_S
         )
 
     def _report_load(self) -> None:
@@ -685,6 +727,7 @@
             "open_connections": self._caller_server.connection_count,
             "message_bytes": self.budget.used,
             "messages_refused_for_memory": self.budget.refusals,
+            "bodies_arriving": self._incoming_bodies.count,
             "evacuated_data_centres": len(
                 self._evacuations.newest.data_centres
             ),
--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from tamarackgap import logs, types
-from tamarackgap.network import scheduler
+from tamarackgap.network import bytebudget, scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.peers import calls, transport
 from tamarackgap.placement import slots
@@ -19,6 +19,7 @@
 from tamarackgap.scheduling import balancer, zonepolicy
 from tamarackgap.traffic import (
     crashes,
+    outgoingbodies,
     pendingrequests,
     reruns,
     routetable,
@@ -61,6 +62,7 @@
         crash_history: crashes.CrashHistory,
         data_centre: str,
         far_price: float = zonepolicy.DEFAULT_PRICE,
+        budget: bytebudget.ByteBudget | None = None,
     ) -> None:
         """Creates a dispatcher without requests.
 
@@ -77,11 +79,17 @@
             data_centre: The data centre of this daemon.
             far_price: Price of a megabyte between data centres, as a share of
                 the value of an answer in time.
+            budget: Counts the memory of all messages under way.
         """
         self.zones = zonepolicy.ZonePolicy(data_centre, far_price, rng)
         self._core = core
         self._runner = local_runner
         self._peer_transport = peer_transport
+        self.bodies = outgoingbodies.OutgoingBodies(
+            peer_transport,
+            budget or bytebudget.ByteBudget(),
+            self._handle_unsent_body,
+        )
         self._timers = timers
         self._budgets = budgets
         self._rng = rng
@@ -198,7 +206,7 @@
         self._finish(
             pending,
             pendingrequests.final_completion(
-                pending, types.Reason.NO_ANSWER, bool(pending.leg)
+                pending, types.Reason.NO_ANSWER, self._may_run(pending)
             ),
         )
 
@@ -212,7 +220,7 @@
             self._finish(
                 pending,
                 pendingrequests.final_completion(
-                    pending, types.Reason.DRAINING, bool(pending.leg)
+                    pending, types.Reason.DRAINING, self._may_run(pending)
                 ),
             )
 
@@ -225,6 +233,7 @@
         if pending is None:
             logs.event("late_completion_dropped", leg=completion.leg)
             return
+        self.bodies.drop(completion.leg)
         if completion.leg != pending.leg:
             self._handle_earlier_leg(pending, completion)
             return
@@ -278,11 +287,12 @@
         self, pending: pendingrequests.PendingRequest
     ) -> None:
         self._record_outcome(pending, True)
-        pending.may_have_run = True
+        pending.may_have_run |= self._may_run(pending)
         pending.last_completion = calls.Completion(
             pending.leg, types.Verdict.MAY_HAVE_RUN, types.Reason.OWNER_LOST
         )
         pending.earlier_legs += (pending.leg,)
+        self.bodies.drop(pending.leg)
         pending.leg = 0
         self._send_leg(pending)
 
@@ -404,20 +414,28 @@
             )
             return
         address = self._targets.address(candidate.incarnation)
-        if not address or not self._peer_transport.send(
+        if not address or not self.bodies.send(
             own_incarnation, address, dispatch
         ):
-            self._by_leg.pop(leg, None)
-            pending.leg = 0
-            candidate.record_failure(now)
-            self._handle_failure(
-                pending,
-                calls.Completion(
-                    leg,
-                    types.Verdict.NOT_RUN,
-                    types.Reason.PEER_UNREACHABLE,
-                ),
-            )
+            self._handle_unsent_body(leg)
+
+    def _handle_unsent_body(self, leg: int) -> None:
+        """Goes on after a leg that did not reach its daemon as a whole."""
+        pending = self._by_leg.pop(leg, None)
+        if pending is None or pending.leg != leg:
+            return
+        pending.leg = 0
+        self._record_outcome(pending, True)
+        self._handle_failure(
+            pending,
+            calls.Completion(
+                leg, types.Verdict.NOT_RUN, types.Reason.PEER_UNREACHABLE
+            ),
+        )
+
+    def _may_run(self, pending: pendingrequests.PendingRequest) -> bool:
+        """Returns whether the current leg may be executed, or has been."""
+        return bool(pending.leg) and not self.bodies.is_incomplete(pending.leg)
 
     def _handle_answer(
         self,
@@ -528,13 +546,16 @@
     def _fail_leg(
         self, leg: int, pending: pendingrequests.PendingRequest
     ) -> None:
+        verdict = (
+            types.Verdict.MAY_HAVE_RUN
+            if self._may_run(pending)
+            else types.Verdict.NOT_RUN
+        )
         self._by_leg.pop(leg, None)
+        self.bodies.drop(leg)
         pending.leg = 0
         self._handle_failure(
-            pending,
-            calls.Completion(
-                leg, types.Verdict.MAY_HAVE_RUN, types.Reason.OWNER_LOST
-            ),
+            pending, calls.Completion(leg, verdict, types.Reason.OWNER_LOST)
         )
 
     def _drop_daemon(self, incarnation: str) -> None:
@@ -565,11 +586,10 @@
         if pending.on_done is None:
             return
         self._withdraw_leg(pending)
-        has_leg = bool(pending.leg)
         self._finish(
             pending,
             pendingrequests.final_completion(
-                pending, types.Reason.NO_ANSWER, has_leg
+                pending, types.Reason.NO_ANSWER, self._may_run(pending)
             ),
         )
 
@@ -585,6 +605,7 @@
         pending.timer.cancel()
         for leg in (pending.leg, *pending.earlier_legs):
             self._by_leg.pop(leg, None)
+            self.bodies.drop(leg)
         self._open.discard(pending)
         pendingrequests.log(
             pending, completion, self._timers.now, self._core.view.cursor
--- a/tamarackgap/traffic/runner.py
+++ b/tamarackgap/traffic/runner.py
@@ -333,10 +333,13 @@
         elif leg.dispatch.idempotent:
             self._pool.cancel(leg.exchange)
 
+    def refusal(self, dispatch: calls.Dispatch) -> types.Reason | None:
+        """Returns why a call must not be run now, or None."""
+        return self._refusal(dispatch, self._timers.now)
+
     def _refusal(
         self, dispatch: calls.Dispatch, now: float
     ) -> types.Reason | None:
-        """Returns why a call must not be run now, or None."""
         # A process that has left its lease continues under a new incarnation;
         # calls sent to the earlier one are still for the same target.
         if (
@@ -516,6 +519,25 @@
         if self._crash_history.clear(fingerprint):
             self.on_fingerprint_cleared(fingerprint)
 
+    def not_run(self, leg_id: int, reason: types.Reason) -> calls.Completion:
+        """Returns the completion of a leg that is not run.
+
+        Args:
+            leg_id: The leg's id.
+            reason: Why it is not.
+        """
+        return self._with_load(
+            calls.Completion(leg_id, types.Verdict.NOT_RUN, reason)
+        )
+
+    def _with_load(self, completion: calls.Completion) -> calls.Completion:
+        return msgspec.structs.replace(
+            completion,
+            running=self._admission.running,
+            waiting=self._admission.waiting,
+            slowdown=self._admission.slowdown(self._timers.now),
+        )
+
     def _refuse_queued(self, leg: Leg, refusal: admission.QueueRefusal) -> None:
         self._refuse(leg, types.Reason.QUEUE_FULL, refusal)
 
@@ -550,14 +572,7 @@
         reply = leg.reply
         leg.reply = None
         if reply is not None:
-            reply(
-                msgspec.structs.replace(
-                    completion,
-                    running=self._admission.running,
-                    waiting=self._admission.waiting,
-                    slowdown=self._admission.slowdown(self._timers.now),
-                )
-            )
+            reply(self._with_load(completion))
 
     def _log(
         self,
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -1,6 +1,7 @@
 """Fills the memory of routers with what callers and servers may send."""
 
 import concurrent.futures
+import json
 import pathlib
 import socket
 
@@ -11,7 +12,7 @@
 READY_S = 20
 MEMORY_MB = 100
 MAX_BODY_BYTES = 8_000_000
-UPLOAD_BYTES = 5_000_000
+UPLOAD_BYTES = 6_000_000
 UPLOADS = 20
 # Callers that each send a half of a body; together these exceed the memory.
 CALLERS = 60
@@ -30,7 +31,11 @@
         patch.setattr(platformcluster, "LIMITS", limits)
         started = platformcluster.PlatformCluster(
             tmp_path_factory.mktemp("memory"),
-            [("north", "seats", False), ("south", "seats", False)],
+            [
+                ("north", "seats", False),
+                ("south", "seats", False),
+                ("east", "desk", False),
+            ],
         )
         started.write_configuration()
         for vm in started.vms:
@@ -86,6 +91,17 @@
     assert set(statuses) == {200}
 
 
+def test_a_large_upload_reaches_another_daemon(cluster):
+    # Bodies over 5.3 MB got 504, whatever the operators' limit was.
+    body = bytes(range(256)) * (MAX_BODY_BYTES // 256)
+    status, _, answer, _ = platformcluster.send_caller_request(
+        cluster.vms[2], "seats.example", "/book/x", method="POST", body=body
+    )
+    assert status == 200
+    echo = json.loads(answer)["body"].encode("latin-1")
+    assert echo == body[: len(echo)] != b""
+
+
 def test_bodies_at_once_share_the_memory(vm):
     head = (
         "POST /browse/x HTTP/1.1\r\nHost: seats.example\r\n"
--- a/tests/traffic/test_dispatcher.py
+++ b/tests/traffic/test_dispatcher.py
@@ -16,11 +16,19 @@
     def __init__(self, may_rerun=False):
         self.dispatches = []
         self.completions = []
+        self.is_connected = True
         # The owner of all slots of services with keys.
         self.owner = "other"
         timer = module_types.SimpleNamespace(cancel=lambda: None)
+        # Calls that were scheduled.
+        self.scheduled = []
+
+        def after(seconds, call):
+            self.scheduled.append(call)
+            return timer
+
         self.timers = timers = module_types.SimpleNamespace(
-            now=100.0, after=lambda seconds, call: timer
+            now=100.0, after=after
         )
         record = module_types.SimpleNamespace(peer_address="x:1", slots=16)
         core = module_types.SimpleNamespace(
@@ -55,7 +63,9 @@
     def _send(self, sender, address, message):
         if isinstance(message, calls.Dispatch):
             self.dispatches.append(message)
-        return True
+        elif isinstance(message, calls.Upload):
+            self.dispatches.append(message.dispatch)
+        return self.is_connected
 
     def report(self, incarnation, address, process):
         self.dispatcher.update_status(
@@ -80,7 +90,7 @@
     def statuses(self):
         return [completion.status for completion in self.completions]
 
-    def send(self, request_id, idempotent=False):
+    def send(self, request_id, idempotent=False, body=b""):
         route = routetable.Route(
             "r",
             "h",
@@ -93,7 +103,7 @@
             0,
         )
         self.dispatcher.submit(
-            calls.Call(request_id, "s", "POST", "/", b"", b"", 7),
+            calls.Call(request_id, "s", "POST", "/", b"", body, 7),
             route,
             100.0,
             15.0,
@@ -234,3 +244,41 @@
     zones = process.dispatcher.zones
     assert zones.travel.travel("north") == pytest.approx(0.004)
     assert zones.sizes.usual("s") == 700
+
+
+def pass_deadline(process):
+    process.scheduled[0]()
+
+
+def forget_daemon(process):
+    process.dispatcher._drop_daemon("other")
+
+
+def lose_connection(process):
+    process.is_connected = False
+    credit = calls.BodyCredit(process.dispatches[0].leg, 262_144)
+    process.dispatcher.bodies.handle_credit(credit)
+
+
+@pytest.mark.parametrize("end", [pass_deadline, forget_daemon, lose_connection])
+def test_a_request_whose_body_was_not_sent_whole_has_not_run(end):
+    # Uploads that never arrived were answered as if they might have run.
+    process = DaemonProcess()
+    process.send("r", body=bytes(5_000_000))
+    (dispatch,) = process.dispatches
+    process.dispatcher.bodies.handle_credit(calls.BodyCredit(dispatch.leg, 0))
+    end(process)
+    (completion,) = process.completions
+    assert completion.verdict is types.Verdict.NOT_RUN
+    assert not process.dispatcher.bodies.is_incomplete(dispatch.leg)
+
+
+@pytest.mark.parametrize("end", [pass_deadline, forget_daemon])
+def test_a_request_whose_body_was_sent_whole_may_have_run(end):
+    process = DaemonProcess()
+    process.send("r", body=bytes(1_000_000))
+    (dispatch,) = process.dispatches
+    process.dispatcher.bodies.handle_credit(calls.BodyCredit(dispatch.leg, 0))
+    end(process)
+    (completion,) = process.completions
+    assert completion.verdict is types.Verdict.MAY_HAVE_RUN
