A copied answer does not prove that a grant was carried out

Cause: answers to grants have no id, and only the first answer on a connection is certain to be its own. A renewal on a kept connection could be confirmed by the copy of an earlier answer while it was still to be carried out. The release waited for nothing, the keys moved, and the server carried the renewal out. In the record the copy comes at 10.949 s, the grant at 12.949 s with fence 1048576, below 2097154 elsewhere.

Fix: the ledger of holds tells answers that may be copies from certain ones. Before slots with such answers are released, grantproofs.GrantProofs sends a grant with a higher fence on a connection of its own: a target that has answered it refuses all earlier ones for good. It prolongs no hold, and is not written once its release has ended. Where no answer comes after two tries, the slots wait for the end of the last grant.

--- a/tamarackgap/network/httppool.py
+++ b/tamarackgap/network/httppool.py
@@ -62,9 +62,11 @@
         build: Returns the request's bytes.
         is_answer: Returns whether an answer is the one to this request.
         connection: The connection that carries the request, or None.
+        is_first: Whether that connection has carried no request before, so
+            that no copy of another answer can be taken for its own.
     """
 
-    __slots__ = ("is_answer", "build", "connection")
+    __slots__ = ("is_answer", "build", "connection", "is_first")
 
     def __init__(
         self,
@@ -77,6 +79,7 @@
         self.build = build
         self.is_answer = is_answer
         self.connection: _Connection | None = None
+        self.is_first = False
 
 
 def _do_nothing() -> None:
@@ -257,6 +260,7 @@
         self._must_close = exclusive
         self._exchange = exchange
         exchange.connection = self
+        exchange.is_first = not self._is_reused
         self._received = False
         if self._writer.connected:
             self._write()
--- a/tamarackgap/processes/targethandler.py
+++ b/tamarackgap/processes/targethandler.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Callable
 
+import msgspec
 from returns import result
 
 from tamarackgap import logs, types
@@ -606,7 +607,12 @@
         ) -> None:
             match outcome:
                 case result.Success(httppool.Answer() as answer):
-                    done(self._adapter.decode_order_answer(answer))
+                    done(
+                        msgspec.structs.replace(
+                            self._adapter.decode_order_answer(answer),
+                            is_certain=exchange.is_first,
+                        )
+                    )
                 case result.Failure(exchanges.Failure(cause=cause)):
                     logs.event("order_unanswered", cause=cause.value)
                     if cause is exchanges.Cause.REFUSED:
@@ -619,11 +625,11 @@
                 return b""
             return self._adapter.encode_order(current)
 
-        self._order_pool.send(
+        exchange = self._order_pool.send(
             encode,
             timeout,
             handle_outcome,
             functools.partial(self._adapter.is_order_answer, order),
-            # No copy of another answer may acknowledge a release.
-            exclusive=isinstance(order, orders.Release),
+            # No copy of another answer may acknowledge these.
+            exclusive=isinstance(order, orders.Release) or order.is_proof,
         )
--- a/tamarackgap/traffic/holds.py
+++ b/tamarackgap/traffic/holds.py
@@ -36,6 +36,10 @@
         ends_at: Latest end of all grants that were sent, monotonic seconds.
         late_until: Latest end of the grants that were sent and that the target
             may still carry out, monotonic seconds.
+        unproven: Highest attempt under this fence whose answer may have been a
+            copy of an earlier one, -1 if none.
+        unproven_until: Latest end of the grants that the target may still carry
+            out if such answers were copies, monotonic seconds.
         sent: Number of the latest grant that was sent.
     """
 
@@ -46,8 +50,15 @@
     held_until: float = _NEVER
     ends_at: float = _NEVER
     late_until: float = _NEVER
+    unproven: int = -1
+    unproven_until: float = _NEVER
     sent: int = 0
 
+    def end(self) -> None:
+        """Records that the target does not hold the slot, and will not."""
+        self.held_until = self.ends_at = _NEVER
+        self.late_until = self.unproven_until = _NEVER
+
 
 class HoldLedger:
     """Tells when the target no longer holds slots, and the fences of orders.
@@ -143,7 +154,11 @@
         return order_fence
 
     def record_acknowledged(
-        self, slot_range: slots.SlotRange, order_fence: int, until: float
+        self,
+        slot_range: slots.SlotRange,
+        order_fence: int,
+        until: float,
+        is_certain: bool = True,
     ) -> None:
         """Records that the target has acknowledged a grant.
 
@@ -151,6 +166,8 @@
             slot_range: The range.
             order_fence: The fence that was sent.
             until: Monotonic time by which its hold has ended, seconds.
+            is_certain: Whether the answer can't be a copy of one to an earlier
+                grant.
         """
         attempt = order_fence % FENCE_STEP
         for hold in self._under_fence(slot_range):
@@ -160,9 +177,33 @@
                 # A later grant may still be executed.
                 continue
             hold.unanswered = -1
+            if not is_certain:
+                hold.unproven = max(hold.unproven, attempt)
+                hold.unproven_until = max(
+                    hold.unproven_until, hold.late_until, until
+                )
             if attempt == hold.attempt < _LAST_ATTEMPT:
                 # Grants without an answer had lower fences.
                 hold.late_until = _NEVER
+                if is_certain and attempt > hold.unproven:
+                    hold.unproven_until = _NEVER
+
+    def record_proof_sent(
+        self, slot_range: slots.SlotRange, until: float
+    ) -> int:
+        """Records a grant whose answer is to prove that earlier ones are void.
+
+        A target that has executed it refuses them, as its fence is higher.
+
+        Args:
+            slot_range: The range.
+            until: Monotonic time by which its hold has ended, seconds.
+
+        Returns:
+            The fence of the grant.
+        """
+        self.record_unanswered(slot_range)
+        return self.record_sent(slot_range, until)
 
     def record_unanswered(self, slot_range: slots.SlotRange) -> None:
         """Records that a grant had no answer, and raises the fence.
@@ -227,6 +268,20 @@
             (hold.late_until for hold in self._select(wanted)), default=_NEVER
         )
 
+    def unproven_until(self, wanted: Iterable[int]) -> float:
+        """Returns when grants have ended whose answers may have been copies.
+
+        Args:
+            wanted: The slots.
+
+        Returns:
+            Monotonic seconds; minus infinity if there is no such grant.
+        """
+        return max(
+            (hold.unproven_until for hold in self._select(wanted)),
+            default=_NEVER,
+        )
+
     def record_released(self, released: Iterable[int], sent_count: int) -> None:
         """Records that the target no longer holds slots.
 
@@ -237,12 +292,12 @@
         """
         for hold in self._select(released):
             if hold.sent <= sent_count:
-                hold.held_until = hold.ends_at = hold.late_until = _NEVER
+                hold.end()
 
     def clear(self) -> None:
         """Forgets all holds, since the target's process has ended."""
         for hold in self._holds.values():
-            hold.held_until = hold.ends_at = hold.late_until = _NEVER
+            hold.end()
 
     def _select(self, wanted: Iterable[int] | None) -> list[_SlotHold]:
         if wanted is None:
@@ -268,6 +323,7 @@
             hold.attempt = 0
             hold.acknowledged = -1
             hold.unanswered = -1
+            hold.unproven = -1
             hold.held_until = _NEVER
         return hold
 
--- a/tamarackgap/traffic/orders.py
+++ b/tamarackgap/traffic/orders.py
@@ -17,6 +17,7 @@
             "".
         until: Monotonic time by which the target no longer holds the slots,
             seconds.
+        is_proof: Whether its answer must be certain to be its own.
     """
 
     first: int
@@ -25,6 +26,7 @@
     hold_s: float
     handover: str
     until: float
+    is_proof: bool = False
 
 
 class Release(msgspec.Struct, frozen=True):
@@ -48,11 +50,14 @@
         acknowledged: Whether the target answered that it executed the order.
         superseded: Whether the target has seen a higher fence.
         handover: Text that the next holder gets with its grant, or "".
+        is_certain: Whether the answer can't be a copy of one to an earlier
+            order.
     """
 
     acknowledged: bool
     superseded: bool = False
     handover: str = ""
+    is_certain: bool = True
 
 
 # Sends an order to the target. Takes the order, the longest time to wait for an
--- a/tamarackgap/traffic/slotgrants.py
+++ b/tamarackgap/traffic/slotgrants.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import functools
 from collections.abc import Callable
 
 import msgspec
@@ -14,7 +15,7 @@
 from tamarackgap.network import scheduler
 from tamarackgap.ownership import ownership
 from tamarackgap.placement import slots
-from tamarackgap.traffic import holds, orders
+from tamarackgap.traffic import grantproofs, holds, orders
 
 # The target's clock may run slower than this daemon's by this share.
 _CLOCK_DRIFT = 0.02
@@ -104,6 +105,11 @@
         self._pending_releases = 0
         # Rises when all slots are released, or may be granted again.
         self._release_all_number = 0
+        # Rises when a release begins or ends.
+        self._release_number = 0
+        self._proofs = grantproofs.GrantProofs(
+            self._ledger, timers, send_order, self._hold_time, _MIN_HOLD_S
+        )
 
     @property
     def range_count(self) -> int:
@@ -156,6 +162,7 @@
         The next renewal grants each range again.
         """
         self._ledger.clear()
+        self._proofs.cancel()
         self._by_range.clear()
         self._by_slot.clear()
         self._version = -1
@@ -181,6 +188,8 @@
             process may have executed them.
         """
         self._stopped = True
+        self._proofs.is_barred = True
+        self._proofs.cancel()
         return max(0.0, self._ledger.late_until() - self._timers.now)
 
     def release_all(self, done: Callable[[], None]) -> None:
@@ -204,7 +213,9 @@
     def reset(self) -> None:
         """Starts granting again after the lease of the released slots ended."""
         self._stopped = False
+        self._proofs.is_barred = False
         self._release_all_number += 1
+        self._release_number += 1
         self._releasing = frozenset()
         self.clear()
 
@@ -274,6 +285,8 @@
         """
         if isinstance(order, orders.Release):
             return order
+        if order.is_proof:
+            return self._proofs.as_written_now(order)
         state = next(
             (
                 state
@@ -319,6 +332,8 @@
                 of the slots.
         """
         self._releasing = moving
+        self._release_number += 1
+        number = self._release_number
         # The other slots of these ranges are still granted.
         self._version = -1
         ranges = self._ledger.granted_ranges(moving, self._timers.now)
@@ -327,8 +342,13 @@
             return
         handovers: dict[slots.SlotRange, str] = {}
         self._pending_releases += len(ranges)
-        sent_count = self._ledger.sent_count
-        for slot_range in ranges:
+
+        def send_release(slot_range: slots.SlotRange) -> None:
+            sent_count = self._ledger.sent_count
+            if number != self._release_number:
+                # The slots may be granted again by now.
+                handle_result(slot_range, sent_count, orders.OrderResult(False))
+                return
             order = orders.Release(
                 *slots.position_range(slot_range, self._slot_count()),
                 self._ledger.order_fence(slot_range),
@@ -338,18 +358,22 @@
             self._send_order(
                 order,
                 _RELEASE_TIMEOUT_S,
-                lambda result, slot_range=slot_range: handle_result(
-                    slot_range, result
-                ),
+                lambda result: handle_result(slot_range, sent_count, result),
             )
 
         def handle_result(
-            slot_range: slots.SlotRange, result: orders.OrderResult
+            slot_range: slots.SlotRange,
+            sent_count: int,
+            result: orders.OrderResult,
         ) -> None:
             released = range(slot_range.first, slot_range.last + 1)
             if result.acknowledged:
                 # A grant without an answer may be executed after the release.
                 ends_at = self._ledger.late_until(released)
+                if not self._proofs.is_barred:
+                    ends_at = max(
+                        ends_at, self._ledger.unproven_until(released)
+                    )
             else:
                 ends_at = self._ledger.ends_at(released)
                 logs.event(
@@ -360,12 +384,15 @@
             wait = ends_at - self._timers.now
             if wait > 0:
                 self._timers.after(
-                    wait, lambda: finish(slot_range, result.handover)
+                    wait,
+                    lambda: finish(slot_range, sent_count, result.handover),
                 )
             else:
-                finish(slot_range, result.handover)
+                finish(slot_range, sent_count, result.handover)
 
-        def finish(slot_range: slots.SlotRange, handover: str) -> None:
+        def finish(
+            slot_range: slots.SlotRange, sent_count: int, handover: str
+        ) -> None:
             logs.event(
                 "slots_released",
                 first=slot_range.first,
@@ -381,11 +408,24 @@
             if len(handovers) == len(ranges):
                 done(handovers)
 
+        may_prove = not (self._paused or self.by_heartbeat)
+        lease_until = self._core.lease_until() if may_prove else float("-inf")
+        for slot_range in ranges:
+            self._proofs.prove(
+                slot_range,
+                self._slot_count(),
+                lease_until,
+                lambda: number == self._release_number,
+                functools.partial(send_release, slot_range),
+            )
+
     def end_release(self) -> None:
         """Ends a release; slots that have not moved are granted again."""
         for slot in self._releasing:
             self._by_slot.pop(slot, None)
         self._releasing = frozenset()
+        self._release_number += 1
+        self._proofs.cancel()
         self._version = -1
 
     def _slot_count(self) -> int:
@@ -480,7 +520,7 @@
                 # The hold time counts from the arrival of the grant and ends
                 # before `until`.
                 self._ledger.record_acknowledged(
-                    slot_range, state.order_fence, until
+                    slot_range, state.order_fence, until, result.is_certain
                 )
                 self._log_acknowledged(state, hold_s)
                 return
--- a/tests/network/test_httppool.py
+++ b/tests/network/test_httppool.py
@@ -403,6 +403,22 @@
     assert sender.statuses == [503, exchanges.Cause.MALFORMED]
 
 
+def test_an_exchange_tells_whether_its_connection_is_new(
+    poller_and_pool, target
+):
+    # Only there an answer can't be a copy of an earlier one.
+    poller, pool = poller_and_pool
+    sender = Exchanges(poller, pool, target)
+    first = pool.send(lambda: b"GET / HTTP/1.1\r\n\r\n", 1.0, print)
+    sender.connect()
+    with sender.accepted:
+        sender.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        second = pool.send(lambda: b"GET / HTTP/1.1\r\n\r\n", 1.0, print)
+        assert sender.connection_count == 1
+    assert first.is_first
+    assert not second.is_first
+
+
 def test_an_exclusive_exchange_has_a_connection_of_its_own(sender, surplus):
     _receive_refusal(sender)
     # A copy of the refusal would pass as the answer to a request with its id.
--- a/tests/traffic/test_holds.py
+++ b/tests/traffic/test_holds.py
@@ -95,6 +95,38 @@
     assert ledger.ends_at() == 102.0
 
 
+def test_an_answer_that_may_be_a_copy_proves_nothing():
+    ledger = granted_ledger(until=101.0)
+    assert ledger.unproven_until(range(10)) < 100.0
+    ledger.record_sent(RANGE, 102.0)
+    ledger.record_acknowledged(RANGE, FENCE, 102.0, is_certain=False)
+    assert ledger.is_held(4, 3, 101.5)
+    assert ledger.unproven_until(range(10)) == 102.0
+    # A renewal has the same fence, so the earlier one is not refused.
+    ledger.record_sent(RANGE, 103.0)
+    ledger.record_acknowledged(RANGE, FENCE, 103.0)
+    assert ledger.unproven_until(range(10)) == 102.0
+
+
+def test_a_proof_ends_the_doubt_about_earlier_grants():
+    ledger = granted_ledger(until=101.0)
+    ledger.record_acknowledged(RANGE, FENCE, 101.0, is_certain=False)
+    fence = ledger.record_proof_sent(RANGE, 101.0)
+    assert fence == FENCE + 1
+    ledger.record_acknowledged(RANGE, fence, 101.0)
+    assert ledger.unproven_until(range(10)) < 100.0
+    assert ledger.late_until() < 100.0
+
+
+def test_a_copied_answer_does_not_end_the_doubt_about_unanswered_grants():
+    ledger = granted_ledger(until=101.0)
+    ledger.record_sent(RANGE, 104.0)
+    ledger.record_unanswered(RANGE)
+    fence = ledger.record_sent(RANGE, 103.0)
+    ledger.record_acknowledged(RANGE, fence, 103.0, is_certain=False)
+    assert ledger.unproven_until(range(10)) == 104.0
+
+
 def test_fences_of_orders_are_integers_of_json():
     highest = slots.SlotRange(0, 0, 2**33 - 1)
     row = msgspec.json.encode(highest)
--- a/tests/traffic/test_slotgrants.py
+++ b/tests/traffic/test_slotgrants.py
@@ -675,6 +675,89 @@
     assert grant.fence > late.fence
 
 
+def begin_release_with_copied_answer(subject):
+    """Releases slots whose last grant got an answer that may be a copy."""
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    timers.advance(0.5)
+    grants.renew()
+    target.answer(is_certain=False)
+    reported = []
+    grants.release(frozenset({0, 1}), reported.append)
+    return timers, target, grants, reported
+
+
+def test_slots_do_not_move_while_a_copied_answer_may_hide_a_late_grant(subject):
+    # The copy was taken for the answer, and the grant was executed after its
+    # slots had moved.
+    timers, target, grants, reported = begin_release_with_copied_answer(subject)
+    (proof,) = target.answer()
+    assert proof.is_proof
+    assert proof.fence > slotgrants.FENCE_STEP
+    (release,) = target.answer()
+    assert isinstance(release, orders.Release)
+    assert release.fence == proof.fence
+    assert reported
+
+
+def test_a_release_without_proof_waits_for_the_end_of_late_grants(subject):
+    timers, target, grants, reported = begin_release_with_copied_answer(subject)
+    for _ in range(2):
+        (proof,) = target.answer(acknowledged=False)
+        assert proof.is_proof
+    (release,) = target.answer()
+    assert isinstance(release, orders.Release)
+    timers.advance(0.9)
+    assert not reported
+    timers.advance(0.2)
+    assert reported
+
+
+def test_a_proof_prolongs_no_hold(subject):
+    timers, target, grants, _ = begin_release_with_copied_answer(subject)
+    ((proof, _),) = target.orders
+    timers.advance(0.4)
+    written = grants.with_remaining_hold(proof)
+    assert written.hold_s * 1.02 < 0.6
+    timers.advance(0.5)
+    assert grants.with_remaining_hold(proof) is None
+
+
+def test_certain_answers_need_no_proof(subject):
+    timers, core, target, grants = subject
+    core.own(0, 9, 1)
+    grants.renew()
+    target.answer()
+    grants.release(frozenset({0, 1}), lambda handovers: None)
+    assert isinstance(target.orders[0][0], orders.Release)
+
+
+@pytest.mark.parametrize("end", ["end_release", "reset", "stop"])
+def test_a_proof_is_not_written_once_its_release_has_ended(subject, end):
+    timers, target, grants, _ = begin_release_with_copied_answer(subject)
+    ((proof, answer),) = target.orders
+    getattr(grants, end)()
+    assert grants.with_remaining_hold(proof) is None
+    target.orders = []
+    answer(orders.OrderResult(False))
+    assert not any(
+        isinstance(order, orders.Grant) for order, _ in target.orders
+    )
+
+
+def test_slots_granted_again_are_not_released_by_an_answer_to_a_proof(subject):
+    timers, target, grants, reported = begin_release_with_copied_answer(subject)
+    ((_, answer),) = target.orders
+    grants.end_release()
+    grants.renew()
+    target.orders = []
+    answer(orders.OrderResult(True))
+    assert target.orders == []
+    assert grants.is_held(0, timers.now)
+
+
 class LateTarget:
     """Receives orders, and may execute a grant without an answer at any time.
 
@@ -682,16 +765,21 @@
         grants: The grants that send the orders.
         too_low: Grants whose fence was not above that of an earlier grant
             without an answer.
+        copied_share: Share of the answers to renewals that are copies of
+            earlier ones.
     """
 
-    def __init__(self, timers, rng):
+    def __init__(self, timers, rng, copied_share=0.0):
         self.grants = None
         self.too_low = []
+        self.copied_share = copied_share
         self._timers = timers
         self._rng = rng
         self._queued = []
         self._written = []
         self._unanswered = []
+        # Those that were not carried out, but have an answer.
+        self._copied = []
 
     def __call__(self, order, timeout, done):
         self._queued.append((order, done))
@@ -709,7 +797,7 @@
             return
         self.too_low += [
             current
-            for other in self._unanswered
+            for other in self._unproven()
             if overlap(other, current) and other.fence >= current.fence
         ]
         self._unanswered.append(current)
@@ -720,6 +808,10 @@
             return
         index = self._rng.randrange(len(self._written))
         grant, done = self._written.pop(index)
+        if not grant.is_proof and self._rng.random() < self.copied_share:
+            self._copied.append(grant)
+            done(orders.OrderResult(True, is_certain=False))
+            return
         acknowledged = self._rng.random() < 0.6
         if acknowledged:
             # It refuses all earlier grants of these keys from now on.
@@ -729,7 +821,16 @@
                 if other is not grant
                 and not (overlap(other, grant) and other.fence < grant.fence)
             ]
-        done(orders.OrderResult(acknowledged))
+        is_certain = not self.copied_share or grant.is_proof
+        done(orders.OrderResult(acknowledged, is_certain=is_certain))
+
+    def _unproven(self):
+        """Returns the grants without an answer, as far as the sender knows."""
+        return [
+            grant
+            for grant in self._unanswered
+            if not any(grant is copied for copied in self._copied)
+        ]
 
     def may_take(self, first, last):
         """Returns the grants by which it may still take some of the keys."""
@@ -746,14 +847,16 @@
     return one.first <= other.last and one.last >= other.first
 
 
+# With copied answers, a renewal that was not carried out counted as confirmed.
+@pytest.mark.parametrize("copied_share", [0.0, 0.3])
 @pytest.mark.parametrize("seed", range(30))
-def test_no_path_forgets_a_grant_without_an_answer(seed):
+def test_no_path_forgets_a_grant_without_an_answer(seed, copied_share):
     # Whatever happens between a grant and its answer, later grants have higher
     # fences, and released keys are not reported while it may be executed.
     timers = Timers()
     core = Core(timers)
     rng = random.Random(seed)
-    target = LateTarget(timers, rng)
+    target = LateTarget(timers, rng, copied_share)
     grants = slotgrants.SlotGrants(core, target, timers, 1.0, 10.0)
     target.grants = grants
     core.own(0, 7, 1)
