Tests of memory depend less on the load of the machine

The test of answers without an end needs many of them at once. Routes of these tests have a long timeout, and callers wait a second for their refusal, as the tests are about memory and not about time.

--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -6,10 +6,13 @@
 import socket
 import socketserver
 import sys
+import time
 from collections.abc import Callable
 
 import msgspec
 
+_ENDLESS_PAUSE_S = 0.002
+
 
 class Request(msgspec.Struct, frozen=True):
     """A request to a stand-in.
@@ -173,6 +176,8 @@
             with contextlib.suppress(OSError):
                 while True:
                     self.wfile.write(chunk)
+                    # Lets other answers grow at the same time.
+                    time.sleep(_ENDLESS_PAUSE_S)
 
         do_GET = do_POST = do_PUT = do_DELETE = _handle  # noqa: N815
 
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -10,6 +10,8 @@
 from standins import platformcluster
 
 READY_S = 20
+# Long, as these tests are not about time.
+TIMEOUT_MS = 4500
 MEMORY_MB = 100
 MAX_BODY_BYTES = 8_000_000
 UPLOAD_BYTES = 6_000_000
@@ -20,6 +22,23 @@
 SLOTS = 40
 
 
+def _configuration():
+    routes = [
+        platformcluster.route(
+            name,
+            "seats.example",
+            f"/{name}/",
+            "seats",
+            idempotent=name == "browse",
+            timeout_ms=TIMEOUT_MS,
+        )
+        for name in ("browse", "book")
+    ]
+    return platformcluster.configuration(
+        1, *routes, platformcluster.service("seats")
+    )
+
+
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
     with pytest.MonkeyPatch.context() as patch:
@@ -37,7 +56,7 @@
                 ("east", "desk", False),
             ],
         )
-        started.write_configuration()
+        started.store.put("op", "config", _configuration())
         for vm in started.vms:
             vm.memory_mb = MEMORY_MB
             vm.start_server()
@@ -67,7 +86,11 @@
 def _status(vm, **options):
     try:
         return platformcluster.send_caller_request(
-            vm, "seats.example", "/browse/x", **options
+            vm,
+            "seats.example",
+            "/browse/x",
+            timeout_ms=TIMEOUT_MS,
+            **options,
         )[0]
     except OSError:
         return 0
@@ -95,7 +118,12 @@
     # Bodies over 5.3 MB got 504, whatever the operators' limit was.
     body = bytes(range(256)) * (MAX_BODY_BYTES // 256)
     status, _, answer, _ = platformcluster.send_caller_request(
-        cluster.vms[2], "seats.example", "/book/x", method="POST", body=body
+        cluster.vms[2],
+        "seats.example",
+        "/book/x",
+        method="POST",
+        body=body,
+        timeout_ms=TIMEOUT_MS,
     )
     assert status == 200
     echo = json.loads(answer)["body"].encode("latin-1")
@@ -111,7 +139,7 @@
     def begin(connection):
         try:
             connection.sendall(head + HALF_BODY)
-            connection.settimeout(0.1)
+            connection.settimeout(1.0)
             return connection.recv(12)
         except TimeoutError:
             return b""
