--- a/tests/network/test_httpclient.py
+++ b/tests/network/test_httpclient.py
@@ -42,11 +42,11 @@
 class Sender:
     """Sends requests to a target whose bytes the test writes."""
 
-    def __init__(self, server):
+    def __init__(self, server, budget=None):
         self._server = server
         self._poller = Poller()
         self._client = httpclient.HttpClient(
-            self._poller, Timers(), bytebudget.ByteBudget()
+            self._poller, Timers(), budget or bytebudget.ByteBudget()
         )
         self._target = None
         self.outcomes = []
@@ -162,3 +162,22 @@
         result.Failure(exchanges.Failure(exchanges.Cause.MALFORMED, sent=True))
     ]
     assert sender.connection_count == 0
+
+
+def test_an_answer_without_room_in_the_process_is_given_up():
+    # Each answer within its own limit, many of them exceeded the memory.
+    budget = bytebudget.ByteBudget(8000)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        sender = Sender(server, budget)
+        sender.send()
+        sender.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n")
+        sender.receive(b"a" * 6000)
+        assert budget.used > 6000
+        others = bytebudget.Charge(budget)
+        others.hold(2500)
+        sender.receive(b"a" * 2000)
+        sender.end()
+    (outcome,) = sender.outcomes
+    assert outcome.failure().cause is exchanges.Cause.TOO_LARGE
+    others.release()
+    assert budget.used == 0
--- a/tests/traffic/test_runner.py
+++ b/tests/traffic/test_runner.py
@@ -89,7 +89,7 @@
 class ControlledTargetHarness:
     """A runner whose target ends each call when the test says so."""
 
-    def __init__(self):
+    def __init__(self, budget=None):
         self.sent = []
         self.exclusive = []
         self.completions = []
@@ -116,7 +116,7 @@
             self.timers,
             lambda: None,
             crashes.CrashHistory(),
-            bytebudget.ByteBudget(),
+            budget or bytebudget.ByteBudget(),
         )
         self.runner.attach("target", CAPACITY)
 
@@ -126,13 +126,13 @@
         # An exchange refers to the call in the same way.
         return module_types.SimpleNamespace(build=build, done=done)
 
-    def call(self, path, owner="i", request_id="r", body=b""):
+    def call(self, path, owner="i", request_id="r", body=b"", sender="i"):
         call = calls.Call(request_id, "s", "GET", path, b"", body, None)
         leg = len(self.completions) + 1
         self.completions.append(None)
         self.runner.submit(
             calls.Dispatch(owner, leg, "s", call, 9.0, 1, True, 0.5, 0.5),
-            "i",
+            sender,
             functools.partial(self.completions.__setitem__, leg - 1),
         )
 
@@ -255,6 +255,23 @@
     assert subject.runner.returned_request_count <= 12
 
 
+def test_calls_of_other_daemons_share_the_memory_of_the_process():
+    # Calls of many daemons, each within its limit, exceeded the memory.
+    budget = bytebudget.ByteBudget(1000)
+    subject = ControlledTargetHarness(budget)
+    for _ in range(3):
+        subject.call("/upload", body=bytes(400), sender="peer")
+    assert subject.completions[:2] == [None, None]
+    assert subject.completions[2].reason is types.Reason.QUEUE_FULL
+    assert subject.completions[2].verdict is types.Verdict.NOT_RUN
+    # The call of a local caller counts while its connection holds it.
+    subject.call("/upload", body=bytes(400))
+    assert subject.completions[3] is None
+    for index in range(3):
+        subject.end(index, broken=False)
+    assert budget.used == 0
+
+
 def _answer(subject):
     subject.end(CAPACITY, broken=False)
 
