A renewal under way does not undo the proof of its release

A release asks the target for proof that earlier grants are refused. Where a renewal of the same slots was on its way, its answer came after that of the proof, counted as one that may be a copy, and the slots waited for the end of the hold, up to a second, before they moved. If the renewal failed before the proof was answered, the proof counted for nothing.

The ledger records the fence of a proof that was acknowledged. Answers to grants with lower fences change nothing then, and only grants sent after a proof outlast it.

--- a/tamarackgap/traffic/grantproofs.py
+++ b/tamarackgap/traffic/grantproofs.py
@@ -104,6 +104,7 @@
             done()
             return
         fence = self._ledger.record_proof_sent(slot_range, until)
+        sent_count = self._ledger.sent_count
         proof = orders.Grant(
             *slots.position_range(slot_range, slot_count),
             fence,
@@ -118,7 +119,7 @@
             self._pending = [
                 each for each in self._pending if each is not proof
             ]
-            if not result.acknowledged:
+            if not (result.acknowledged and result.is_certain):
                 self.prove(
                     slot_range,
                     slot_count,
@@ -128,9 +129,7 @@
                     tries - 1,
                 )
                 return
-            self._ledger.record_acknowledged(
-                slot_range, fence, until, result.is_certain
-            )
+            self._ledger.record_proven(slot_range, fence, until, sent_count)
             done()
 
         self._send_order(proof, _TIMEOUT_S, handle_result)
--- a/tamarackgap/traffic/holds.py
+++ b/tamarackgap/traffic/holds.py
@@ -36,10 +36,11 @@
         ends_at: Latest end of all grants that were sent, monotonic seconds.
         late_until: Latest end of the grants that were sent and that the target
             may still carry out, monotonic seconds.
-        unproven: Highest attempt under this fence whose answer may have been a
-            copy of an earlier one, -1 if none.
+        proven: Attempt of the latest proof under this fence that the target has
+            acknowledged, -1 if none. It refuses lower ones.
         unproven_until: Latest end of the grants that the target may still carry
-            out if such answers were copies, monotonic seconds.
+            out if answers to them were copies of earlier ones, monotonic
+            seconds.
         sent: Number of the latest grant that was sent.
     """
 
@@ -50,7 +51,7 @@
     held_until: float = _NEVER
     ends_at: float = _NEVER
     late_until: float = _NEVER
-    unproven: int = -1
+    proven: int = -1
     unproven_until: float = _NEVER
     sent: int = 0
 
@@ -177,16 +178,13 @@
                 # A later grant may still be executed.
                 continue
             hold.unanswered = -1
-            if not is_certain:
-                hold.unproven = max(hold.unproven, attempt)
+            if not is_certain and attempt >= hold.proven:
                 hold.unproven_until = max(
                     hold.unproven_until, hold.late_until, until
                 )
             if attempt == hold.attempt < _LAST_ATTEMPT:
                 # Grants without an answer had lower fences.
                 hold.late_until = _NEVER
-                if is_certain and attempt > hold.unproven:
-                    hold.unproven_until = _NEVER
 
     def record_proof_sent(
         self, slot_range: slots.SlotRange, until: float
@@ -205,6 +203,30 @@
         self.record_unanswered(slot_range)
         return self.record_sent(slot_range, until)
 
+    def record_proven(
+        self,
+        slot_range: slots.SlotRange,
+        order_fence: int,
+        until: float,
+        sent_count: int,
+    ) -> None:
+        """Records that the target has acknowledged a proof.
+
+        Answers to earlier grants that come after it change nothing.
+
+        Args:
+            slot_range: The range.
+            order_fence: The fence that was sent.
+            until: Monotonic time by which its hold has ended, seconds.
+            sent_count: Number of grants that had been sent with it.
+        """
+        self.record_acknowledged(slot_range, order_fence, until)
+        attempt = order_fence % FENCE_STEP
+        for hold in self._under_fence(slot_range):
+            hold.proven = max(hold.proven, attempt)
+            if hold.sent <= sent_count and attempt < _LAST_ATTEMPT:
+                hold.late_until = hold.unproven_until = _NEVER
+
     def record_unanswered(self, slot_range: slots.SlotRange) -> None:
         """Records that a grant had no answer, and raises the fence.
 
@@ -323,7 +345,7 @@
             hold.attempt = 0
             hold.acknowledged = -1
             hold.unanswered = -1
-            hold.unproven = -1
+            hold.proven = -1
             hold.held_until = _NEVER
         return hold
 
--- a/tests/traffic/test_holds.py
+++ b/tests/traffic/test_holds.py
@@ -113,11 +113,48 @@
     ledger.record_acknowledged(RANGE, FENCE, 101.0, is_certain=False)
     fence = ledger.record_proof_sent(RANGE, 101.0)
     assert fence == FENCE + 1
-    ledger.record_acknowledged(RANGE, fence, 101.0)
+    ledger.record_proven(RANGE, fence, 101.0, ledger.sent_count)
     assert ledger.unproven_until(range(10)) < 100.0
     assert ledger.late_until() < 100.0
 
 
+@pytest.mark.parametrize("is_answered", [True, False])
+@pytest.mark.parametrize("is_before", [True, False])
+def test_the_end_of_an_earlier_grant_does_not_bring_doubt_back(
+    is_answered, is_before
+):
+    # A release waited for the end of the hold if a renewal was on its way when
+    # it began.
+    ledger = granted_ledger(until=101.0)
+    ledger.record_acknowledged(RANGE, FENCE, 101.0, is_certain=False)
+    ledger.record_sent(RANGE, 102.0)
+    fence = ledger.record_proof_sent(RANGE, 102.0)
+    sent_count = ledger.sent_count
+
+    def end_renewal():
+        if is_answered:
+            ledger.record_acknowledged(RANGE, FENCE, 102.0, is_certain=False)
+        else:
+            ledger.record_unanswered(RANGE)
+
+    if is_before:
+        end_renewal()
+    ledger.record_proven(RANGE, fence, 102.0, sent_count)
+    if not is_before:
+        end_renewal()
+    assert ledger.unproven_until(range(10)) < 100.0
+    assert ledger.late_until() < 100.0
+
+
+def test_a_proof_ends_no_doubt_about_grants_sent_after_it():
+    ledger = granted_ledger(until=101.0)
+    fence = ledger.record_proof_sent(RANGE, 101.0)
+    sent_count = ledger.sent_count
+    ledger.record_sent(RANGE, 105.0)
+    ledger.record_proven(RANGE, fence, 101.0, sent_count)
+    assert ledger.late_until() == 105.0
+
+
 def test_a_copied_answer_does_not_end_the_doubt_about_unanswered_grants():
     ledger = granted_ledger(until=101.0)
     ledger.record_sent(RANGE, 104.0)
