--- a/tests/test_review_settings.py
+++ b/tests/test_review_settings.py
@@ -1,4 +1,4 @@
-"""Checks that the cases of review/ give the settings all their values."""
+"""Checks that each case of review/ renders deploy/settings.ini in full."""
 
 import importlib
 import pathlib
