Routers of tests get their default memory as a figure

The stand-in's settings had an empty `memory` for routers without a limit of their own. They took the default, with a line about a value that can't be used. It is 0 now, which is the default's figure.

--- a/standins/platformcluster.py
+++ b/standins/platformcluster.py
@@ -169,7 +169,7 @@
 http_address = {self.caller_address}
 peer_address = {self.peer_address}
 log = stdout
-memory = {self.memory_mb or ""}
+memory = {self.memory_mb}
 [router]
 announce_address = {self.announce_address}
 ready_address = {self.ready_address}
