--- a/tamarackgap/traffic/dispatcher.py
+++ b/tamarackgap/traffic/dispatcher.py
@@ -49,7 +49,12 @@
 
 
 class Dispatcher:
-    """Tracks the requests that this daemon has received from callers."""
+    """Tracks the requests that this daemon has received from callers.
+
+    Attributes:
+        zones: Chooses the targets of calls that any target can run.
+        bodies: Sends legs to other daemons, large bodies in parts.
+    """
 
     def __init__(
         self,
@@ -88,7 +93,7 @@
         self.bodies = outgoingbodies.OutgoingBodies(
             peer_transport,
             budget or bytebudget.ByteBudget(),
-            self._handle_unsent_body,
+            self._handle_unsent_leg,
         )
         self._timers = timers
         self._budgets = budgets
@@ -417,9 +422,9 @@
         if not address or not self.bodies.send(
             own_incarnation, address, dispatch
         ):
-            self._handle_unsent_body(leg)
+            self._handle_unsent_leg(leg)
 
-    def _handle_unsent_body(self, leg: int) -> None:
+    def _handle_unsent_leg(self, leg: int) -> None:
         """Goes on after a leg that did not reach its daemon as a whole."""
         pending = self._by_leg.pop(leg, None)
         if pending is None or pending.leg != leg:
